--- /dev/null
+++ b/crates/lycheewood-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/lycheewood/src/clock.rs
@@ -0,0 +1,66 @@
+//! Time as data: decisions take a [`Timestamp`], only adapters read a [`Clock`].
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time in milliseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Timestamp {
+    unix_ms: u64,
+}
+
+impl Timestamp {
+    /// The point `unix_ms` milliseconds after the Unix epoch.
+    #[must_use]
+    pub const fn from_unix_ms(unix_ms: u64) -> Self {
+        Self { unix_ms }
+    }
+
+    /// Milliseconds since the Unix epoch.
+    #[must_use]
+    pub const fn unix_ms(self) -> u64 {
+        self.unix_ms
+    }
+
+    /// The point `duration_ms` milliseconds later.
+    #[must_use]
+    pub const fn plus_ms(self, duration_ms: u64) -> Self {
+        Self { unix_ms: self.unix_ms.saturating_add(duration_ms) }
+    }
+
+    /// Milliseconds since `earlier`, or 0 when `earlier` lies in the future.
+    #[must_use]
+    pub const fn ms_since(self, earlier: Self) -> u64 {
+        self.unix_ms.saturating_sub(earlier.unix_ms)
+    }
+}
+
+/// A clock that never goes back within a process, even when the system time is set back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    started_unix_ms: u64,
+}
+
+impl Clock {
+    /// A clock that starts at the present system time.
+    #[must_use]
+    pub fn system() -> Self {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Self {
+            started: Instant::now(),
+            started_unix_ms: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        let elapsed_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Timestamp::from_unix_ms(self.started_unix_ms).plus_ms(elapsed_ms)
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/document.rs
@@ -0,0 +1,3 @@
+//! The document that drives the system: what a service serves, to whom, and in which order.
+
+pub(crate) mod checked;
--- /dev/null
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -0,0 +1,3 @@
+//! Life cycles as types: a transition that must not happen does not compile.
+
+pub(crate) mod attempt;
--- /dev/null
+++ b/crates/lycheewood/src/outcome.rs
@@ -0,0 +1,148 @@
+//! What a caller can be told: done, not run, outcome unknown, or that the request itself is wrong.
+
+use crate::ids::RequestKey;
+
+/// Why a request was not run. Stable codes that callers can match on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NotRunCode {
+    /// No document is in force on this instance yet.
+    NoDocument,
+    /// The workspace is over its limit.
+    OverLimit,
+    /// The deadline cannot be met.
+    DeadlineUnreachable,
+    /// Load is being shed.
+    Overloaded,
+    /// No endpoint can take the request now.
+    NoEndpoint,
+    /// This instance is leaving.
+    Draining,
+    /// The claim could not be recorded in time, or another attempt holds it.
+    ClaimUnavailable,
+    /// The endpoint refused the attempt before it started.
+    EndpointRefused,
+    /// The request is quarantined because it crashed endpoints.
+    Quarantined,
+}
+
+impl NotRunCode {
+    /// The code as it appears in the body of the reply.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoDocument => "no_document",
+            Self::OverLimit => "over_limit",
+            Self::DeadlineUnreachable => "deadline_unreachable",
+            Self::Overloaded => "overloaded",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Draining => "draining",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::EndpointRefused => "endpoint_refused",
+            Self::Quarantined => "quarantined",
+        }
+    }
+}
+
+/// The request did not run and never will under this attempt; sending it again is safe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotRun {
+    /// Why it did not run.
+    pub code: NotRunCode,
+    /// When sending again makes sense, from now.
+    pub retry_after_ms: u64,
+}
+
+/// Why the outcome of a request is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UnknownCode {
+    /// The endpoint failed while the request may have been running.
+    EndpointLost,
+    /// The endpoint did not answer within the deadline.
+    DeadlinePassed,
+    /// The key is older than the log keeps claims.
+    KeyExpired,
+    /// An earlier attempt holds the key and its outcome cannot be learned.
+    HolderLost,
+    /// An earlier attempt with the same key is still running.
+    StillRunning,
+}
+
+impl UnknownCode {
+    /// The code as it appears in the body of the reply.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::EndpointLost => "endpoint_lost",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::KeyExpired => "key_expired",
+            Self::HolderLost => "holder_lost",
+            Self::StillRunning => "still_running",
+        }
+    }
+}
+
+/// The request may or may not have run; nobody may assume either.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unknown {
+    /// Why the outcome is unknown.
+    pub code: UnknownCode,
+    /// The key to ask by, if the caller sent one.
+    pub key: Option<RequestKey>,
+}
+
+/// The request is wrong and is refused before anything happens.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidRequest {
+    /// A field is missing or has a wrong value.
+    #[error("{field}: {remedy}")]
+    Field {
+        /// The header or the path in the body.
+        field: &'static str,
+        /// What to send instead.
+        remedy: String,
+    },
+    /// The token is missing or belongs to no workspace.
+    #[error("authorization: send `Bearer` and a token that the document lists")]
+    Unauthorized,
+    /// The workspace may not do this.
+    #[error("{field}: {remedy}")]
+    Forbidden {
+        /// The header or the path in the body.
+        field: &'static str,
+        /// What to ask the operator for.
+        remedy: String,
+    },
+    /// The model or service is unknown.
+    #[error("{field}: `{name}` is not in the document; use one of its models or services")]
+    UnknownTarget {
+        /// The header or the path in the body.
+        field: &'static str,
+        /// The unknown name.
+        name: String,
+    },
+}
+
+/// How a request ends without an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request is wrong.
+    Invalid(InvalidRequest),
+    /// The request did not run.
+    NotRun(NotRun),
+    /// The outcome is unknown.
+    Unknown(Unknown),
+}
+
+impl Refusal {
+    /// A refusal as not run.
+    #[must_use]
+    pub const fn not_run(code: NotRunCode, retry_after_ms: u64) -> Self {
+        Self::NotRun(NotRun { code, retry_after_ms })
+    }
+
+    /// A refusal for one wrong field.
+    #[must_use]
+    pub fn field(field: &'static str, remedy: impl Into<String>) -> Self {
+        Self::Invalid(InvalidRequest::Field { field, remedy: remedy.into() })
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/wire/message.rs
@@ -0,0 +1,253 @@
+//! The messages themselves.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Timestamp;
+use crate::ids::{
+    AttemptId, EndpointKindName, Incarnation, InstanceId, Offset, RequestKey, TargetName,
+    VersionName,
+};
+
+/// The role of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Accepts callers' requests.
+    Entry,
+    /// Stands beside one model engine or plain service.
+    Endpoint,
+}
+
+/// The first frame on every connection, from both sides.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Oldest protocol version that the sender speaks.
+    pub protocol_min: u16,
+    /// Newest protocol version that the sender speaks.
+    pub protocol_max: u16,
+    /// The sender's process.
+    pub incarnation: Incarnation,
+    /// The sender's instance.
+    pub instance: InstanceId,
+    /// The sender's role.
+    pub role: Role,
+    /// The kind of endpoint beside the sender, if its role is endpoint.
+    #[serde(default)]
+    pub endpoint_kind: Option<EndpointKindName>,
+    /// The version that the engine has loaded, if it serves a model.
+    #[serde(default)]
+    pub version: Option<VersionName>,
+}
+
+/// What an attempt runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Work {
+    /// A completion by a model.
+    Model {
+        /// The model.
+        model: TargetName,
+        /// The version that must run it.
+        version: VersionName,
+        /// The prompt.
+        prompt: String,
+        /// The most tokens to generate.
+        max_tokens: u32,
+        /// The first token to send; earlier ones have been received.
+        resume_from_token: u64,
+    },
+    /// One call to a plain service.
+    Service {
+        /// The service.
+        service: TargetName,
+        /// HTTP method.
+        method: String,
+        /// Path below the service, with its query.
+        path: String,
+        /// Content type of the body.
+        content_type: String,
+        /// The body.
+        #[serde(with = "serde_bytes")]
+        body: Vec<u8>,
+    },
+}
+
+/// Asks the endpoint daemon to run an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The endpoint process that is meant; any other refuses.
+    pub endpoint_incarnation: Incarnation,
+    /// Digest of workspace, target and body.
+    #[serde(with = "serde_bytes")]
+    pub fingerprint: [u8; 16],
+    /// The caller's key, if it sent one.
+    pub key: Option<RequestKey>,
+    /// Offset of the claim, if the request may not repeat.
+    pub claim_offset: Option<Offset>,
+    /// When the attempt is no longer wanted.
+    pub deadline: Timestamp,
+    /// Priority, 0 to 9; higher runs first.
+    pub priority: u8,
+    /// Whether the request must run alone because it is suspected of crashing endpoints.
+    #[serde(default)]
+    pub run_alone: bool,
+    /// What to run.
+    pub work: Work,
+    /// W3C trace context of the sending span.
+    #[serde(default)]
+    pub traceparent: Option<String>,
+}
+
+/// Asks after an attempt, on a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The next chunk that the sender lacks.
+    pub from_chunk: u64,
+}
+
+/// Asks the endpoint daemon for the result of an attempt or a promise that it never runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recover {
+    /// The attempt that holds the claim.
+    pub attempt: AttemptId,
+    /// The endpoint process that the claim names.
+    pub endpoint_incarnation: Incarnation,
+}
+
+/// Why an endpoint refused an attempt that it has not started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusedReason {
+    /// The order is meant for another process at the same address.
+    OtherIncarnation,
+    /// The deadline has passed.
+    DeadlinePassed,
+    /// The endpoint is leaving.
+    Draining,
+    /// The endpoint is full.
+    Full,
+    /// The engine or service is down.
+    EngineDown,
+    /// The endpoint promised that this attempt never runs.
+    Promised,
+    /// The attempt is not known here, and will not run.
+    NeverSeen,
+    /// The engine has another version loaded.
+    OtherVersion,
+    /// A reason that this build does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// The endpoint vouches that the attempt never started and never will.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refused {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Why.
+    pub reason: RefusedReason,
+}
+
+/// Status of the answer, before its first chunk.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// HTTP status of the engine or service.
+    pub status: u16,
+    /// Content type of a plain service's answer.
+    pub content_type: String,
+}
+
+/// One piece of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Position in the answer, contiguous; a token's index for models.
+    pub index: u64,
+    /// The piece.
+    pub bytes: Bytes,
+}
+
+/// The answer is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Index after the last chunk.
+    pub chunks: u64,
+}
+
+/// The attempt failed after it had started; it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failed {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Whether the engine or service process died under it.
+    pub engine_died: bool,
+}
+
+/// Load of the endpoint beside the sender.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub queued: u32,
+    /// Requests that can run at once.
+    pub capacity: u32,
+    /// When the engine measured this.
+    pub reported: Timestamp,
+}
+
+/// Requests that were in flight when an engine died.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspects {
+    /// Whether the single request ran alone.
+    pub ran_alone: bool,
+    /// Digests of workspace, target and body.
+    pub fingerprints: Vec<[u8; 16]>,
+}
+
+/// One frame on a connection between two processes of the system.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// First frame.
+    Hello(Hello),
+    /// Shows that the connection works; counts up.
+    Heartbeat(u64),
+    /// Entry to endpoint: run an attempt.
+    Start(Box<Start>),
+    /// Entry to endpoint: the answer is no longer wanted.
+    Cancel(AttemptId),
+    /// Entry to endpoint: send the answer from a chunk on.
+    Ask(Ask),
+    /// Entry to endpoint: result or promise.
+    Recover(Recover),
+    /// Endpoint to entry: the attempt is taken.
+    Accepted(AttemptId),
+    /// Endpoint to entry: never started, never will.
+    Refused(Refused),
+    /// Endpoint to entry: status.
+    Head(Head),
+    /// Endpoint to entry: a piece of the answer.
+    Chunk(Chunk),
+    /// Endpoint to entry: the answer is whole.
+    End(End),
+    /// Endpoint to entry: may have run.
+    Failed(Failed),
+    /// Endpoint to entry: load.
+    Load(Load),
+    /// Either way: the sender is leaving.
+    Draining,
+    /// Endpoint to entry: requests that were in flight when the engine died.
+    Suspects(Suspects),
+    /// A kind that this build does not know; ignored.
+    Unknown(u8),
+}
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
