Add claims, endpoint decisions and the claim's life cycle

Cause: a non-idempotent request may run at most once although entries pause, log replies get lost and endpoints restart.

The fold compares times of the log only: a claim counts if it was appended within the key window after the key's creation. A key past its window then needs no memory, so the table is bounded and clock skew cannot make two processes disagree. After a gap, a newer schema or an eviction, keys that a missed claim may name count as expired instead of free.

Ruled out: - checking the key window by the entry's clock only: a claim whose append is delayed past the window could win a key whose first claim has expired; - a `Finished` entry: it doubles the appends, and the answer is at the endpoint that the claim names; - recognising a claim by its offset only: it is unknown when the reply to the append is lost, so the attempt identifies it.

Conclusion: the endpoint remembers every refusal that a delayed copy of the same `Start` could contradict, also for `Ask`, which may overtake a `Start` left unread on the old connection.

--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,18 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::attempts::{
+    EndpointView, Known, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
+    decide_start,
+};
+pub use decisions::claims::record::{
+    CLAIMS_SCHEMA, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord,
+};
+pub use decisions::claims::recovery::{RecoveryReply, RecoveryStep, recovery_step};
+pub use decisions::claims::{
+    ClaimSettings, ClaimTable, ClaimVerdict, Folded, Holder, OwnClaim, Standing, different_request,
+};
+pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
@@ -34,6 +46,9 @@
     RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
 };
 pub use lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
+pub use lifecycle::claim::{
+    Abandoned, Claim, Granted, Judged, Lost, LostReason, Needed, Permit, Sent,
+};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
