Add the decisions of routing, limits, admission and retries

First usable form, so that the filters can be wired to them. Routing weighs own requests in flight and reported load by the report's age, times a latency estimate in which errors and stalls count as slow, and follows prefixes up to a load bound.

Ruled out: a queue inside the entry, since the engines queue by priority already and a queue split over entries wastes slots.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -1,3 +1,12 @@
 //! Decisions: plain functions over borrowed views with the present time as an argument.
 //!
 //! Nothing here reads a clock, opens a socket, talks to an actor or takes a lock.
+
+pub(crate) mod admission;
+pub(crate) mod estimate;
+pub(crate) mod limits;
+pub(crate) mod retries;
+pub(crate) mod routing;
+pub(crate) mod shares;
+mod units;
+pub(crate) mod versions;
--- /dev/null
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -0,0 +1,277 @@
+//! Choice of the endpoint for one request.
+//!
+//! Every entry decides alone, with reports that lag. Own requests in flight are exact; the load that
+//! other entries cause is taken from the last report and drawn towards the mean of all candidates as
+//! the report ages, so that entries do not all follow the same old report.
+
+use crate::clock::Timestamp;
+use crate::decisions::estimate::Estimate;
+use crate::decisions::units::{decay, float_ms, index_below, mix};
+use crate::ids::{FailureDomain, InstanceId};
+use crate::wire::message::Load;
+
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoutingPolicy {
+    /// A cached prefix is followed while the endpoint's load is below this multiple of the mean.
+    pub load_bound: f64,
+    /// Time constant with which a report loses weight, in milliseconds.
+    pub report_decay_ms: u64,
+    /// Time constant with which an old latency returns to the mean, in milliseconds. Without it an
+    /// endpoint that was slow once would never be tried again.
+    pub latency_decay_ms: u64,
+    /// How many endpoints, in order of their hash with the prefix, may hold a popular prefix.
+    pub prefix_homes: usize,
+}
+
+impl Default for RoutingPolicy {
+    fn default() -> Self {
+        Self { load_bound: 1.25, report_decay_ms: 2_000, latency_decay_ms: 10_000, prefix_homes: 2 }
+    }
+}
+
+/// What is known about one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The endpoint.
+    pub endpoint: &'a InstanceId,
+    /// Its failure domain.
+    pub failure_domain: &'a FailureDomain,
+    /// What this entry's own requests showed.
+    pub estimate: &'a Estimate,
+    /// The last load report, if any came.
+    pub report: Option<&'a Load>,
+    /// Share of the prompt that cache events place there, 0 to 1. A hint: events have gaps.
+    pub cached_share: f64,
+    /// It announced that it is leaving.
+    pub draining: bool,
+    /// Its connection is silent or closed.
+    pub silent: bool,
+    /// A suspect request runs there alone.
+    pub reserved: bool,
+}
+
+/// What is known about the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RouteRequest<'a> {
+    /// Hash of the prompt's prefix; equal prefixes share an endpoint. `None` for plain services.
+    pub prefix: Option<u64>,
+    /// The request is suspected of crashing endpoints and must run alone.
+    pub run_alone: bool,
+    /// Endpoints that an earlier attempt of this request used.
+    pub tried: &'a [&'a InstanceId],
+}
+
+/// Why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoEndpoint {
+    /// Every endpoint is draining, silent, reserved or was tried.
+    #[error("no live endpoint takes this request; start endpoints or wait for one to come back")]
+    NoneLive,
+    /// The request must run alone and every live endpoint is busy.
+    #[error("the request must run alone and no endpoint is idle; send it again later")]
+    NoneIdle,
+}
+
+/// Chooses the candidate for a request and returns its index.
+///
+/// # Errors
+///
+/// [`NoEndpoint`] tells why no candidate is eligible; the request has not run.
+pub fn choose_endpoint(
+    policy: &RoutingPolicy,
+    candidates: &[Candidate<'_>],
+    request: &RouteRequest<'_>,
+    now: Timestamp,
+    random: u64,
+) -> Result<usize, NoEndpoint> {
+    let eligible = eligible(candidates, request);
+    if eligible.is_empty() {
+        return Err(NoEndpoint::NoneLive);
+    }
+    if request.run_alone {
+        return choose_idle(candidates, &eligible, random);
+    }
+    let costs = Costs::new(policy, candidates, &eligible, now);
+    let chosen = request
+        .prefix
+        .and_then(|prefix| follow_prefix(policy, candidates, &costs, prefix))
+        .unwrap_or_else(|| better_of_two(&costs, random));
+    Ok(chosen)
+}
+
+/// Load and cost of one eligible candidate.
+struct Cost {
+    index: usize,
+    load: f64,
+    expected_ms: f64,
+}
+
+/// Costs of the eligible candidates and their mean load.
+struct Costs {
+    all: Vec<Cost>,
+    mean_load: f64,
+}
+
+impl Costs {
+    fn new(
+        policy: &RoutingPolicy,
+        candidates: &[Candidate<'_>],
+        eligible: &[usize],
+        now: Timestamp,
+    ) -> Self {
+        let mean_others = mean(
+            eligible.iter().filter_map(|&i| others(&candidates[i], now)).map(|(load, _)| load),
+        );
+        let mean_ms = mean(
+            eligible
+                .iter()
+                .filter_map(|&i| candidates[i].estimate.first_token_ms())
+                .map(|(ms, _)| ms),
+        )
+        .max(1.0);
+        let all: Vec<Cost> = eligible
+            .iter()
+            .map(|&index| {
+                let candidate = &candidates[index];
+                let load = estimated_load(policy, candidate, mean_others, now);
+                let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
+                let domain_errors = domain_error_share(candidates, eligible, candidate, now);
+                let expected_ms = (load + 1.0) * latency * (1.0 + 4.0 * domain_errors);
+                Cost { index, load: load * (latency / mean_ms).max(1.0), expected_ms }
+            })
+            .collect();
+        let mean_load = mean(all.iter().map(|c| c.load));
+        Self { all, mean_load }
+    }
+}
+
+/// Candidates that may take the request; endpoints already tried only when nothing else is left.
+fn eligible(candidates: &[Candidate<'_>], request: &RouteRequest<'_>) -> Vec<usize> {
+    let live = |c: &Candidate<'_>| !c.draining && !c.silent && !c.reserved;
+    let select = |skip_tried: bool| -> Vec<usize> {
+        let kept = candidates
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| live(c) && !(skip_tried && request.tried.contains(&c.endpoint)));
+        kept.map(|(index, _)| index).collect()
+    };
+    let fresh = select(true);
+    if fresh.is_empty() { select(false) } else { fresh }
+}
+
+fn choose_idle(
+    candidates: &[Candidate<'_>],
+    eligible: &[usize],
+    random: u64,
+) -> Result<usize, NoEndpoint> {
+    let idle: Vec<usize> = eligible
+        .iter()
+        .copied()
+        .filter(|&i| {
+            let candidate = &candidates[i];
+            candidate.estimate.in_flight().count() == 0
+                && candidate.report.is_none_or(|r| r.running == 0 && r.queued == 0)
+        })
+        .collect();
+    if idle.is_empty() {
+        return Err(NoEndpoint::NoneIdle);
+    }
+    Ok(idle[index_below(random, idle.len())])
+}
+
+/// The first home of the prefix, by cache hint and then by hash, that is not overloaded.
+fn follow_prefix(
+    policy: &RoutingPolicy,
+    candidates: &[Candidate<'_>],
+    costs: &Costs,
+    prefix: u64,
+) -> Option<usize> {
+    let mut homes: Vec<(bool, u64, &Cost)> = costs
+        .all
+        .iter()
+        .map(|cost| {
+            let candidate = &candidates[cost.index];
+            (candidate.cached_share >= 0.5, rendezvous(prefix, candidate.endpoint), cost)
+        })
+        .collect();
+    homes.sort_by_key(|home| std::cmp::Reverse((home.0, home.1)));
+    // One request above the bound is allowed, or an idle group would follow no prefix at all.
+    let bound = policy.load_bound * costs.mean_load + 1.0;
+    homes
+        .iter()
+        .take(policy.prefix_homes)
+        .find(|(_, _, cost)| cost.load < bound)
+        .map(|(_, _, cost)| cost.index)
+}
+
+/// The cheaper of two different random candidates.
+fn better_of_two(costs: &Costs, random: u64) -> usize {
+    let len = costs.all.len();
+    let first = index_below(random, len);
+    if len == 1 {
+        return costs.all[first].index;
+    }
+    let second = (first + 1 + index_below(mix(random), len - 1)) % len;
+    let (a, b) = (&costs.all[first], &costs.all[second]);
+    if b.expected_ms < a.expected_ms { b.index } else { a.index }
+}
+
+/// Load by other entries at the time of the report, and the age of the report in milliseconds.
+fn others(candidate: &Candidate<'_>, now: Timestamp) -> Option<(f64, u64)> {
+    let report = candidate.report?;
+    let total = f64::from(report.running) + f64::from(report.queued);
+    let load = (total - candidate.estimate.in_flight().mean(now)).max(0.0);
+    Some((load, now.ms_since(report.reported)))
+}
+
+/// Own requests in flight plus the load by others, drawn towards `mean_others` as the report ages.
+fn estimated_load(
+    policy: &RoutingPolicy,
+    candidate: &Candidate<'_>,
+    mean_others: f64,
+    now: Timestamp,
+) -> f64 {
+    let by_others = others(candidate, now).map_or(mean_others, |(load, age_ms)| {
+        let weight = decay(age_ms, policy.report_decay_ms);
+        weight * load + (1.0 - weight) * mean_others
+    });
+    f64::from(candidate.estimate.in_flight().count()) + by_others
+}
+
+/// Latency estimate, drawn towards the mean as it ages, and at least the time that the endpoint has
+/// owed an answer: a lost endpoint gives no samples, so its silence is the only sign.
+fn latency_ms(policy: &RoutingPolicy, estimate: &Estimate, mean_ms: f64, now: Timestamp) -> f64 {
+    let measured = estimate.first_token_ms().map_or(mean_ms, |(ms, sampled)| {
+        let weight = decay(now.ms_since(sampled), policy.latency_decay_ms);
+        weight * ms + (1.0 - weight) * mean_ms
+    });
+    measured.max(float_ms(estimate.stalled_ms(now)))
+}
+
+/// Mean error share over the candidate's failure domain: errors there tend to come together.
+fn domain_error_share(
+    candidates: &[Candidate<'_>],
+    eligible: &[usize],
+    candidate: &Candidate<'_>,
+    now: Timestamp,
+) -> f64 {
+    let domain = mean(
+        eligible
+            .iter()
+            .map(|&i| &candidates[i])
+            .filter(|c| c.failure_domain == candidate.failure_domain)
+            .map(|c| c.estimate.error_share(now)),
+    );
+    domain.max(candidate.estimate.error_share(now))
+}
+
+/// Weight of an endpoint for a prefix: the same at every entry, and spread over the endpoints.
+fn rendezvous(prefix: u64, endpoint: &InstanceId) -> u64 {
+    endpoint.as_str().bytes().fold(mix(prefix), |hash, byte| mix(hash ^ u64::from(byte)))
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), v| (sum + v, count + 1.0));
+    if count > 0.0 { sum / count } else { 0.0 }
+}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,15 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::admission::{
+    Admission, AdmissionPolicy, AdmissionRequest, Admitted, Brownout, TargetLoad, admit,
+};
+pub use decisions::estimate::{Estimate, InFlight};
+pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
+pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
+pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
+pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
+pub use decisions::versions::choose_version;
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
