--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -2,6 +2,14 @@
 //!
 //! Nothing here reads a clock, opens a socket, talks to an actor or takes a lock.
 
+pub(crate) mod admission;
 pub(crate) mod attempts;
 pub(crate) mod claims;
 pub(crate) mod digest;
+pub(crate) mod estimate;
+pub(crate) mod limits;
+pub(crate) mod retries;
+pub(crate) mod routing;
+pub(crate) mod shares;
+mod units;
+pub(crate) mod versions;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,9 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::admission::{
+    Admission, AdmissionPolicy, AdmissionRequest, Admitted, Brownout, TargetLoad, admit,
+};
 pub use decisions::attempts::{
     EndpointView, Known, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
     decide_start,
@@ -37,6 +40,12 @@
     ClaimSettings, ClaimTable, ClaimVerdict, Folded, Holder, OwnClaim, Standing, different_request,
 };
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
+pub use decisions::estimate::{Estimate, InFlight};
+pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
+pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
+pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
+pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
+pub use decisions::versions::choose_version;
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
