--- /dev/null
+++ b/crates/lycheewood/src/adapters.rs
@@ -0,0 +1,9 @@
+//! Translation between the outside and the core. Adapters decide nothing.
+
+pub(crate) mod admin;
+pub(crate) mod backend;
+pub(crate) mod caller;
+pub(crate) mod http;
+pub(crate) mod instance_list;
+pub(crate) mod log;
+pub(crate) mod peer;
--- /dev/null
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -0,0 +1,189 @@
+//! The HTTP front end for operators: metrics, liveness, readiness and state.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::controllers::Progress;
+use crate::ids::Offset;
+use crate::roles::endpoint::EndpointState;
+use crate::roles::entry::EntryState;
+use crate::runtime::stopped;
+
+/// The node whose state is shown.
+#[derive(Clone)]
+pub(crate) enum AdminSource {
+    Entry(Arc<EntryState>),
+    Endpoint(Arc<EndpointState>),
+}
+
+impl AdminSource {
+    fn metrics(&self) -> Vec<u8> {
+        match self {
+            Self::Entry(state) => state.metrics.encode(),
+            Self::Endpoint(state) => state.metrics.encode(),
+        }
+    }
+
+    /// An entry is ready with a document in force, an endpoint daemon with a backend that responds.
+    fn is_ready(&self) -> bool {
+        match self {
+            Self::Entry(state) => state.document.load().is_some(),
+            Self::Endpoint(state) => {
+                let status = *state.status.borrow();
+                status.engine_up && !status.draining
+            }
+        }
+    }
+
+    fn state(&self) -> Value {
+        match self {
+            Self::Entry(state) => entry_state(state),
+            Self::Endpoint(state) => endpoint_state(state),
+        }
+    }
+
+    fn header_timeout_ms(&self) -> u64 {
+        match self {
+            Self::Entry(state) => state.settings.bounds.header_timeout_ms,
+            Self::Endpoint(state) => state.settings.bounds.header_timeout_ms,
+        }
+    }
+}
+
+fn entry_state(state: &EntryState) -> Value {
+    let document = state.document.load();
+    let endpoints: Vec<Value> = state
+        .endpoints
+        .load()
+        .endpoints
+        .iter()
+        .map(|endpoint| {
+            json!({
+                "instance": endpoint.link.instance,
+                "failure_domain": endpoint.link.failure_domain,
+                "incarnation": endpoint.incarnation.to_string(),
+                "kind": endpoint.kind,
+                "version": endpoint.version,
+                "draining": endpoint.draining,
+                "in_flight": endpoint.link.estimate().in_flight().count(),
+                "running": endpoint.load.running,
+                "queued": endpoint.load.queued,
+                "capacity": endpoint.load.capacity,
+            })
+        })
+        .collect();
+    json!({
+        "role": "entry",
+        "instance": state.settings.instance,
+        "failure_domain": state.settings.failure_domain,
+        "incarnation": state.incarnation.to_string(),
+        "document": document.as_ref().map(|d| json!({"version": d.version, "upto": d.upto})),
+        "endpoints": endpoints,
+        "instances": state.members.load().list.instances,
+    })
+}
+
+fn endpoint_state(state: &EndpointState) -> Value {
+    let status = *state.status.borrow();
+    json!({
+        "role": "endpoint",
+        "instance": state.settings.instance,
+        "failure_domain": state.settings.failure_domain,
+        "incarnation": state.incarnation.to_string(),
+        "running": status.running,
+        "draining": status.draining,
+        "engine_up": status.engine_up,
+    })
+}
+
+/// Serves operators until `stop` is set.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    source: AdminSource,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((tcp, _)) = accepted else { continue };
+                let source = source.clone();
+                tokio::spawn(async move {
+                    let timeout = Duration::from_millis(source.header_timeout_ms());
+                    let service = service_fn(|request| {
+                        let source = source.clone();
+                        async move { Ok::<_, Infallible>(handle(&source, &request).await) }
+                    });
+                    // A connection that breaks concerns only the operator at its other end.
+                    let _ = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(timeout)
+                        .serve_connection(TokioIo::new(tcp), service)
+                        .await;
+                });
+            }
+            () = stopped(&mut stop) => return Ok(()),
+        }
+    }
+}
+
+/// The longest that `/state` waits.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// Waits as `/state?min_version=&min_endpoints=&wait_ms=` asks for.
+async fn wait(source: &AdminSource, query: &str) {
+    let parameter = |name: &str| {
+        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+    };
+    let (AdminSource::Entry(state), Some(wait_ms)) = (source, parameter("wait_ms")) else { return };
+    let endpoints: u64 = parameter("min_endpoints").unwrap_or(0);
+    let wanted = Progress {
+        version: parameter("min_version").map(Offset),
+        endpoints: usize::try_from(endpoints).unwrap_or(usize::MAX),
+    };
+    // The state is shown as it is when the wait is over.
+    state.wait_for(wanted, wait_ms.min(MAX_WAIT_MS)).await;
+}
+
+async fn handle(source: &AdminSource, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        "/metrics" => response(StatusCode::OK, "text/plain; version=0.0.4", source.metrics()),
+        "/live" => response(StatusCode::OK, "text/plain", b"live\n".to_vec()),
+        "/ready" if source.is_ready() => {
+            response(StatusCode::OK, "text/plain", b"ready\n".to_vec())
+        }
+        "/ready" => {
+            response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", b"not ready\n".to_vec())
+        }
+        "/state" => {
+            wait(source, request.uri().query().unwrap_or_default()).await;
+            let body = source.state().to_string().into_bytes();
+            response(StatusCode::OK, "application/json", body)
+        }
+        _ => response(StatusCode::NOT_FOUND, "text/plain", b"no such resource\n".to_vec()),
+    }
+}
+
+fn response(
+    status: StatusCode,
+    content_type: &'static str,
+    body: Vec<u8>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let content_type = header::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -0,0 +1,132 @@
+//! The HTTP front end for callers.
+
+mod decode;
+mod encode;
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request as HttpRequest, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::filters;
+use crate::filters::request::Request;
+use crate::roles::entry::EntryState;
+use crate::runtime::stopped;
+
+/// Body of every reply to a caller.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// How a completion is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Delivery {
+    /// Server-sent events, a token each.
+    Events,
+    /// One JSON object.
+    Whole,
+    /// The service's own body.
+    Raw,
+}
+
+/// What a caller's HTTP request asks of this instance.
+pub(crate) enum Asked {
+    /// A request for the chain.
+    Run(Arc<Request>, Delivery),
+    /// The entry addresses to use.
+    Entries,
+}
+
+/// Accepts callers until `stop` is set, then ends idle connections and waits for busy ones.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    state: Arc<EntryState>,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let slots = Arc::new(Semaphore::new(state.settings.bounds.max_connections));
+    let all = u32::try_from(state.settings.bounds.max_connections).unwrap_or(u32::MAX);
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else { return Ok(()) };
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((tcp, _)) = accepted else { continue };
+                let (state, stop) = (Arc::clone(&state), stop.clone());
+                tokio::spawn(async move {
+                    state.metrics.callers_connected.inc();
+                    connection(tcp, Arc::clone(&state), stop).await;
+                    state.metrics.callers_connected.dec();
+                    drop(slot);
+                });
+            }
+            () = stopped(&mut stop) => {
+                drop(slot);
+                break;
+            }
+        }
+    }
+    drop(listener);
+    // Every connection holds a slot until it has ended.
+    let _all_ended = slots.acquire_many(all).await;
+    Ok(())
+}
+
+async fn connection(tcp: TcpStream, state: Arc<EntryState>, mut stop: watch::Receiver<bool>) {
+    let _ = tcp.set_nodelay(true);
+    let bounds = state.settings.bounds;
+    let service = service_fn(|request| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(handle(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(bounds.header_timeout_ms))
+        // hyper refuses buffers below 8 KiB.
+        .max_buf_size(bounds.max_header_bytes.max(8 * 1024))
+        .serve_connection(TokioIo::new(tcp), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = stopped(&mut stop) => {
+            // Ends after the answer in flight.
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+async fn handle(state: Arc<EntryState>, request: HttpRequest<Incoming>) -> Response<ReplyBody> {
+    let peer = request.headers().get("x-caller").and_then(|v| v.to_str().ok()).map(str::to_owned);
+    let asked = match decode::decode(request, &state.settings.bounds).await {
+        Ok(asked) => asked,
+        Err(error) => return encode::decode_error(&error),
+    };
+    match asked {
+        Asked::Entries => encode::entries(&state, peer.as_deref().unwrap_or_default()),
+        Asked::Run(request, delivery) => run(&state, &request, delivery).await,
+    }
+}
+
+async fn run(
+    state: &Arc<EntryState>,
+    request: &Arc<Request>,
+    delivery: Delivery,
+) -> Response<ReplyBody> {
+    state.metrics.requests_in_flight.inc();
+    let result = filters::run(state, request).await;
+    state.metrics.requests_in_flight.dec();
+    match result {
+        Ok(answer) => encode::answer(state, request, answer, delivery).await,
+        Err(refusal) => {
+            encode::count(state, &refusal);
+            encode::refusal(&refusal)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -0,0 +1,250 @@
+//! Answers and refusals of the chain to HTTP responses.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use hyper::{Response, StatusCode, header};
+use serde_json::{Value, json};
+
+use crate::adapters::caller::decode::CallerError;
+use crate::adapters::caller::{Delivery, ReplyBody};
+use crate::filters::relay::{Answer, Piece, Relay};
+use crate::filters::request::Request;
+use crate::outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown};
+use crate::roles::entry::EntryState;
+
+const JSON: &str = "application/json";
+const EVENTS: &str = "text/event-stream";
+
+/// A whole reply.
+pub(crate) fn reply(status: StatusCode, content_type: &str, body: Bytes) -> Response<ReplyBody> {
+    let body = Full::new(body).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    if let Ok(value) = header::HeaderValue::from_str(content_type) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response
+}
+
+fn json_reply(status: StatusCode, value: &Value) -> Response<ReplyBody> {
+    reply(status, JSON, Bytes::from(value.to_string()))
+}
+
+/// Which entries to use and for how long.
+pub(crate) fn entries(state: &EntryState, _caller: &str) -> Response<ReplyBody> {
+    let members = state.members.load();
+    let entries: Vec<Value> = members
+        .live_entries()
+        .map(|entry| json!({"address": entry.address, "failure_domain": entry.failure_domain}))
+        .collect();
+    let valid_for_ms = state.settings.timing.entries_valid_ms;
+    json_reply(StatusCode::OK, &json!({"entries": entries, "valid_for_ms": valid_for_ms}))
+}
+
+/// The error object of a refusal, the same in replies and in streams.
+fn error_object(refusal: &Refusal) -> Value {
+    match refusal {
+        Refusal::Invalid(invalid) => json!({"error": {
+            "type": "invalid_request",
+            "field": invalid_field(invalid),
+            "message": invalid.to_string(),
+        }}),
+        Refusal::NotRun(NotRun { code, retry_after_ms }) => json!({"error": {
+            "type": "not_run",
+            "code": code.as_str(),
+            "message": "The request did not run. It is safe to send it again.",
+            "retry_after_ms": retry_after_ms,
+            "entries": "/v1/entries",
+        }}),
+        Refusal::Unknown(Unknown { code, key }) => json!({"error": {
+            "type": "outcome_unknown",
+            "code": code.as_str(),
+            "message": "The request may or may not have run. Do not assume either.",
+            "ask": key.map(|key| format!("/v1/requests/{key}")),
+        }}),
+    }
+}
+
+fn invalid_field(invalid: &InvalidRequest) -> &'static str {
+    match invalid {
+        InvalidRequest::Field { field, .. }
+        | InvalidRequest::Forbidden { field, .. }
+        | InvalidRequest::UnknownTarget { field, .. } => field,
+        InvalidRequest::Unauthorized => "authorization",
+    }
+}
+
+fn status(refusal: &Refusal) -> StatusCode {
+    match refusal {
+        Refusal::Invalid(InvalidRequest::Field { .. }) => StatusCode::BAD_REQUEST,
+        Refusal::Invalid(InvalidRequest::Unauthorized) => StatusCode::UNAUTHORIZED,
+        Refusal::Invalid(InvalidRequest::Forbidden { .. }) => StatusCode::FORBIDDEN,
+        Refusal::Invalid(InvalidRequest::UnknownTarget { .. }) => StatusCode::NOT_FOUND,
+        Refusal::NotRun(NotRun { code: NotRunCode::OverLimit, .. }) => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        Refusal::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Refusal::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+/// The reply to a request without an answer.
+pub(crate) fn refusal(refusal: &Refusal) -> Response<ReplyBody> {
+    let mut response = json_reply(status(refusal), &error_object(refusal));
+    if let Refusal::NotRun(not_run) = refusal {
+        let seconds = not_run.retry_after_ms.div_ceil(1000);
+        response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+/// The reply to an HTTP request that is no request of this interface.
+pub(crate) fn decode_error(error: &CallerError) -> Response<ReplyBody> {
+    let (status, field) = match error {
+        CallerError::NotFound => (StatusCode::NOT_FOUND, "path"),
+        CallerError::Method { .. } => (StatusCode::METHOD_NOT_ALLOWED, "method"),
+        CallerError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body"),
+        CallerError::BodyTimeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body"),
+        CallerError::Field { field, .. } => (StatusCode::BAD_REQUEST, *field),
+    };
+    let body = json!({"error": {
+        "type": "invalid_request",
+        "field": field,
+        "message": error.to_string(),
+    }});
+    json_reply(status, &body)
+}
+
+/// Counts how a request ended.
+pub(crate) fn count(state: &EntryState, refusal: &Refusal) {
+    let outcome = match refusal {
+        Refusal::Invalid(_) => "invalid",
+        Refusal::NotRun(not_run) => not_run.code.as_str(),
+        Refusal::Unknown(_) => "unknown",
+    };
+    state.metrics.requests.with_label_values(&[outcome]).inc();
+}
+
+/// The reply that carries an answer.
+pub(crate) async fn answer(
+    state: &Arc<EntryState>,
+    request: &Request,
+    answer: Answer,
+    delivery: Delivery,
+) -> Response<ReplyBody> {
+    match delivery {
+        Delivery::Events => events(state, request.call.target(), answer.relay),
+        Delivery::Whole => whole(state, request.call.target(), answer.relay).await,
+        Delivery::Raw => raw(state, answer).await,
+    }
+}
+
+/// State of a stream of events.
+enum Stream {
+    Open(Box<Relay>),
+    Closed,
+}
+
+fn events(state: &Arc<EntryState>, model: &str, relay: Relay) -> Response<ReplyBody> {
+    let state = Arc::clone(state);
+    // The part of each event before its text is the same for the whole answer.
+    let opening = format!(
+        "data: {{\"object\":\"text_completion\",\"model\":{},\"choices\":[{{\"index\":0,\"text\":",
+        Value::from(model)
+    );
+    let stream = unfold(Stream::Open(Box::new(relay)), move |stream| {
+        let (state, opening) = (Arc::clone(&state), opening.clone());
+        async move {
+            let Stream::Open(mut relay) = stream else { return None };
+            let piece = relay.next().await;
+            let (bytes, stream) = match piece {
+                Piece::Bytes(token) => (token_event(&opening, &token), Stream::Open(relay)),
+                Piece::End => {
+                    done(&state);
+                    (Bytes::from_static(b"data: [DONE]\n\n"), Stream::Closed)
+                }
+                Piece::Cut(refusal) => {
+                    cut(&state);
+                    let event = format!("event: error\ndata: {}\n\n", error_object(&refusal));
+                    (Bytes::from(event), Stream::Closed)
+                }
+            };
+            Some((Ok::<_, Infallible>(Frame::data(bytes)), stream))
+        }
+    });
+    let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static(EVENTS));
+    headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
+    response
+}
+
+fn token_event(opening: &str, token: &[u8]) -> Bytes {
+    let text = String::from_utf8_lossy(token);
+    let mut event = Vec::with_capacity(opening.len() + text.len() + 40);
+    event.extend_from_slice(opening.as_bytes());
+    // Writing a string to a vector as JSON cannot fail.
+    serde_json::to_writer(&mut event, text.as_ref()).unwrap_or_default();
+    event.extend_from_slice(b",\"finish_reason\":null}]}\n\n");
+    Bytes::from(event)
+}
+
+/// Reads the whole answer before it is sent, so that a cut one is refused as a whole.
+async fn collect(state: &EntryState, mut relay: Relay) -> Result<Vec<Bytes>, Refusal> {
+    let mut pieces = Vec::new();
+    loop {
+        match relay.next().await {
+            Piece::Bytes(bytes) => pieces.push(bytes),
+            Piece::End => {
+                done(state);
+                return Ok(pieces);
+            }
+            Piece::Cut(refusal) => {
+                count(state, &refusal);
+                return Err(refusal);
+            }
+        }
+    }
+}
+
+async fn whole(state: &EntryState, model: &str, relay: Relay) -> Response<ReplyBody> {
+    match collect(state, relay).await {
+        Ok(pieces) => {
+            let text = pieces.iter().map(|p| String::from_utf8_lossy(p)).collect::<String>();
+            json_reply(
+                StatusCode::OK,
+                &json!({
+                    "object": "text_completion",
+                    "model": model,
+                    "choices": [{"index": 0, "text": text, "finish_reason": "stop"}],
+                    "usage": {"completion_tokens": pieces.len()},
+                }),
+            )
+        }
+        Err(refused) => refusal(&refused),
+    }
+}
+
+async fn raw(state: &EntryState, answer: Answer) -> Response<ReplyBody> {
+    let Answer { head, relay } = answer;
+    match collect(state, relay).await {
+        Ok(pieces) => {
+            let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            reply(status, &head.content_type, Bytes::from(pieces.concat()))
+        }
+        Err(refused) => refusal(&refused),
+    }
+}
+
+fn done(state: &EntryState) {
+    state.metrics.requests.with_label_values(&["done"]).inc();
+}
+
+fn cut(state: &EntryState) {
+    state.metrics.requests.with_label_values(&["cut"]).inc();
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -0,0 +1,156 @@
+//! A small HTTP client over hyper with a deadline on every reply.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+/// The most bytes accepted in one reply that is read as a whole.
+const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why an HTTP exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No connection could be made: the request was not sent.
+    #[error("cannot connect to {address}; check that it is running and reachable")]
+    Connect {
+        /// The peer.
+        address: SocketAddr,
+    },
+    /// The connection failed after the request may have been sent.
+    #[error(
+        "the connection to {address} failed before the reply was complete; the request may have taken effect"
+    )]
+    Cut {
+        /// The peer.
+        address: SocketAddr,
+    },
+    /// No reply within the deadline.
+    #[error("{address} did not reply within {timeout_ms} ms; the request may have taken effect")]
+    Timeout {
+        /// The peer.
+        address: SocketAddr,
+        /// The deadline.
+        timeout_ms: u64,
+    },
+    /// A reply with an unexpected status.
+    #[error("{address} replied with status {status}: {body}")]
+    Status {
+        /// The peer.
+        address: SocketAddr,
+        /// The status.
+        status: u16,
+        /// The reply's body, shortened.
+        body: String,
+    },
+    /// A reply that does not follow the protocol.
+    #[error("{address} sent a reply that does not follow the protocol: {reason}")]
+    Protocol {
+        /// The peer.
+        address: SocketAddr,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+impl HttpError {
+    /// Whether the request is known not to have been processed.
+    #[must_use]
+    pub const fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Connect { .. })
+    }
+}
+
+/// A client of one HTTP server.
+#[derive(Clone, Debug)]
+pub(crate) struct HttpClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    pub(crate) fn new(address: SocketAddr, connect_ms: u64) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
+        // A request that failed after it was sent must not be sent again by the library.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { address, client }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and gives the response as soon as its head has arrived.
+    pub(crate) async fn open(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Response<Incoming>, HttpError> {
+        let address = self.address;
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::HOST, address.to_string());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|e| HttpError::Protocol { address, reason: e.to_string() })?;
+        match timeout(Duration::from_millis(timeout_ms), self.client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(e)) if e.is_connect() => Err(HttpError::Connect { address }),
+            Ok(Err(_)) => Err(HttpError::Cut { address }),
+            Err(_) => Err(HttpError::Timeout { address, timeout_ms }),
+        }
+    }
+
+    /// Sends a request and reads the whole reply, which must have a 2xx status.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Bytes, HttpError> {
+        let address = self.address;
+        let exchange = async {
+            let response = self.open(method, path, &[], body, timeout_ms).await?;
+            let status = response.status();
+            let body = read_body(response).await.ok_or(HttpError::Cut { address })?;
+            check_status(address, status, body)
+        };
+        match timeout(Duration::from_millis(timeout_ms), exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Timeout { address, timeout_ms }),
+        }
+    }
+}
+
+async fn read_body(response: Response<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+fn check_status(address: SocketAddr, status: StatusCode, body: Bytes) -> Result<Bytes, HttpError> {
+    if status.is_success() {
+        return Ok(body);
+    }
+    let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
+    Err(HttpError::Status { address, status: status.as_u16(), body: text })
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/peer/connection.rs
@@ -0,0 +1,134 @@
+//! One WebSocket connection with heartbeats both ways and detection of silence.
+
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::settings::Timing;
+use crate::wire::codec::{DecodeError, decode, encode};
+use crate::wire::message::{Frame, Hello};
+use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN, common_version};
+
+/// Why a connection ended.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ConnectionError {
+    #[error("the peer closed the connection")]
+    Closed,
+    #[error("no frame for {silence_ms} ms; the connection is closed and a new one is opened")]
+    Silent { silence_ms: u64 },
+    #[error("the connection failed: {reason}")]
+    Transport { reason: String },
+    #[error(transparent)]
+    Decode(#[from] DecodeError),
+    #[error(
+        "the first frame was not a hello; check that the address belongs to a lycheewood daemon"
+    )]
+    NoHello,
+    #[error(
+        "the peer speaks protocol versions {min} to {max} and this build {PROTOCOL_MIN} to {PROTOCOL_MAX}; replace the older one first"
+    )]
+    Version { min: u16, max: u16 },
+}
+
+/// An established connection.
+pub(crate) struct Connection {
+    socket: WebSocketStream<TcpStream>,
+    silence: Duration,
+    silent_at: Instant,
+    heartbeat: tokio::time::Interval,
+    heartbeats_sent: u64,
+}
+
+impl Connection {
+    /// Exchanges hellos and gives the connection with the peer's hello.
+    pub(crate) async fn establish(
+        socket: WebSocketStream<TcpStream>,
+        ours: &Hello,
+        timing: &Timing,
+    ) -> Result<(Self, Hello), ConnectionError> {
+        let silence = Duration::from_millis(timing.silence_ms);
+        let mut heartbeat = interval(Duration::from_millis(timing.heartbeat_ms));
+        heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let silent_at = Instant::now() + silence;
+        let mut connection = Self { socket, silence, silent_at, heartbeat, heartbeats_sent: 0 };
+        connection.feed(&Frame::Hello(ours.clone())).await?;
+        connection.flush().await?;
+        let Frame::Hello(theirs) = connection.receive().await? else {
+            return Err(ConnectionError::NoHello);
+        };
+        let (min, max) = (theirs.protocol_min, theirs.protocol_max);
+        common_version((PROTOCOL_MIN, PROTOCOL_MAX), (min, max))
+            .ok_or(ConnectionError::Version { min, max })?;
+        Ok((connection, theirs))
+    }
+
+    /// The next frame that is no heartbeat. Sends heartbeats meanwhile. Safe to cancel.
+    pub(crate) async fn receive(&mut self) -> Result<Frame, ConnectionError> {
+        loop {
+            tokio::select! {
+                message = self.socket.next() => {
+                    self.silent_at = Instant::now() + self.silence;
+                    if let Some(frame) = decode_message(message)? {
+                        return Ok(frame);
+                    }
+                }
+                _ = self.heartbeat.tick() => self.send_heartbeat().await?,
+                () = sleep_until(self.silent_at) => {
+                    return Err(self.silent());
+                }
+            }
+        }
+    }
+
+    /// Writes a frame into the buffer of the socket.
+    pub(crate) async fn feed(&mut self, frame: &Frame) -> Result<(), ConnectionError> {
+        let write = self.socket.feed(Message::Binary(encode(frame)));
+        // A peer that reads nothing for that long is as good as silent.
+        match timeout(self.silence, write).await {
+            Ok(result) => result.map_err(|e| transport(&e)),
+            Err(_) => Err(self.silent()),
+        }
+    }
+
+    /// Sends what has been fed.
+    pub(crate) async fn flush(&mut self) -> Result<(), ConnectionError> {
+        match timeout(self.silence, self.socket.flush()).await {
+            Ok(result) => result.map_err(|e| transport(&e)),
+            Err(_) => Err(self.silent()),
+        }
+    }
+
+    async fn send_heartbeat(&mut self) -> Result<(), ConnectionError> {
+        self.heartbeats_sent += 1;
+        self.feed(&Frame::Heartbeat(self.heartbeats_sent)).await?;
+        self.flush().await
+    }
+
+    fn silent(&self) -> ConnectionError {
+        let silence_ms = u64::try_from(self.silence.as_millis()).unwrap_or(u64::MAX);
+        ConnectionError::Silent { silence_ms }
+    }
+}
+
+fn transport(error: &tokio_tungstenite::tungstenite::Error) -> ConnectionError {
+    ConnectionError::Transport { reason: error.to_string() }
+}
+
+/// The frame in a message; `None` for heartbeats and for what this build does not know.
+fn decode_message(
+    message: Option<Result<Message, tokio_tungstenite::tungstenite::Error>>,
+) -> Result<Option<Frame>, ConnectionError> {
+    match message {
+        Some(Ok(Message::Binary(bytes))) => match decode(&bytes)? {
+            Frame::Heartbeat(_) | Frame::Unknown(_) => Ok(None),
+            frame => Ok(Some(frame)),
+        },
+        Some(Ok(Message::Close(_))) | None => Err(ConnectionError::Closed),
+        Some(Ok(_)) => Ok(None),
+        Some(Err(error)) => Err(transport(&error)),
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -0,0 +1,176 @@
+//! The endpoint daemon's side of connections from entries.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::timeout;
+use tokio_tungstenite::accept_async;
+
+use crate::adapters::peer::connection::{Connection, ConnectionError};
+use crate::answer::{AnswerBuffer, is_final};
+use crate::controllers::attempts::{AskAfter, Attach, Begin, RecoverAfter, Verdict};
+use crate::ids::AttemptId;
+use crate::roles::endpoint::EndpointState;
+use crate::roles::endpoint::execution;
+use crate::runtime::stopped;
+use crate::wire::message::{Failed, Frame, Refused};
+
+/// Frames that wait for the socket before their senders wait.
+const OUT_QUEUE: usize = 1_024;
+
+/// Accepts entries until `stop` is set, then closes the connections.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    state: Arc<EndpointState>,
+    mut stop: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((tcp, _)) = accepted else { continue };
+                let state = Arc::clone(&state);
+                connections.spawn(async move {
+                    if let Err(ConnectionError::Silent { .. }) = connection(tcp, &state).await {
+                        state.metrics.connections_silent.inc();
+                    }
+                });
+            }
+            // Takes finished connections out of the set.
+            Some(_) = connections.join_next(), if !connections.is_empty() => {}
+            () = stopped(&mut stop) => return Ok(()),
+        }
+    }
+}
+
+async fn connection(tcp: TcpStream, state: &Arc<EndpointState>) -> Result<(), ConnectionError> {
+    let transport = |reason: String| ConnectionError::Transport { reason };
+    tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
+    let timing = state.settings.timing;
+    let establish = async {
+        let socket = accept_async(tcp).await.map_err(|e| transport(e.to_string()))?;
+        Connection::establish(socket, &state.hello(), &timing).await
+    };
+    let (connection, _entry) = timeout(Duration::from_millis(timing.connect_ms), establish)
+        .await
+        .map_err(|_| transport("no hello within the connect timeout".into()))??;
+    let (out, frames) = mpsc::channel(OUT_QUEUE);
+    let _ = state.attempts.tell(Attach(out.clone())).try_send();
+    let session = Session { state: Arc::clone(state), out, forwarders: HashMap::new() };
+    session.run(connection, frames).await
+}
+
+/// One connection and the answers that are sent on it.
+struct Session {
+    state: Arc<EndpointState>,
+    out: mpsc::Sender<Frame>,
+    forwarders: HashMap<AttemptId, AbortHandle>,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        for forwarder in self.forwarders.values() {
+            forwarder.abort();
+        }
+    }
+}
+
+impl Session {
+    async fn run(
+        mut self,
+        mut connection: Connection,
+        mut frames: mpsc::Receiver<Frame>,
+    ) -> Result<(), ConnectionError> {
+        loop {
+            tokio::select! {
+                frame = connection.receive() => self.handle(frame?).await,
+                Some(frame) = frames.recv() => {
+                    connection.feed(&frame).await?;
+                    while let Ok(frame) = frames.try_recv() {
+                        connection.feed(&frame).await?;
+                    }
+                    connection.flush().await?;
+                }
+            }
+        }
+    }
+
+    async fn handle(&mut self, frame: Frame) {
+        self.forwarders.retain(|_, forwarder| !forwarder.is_finished());
+        let attempts = &self.state.attempts;
+        match frame {
+            Frame::Start(start) => {
+                let attempt = start.attempt;
+                let verdict = attempts.ask(Begin(start.clone())).await;
+                let verdict = verdict.unwrap_or(Verdict::Silent);
+                if let Verdict::Run(buffer) = &verdict {
+                    execution::spawn(&self.state, start, Arc::clone(buffer));
+                }
+                self.answer(attempt, verdict, 0);
+            }
+            Frame::Ask(ask) => {
+                let verdict = attempts.ask(AskAfter(ask)).await.unwrap_or(Verdict::Silent);
+                self.answer(ask.attempt, verdict, ask.from_chunk);
+            }
+            Frame::Recover(recover) => {
+                let verdict = attempts.ask(RecoverAfter(recover)).await;
+                self.answer(recover.attempt, verdict.unwrap_or(Verdict::Silent), 0);
+            }
+            Frame::Cancel(attempt) => {
+                if let Some(forwarder) = self.forwarders.remove(&attempt) {
+                    forwarder.abort();
+                }
+                execution::cancel(&self.state, attempt);
+            }
+            // Frames that only entries receive.
+            _ => {}
+        }
+    }
+
+    fn answer(&mut self, attempt: AttemptId, verdict: Verdict, from: u64) {
+        match verdict {
+            Verdict::Run(buffer) | Verdict::Attach(buffer) => self.forward(attempt, buffer, from),
+            Verdict::Refuse(reason) => {
+                self.state.metrics.attempts.with_label_values(&["refused"]).inc();
+                self.send(Frame::Refused(Refused { attempt, reason }));
+            }
+            Verdict::Fail => self.send(Frame::Failed(Failed { attempt, engine_died: false })),
+            Verdict::Silent => {}
+        }
+    }
+
+    /// Sends one frame after those that wait already.
+    fn send(&mut self, frame: Frame) {
+        if let Err(mpsc::error::TrySendError::Full(frame)) = self.out.try_send(frame) {
+            let out = self.out.clone();
+            tokio::spawn(async move { out.send(frame).await });
+        }
+    }
+
+    /// Sends an answer as it grows. A later question after the same attempt replaces the first.
+    fn forward(&mut self, attempt: AttemptId, buffer: Arc<AnswerBuffer>, from: u64) {
+        let out = self.out.clone();
+        let task = tokio::spawn(async move {
+            if out.send(Frame::Accepted(attempt)).await.is_err() {
+                return;
+            }
+            let mut reader = buffer.reader(from);
+            while let Some(frames) = reader.frames(&buffer).await {
+                for frame in frames {
+                    let last = is_final(&frame);
+                    if out.send(frame).await.is_err() || last {
+                        return;
+                    }
+                }
+            }
+        });
+        if let Some(former) = self.forwarders.insert(attempt, task.abort_handle()) {
+            former.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/controllers/claims.rs
@@ -0,0 +1,387 @@
+//! The claims controller: folds the log stream `claims` and appends the claims of this entry.
+//!
+//! Claims that arrive while an append is under way share the next one.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::adapters::http::HttpError;
+use crate::adapters::log::{LogClient, LogPage};
+use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::decisions::claims::record::{ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition};
+use crate::decisions::claims::{ClaimSettings, ClaimTable, Holder, Standing};
+use crate::decisions::digest::Fingerprint;
+use crate::decisions::publication::{Page, is_faulty};
+use crate::ids::{AttemptId, Offset};
+use crate::lifecycle::claim::{Abandoned, Claim, Granted, Judged, LostReason, Needed, Sent};
+use crate::metrics::Metrics;
+use crate::settings::Timing;
+
+/// The stream that carries claims.
+pub(crate) const CLAIMS: &str = "claims";
+/// The most entries in one append. An entry takes about 300 bytes.
+const MAX_BATCH: usize = 1_000;
+/// The most keys kept; about 200 bytes each.
+const MAX_KEYS: usize = 500_000;
+
+/// Settings of claims that follow from the daemon's settings.
+pub(crate) fn claim_settings(timing: &Timing) -> ClaimSettings {
+    ClaimSettings {
+        key_window_ms: timing.key_window_ms,
+        clock_skew_ms: timing.clock_skew_ms,
+        max_keys: MAX_KEYS,
+    }
+}
+
+/// Why a claim was not granted.
+#[derive(Debug)]
+pub(crate) enum NotGranted {
+    /// It does not hold its key.
+    Lost(LostReason),
+    /// The log did not show it in time. It is released should it appear later.
+    TimedOut,
+}
+
+type Reply = oneshot::Sender<Result<Claim<Granted>, NotGranted>>;
+
+/// Asks for a claim. The reply comes when the log has decided, or after `wait_ms`.
+pub(crate) struct Acquire {
+    pub(crate) claim: Claim<Needed>,
+    pub(crate) wait_ms: u64,
+    pub(crate) reply: Reply,
+}
+
+/// Gives up a claim whose attempt was not dispatched.
+pub(crate) struct Release(pub(crate) Abandoned);
+
+/// The endpoint vouched for a dispatched attempt, so the key becomes free.
+pub(crate) struct Vouched {
+    pub(crate) key: ClaimKey,
+    pub(crate) attempt: AttemptId,
+}
+
+/// The endpoint promised that the holder's attempt never runs, so the key becomes free.
+pub(crate) struct Promised {
+    pub(crate) entry: ClaimEntry,
+}
+
+/// Asks what the table says about a key.
+pub(crate) struct Look {
+    pub(crate) key: ClaimKey,
+    pub(crate) fingerprint: Option<Fingerprint>,
+}
+
+/// What the table says about a key.
+#[derive(Debug, kameo::Reply)]
+pub(crate) enum Found {
+    Free,
+    Held(Holder),
+    DifferentRequest,
+    KeyExpired,
+    /// The stream has not been read yet.
+    NotRead,
+}
+
+struct Appended {
+    batch: Vec<ClaimEntry>,
+    result: Result<Offset, HttpError>,
+}
+
+struct AppendAgain;
+
+struct Expire(AttemptId);
+
+struct Waiter {
+    claim: Claim<Sent>,
+    reply: Reply,
+}
+
+/// Owns the table of claims, and the claims of this entry that are not decided yet.
+#[derive(Actor)]
+pub(crate) struct ClaimsController {
+    log: LogClient,
+    table: ClaimTable,
+    read_to_end: bool,
+    seen_end: Offset,
+    waiters: HashMap<AttemptId, Waiter>,
+    abandoned: Vec<Abandoned>,
+    pending: Vec<ClaimEntry>,
+    appending: bool,
+    append_failures: u32,
+    timing: Timing,
+    metrics: Arc<Metrics>,
+}
+
+impl ClaimsController {
+    /// Starts the controller and its reader on the present runtime.
+    pub(crate) fn start(log: LogClient, timing: Timing, metrics: Arc<Metrics>) -> ActorRef<Self> {
+        let controller = Self {
+            log: log.clone(),
+            table: ClaimTable::new(claim_settings(&timing)),
+            read_to_end: false,
+            seen_end: Offset(0),
+            waiters: HashMap::new(),
+            abandoned: Vec::new(),
+            pending: Vec::new(),
+            appending: false,
+            append_failures: 0,
+            timing,
+            metrics,
+        };
+        let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
+        tokio::spawn(tail(log, CLAIMS, actor.clone(), timing));
+        actor
+    }
+
+    fn enqueue(&mut self, entry: ClaimEntry, actor: &ActorRef<Self>) {
+        self.pending.push(entry);
+        self.append_next(actor);
+    }
+
+    /// Starts an append of what waits, unless one is under way.
+    fn append_next(&mut self, actor: &ActorRef<Self>) {
+        if self.appending || self.pending.is_empty() {
+            return;
+        }
+        self.appending = true;
+        let count = self.pending.len().min(MAX_BATCH);
+        let batch: Vec<ClaimEntry> = self.pending.drain(..count).collect();
+        let (log, actor) = (self.log.clone(), actor.clone());
+        tokio::spawn(async move {
+            let payload = ClaimBatch::new(batch.clone()).to_json();
+            let result = log.append(CLAIMS, payload).await;
+            let _ = actor.tell(Appended { batch, result }).try_send();
+        });
+    }
+
+    fn appended(&mut self, appended: Appended) {
+        self.appending = false;
+        self.metrics.claim_appends.inc();
+        if let Ok(offset) = appended.result {
+            for (entry, index) in appended.batch.iter().zip(0..) {
+                self.place(entry, ClaimPosition { offset, index });
+            }
+            return;
+        }
+        self.metrics.claim_append_errors.inc();
+        // An entry that is already in the log does no harm there twice.
+        let wanted = appended.batch.into_iter().filter(|entry| match entry {
+            ClaimEntry::Claim(record) => self.waiters.contains_key(&record.attempt),
+            _ => true,
+        });
+        let again: Vec<ClaimEntry> = wanted.collect();
+        self.pending.splice(0..0, again);
+    }
+
+    /// Keeps the next append waiting, twice as long after each failure, so that a log that comes back
+    /// is not met by all entries at once.
+    fn append_after_pause(&mut self, actor: ActorRef<Self>) {
+        self.appending = true;
+        let doubled_ms = 25_u64 << self.append_failures.min(8);
+        let bound_ms = doubled_ms.min(self.timing.reconnect_max_ms).max(2);
+        self.append_failures += 1;
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(rand::random_range(bound_ms / 2..=bound_ms))).await;
+            let _ = actor.tell(AppendAgain).try_send();
+        });
+    }
+
+    fn place(&mut self, entry: &ClaimEntry, position: ClaimPosition) {
+        let ClaimEntry::Claim(record) = entry else { return };
+        if let Some(waiter) = self.waiters.remove(&record.attempt) {
+            let claim = waiter.claim.appended(position);
+            self.judge(Waiter { claim, reply: waiter.reply });
+        }
+    }
+
+    /// Replies to a waiter whose claim is decided; keeps the others.
+    fn judge(&mut self, waiter: Waiter) {
+        let Waiter { claim, reply } = waiter;
+        let result = match claim.judge(&self.table) {
+            Judged::Waiting(claim) => {
+                self.waiters.insert(claim.record().attempt, Waiter { claim, reply });
+                return;
+            }
+            Judged::Granted(claim) => Ok(claim),
+            Judged::Lost(claim) => {
+                let reason = claim.reason().clone();
+                self.abandoned.push(claim.abandon());
+                Err(NotGranted::Lost(reason))
+            }
+        };
+        if let Err(Ok(claim)) = reply.send(result) {
+            self.abandoned.push(claim.abandon());
+        }
+    }
+
+    fn judge_all(&mut self, actor: &ActorRef<Self>) {
+        let waiters = std::mem::take(&mut self.waiters);
+        for waiter in waiters.into_values() {
+            self.judge(waiter);
+        }
+        self.release_abandoned(actor);
+    }
+
+    /// Frees the keys of abandoned claims that have turned up in the log.
+    fn release_abandoned(&mut self, actor: &ActorRef<Self>) {
+        let table = &self.table;
+        let releases: Vec<ClaimEntry> =
+            self.abandoned.iter().filter_map(|abandoned| abandoned.release(table)).collect();
+        self.abandoned.retain(|abandoned| !abandoned.is_over(table));
+        for release in releases {
+            if !self.pending.contains(&release) {
+                self.enqueue(release, actor);
+            }
+        }
+    }
+
+    fn apply(&mut self, page: &LogPage) -> TailStep {
+        let views = record_views(&page.records);
+        let view =
+            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
+        let seen = self.seen_end.max(self.table.next_offset());
+        if is_faulty(None, seen, &view) {
+            self.metrics.log_end_reversals.inc();
+            return TailStep::Retry(self.table.next_offset());
+        }
+        self.seen_end = page.end_offset;
+        for record in &page.records {
+            self.table.fold(record.offset, record.appended, &record.payload);
+        }
+        let next = self.table.next_offset().max(page.first_offset);
+        self.read_to_end = next >= page.end_offset;
+        TailStep::Continue(next)
+    }
+
+    fn find(&self, look: &Look) -> Found {
+        if !self.read_to_end {
+            return Found::NotRead;
+        }
+        let Some(fingerprint) = &look.fingerprint else {
+            return self.table.holder(&look.key).cloned().map_or(Found::Free, Found::Held);
+        };
+        match self.table.standing(&look.key, fingerprint) {
+            Standing::Free => Found::Free,
+            Standing::Held(holder) => Found::Held(holder.clone()),
+            Standing::DifferentRequest => Found::DifferentRequest,
+            Standing::KeyExpired => Found::KeyExpired,
+        }
+    }
+}
+
+impl Message<TailRead> for ClaimsController {
+    type Reply = TailStep;
+
+    async fn handle(&mut self, read: TailRead, context: &mut Context<Self, TailStep>) -> TailStep {
+        let Some(page) = read.page else {
+            self.metrics.log_errors.inc();
+            return TailStep::Retry(self.table.next_offset());
+        };
+        let step = self.apply(&page);
+        self.judge_all(context.actor_ref());
+        self.append_next(context.actor_ref());
+        step
+    }
+}
+
+impl Message<Acquire> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, acquire: Acquire, context: &mut Context<Self, ()>) {
+        let (entry, claim) = acquire.claim.send();
+        let attempt = claim.record().attempt;
+        self.waiters.insert(attempt, Waiter { claim, reply: acquire.reply });
+        let (actor, wait) = (context.actor_ref().clone(), Duration::from_millis(acquire.wait_ms));
+        tokio::spawn(async move {
+            sleep(wait).await;
+            let _ = actor.tell(Expire(attempt)).try_send();
+        });
+        self.enqueue(entry, context.actor_ref());
+    }
+}
+
+impl Message<Appended> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, appended: Appended, context: &mut Context<Self, ()>) {
+        let failed = appended.result.is_err();
+        self.appended(appended);
+        if failed {
+            self.append_after_pause(context.actor_ref().clone());
+            return;
+        }
+        self.append_failures = 0;
+        self.release_abandoned(context.actor_ref());
+        self.append_next(context.actor_ref());
+    }
+}
+
+impl Message<AppendAgain> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, _: AppendAgain, context: &mut Context<Self, ()>) {
+        self.appending = false;
+        self.append_next(context.actor_ref());
+    }
+}
+
+impl Message<Expire> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, Expire(attempt): Expire, context: &mut Context<Self, ()>) {
+        let Some(waiter) = self.waiters.remove(&attempt) else { return };
+        self.abandoned.push(waiter.claim.abandon());
+        let _ = waiter.reply.send(Err(NotGranted::TimedOut));
+        self.pending.retain(|entry| !is_claim_of(entry, attempt));
+        self.release_abandoned(context.actor_ref());
+    }
+}
+
+fn is_claim_of(entry: &ClaimEntry, attempt: AttemptId) -> bool {
+    matches!(entry, ClaimEntry::Claim(record) if record.attempt == attempt)
+}
+
+impl Message<Release> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, Release(abandoned): Release, context: &mut Context<Self, ()>) {
+        self.abandoned.push(abandoned);
+        self.release_abandoned(context.actor_ref());
+    }
+}
+
+impl Message<Vouched> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, vouched: Vouched, context: &mut Context<Self, ()>) {
+        let Some(holder) = self.table.holder(&vouched.key) else { return };
+        if holder.attempt == vouched.attempt {
+            let entry = ClaimEntry::Recovered { key: vouched.key, claim: holder.claim };
+            self.enqueue(entry, context.actor_ref());
+        }
+    }
+}
+
+impl Message<Promised> for ClaimsController {
+    type Reply = ();
+
+    async fn handle(&mut self, promised: Promised, context: &mut Context<Self, ()>) {
+        self.enqueue(promised.entry, context.actor_ref());
+    }
+}
+
+impl Message<Look> for ClaimsController {
+    type Reply = Found;
+
+    async fn handle(&mut self, look: Look, _: &mut Context<Self, Found>) -> Found {
+        self.find(&look)
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/controllers/load.rs
@@ -0,0 +1,149 @@
+//! The load controller: connected endpoints, what they serve and how busy they are.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use tokio::sync::watch;
+
+use crate::adapters::peer::link::Link;
+use crate::clock::{Clock, Timestamp};
+use crate::controllers::Progress;
+use crate::ids::{EndpointKindName, Incarnation, InstanceId, VersionName};
+use crate::metrics::Metrics;
+use crate::wire::message::{Hello, Load, Suspects};
+
+/// What a link tells the controllers.
+#[derive(Debug)]
+pub(crate) enum LinkEvent {
+    Connected { link: Arc<Link>, hello: Hello },
+    Disconnected { instance: InstanceId, silent: bool },
+    Removed { instance: InstanceId },
+    Load { instance: InstanceId, load: Load },
+    Draining { instance: InstanceId },
+    Suspects { suspects: Suspects },
+}
+
+/// A connected endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointView {
+    pub(crate) link: Arc<Link>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) kind: Option<EndpointKindName>,
+    pub(crate) version: Option<VersionName>,
+    pub(crate) draining: bool,
+    pub(crate) load: Load,
+    pub(crate) load_received: Timestamp,
+}
+
+/// All connected endpoints.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointTable {
+    pub(crate) endpoints: Vec<EndpointView>,
+}
+
+/// Sends events to the load controller.
+#[derive(Clone)]
+pub(crate) struct LoadHandle {
+    actor: ActorRef<LoadController>,
+}
+
+impl LoadHandle {
+    pub(crate) fn send(&self, event: LinkEvent) {
+        // The mailbox is unbounded, so this fails only when the control thread has stopped.
+        let _ = self.actor.tell(event).try_send();
+    }
+}
+
+/// Owns the table of connected endpoints.
+#[derive(Actor)]
+pub(crate) struct LoadController {
+    endpoints: HashMap<InstanceId, EndpointView>,
+    published: Arc<ArcSwap<EndpointTable>>,
+    progress: watch::Sender<Progress>,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+}
+
+impl LoadController {
+    /// Starts the controller on the present runtime.
+    pub(crate) fn start(
+        published: Arc<ArcSwap<EndpointTable>>,
+        progress: watch::Sender<Progress>,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+    ) -> LoadHandle {
+        let controller = Self { endpoints: HashMap::new(), published, progress, clock, metrics };
+        LoadHandle { actor: Self::spawn_with_mailbox(controller, mailbox::unbounded()) }
+    }
+
+    fn publish(&self) {
+        let mut endpoints: Vec<EndpointView> = self.endpoints.values().cloned().collect();
+        endpoints.sort_by(|a, b| a.link.instance.cmp(&b.link.instance));
+        self.metrics.endpoints_connected.set(i64::try_from(endpoints.len()).unwrap_or(i64::MAX));
+        let connected = endpoints.len();
+        self.published.store(Arc::new(EndpointTable { endpoints }));
+        self.progress.send_if_modified(|progress| {
+            std::mem::replace(&mut progress.endpoints, connected) != connected
+        });
+    }
+
+    fn connected(&mut self, link: Arc<Link>, hello: Hello) {
+        let instance = link.instance.clone();
+        log::info!("endpoint connected instance={instance} incarnation={}", hello.incarnation);
+        let view = EndpointView {
+            link,
+            incarnation: hello.incarnation,
+            kind: hello.endpoint_kind,
+            version: hello.version,
+            draining: false,
+            load: Load::default(),
+            load_received: self.clock.now(),
+        };
+        self.endpoints.insert(instance, view);
+    }
+
+    fn disconnected(&mut self, instance: &InstanceId, silent: bool) {
+        if silent {
+            self.metrics.connections_silent.inc();
+        }
+        if self.endpoints.remove(instance).is_some() {
+            log::info!("endpoint disconnected instance={instance} silent={silent}");
+        }
+    }
+}
+
+impl Message<LinkEvent> for LoadController {
+    type Reply = ();
+
+    async fn handle(&mut self, event: LinkEvent, _: &mut Context<Self, ()>) {
+        match event {
+            LinkEvent::Connected { link, hello } => self.connected(link, hello),
+            LinkEvent::Disconnected { instance, silent } => self.disconnected(&instance, silent),
+            LinkEvent::Removed { instance } => {
+                self.endpoints.remove(&instance);
+            }
+            LinkEvent::Load { instance, load } => {
+                let now = self.clock.now();
+                if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+                    endpoint.load = load;
+                    endpoint.load_received = now;
+                }
+            }
+            LinkEvent::Draining { instance } => {
+                if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+                    endpoint.draining = true;
+                    log::info!("endpoint draining instance={instance}");
+                }
+            }
+            LinkEvent::Suspects { suspects } => {
+                self.metrics.suspects_reported.inc_by(suspects.fingerprints.len() as u64);
+            }
+        }
+        self.publish();
+    }
+}
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -8,6 +8,7 @@
 pub(crate) mod digest;
 pub(crate) mod estimate;
 pub(crate) mod limits;
+pub mod publication;
 pub(crate) mod retries;
 pub(crate) mod routing;
 pub(crate) mod shares;
--- /dev/null
+++ b/crates/lycheewood/src/filters.rs
@@ -0,0 +1,61 @@
+//! The filter chain that every request passes through.
+//!
+//! A filter takes an [`Exchange`] in one stage and gives it in the next, or ends it with a
+//! [`Refusal`]. The order stands in [`run`] alone, and a wrong order does not compile.
+
+pub(crate) mod admit;
+pub(crate) mod authenticate;
+pub(crate) mod claim;
+pub(crate) mod classify;
+pub(crate) mod deduplicate;
+pub(crate) mod dispatch;
+pub(crate) mod exchange;
+pub(crate) mod relay;
+pub(crate) mod request;
+pub(crate) mod retry;
+pub(crate) mod route;
+
+use std::sync::Arc;
+
+use crate::filters::deduplicate::Deduplicated;
+use crate::filters::dispatch::Dispatch;
+use crate::filters::exchange::{Admitted, Exchange, View};
+use crate::filters::relay::{Answer, FirstPiece};
+use crate::filters::request::Request;
+use crate::outcome::Refusal;
+use crate::roles::entry::EntryState;
+
+/// Passes a request through the chain, up to the head of its answer.
+pub(crate) async fn run(
+    state: &Arc<EntryState>,
+    request: &Arc<Request>,
+) -> Result<Answer, Refusal> {
+    let view = View::load(state);
+    let received = Exchange::receive(request, &view, state.clock.now())?;
+    let authenticated = authenticate::apply(received)?;
+    let classified = classify::apply(authenticated)?;
+    let admitted = admit::apply(state, classified).await?;
+    match deduplicate::apply(state, admitted).await? {
+        Deduplicated::New(admitted) => attempt(state, admitted).await,
+        Deduplicated::Known(answer) => Ok(answer),
+    }
+}
+
+/// Makes attempts until one gives an answer or no other may be made.
+pub(crate) async fn attempt(
+    state: &Arc<EntryState>,
+    mut admitted: Exchange<'_, Admitted>,
+) -> Result<Answer, Refusal> {
+    loop {
+        let routed = route::apply(state, admitted)?;
+        let claimed = claim::apply(state, routed).await?;
+        let failed = match dispatch::apply(state, claimed).await? {
+            Dispatch::Sent(sent) => match relay::first_piece(state, sent).await? {
+                FirstPiece::Answer(answer) => return Ok(answer),
+                FirstPiece::Again(again) => again,
+            },
+            Dispatch::NotSent(again) => again,
+        };
+        admitted = retry::apply(state, failed).await?;
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/admit.rs
@@ -0,0 +1,93 @@
+//! Refuses early what is over its workspace's limit or cannot be answered in time.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use kameo::actor::ActorRef;
+
+use crate::clock::{Clock, Timestamp};
+use crate::controllers::admission::{AdmissionController, EndOfRequest, Offer};
+use crate::decisions::admission::Admitted as Admission;
+use crate::filters::exchange::{Admitted, Classified, Exchange};
+use crate::ids::{TargetName, WorkspaceName};
+use crate::outcome::{NotRunCode, Refusal};
+use crate::roles::entry::EntryState;
+
+/// How soon a caller may come back when the control thread does not answer.
+const CONTROL_RETRY_MS: u64 = 1_000;
+
+/// An admitted request, until it ends.
+#[derive(Debug)]
+pub(crate) struct AdmissionGuard {
+    controller: ActorRef<AdmissionController>,
+    clock: Clock,
+    started: Timestamp,
+    workspace: WorkspaceName,
+    target: TargetName,
+    admitted: Admission,
+    completed: AtomicBool,
+}
+
+impl AdmissionGuard {
+    /// Notes that the answer was whole, so that its duration counts as a sample.
+    pub(crate) fn completed(&self) {
+        self.completed.store(true, Ordering::Relaxed);
+    }
+}
+
+impl Drop for AdmissionGuard {
+    fn drop(&mut self) {
+        let end = EndOfRequest {
+            workspace: self.workspace.clone(),
+            target: self.target.clone(),
+            admitted: self.admitted,
+            elapsed_ms: self.clock.now().ms_since(self.started),
+            completed: self.completed.load(Ordering::Relaxed),
+        };
+        // The mailbox is unbounded, so this fails only when the control thread has stopped.
+        let _ = self.controller.tell(end).try_send();
+    }
+}
+
+pub(crate) async fn apply<'r>(
+    state: &EntryState,
+    exchange: Exchange<'r, Classified>,
+) -> Result<Exchange<'r, Admitted>, Refusal> {
+    let terms = &exchange.stage.terms;
+    let first_asked = exchange.request.key.map_or(exchange.now, |key| key.created());
+    let offer = Offer {
+        workspace: terms.workspace.clone(),
+        target: terms.target.clone(),
+        kinds: terms.kinds.clone(),
+        priority: terms.priority,
+        first_asked,
+        deadline: terms.deadline,
+        sent_again: exchange.request.sent_again,
+    };
+    let admitted = state.admission.ask(offer).await.map_err(|error| match error {
+        kameo::error::SendError::HandlerError(not_run) => Refusal::NotRun(not_run),
+        _ => Refusal::not_run(NotRunCode::Overloaded, CONTROL_RETRY_MS),
+    })?;
+    let guard = AdmissionGuard {
+        controller: state.admission.clone(),
+        clock: state.clock,
+        started: exchange.now,
+        workspace: terms.workspace.clone(),
+        target: terms.target.clone(),
+        admitted,
+        completed: AtomicBool::new(false),
+    };
+    Ok(exchange.advance(|Classified { mut terms }| {
+        terms.priority = admitted.priority;
+        Admitted {
+            terms,
+            admission: Arc::new(guard),
+            attempts: 0,
+            version: None,
+            next_piece: 0,
+            avoid: Vec::new(),
+            refused: None,
+            may_have_run: None,
+        }
+    }))
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/claim.rs
@@ -0,0 +1,80 @@
+//! Records a claim in the log before an attempt that may not repeat is sent.
+
+use tokio::sync::oneshot;
+
+use crate::adapters::peer::link::Ticket;
+use crate::controllers::claims::{Acquire, NotGranted};
+use crate::decisions::claims::different_request;
+use crate::decisions::claims::record::{ClaimKey, ClaimRecord};
+use crate::filters::exchange::{Claimed, Exchange, Routed};
+use crate::ids::RequestKey;
+use crate::lifecycle::claim::{Claim, Granted, LostReason};
+use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
+use crate::roles::entry::EntryState;
+
+/// How soon a caller may come back when its claim was not decided or another attempt holds its key.
+pub(crate) const CLAIM_RETRY_MS: u64 = 1_000;
+
+pub(crate) async fn apply<'r>(
+    state: &EntryState,
+    exchange: Exchange<'r, Routed<'r>>,
+) -> Result<Exchange<'r, Claimed<'r>>, Refusal> {
+    let claim = match (exchange.stage.admitted.terms.non_idempotent, exchange.request.key) {
+        (false, _) => None,
+        (true, Some(key)) => Some(acquire(state, &exchange, key).await?),
+        // The chain has refused requests without the key that they need.
+        (true, None) => return Err(Refusal::field("idempotency-key", "send a key")),
+    };
+    Ok(exchange.advance(|Routed { admitted, endpoint, attempt }| {
+        let ticket = match claim {
+            Some(claim) => Ticket::Claimed(claim, attempt),
+            None => Ticket::Repeatable(attempt),
+        };
+        Claimed { admitted, endpoint, ticket }
+    }))
+}
+
+async fn acquire(
+    state: &EntryState,
+    exchange: &Exchange<'_, Routed<'_>>,
+    key: RequestKey,
+) -> Result<Claim<Granted>, Refusal> {
+    let Routed { admitted, endpoint, attempt } = &exchange.stage;
+    let record = ClaimRecord {
+        key: ClaimKey::new(&admitted.terms.workspace, &key),
+        attempt: attempt.id(),
+        endpoint: endpoint.link.instance.clone(),
+        endpoint_incarnation: endpoint.incarnation,
+        fingerprint: admitted.terms.fingerprint.into(),
+    };
+    let left_ms = admitted.terms.deadline.ms_since(state.clock.now());
+    let (reply, granted) = oneshot::channel();
+    let acquire = Acquire {
+        claim: Claim::new(record),
+        wait_ms: left_ms.min(state.settings.timing.claim_wait_ms),
+        reply,
+    };
+    // A stopped control thread drops the reply's sender.
+    let _ = state.claims.tell(acquire).try_send();
+    match granted.await {
+        Ok(Ok(claim)) => Ok(claim),
+        Ok(Err(NotGranted::Lost(reason))) => Err(refusal(&reason, key)),
+        Ok(Err(NotGranted::TimedOut)) | Err(_) => {
+            Err(Refusal::not_run(NotRunCode::ClaimUnavailable, CLAIM_RETRY_MS))
+        }
+    }
+}
+
+/// The refusal when another claim decides about the key. This attempt has not run.
+fn refusal(reason: &LostReason, key: RequestKey) -> Refusal {
+    match reason {
+        LostReason::HeldBy(_) => {
+            Refusal::Unknown(Unknown { code: UnknownCode::StillRunning, key: Some(key) })
+        }
+        LostReason::Superseded => Refusal::not_run(NotRunCode::ClaimUnavailable, CLAIM_RETRY_MS),
+        LostReason::DifferentRequest => different_request(),
+        LostReason::KeyExpired => {
+            Refusal::Unknown(Unknown { code: UnknownCode::KeyExpired, key: Some(key) })
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/classify.rs
@@ -0,0 +1,94 @@
+//! Checks a request against the document: target, priority, deadline, and whether it may repeat.
+
+use crate::document::checked::{Document, EndpointRole, Workspace};
+use crate::filters::exchange::{Authenticated, Classified, Exchange, Terms};
+use crate::filters::request::{Call, Request};
+use crate::ids::{EndpointKindName, TargetName};
+use crate::outcome::{InvalidRequest, Refusal};
+
+/// Where a request goes, by the document.
+struct Target {
+    kinds: Vec<EndpointKindName>,
+    priority: u8,
+    non_idempotent: bool,
+}
+
+pub(crate) fn apply<'r>(
+    exchange: Exchange<'r, Authenticated<'r>>,
+) -> Result<Exchange<'r, Classified>, Refusal> {
+    let request = exchange.request;
+    let document = &exchange.document.document;
+    let workspace = exchange.stage.workspace;
+    let target = target(document, &request.call)?;
+    if target.non_idempotent && request.key.is_none() {
+        return Err(Refusal::field(
+            "idempotency-key",
+            "this call may not repeat; send a UUID version 7 and the same one when sending again",
+        ));
+    }
+    let priority = priority(request, workspace, &target)?;
+    let deadline_ms = deadline_ms(request, document)?;
+    let terms = Terms {
+        workspace: workspace.name.clone(),
+        target: TargetName::new(request.call.target()),
+        kinds: target.kinds,
+        non_idempotent: target.non_idempotent,
+        priority,
+        deadline: exchange.now.plus_ms(deadline_ms),
+        fingerprint: request.call.fingerprint(workspace.name.as_str()),
+    };
+    Ok(exchange.advance(|_| Classified { terms }))
+}
+
+fn target(document: &Document, call: &Call) -> Result<Target, Refusal> {
+    let unknown = |field, name: &str| {
+        Refusal::Invalid(InvalidRequest::UnknownTarget { field, name: name.to_owned() })
+    };
+    match call {
+        Call::Completion { model, .. } => {
+            let found = document.model(model).ok_or_else(|| unknown("model", model))?;
+            let kinds = document
+                .endpoints
+                .iter()
+                .filter(|kind| match &kind.role {
+                    EndpointRole::Model { models } => models.contains(&found.name),
+                    EndpointRole::Service { .. } => false,
+                })
+                .map(|kind| kind.name.clone())
+                .collect();
+            Ok(Target { kinds, priority: found.priority, non_idempotent: false })
+        }
+        Call::Service { service, method, path, .. } => {
+            let kind = document.service(service).ok_or_else(|| unknown("service", service))?;
+            let priority = match &kind.role {
+                EndpointRole::Service { priority, .. } => *priority,
+                EndpointRole::Model { .. } => 0,
+            };
+            let non_idempotent = kind.is_non_idempotent(method, path);
+            Ok(Target { kinds: vec![kind.name.clone()], priority, non_idempotent })
+        }
+    }
+}
+
+fn priority(request: &Request, workspace: &Workspace, target: &Target) -> Result<u8, Refusal> {
+    match request.priority {
+        None => Ok(target.priority.min(workspace.max_priority)),
+        Some(asked) if asked <= workspace.max_priority => Ok(asked),
+        Some(_) => Err(Refusal::field(
+            "x-priority",
+            format!("this workspace may ask for at most {}", workspace.max_priority),
+        )),
+    }
+}
+
+fn deadline_ms(request: &Request, document: &Document) -> Result<u64, Refusal> {
+    match request.deadline_ms {
+        None => Ok(document.deadlines.default_ms),
+        Some(0) => Err(Refusal::field("x-deadline-ms", "send at least 1")),
+        Some(asked) if asked <= document.deadlines.max_ms => Ok(asked),
+        Some(_) => Err(Refusal::field(
+            "x-deadline-ms",
+            format!("send at most {}", document.deadlines.max_ms),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/dispatch.rs
@@ -0,0 +1,109 @@
+//! Sends an attempt to its endpoint.
+
+use std::sync::Arc;
+
+use crate::adapters::peer::link::{AttemptEvents, Flight, Link, Ticket};
+use crate::controllers::claims::Release;
+use crate::controllers::load::EndpointView;
+use crate::filters::exchange::{Admitted, Claimed, Exchange};
+use crate::filters::request::Call;
+use crate::filters::route::NO_ENDPOINT_RETRY_MS;
+use crate::ids::{Incarnation, VersionName};
+use crate::lifecycle::attempt::{Attempt, Dispatched};
+use crate::outcome::{NotRunCode, Refusal};
+use crate::roles::entry::EntryState;
+use crate::wire::message::{Start, Work};
+
+/// The attempt has been sent; what the endpoint says of it arrives as events.
+pub(crate) struct Sent {
+    pub(crate) admitted: Admitted,
+    pub(crate) attempt: Attempt<Dispatched>,
+    pub(crate) events: AttemptEvents,
+    pub(crate) link: Arc<Link>,
+    pub(crate) endpoint: Incarnation,
+    pub(crate) flight: Flight,
+}
+
+/// What became of an attempt that was to be sent.
+pub(crate) enum Dispatch<'r> {
+    /// A byte may have reached the endpoint.
+    Sent(Exchange<'r, Sent>),
+    /// Nothing was sent.
+    NotSent(Exchange<'r, Admitted>),
+}
+
+pub(crate) async fn apply<'r>(
+    state: &EntryState,
+    exchange: Exchange<'r, Claimed<'r>>,
+) -> Result<Dispatch<'r>, Refusal> {
+    let start = start(&exchange);
+    let Exchange { request, view, document, now, stage } = exchange;
+    let Claimed { mut admitted, endpoint, ticket } = stage;
+    let link = Arc::clone(&endpoint.link);
+    let flight = link.start(state.clock);
+    match link.open(ticket, start).await {
+        Ok((attempt, events)) => {
+            let endpoint = endpoint.incarnation;
+            let sent = Sent { admitted, attempt, events, link, endpoint, flight };
+            Ok(Dispatch::Sent(Exchange { request, view, document, now, stage: sent }))
+        }
+        Err(Some(unsent)) => {
+            state.metrics.attempts.with_label_values(&["not_sent"]).inc();
+            if let Ticket::Claimed(claim, _) = unsent {
+                let _ = state.claims.tell(Release(claim.abandon())).try_send();
+            }
+            admitted.avoid.push(link.instance.clone());
+            let exchange = Exchange { request, view, document, now, stage: admitted };
+            Ok(Dispatch::NotSent(exchange))
+        }
+        // The ticket is gone with the link. Its claim stays in the log: the key is not free, and a
+        // later request with it asks the endpoint.
+        Err(None) => {
+            let exchange = Exchange { request, view, document, now, stage: admitted };
+            Err(exchange.refuse(NotRunCode::NoEndpoint, NO_ENDPOINT_RETRY_MS))
+        }
+    }
+}
+
+fn start(exchange: &Exchange<'_, Claimed<'_>>) -> Box<Start> {
+    let Claimed { admitted, endpoint, ticket } = &exchange.stage;
+    let request = exchange.request;
+    Box::new(Start {
+        attempt: ticket.attempt(),
+        endpoint_incarnation: endpoint.incarnation,
+        fingerprint: admitted.terms.fingerprint,
+        key: request.key,
+        claim_offset: ticket.claim_offset(),
+        deadline: admitted.terms.deadline,
+        priority: admitted.terms.priority,
+        run_alone: false,
+        work: work(&request.call, admitted, endpoint),
+        traceparent: request.traceparent.clone(),
+    })
+}
+
+fn work(call: &Call, admitted: &Admitted, endpoint: &EndpointView) -> Work {
+    let target = admitted.terms.target.clone();
+    match call {
+        Call::Completion { prompt, max_tokens, .. } => Work::Model {
+            model: target,
+            version: version(admitted, endpoint),
+            prompt: prompt.clone(),
+            max_tokens: *max_tokens,
+            resume_from_token: admitted.next_piece,
+        },
+        Call::Service { method, path, content_type, body, .. } => Work::Service {
+            service: target,
+            method: method.clone(),
+            path: path.clone(),
+            content_type: content_type.clone(),
+            body: body.clone(),
+        },
+    }
+}
+
+/// The version that route has fixed.
+fn version(admitted: &Admitted, endpoint: &EndpointView) -> VersionName {
+    let version = admitted.version.as_ref().or(endpoint.version.as_ref());
+    version.cloned().unwrap_or_else(|| VersionName::new(""))
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -0,0 +1,140 @@
+//! A request on its way through the chain, typed by the stage that it has reached.
+
+use std::sync::Arc;
+
+use crate::adapters::peer::link::Ticket;
+use crate::clock::Timestamp;
+use crate::controllers::document::DocumentInForce;
+use crate::controllers::load::{EndpointTable, EndpointView};
+use crate::document::checked::Workspace;
+use crate::filters::admit::AdmissionGuard;
+use crate::filters::request::Request;
+use crate::ids::{
+    EndpointKindName, InstanceId, RequestKey, TargetName, VersionName, WorkspaceName,
+};
+use crate::lifecycle::attempt::{Attempt, Planned};
+use crate::outcome::{NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
+use crate::roles::entry::EntryState;
+
+/// How soon a caller may come back when this instance has no document yet.
+const NO_DOCUMENT_RETRY_MS: u64 = 1_000;
+
+/// Immutable snapshots of control state, taken once for each pass through the chain.
+pub(crate) struct View {
+    pub(crate) document: Option<Arc<DocumentInForce>>,
+    pub(crate) endpoints: Arc<EndpointTable>,
+}
+
+impl View {
+    pub(crate) fn load(state: &EntryState) -> Self {
+        Self { document: state.document.load_full(), endpoints: state.endpoints.load_full() }
+    }
+}
+
+/// A request in stage `S`, with borrowed views of the request and of control state.
+pub(crate) struct Exchange<'r, S> {
+    pub(crate) request: &'r Arc<Request>,
+    pub(crate) view: &'r View,
+    pub(crate) document: &'r DocumentInForce,
+    pub(crate) now: Timestamp,
+    pub(crate) stage: S,
+}
+
+/// Nothing is known of the caller.
+pub(crate) struct Received;
+
+/// The caller belongs to a workspace.
+pub(crate) struct Authenticated<'r> {
+    pub(crate) workspace: &'r Workspace,
+}
+
+/// What was asked for, checked against the document.
+#[derive(Clone, Debug)]
+pub(crate) struct Terms {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) target: TargetName,
+    /// Kinds of endpoints that can run the request.
+    pub(crate) kinds: Vec<EndpointKindName>,
+    pub(crate) non_idempotent: bool,
+    pub(crate) priority: u8,
+    pub(crate) deadline: Timestamp,
+    pub(crate) fingerprint: [u8; 16],
+}
+
+/// The request is well formed and allowed.
+pub(crate) struct Classified {
+    pub(crate) terms: Terms,
+}
+
+/// The request may run; nothing has been sent for its next attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Admitted {
+    pub(crate) terms: Terms,
+    /// Ends the admission when the last holder of it is dropped.
+    pub(crate) admission: Arc<AdmissionGuard>,
+    /// Attempts made so far.
+    pub(crate) attempts: u32,
+    /// The version that earlier pieces came from; no other may continue the answer.
+    pub(crate) version: Option<VersionName>,
+    /// The next piece that the caller lacks.
+    pub(crate) next_piece: u64,
+    /// Endpoints that have failed this request.
+    pub(crate) avoid: Vec<InstanceId>,
+    /// What the last endpoint that vouched said.
+    pub(crate) refused: Option<NotRun>,
+    /// Set once an attempt may have run. The request can then no longer end as not run.
+    pub(crate) may_have_run: Option<UnknownCode>,
+}
+
+impl Admitted {
+    /// The refusal when no further attempt is made.
+    pub(crate) fn refuse(&self, not_run: NotRun, key: Option<RequestKey>) -> Refusal {
+        match self.may_have_run {
+            None => Refusal::NotRun(self.refused.unwrap_or(not_run)),
+            Some(code) => Refusal::Unknown(Unknown { code, key }),
+        }
+    }
+}
+
+/// An endpoint is chosen; nothing has been sent.
+pub(crate) struct Routed<'r> {
+    pub(crate) admitted: Admitted,
+    pub(crate) endpoint: &'r EndpointView,
+    pub(crate) attempt: Attempt<Planned>,
+}
+
+/// The attempt may be sent: it may repeat, or it holds a claim.
+pub(crate) struct Claimed<'r> {
+    pub(crate) admitted: Admitted,
+    pub(crate) endpoint: &'r EndpointView,
+    pub(crate) ticket: Ticket,
+}
+
+impl<'r> Exchange<'r, Received> {
+    pub(crate) fn receive(
+        request: &'r Arc<Request>,
+        view: &'r View,
+        now: Timestamp,
+    ) -> Result<Self, Refusal> {
+        let document = view
+            .document
+            .as_deref()
+            .ok_or_else(|| Refusal::not_run(NotRunCode::NoDocument, NO_DOCUMENT_RETRY_MS))?;
+        Ok(Self { request, view, document, now, stage: Received })
+    }
+}
+
+impl<'r, S> Exchange<'r, S> {
+    /// The exchange in its next stage.
+    pub(crate) fn advance<T>(self, next: impl FnOnce(S) -> T) -> Exchange<'r, T> {
+        let Self { request, view, document, now, stage } = self;
+        Exchange { request, view, document, now, stage: next(stage) }
+    }
+}
+
+impl Exchange<'_, Admitted> {
+    /// The refusal when no further attempt is made.
+    pub(crate) fn refuse(&self, code: NotRunCode, retry_after_ms: u64) -> Refusal {
+        self.stage.refuse(NotRun { code, retry_after_ms }, self.request.key)
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/request.rs
@@ -0,0 +1,64 @@
+//! A request as the chain sees it, whatever front end it came through.
+
+use sha2::{Digest, Sha256};
+
+use crate::ids::RequestKey;
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Call {
+    /// A completion by a model.
+    Completion { model: String, prompt: String, max_tokens: u32 },
+    /// A call to a plain service.
+    Service { service: String, method: String, path: String, content_type: String, body: Vec<u8> },
+}
+
+/// A well-formed request. Whether it is allowed is for the chain to decide.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    /// SHA-256 of the bearer token.
+    pub(crate) token_digest: Option<[u8; 32]>,
+    pub(crate) key: Option<RequestKey>,
+    pub(crate) deadline_ms: Option<u64>,
+    pub(crate) priority: Option<u8>,
+    pub(crate) traceparent: Option<String>,
+    /// The caller says that it has sent this request before.
+    pub(crate) sent_again: bool,
+    pub(crate) call: Call,
+}
+
+impl Call {
+    /// The name of the model or service.
+    pub(crate) fn target(&self) -> &str {
+        match self {
+            Self::Completion { model, .. } => model,
+            Self::Service { service, .. } => service,
+        }
+    }
+
+    /// Digest of what is to be run in a workspace, the same for each time it is sent.
+    pub(crate) fn fingerprint(&self, workspace: &str) -> [u8; 16] {
+        let mut digest = Sha256::new();
+        let mut part = |bytes: &[u8]| {
+            digest.update((bytes.len() as u64).to_le_bytes());
+            digest.update(bytes);
+        };
+        part(workspace.as_bytes());
+        part(self.target().as_bytes());
+        match self {
+            Self::Completion { prompt, max_tokens, .. } => {
+                part(prompt.as_bytes());
+                part(&max_tokens.to_le_bytes());
+            }
+            Self::Service { method, path, body, .. } => {
+                part(method.as_bytes());
+                part(path.as_bytes());
+                part(body);
+            }
+        }
+        let full: [u8; 32] = digest.finalize().into();
+        let mut fingerprint = [0; 16];
+        fingerprint.copy_from_slice(&full[..16]);
+        fingerprint
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/retry.rs
@@ -0,0 +1,33 @@
+//! Decides whether a request is attempted again, and waits before it is.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::controllers::admission::TakeRetry;
+use crate::filters::exchange::{Admitted, Exchange};
+use crate::filters::route::NO_ENDPOINT_RETRY_MS;
+use crate::outcome::{NotRunCode, Refusal};
+use crate::roles::entry::EntryState;
+
+/// Gives the exchange back when the retry budget allows another attempt.
+pub(crate) async fn apply<'r>(
+    state: &EntryState,
+    mut exchange: Exchange<'r, Admitted>,
+) -> Result<Exchange<'r, Admitted>, Refusal> {
+    exchange.stage.attempts += 1;
+    let terms = &exchange.stage.terms;
+    let retry = TakeRetry {
+        target: terms.target.clone(),
+        attempts: exchange.stage.attempts,
+        left_ms: terms.deadline.ms_since(state.clock.now()),
+    };
+    match state.admission.ask(retry).await {
+        Ok(Some(wait_ms)) => {
+            sleep(Duration::from_millis(wait_ms)).await;
+            exchange.now = state.clock.now();
+            Ok(exchange)
+        }
+        _ => Err(exchange.refuse(NotRunCode::NoEndpoint, NO_ENDPOINT_RETRY_MS)),
+    }
+}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -16,14 +16,25 @@
 //!
 //! `docs/design.md` in the repository explains the mechanisms; `guide/` explains how to operate them.
 
+mod adapters;
+mod answer;
 mod clock;
+mod controllers;
 mod decisions;
 mod document;
+mod filters;
 mod ids;
 mod lifecycle;
+mod metrics;
 mod outcome;
+mod roles;
+mod runtime;
+mod settings;
 mod wire;
 
+pub use adapters::http::HttpError;
+pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
+pub use adapters::log::{LogClient, LogPage, LogRecord};
 pub use clock::{Clock, Timestamp};
 pub use decisions::admission::{
     Admission, AdmissionPolicy, AdmissionRequest, Admitted, Brownout, TargetLoad, admit,
@@ -42,6 +53,8 @@
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::estimate::{Estimate, InFlight};
 pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
+// Under its own name: other log streams have records, pages and states as well.
+pub use decisions::publication;
 pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
 pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
@@ -50,15 +63,25 @@
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
 };
+pub use document::error::{DocumentError, DocumentErrorKind, InvalidDocument};
+pub use document::patch::{Difference, PatchError, apply_patch, difference, patch_between};
+pub use document::raw::{
+    RawCallPattern, RawDeadlines, RawDocument, RawEndpointKind, RawModel, RawModelVersion,
+    RawPlacement, RawWorkspace,
+};
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
+    PublicationId, RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
 };
 pub use lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
 pub use lifecycle::claim::{
     Abandoned, Claim, Granted, Judged, Lost, LostReason, Needed, Permit, Sent,
 };
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
+pub use roles::StartError;
+pub use roles::endpoint::Endpoint;
+pub use roles::entry::Entry;
+pub use settings::{Bounds, RawSettings, RoleSettings, Settings, SettingsError, Timing};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
     Ask, Chunk, End, Failed, Frame, Head, Hello, Load, Recover, Refused, RefusedReason, Role,
--- a/crates/lycheewood/src/lifecycle/claim.rs
+++ b/crates/lycheewood/src/lifecycle/claim.rs
@@ -178,6 +178,12 @@
 }
 
 impl Claim<Granted> {
+    /// Where the claim stands in the log.
+    #[must_use]
+    pub const fn position(&self) -> ClaimPosition {
+        self.stage.position
+    }
+
     /// Marks the attempt as sent, to the endpoint process that the claim names.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/lycheewood/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and gauges of a process, in the Prometheus text format.
+
+use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// All metrics of a process. Labels have few values; none names a workspace.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) requests_in_flight: IntGauge,
+    pub(crate) attempts: IntCounterVec,
+    pub(crate) answer_pieces: IntCounter,
+    pub(crate) endpoints_connected: IntGauge,
+    pub(crate) connections_silent: IntCounter,
+    pub(crate) list_errors: IntCounter,
+    pub(crate) log_errors: IntCounter,
+    pub(crate) log_end_reversals: IntCounter,
+    pub(crate) document_version: IntGauge,
+    pub(crate) suspects_reported: IntCounter,
+    pub(crate) callers_connected: IntGauge,
+    pub(crate) claim_appends: IntCounter,
+    pub(crate) claim_append_errors: IntCounter,
+    pub(crate) retries: IntCounter,
+    pub(crate) brownout: IntGauge,
+}
+
+impl Metrics {
+    /// # Errors
+    ///
+    /// When two metrics have the same name.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        Ok(Self {
+            requests: counters(
+                "lycheewood_requests_total",
+                "Requests by outcome: done, invalid, unknown, cut, or the code of a refusal as not run.",
+                "outcome",
+            )?,
+            requests_in_flight: gauge("lycheewood_requests_in_flight", "Requests being served.")?,
+            attempts: counters(
+                "lycheewood_attempts_total",
+                "Attempts by end: done, refused, failed, lost, not_sent.",
+                "end",
+            )?,
+            answer_pieces: counter(
+                "lycheewood_answer_pieces_total",
+                "Pieces of answers relayed; a token each for models.",
+            )?,
+            endpoints_connected: gauge(
+                "lycheewood_endpoints_connected",
+                "Endpoint daemons with a working connection.",
+            )?,
+            connections_silent: counter(
+                "lycheewood_connections_silent_total",
+                "Connections closed because nothing arrived for the silence timeout.",
+            )?,
+            list_errors: counter(
+                "lycheewood_instance_list_errors_total",
+                "Reads of the instance list that failed.",
+            )?,
+            log_errors: counter("lycheewood_log_errors_total", "Reads of the log that failed.")?,
+            log_end_reversals: counter(
+                "lycheewood_log_end_reversals_total",
+                "Replies of the log with an older end than seen before; they are not applied.",
+            )?,
+            document_version: gauge(
+                "lycheewood_document_version",
+                "Log offset of the document in force, -1 when there is none.",
+            )?,
+            suspects_reported: counter(
+                "lycheewood_suspects_reported_total",
+                "Requests reported as in flight when an engine died.",
+            )?,
+            callers_connected: gauge(
+                "lycheewood_callers_connected",
+                "Open connections of callers.",
+            )?,
+            claim_appends: counter(
+                "lycheewood_claim_appends_total",
+                "Appends of claims to the log; each carries those that waited.",
+            )?,
+            claim_append_errors: counter(
+                "lycheewood_claim_append_errors_total",
+                "Appends of claims without a reply; they are appended again.",
+            )?,
+            retries: counter(
+                "lycheewood_retries_total",
+                "Attempts made again within the retry budget.",
+            )?,
+            brownout: gauge(
+                "lycheewood_brownout_step",
+                "Brownout step: 0 off, 1 no retries, 2 and 3 shed low priorities.",
+            )?,
+            registry,
+        })
+    }
+
+    /// All metrics as text.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to a vector fails only for metric families without a name or a value.
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).unwrap_or_default();
+        text
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -0,0 +1,210 @@
+//! The endpoint role: the process in the slot beside one model engine or plain service.
+
+pub(crate) mod execution;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::adapters::admin::{self, AdminSource};
+use crate::adapters::backend::{EngineClient, ServiceClient};
+use crate::adapters::peer::server;
+use crate::clock::Clock;
+use crate::controllers::attempts::{
+    AttemptsConfig, AttemptsController, Backend, Drain, EndpointStatus,
+};
+use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
+use crate::metrics::Metrics;
+use crate::roles::StartError;
+use crate::roles::endpoint::execution::Execution;
+use crate::runtime::{ControlThread, traffic_runtime};
+use crate::settings::{RoleSettings, Settings};
+use crate::wire::message::{Hello, Load, Role};
+use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
+
+/// What the traffic threads of an endpoint daemon share.
+pub(crate) struct EndpointState {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) backend_address: SocketAddr,
+    pub(crate) engine: EngineClient,
+    pub(crate) service: ServiceClient,
+    pub(crate) attempts: ActorRef<AttemptsController>,
+    pub(crate) status: watch::Receiver<EndpointStatus>,
+    kind: EndpointKindName,
+    version: Option<VersionName>,
+    executions: Mutex<HashMap<AttemptId, Execution>>,
+}
+
+impl EndpointState {
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            protocol_min: PROTOCOL_MIN,
+            protocol_max: PROTOCOL_MAX,
+            incarnation: self.incarnation,
+            instance: self.settings.instance.clone(),
+            role: Role::Endpoint,
+            endpoint_kind: Some(self.kind.clone()),
+            version: self.version.clone(),
+        }
+    }
+
+    /// Whether a model engine stands beside this process.
+    pub(crate) fn serves_model(&self) -> bool {
+        self.version.is_some()
+    }
+
+    /// Attempts that are running.
+    pub(crate) fn executions(&self) -> MutexGuard<'_, HashMap<AttemptId, Execution>> {
+        self.executions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running endpoint daemon.
+pub struct Endpoint {
+    state: Arc<EndpointState>,
+    peer_address: SocketAddr,
+    admin_address: SocketAddr,
+    stop: watch::Sender<bool>,
+    // Dropped before the control thread, since its tasks talk to controllers.
+    traffic: Runtime,
+    _control: ControlThread,
+}
+
+impl Endpoint {
+    /// Starts an endpoint daemon in this process, on threads of its own.
+    ///
+    /// Must not be called from async code, because it blocks.
+    ///
+    /// # Errors
+    ///
+    /// When the settings are for another role, or a listener or thread cannot be started.
+    pub fn start(settings: &Settings) -> Result<Self, StartError> {
+        let RoleSettings::Endpoint { peer_address, backend_address, kind, version } =
+            settings.role.clone()
+        else {
+            return Err(StartError::Role { wanted: "endpoint" });
+        };
+        let runtime = |source| StartError::Runtime { source };
+        let control = ControlThread::start().map_err(runtime)?;
+        let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
+        let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
+        let metrics = Arc::new(metrics);
+        let (clock, incarnation) = (Clock::system(), Incarnation::random());
+        let timing = settings.timing;
+        let (attempts, status) = {
+            let _control = control.handle().enter();
+            AttemptsController::start(AttemptsConfig {
+                incarnation,
+                version: version.clone(),
+                capacity: settings.bounds.max_attempts,
+                timing,
+                clock,
+                metrics: Arc::clone(&metrics),
+            })
+        };
+        let state = Arc::new(EndpointState {
+            settings: settings.clone(),
+            incarnation,
+            clock,
+            metrics,
+            backend_address,
+            engine: EngineClient::new(backend_address, timing.connect_ms, timing.backend_idle_ms),
+            service: ServiceClient::new(backend_address, timing.connect_ms),
+            attempts,
+            status,
+            kind,
+            version,
+            executions: Mutex::default(),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let listen = |field, address| async move {
+            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
+                field,
+                address,
+                source,
+            })
+        };
+        let peers = traffic.block_on(listen("peer_address", peer_address))?;
+        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
+        let peer_address = peers.local_addr().map_err(runtime)?;
+        let admin_address = admin.local_addr().map_err(runtime)?;
+        traffic.spawn(server::serve(peers, Arc::clone(&state), stopped.clone()));
+        let source = AdminSource::Endpoint(Arc::clone(&state));
+        traffic.spawn(admin::serve(admin, source, stopped));
+        traffic.spawn(report_load(Arc::clone(&state)));
+        log::info!(
+            "endpoint started instance={} incarnation={incarnation} peer_address={peer_address} admin_address={admin_address}",
+            settings.instance
+        );
+        Ok(Self { state, peer_address, admin_address, stop, traffic, _control: control })
+    }
+
+    /// Where entries connect.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Where metrics and state are served.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Stops gracefully: refuses new work, lets attempts in flight end, then stops.
+    ///
+    /// Blocks until all attempts have ended and the drain notice has passed.
+    pub fn shutdown(self) {
+        let state = &self.state;
+        let notice = Duration::from_millis(state.settings.timing.drain_notice_ms);
+        self.traffic.block_on(async {
+            let _ = state.attempts.ask(Drain).await;
+            tokio::time::sleep(notice).await;
+            let mut status = state.status.clone();
+            let _ = status.wait_for(|status| status.running == 0).await;
+        });
+        self.stop.send_replace(true);
+        log::info!("endpoint stopped instance={}", state.settings.instance);
+        self.traffic.shutdown_background();
+    }
+}
+
+/// Reports the backend's load to the controller at each interval.
+async fn report_load(state: Arc<EndpointState>) {
+    let timing = state.settings.timing;
+    let mut ticks = interval(Duration::from_millis(timing.load_report_ms));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let load = if state.serves_model() {
+            state.engine.load(timing.platform_reply_ms).await.ok()
+        } else if state.service.is_up(timing.connect_ms).await {
+            Some(service_load(&state))
+        } else {
+            None
+        };
+        if state.attempts.tell(Backend(load)).try_send().is_err() {
+            return;
+        }
+    }
+}
+
+/// A plain service reports no load; the attempts in flight stand for it.
+fn service_load(state: &EndpointState) -> Load {
+    Load {
+        running: state.status.borrow().running,
+        queued: 0,
+        capacity: state.settings.bounds.max_attempts,
+        reported: state.clock.now(),
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/roles/endpoint/execution.rs
@@ -0,0 +1,158 @@
+//! Runs attempts on the engine or service beside this process.
+
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+
+use crate::adapters::backend::{Completion, EngineEvent};
+use crate::adapters::http::HttpError;
+use crate::answer::{AnswerBuffer, AnswerEnd};
+use crate::controllers::attempts::{Ended, ExecutionEnd};
+use crate::ids::AttemptId;
+use crate::roles::endpoint::EndpointState;
+use crate::wire::message::{Start, Work};
+
+/// Times that a cut stream is continued on the same engine.
+const MAX_RESUMES: u32 = 2;
+
+/// An attempt that is running.
+#[derive(Debug)]
+pub(crate) struct Execution {
+    task: JoinHandle<()>,
+    buffer: Arc<AnswerBuffer>,
+}
+
+/// Starts an attempt. Its answer goes into `buffer`.
+pub(crate) fn spawn(state: &Arc<EndpointState>, start: Box<Start>, buffer: Arc<AnswerBuffer>) {
+    let attempt = start.attempt;
+    // The map stays locked until the task is in it, so that a short task cannot end before.
+    let mut executions = state.executions();
+    let task = tokio::spawn(execute(Arc::clone(state), start, Arc::clone(&buffer)));
+    executions.insert(attempt, Execution { task, buffer });
+}
+
+/// Stops a completion that nobody reads. Calls to services run to their end, since their result may
+/// be asked for later.
+pub(crate) fn cancel(state: &Arc<EndpointState>, attempt: AttemptId) {
+    if !state.serves_model() {
+        return;
+    }
+    let Some(execution) = state.executions().remove(&attempt) else { return };
+    let state = Arc::clone(state);
+    tokio::spawn(async move { stop(&state, attempt, execution).await });
+}
+
+async fn stop(state: &EndpointState, attempt: AttemptId, execution: Execution) {
+    execution.task.abort();
+    if execution.task.await.is_ok() {
+        return;
+    }
+    state.engine.cancel(attempt).await;
+    let end = ExecutionEnd::Failed;
+    let _ = state.attempts.ask(Ended { attempt, end }).await;
+    execution.buffer.finish(AnswerEnd::Failed { engine_died: false });
+}
+
+async fn execute(state: Arc<EndpointState>, start: Box<Start>, buffer: Arc<AnswerBuffer>) {
+    let attempt = start.attempt;
+    let end = match &start.work {
+        Work::Model { .. } => complete(&state, &start, &buffer).await,
+        Work::Service { .. } => call_service(&state, &start, &buffer).await,
+    };
+    // The controller learns of the end first: it tells of suspects before the answer fails.
+    let _ = state.attempts.ask(Ended { attempt, end }).await;
+    state.executions().remove(&attempt);
+    buffer.finish(match end {
+        ExecutionEnd::Answered => AnswerEnd::Whole,
+        ExecutionEnd::NotStarted => AnswerEnd::NotStarted,
+        ExecutionEnd::Failed => AnswerEnd::Failed { engine_died: false },
+        ExecutionEnd::EngineDied => AnswerEnd::Failed { engine_died: true },
+    });
+    let label = if end == ExecutionEnd::Answered { "done" } else { "failed" };
+    state.metrics.attempts.with_label_values(&[label]).inc();
+}
+
+/// Runs a completion; continues a cut stream from the next token.
+async fn complete(state: &EndpointState, start: &Start, buffer: &AnswerBuffer) -> ExecutionEnd {
+    buffer.set_head(200, String::new());
+    let mut resumes = 0;
+    loop {
+        let error = match stream_tokens(state, start, buffer).await {
+            Ok(()) => return ExecutionEnd::Answered,
+            Err(error) => error,
+        };
+        let untouched = buffer.next_index() == first_token(start) && resumes == 0;
+        if error.is_not_sent() && untouched {
+            return ExecutionEnd::NotStarted;
+        }
+        if state.engine.load(state.settings.timing.platform_reply_ms).await.is_err() {
+            return ExecutionEnd::EngineDied;
+        }
+        if resumes == MAX_RESUMES {
+            return ExecutionEnd::Failed;
+        }
+        resumes += 1;
+        // The former stream may still be running when only its connection is gone.
+        state.engine.cancel(start.attempt).await;
+    }
+}
+
+fn first_token(start: &Start) -> u64 {
+    match &start.work {
+        Work::Model { resume_from_token, .. } => *resume_from_token,
+        Work::Service { .. } => 0,
+    }
+}
+
+async fn stream_tokens(
+    state: &EndpointState,
+    start: &Start,
+    buffer: &AnswerBuffer,
+) -> Result<(), HttpError> {
+    let Work::Model { model, version, prompt, max_tokens, .. } = &start.work else {
+        return Ok(());
+    };
+    let completion = Completion {
+        attempt: start.attempt,
+        model: model.as_str(),
+        version: version.as_str(),
+        prompt,
+        max_tokens: *max_tokens,
+        priority: start.priority,
+        resume_from_token: buffer.next_index(),
+    };
+    let mut stream = state.engine.open(completion).await?;
+    let address = state.backend_address;
+    loop {
+        match stream.next().await? {
+            EngineEvent::Token(index, token) if index == buffer.next_index() => buffer.push(token),
+            // A token that was received before the stream was cut.
+            EngineEvent::Token(index, _) if index < buffer.next_index() => {}
+            EngineEvent::Total(total) if total == buffer.next_index() => return Ok(()),
+            EngineEvent::Token(..) | EngineEvent::Total(_) => {
+                let reason = "tokens are missing".to_owned();
+                return Err(HttpError::Protocol { address, reason });
+            }
+        }
+    }
+}
+
+async fn call_service(state: &EndpointState, start: &Start, buffer: &AnswerBuffer) -> ExecutionEnd {
+    let Work::Service { method, path, content_type, body, .. } = &start.work else {
+        return ExecutionEnd::NotStarted;
+    };
+    let left_ms = start.deadline.ms_since(state.clock.now());
+    let call = state.service.call(method, path, content_type, body.clone(), left_ms);
+    match call.await {
+        Ok(reply) => {
+            buffer.set_head(reply.status, reply.content_type);
+            buffer.push(reply.body);
+            ExecutionEnd::Answered
+        }
+        Err(error) if error.is_not_sent() => ExecutionEnd::NotStarted,
+        Err(_) if !state.service.is_up(state.settings.timing.connect_ms).await => {
+            ExecutionEnd::EngineDied
+        }
+        Err(_) => ExecutionEnd::Failed,
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -0,0 +1,232 @@
+//! The entry role: accepts callers and routes their requests to endpoints.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use kameo::actor::ActorRef;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::adapters::admin::{self, AdminSource};
+use crate::adapters::caller;
+use crate::adapters::instance_list::ListClient;
+use crate::adapters::log::LogClient;
+use crate::adapters::peer::link::LinkConfig;
+use crate::clock::Clock;
+use crate::controllers::Progress;
+use crate::controllers::admission::{AdmissionController, AdmissionViews};
+use crate::controllers::claims::ClaimsController;
+use crate::controllers::document::{DocumentController, DocumentInForce};
+use crate::controllers::load::{EndpointTable, LoadController};
+use crate::controllers::membership::{Members, MembershipController};
+use crate::ids::{AttemptId, Incarnation, Offset};
+use crate::metrics::Metrics;
+use crate::roles::StartError;
+use crate::runtime::{ControlThread, traffic_runtime};
+use crate::settings::{RoleSettings, Settings};
+use crate::wire::message::{Hello, Role};
+use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
+
+/// What the traffic threads of an entry share: settings, counters and snapshots of control state.
+pub(crate) struct EntryState {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
+    pub(crate) endpoints: Arc<ArcSwap<EndpointTable>>,
+    pub(crate) members: Arc<ArcSwap<Members>>,
+    pub(crate) progress: watch::Sender<Progress>,
+    pub(crate) claims: ActorRef<ClaimsController>,
+    pub(crate) admission: ActorRef<AdmissionController>,
+    sequence: AtomicU64,
+}
+
+impl EntryState {
+    /// An attempt identifier that has never been used.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        AttemptId { incarnation: self.incarnation, sequence }
+    }
+
+    /// Waits until this entry has come at least as far as `wanted`.
+    pub(crate) async fn wait_for(&self, wanted: Progress, timeout_ms: u64) -> bool {
+        let mut progress = self.progress.subscribe();
+        let reached = progress
+            .wait_for(|now| now.version >= wanted.version && now.endpoints >= wanted.endpoints);
+        timeout(Duration::from_millis(timeout_ms), reached)
+            .await
+            .is_ok_and(|reached| reached.is_ok())
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            protocol_min: PROTOCOL_MIN,
+            protocol_max: PROTOCOL_MAX,
+            incarnation: self.incarnation,
+            instance: self.settings.instance.clone(),
+            role: Role::Entry,
+            endpoint_kind: None,
+            version: None,
+        }
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    state: Arc<EntryState>,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    stop: watch::Sender<bool>,
+    callers: JoinHandle<std::io::Result<()>>,
+    // Dropped before the control thread, since its tasks talk to controllers.
+    traffic: Runtime,
+    _control: ControlThread,
+}
+
+impl Entry {
+    /// Starts an entry in this process, on threads of its own.
+    ///
+    /// Must not be called from async code, because it blocks.
+    ///
+    /// # Errors
+    ///
+    /// When the settings are for another role, or a listener or thread cannot be started.
+    pub fn start(settings: &Settings) -> Result<Self, StartError> {
+        let RoleSettings::Entry { caller_address } = settings.role else {
+            return Err(StartError::Role { wanted: "entry" });
+        };
+        let runtime = |source| StartError::Runtime { source };
+        let control = ControlThread::start().map_err(runtime)?;
+        let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
+        let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
+        let state = start_state(settings, metrics, &control);
+        start_readers(&state, &control, &traffic);
+        let (stop, stopped) = watch::channel(false);
+        let listen = |field, address| async move {
+            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
+                field,
+                address,
+                source,
+            })
+        };
+        let callers = traffic.block_on(listen("caller_address", caller_address))?;
+        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
+        let caller_address = callers.local_addr().map_err(runtime)?;
+        let admin_address = admin.local_addr().map_err(runtime)?;
+        let callers = traffic.spawn(caller::serve(callers, Arc::clone(&state), stopped.clone()));
+        let source = AdminSource::Entry(Arc::clone(&state));
+        traffic.spawn(admin::serve(admin, source, stopped));
+        log::info!(
+            "entry started instance={} incarnation={} caller_address={caller_address} admin_address={admin_address}",
+            settings.instance,
+            state.incarnation
+        );
+        Ok(Self { state, caller_address, admin_address, stop, callers, traffic, _control: control })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Where metrics and state are served.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Waits until a document is in force and at least `endpoints` endpoints are connected.
+    ///
+    /// Must not be called from async code, because it blocks. Gives `false` after `timeout_ms`.
+    #[must_use]
+    pub fn wait_until_ready(&self, endpoints: usize, timeout_ms: u64) -> bool {
+        let wanted = Progress { version: Some(Offset(0)), endpoints };
+        self.traffic.block_on(self.state.wait_for(wanted, timeout_ms))
+    }
+
+    /// Stops gracefully: still serves callers that hold its address, then lets answers in flight end.
+    ///
+    /// Blocks until the last answer has been sent.
+    pub fn shutdown(self) {
+        let linger = Duration::from_millis(self.state.settings.timing.entry_linger_ms);
+        log::info!("entry leaving instance={}", self.state.settings.instance);
+        let Self { traffic, callers, stop, .. } = self;
+        traffic.block_on(async {
+            tokio::time::sleep(linger).await;
+            stop.send_replace(true);
+            let _ = callers.await;
+        });
+        log::info!("entry stopped instance={}", self.state.settings.instance);
+        traffic.shutdown_background();
+    }
+}
+
+/// Starts the controllers that requests talk to.
+fn start_state(settings: &Settings, metrics: Metrics, control: &ControlThread) -> Arc<EntryState> {
+    let _control = control.handle().enter();
+    let (clock, metrics) = (Clock::system(), Arc::new(metrics));
+    let views = AdmissionViews {
+        document: Arc::default(),
+        endpoints: Arc::default(),
+        members: Arc::default(),
+    };
+    let (log, timing) = (log_client(settings), settings.timing);
+    Arc::new(EntryState {
+        settings: settings.clone(),
+        incarnation: Incarnation::random(),
+        clock,
+        document: Arc::clone(&views.document),
+        endpoints: Arc::clone(&views.endpoints),
+        members: Arc::clone(&views.members),
+        progress: watch::Sender::default(),
+        claims: ClaimsController::start(log, timing, Arc::clone(&metrics)),
+        admission: AdmissionController::start(views, clock, Arc::clone(&metrics)),
+        metrics,
+        sequence: AtomicU64::new(1),
+    })
+}
+
+fn log_client(settings: &Settings) -> LogClient {
+    let timing = &settings.timing;
+    LogClient::new(settings.log_address, timing.connect_ms, timing.platform_reply_ms)
+}
+
+/// Starts the controllers that follow the platform and the endpoints.
+fn start_readers(state: &Arc<EntryState>, control: &ControlThread, traffic: &Runtime) {
+    let _control = control.handle().enter();
+    let settings = &state.settings;
+    let timing = settings.timing;
+    DocumentController::start(
+        log_client(settings),
+        Arc::clone(&state.document),
+        state.progress.clone(),
+        timing,
+        Arc::clone(&state.metrics),
+    );
+    let load = LoadController::start(
+        Arc::clone(&state.endpoints),
+        state.progress.clone(),
+        state.clock,
+        Arc::clone(&state.metrics),
+    );
+    let list = ListClient::new(
+        settings.instance_list_address,
+        timing.connect_ms,
+        timing.platform_reply_ms,
+    );
+    MembershipController::start(
+        list,
+        Arc::clone(&state.members),
+        LinkConfig { hello: state.hello(), timing, load },
+        traffic.handle().clone(),
+        Arc::clone(&state.metrics),
+    );
+}
--- /dev/null
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -0,0 +1,189 @@
+//! A deployment in one process: fakes of the platform, endpoint daemons and entries on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+
+use lycheewood::publication::{Change, Publication, Record, encode_record};
+use lycheewood::{Endpoint, Entry, LogClient, Offset, PublicationId, RawDocument, Settings};
+use stand_ins::engine::{Engine, EngineFaults, EngineSettings};
+use stand_ins::instance_list::{Instance, InstanceList, InstanceState, Role};
+use stand_ins::log::Log;
+use stand_ins::service::Service;
+use tokio::runtime::{Builder, Runtime};
+
+/// Token of the workspace `north` in [`DOCUMENT`].
+pub(crate) const TOKEN: &str = "north-token";
+
+/// A document with a model and a service whose `POST /jobs` may not repeat.
+pub(crate) const DOCUMENT: &str = r"
+schema: 1
+service: jobs
+models:
+  - name: draft
+    versions: [{name: v1}]
+endpoints:
+  - {name: engines, models: [draft]}
+  - name: jobs
+    service: jobs
+    non_idempotent: [{method: POST, path_prefix: /jobs}]
+workspaces:
+  - name: north
+    token_sha256: [836cfa606b46bcc7e646421dd3bf83a1a787fde882184d875f8e2028216d7f0d]
+    rate_per_s: 1000000
+    burst: 1000000
+    max_priority: 9
+deadlines: {default_ms: 20000, max_ms: 600000}
+placement: {objective: skew}
+";
+
+/// What stands beside an endpoint daemon.
+pub(crate) enum Backend {
+    Engine(Engine),
+    Service(Service),
+}
+
+/// An endpoint daemon and what stands beside it.
+pub(crate) struct Slot {
+    pub(crate) id: String,
+    pub(crate) backend: Backend,
+    pub(crate) daemon: Endpoint,
+}
+
+/// A deployment in one process.
+pub(crate) struct Deployment {
+    pub(crate) runtime: Runtime,
+    pub(crate) log: Log,
+    pub(crate) list: InstanceList,
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) entries: Vec<Entry>,
+    /// More lines of settings for each daemon.
+    pub(crate) extra: String,
+}
+
+impl Deployment {
+    /// Starts the platform only.
+    pub(crate) fn platform(extra: &str) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("start the runtime of the fakes");
+        let (log, list) = runtime.block_on(async {
+            (Log::start().expect("start the log"), InstanceList::start().expect("start the list"))
+        });
+        let extra = extra.to_owned();
+        Self { runtime, log, list, slots: Vec::new(), entries: Vec::new(), extra }
+    }
+
+    /// Starts the platform, `engines` engines, one service and `entries` entries, publishes
+    /// `document` and waits until all entries are ready.
+    pub(crate) fn start(document: &str, engines: usize, entries: usize) -> Self {
+        let mut deployment = Self::platform("");
+        deployment.publish(document, None);
+        for _ in 0..engines {
+            deployment.add_engine(EngineFaults::default());
+        }
+        deployment.add_service();
+        for _ in 0..entries {
+            deployment.add_entry();
+        }
+        deployment.announce();
+        deployment.wait_until_ready();
+        deployment
+    }
+
+    /// A client of the log.
+    pub(crate) fn log_client(&self) -> LogClient {
+        LogClient::new(self.log.address(), 1_000, 2_000)
+    }
+
+    /// Publishes a whole document on `base` and gives the offset of its record.
+    pub(crate) fn publish(&self, document: &str, base: Option<Offset>) -> Offset {
+        let (raw, _) = RawDocument::from_yaml(document).expect("the document is valid");
+        let record = Record::Publication(Publication {
+            id: PublicationId::new(&format!("test-{base:?}")),
+            base,
+            change: Change::Document(raw.to_value()),
+        });
+        let append = self.log_client();
+        self.runtime
+            .block_on(async { append.append("documents", encode_record(&record)).await })
+            .expect("append the publication")
+    }
+
+    fn settings(&self, role: &str, id: &str, more: &str) -> Settings {
+        let yaml = format!(
+            "role: {role}\ninstance: {id}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {}\ninstance_list_address: {}\n{more}{}",
+            self.log.address(),
+            self.list.address(),
+            self.extra,
+        );
+        Settings::from_yaml(&yaml).expect("the settings are valid")
+    }
+
+    fn add_slot(&mut self, kind: &str, version: &str, address: SocketAddr, backend: Backend) {
+        let id = format!("{kind}-{}", self.slots.len());
+        let more = format!(
+            "peer_address: 127.0.0.1:0\nbackend_address: {address}\nendpoint_kind: {kind}\n{version}"
+        );
+        let settings = self.settings("endpoint", &id, &more);
+        let daemon = Endpoint::start(&settings).expect("start an endpoint daemon");
+        self.slots.push(Slot { id, backend, daemon });
+    }
+
+    /// Adds an engine and its daemon.
+    pub(crate) fn add_engine(&mut self, faults: EngineFaults) {
+        let settings = EngineSettings { version: "v1".into(), faults };
+        let engine = {
+            let _runtime = self.runtime.enter();
+            Engine::start(settings).expect("start an engine")
+        };
+        let address = engine.address();
+        self.add_slot("engines", "version: v1\n", address, Backend::Engine(engine));
+    }
+
+    /// Adds a service and its daemon.
+    pub(crate) fn add_service(&mut self) {
+        let service = {
+            let _runtime = self.runtime.enter();
+            Service::start().expect("start a service")
+        };
+        let address = service.address();
+        self.add_slot("jobs", "", address, Backend::Service(service));
+    }
+
+    /// Adds an entry.
+    pub(crate) fn add_entry(&mut self) {
+        let id = format!("entry-{}", self.entries.len());
+        let settings = self.settings("entry", &id, "caller_address: 127.0.0.1:0\n");
+        self.entries.push(Entry::start(&settings).expect("start an entry"));
+    }
+
+    /// Puts all daemons on the instance list as live.
+    pub(crate) fn announce(&self) {
+        let instance = |id: &str, role, address: SocketAddr| Instance {
+            id: id.to_owned(),
+            role,
+            address: address.to_string(),
+            failure_domain: "fd-1".into(),
+            state: InstanceState::Live,
+        };
+        let endpoints = self
+            .slots
+            .iter()
+            .map(|slot| instance(&slot.id, Role::Endpoint, slot.daemon.peer_address()));
+        let entries = self.entries.iter().enumerate().map(|(index, entry)| {
+            instance(&format!("entry-{index}"), Role::Entry, entry.caller_address())
+        });
+        let all = endpoints.chain(entries).collect();
+        self.runtime.block_on(self.list.set(all));
+    }
+
+    /// Waits until every entry has a document and all endpoints.
+    pub(crate) fn wait_until_ready(&self) {
+        for entry in &self.entries {
+            assert!(entry.wait_until_ready(self.slots.len(), 20_000), "an entry is not ready");
+        }
+    }
+}
