Add the raw document, its check and its patches

A document is read from YAML through a JSON value, so that text, whole documents in the log and patched documents pass the same types and rules. serde_path_to_error gives the path. A second pass over the text, made only after a fault, gives the line; Spanned fields in the raw types were ruled out because a patched document has no text. All broken rules are reported at once. serde states unknown and missing fields only in its message, so that message is parsed; the table of faulty documents guards it.

A merge patch replaces arrays as a whole. Patches apply to a keyed form, in which lists of named elements are objects, so a change of one workspace does not carry the others.

strsim finds the closest known name; an edit distance of our own was ruled out.

--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -29,6 +29,12 @@
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
 };
+pub use document::error::{DocumentError, DocumentErrorKind, InvalidDocument};
+pub use document::patch::{Difference, PatchError, apply_patch, difference, patch_between};
+pub use document::raw::{
+    RawCallPattern, RawDeadlines, RawDocument, RawEndpointKind, RawModel, RawModelVersion,
+    RawPlacement, RawWorkspace,
+};
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
     RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
