--- a/crates/lycheewood/src/document/error.rs
+++ b/crates/lycheewood/src/document/error.rs
@@ -43,8 +43,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum DocumentErrorKind {
     /// The text is not YAML.
-    #[error("the text is not valid YAML: {0}")]
+    #[error("the text is not valid YAML: {0}; correct it there")]
     Syntax(String),
+    /// The document is empty, a list or a single value.
+    #[error("the document has no fields; write fields such as `schema: 1`")]
+    NotFields,
     /// No field has this name.
     #[error("unknown field `{field}`; {}", remedy_for_field(.closest.as_deref(), .known))]
     UnknownField {
--- a/crates/lycheewood/src/document/raw.rs
+++ b/crates/lycheewood/src/document/raw.rs
@@ -150,8 +150,12 @@
         let value: Value = serde_saphyr::from_str(text).map_err(|error| {
             let line = error.location().map(|location| location.line());
             let message = error.to_string();
-            let first = message.lines().next().unwrap_or_default().to_owned();
-            InvalidDocument::one("", line, DocumentErrorKind::Syntax(first))
+            let first = message.lines().next().unwrap_or_default();
+            // Keeps the cause only: the line is stated before it, and the library's options are not
+            // the operator's.
+            let cause = first.splitn(3, ": ").last().unwrap_or(first);
+            let cause = cause.split(", set ").next().unwrap_or(cause).to_owned();
+            InvalidDocument::one("", line, DocumentErrorKind::Syntax(cause))
         })?;
         Self::from_value(&value)
             .and_then(|raw| Document::try_from(&raw).map(|document| (raw, document)))
@@ -171,6 +175,10 @@
     ///
     /// The first field that is unknown, missing or of another type.
     pub fn from_value(value: &Value) -> Result<Self, InvalidDocument> {
+        // serde would also read a list as the fields in their order.
+        if !value.is_object() {
+            return Err(InvalidDocument::one("", None, DocumentErrorKind::NotFields));
+        }
         serde_path_to_error::deserialize(value).map_err(|error| {
             let path = error.path().to_string();
             let path = if path == "." { "" } else { &path };
