--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -1,6 +1,10 @@
-//! A model engine: batched completions with priorities, and its load.
+//! A model engine: batched completions with priorities, its load, orders and ranks.
 
+mod cache_events;
 mod completion;
+mod fence;
+mod orders;
+mod ranks;
 mod runs;
 mod tokens;
 
@@ -9,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::task::JoinHandle;
 
 use crate::clock::unix_ms;
 use crate::control::Controller;
@@ -17,9 +22,16 @@
 use crate::http::{self, Call, Reply};
 use crate::server::{Power, Server, Switch};
 
+use cache_events::{Cache, Prefix};
 use completion::CompletionRequest;
+use fence::Fence;
+use orders::Orders;
+use ranks::Ranks;
 use runs::{Runs, Ticket};
 
+pub use cache_events::{CacheChange, CacheEvent};
+pub use orders::Order;
+pub use ranks::{Rank, StagedMap, StepEvent};
 pub use runs::Load;
 pub use tokens::token;
 
@@ -32,7 +44,7 @@
     pub common: CommonFaults,
     /// Requests that run at once; more wait by priority.
     pub capacity: u64,
-    /// Time from the start of a run to its first interval.
+    /// Time from the start of a run to its first interval; a cached prefix saves it.
     pub prefill_ms: u64,
     /// Time before each token.
     pub token_interval_ms: u64,
@@ -48,6 +60,20 @@
     pub cut_after_tokens: Option<u64>,
     /// Age of the load that the engine reports.
     pub load_lag_ms: u64,
+    /// Prompt prefixes that the cache holds.
+    pub cache_entries: u64,
+    /// Cache events show this long after they happened.
+    pub cache_lag_ms: u64,
+    /// Every event whose number is a multiple of this is never published; 0 is off.
+    pub cache_gap_every: u64,
+    /// Time that a rank needs for a step.
+    pub step_ms: u64,
+    /// The rank that is slower than the others, if any.
+    pub straggler_rank: Option<usize>,
+    /// The straggler's step time as a percentage of the others'.
+    pub straggler_percent: u64,
+    /// The rank that runs no step and so holds back the group, if any.
+    pub stalled_rank: Option<usize>,
 }
 
 impl Default for EngineFaults {
@@ -63,11 +89,23 @@
             stall_after_tokens: None,
             cut_after_tokens: None,
             load_lag_ms: 0,
+            cache_entries: 16,
+            cache_lag_ms: 0,
+            cache_gap_every: 0,
+            step_ms: 1,
+            straggler_rank: None,
+            straggler_percent: 100,
+            stalled_rank: None,
         }
     }
 }
 
 impl EngineFaults {
+    fn step_duration_ms(&self, rank: usize) -> u64 {
+        let straggles = self.straggler_rank == Some(rank);
+        self.step_ms * if straggles { self.straggler_percent } else { 100 } / 100
+    }
+
     fn stalls(&self, index: u64) -> bool {
         self.stall_after_tokens.is_some_and(|tokens| index >= tokens)
     }
@@ -78,13 +116,22 @@
 pub struct EngineSettings {
     /// The version that it has loaded, also after a crash.
     pub version: String,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fencing_numbers: bool,
+    /// Ranks of the group that it runs; 0 is none.
+    pub ranks: usize,
     /// The first faults and speeds.
     pub faults: EngineFaults,
 }
 
 impl Default for EngineSettings {
     fn default() -> Self {
-        Self { version: "v1".to_owned(), faults: EngineFaults::default() }
+        Self {
+            version: "v1".to_owned(),
+            checks_fencing_numbers: true,
+            ranks: 0,
+            faults: EngineFaults::default(),
+        }
     }
 }
 
@@ -92,6 +139,13 @@
 pub struct Engine {
     server: Server,
     control: Controller<EngineState>,
+    steps: JoinHandle<()>,
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.steps.abort();
+    }
 }
 
 impl Engine {
@@ -114,7 +168,8 @@
         let fake =
             |switch: &Switch| EngineFake { control: control.clone(), switch: switch.clone() };
         let server = Server::start(address, fake)?;
-        Ok(Self { server, control })
+        let steps = tokio::spawn(ranks::run_steps(control.clone()));
+        Ok(Self { server, control, steps })
     }
 
     /// Where it listens.
@@ -138,6 +193,29 @@
         self.control.read_blocking(move |state| state.runs.starts(&request_id))
     }
 
+    /// The orders that it has taken, over all crashes.
+    #[must_use]
+    pub fn orders(&self) -> Vec<Order> {
+        self.control.read_blocking(|state| state.orders.taken.clone())
+    }
+
+    /// The latest steps of the group, over all crashes.
+    #[must_use]
+    pub fn steps(&self) -> Vec<StepEvent> {
+        self.control.read_blocking(|state| state.ranks.events())
+    }
+
+    /// Waits until the group has run `step`.
+    pub async fn wait_for_step(&self, step: u64) {
+        let run = move |state: &EngineState| state.ranks.has_run(step).then_some(());
+        self.control.wait(run).await;
+    }
+
+    /// Puts a rank without any state in a rank's place.
+    pub fn replace_rank(&self, rank: usize) {
+        self.control.post(move |state| state.ranks.replace(rank));
+    }
+
     /// The present load, without the lag.
     #[must_use]
     pub fn load(&self) -> Load {
@@ -155,9 +233,9 @@
         self.server.switch().set(Power::Down).await;
     }
 
-    /// Waits until the engine is down.
-    pub async fn wait_for_crash(&self) {
-        self.server.switch().reached(Power::Down).await;
+    /// Waits until the engine has come up again this often after crashes.
+    pub async fn wait_for_restarts(&self, restarts: u64) {
+        self.server.switch().restarted(restarts).await;
     }
 
     /// Listens again at the same address, with nothing but its settings.
@@ -175,14 +253,25 @@
     faults: EngineFaults,
     first_version: String,
     version: String,
+    checks_fencing_numbers: bool,
     runs: Runs,
+    cache: Cache,
+    orders: Orders,
+    ranks: Ranks,
 }
 
 impl EngineState {
     fn new(settings: EngineSettings) -> Self {
-        let EngineSettings { version, faults } = settings;
-        let first_version = version.clone();
-        let mut state = Self { faults, first_version, version, runs: Runs::default() };
+        let mut state = Self {
+            faults: settings.faults,
+            first_version: settings.version.clone(),
+            version: settings.version,
+            checks_fencing_numbers: settings.checks_fencing_numbers,
+            runs: Runs::default(),
+            cache: Cache::default(),
+            orders: Orders::default(),
+            ranks: Ranks::new(settings.ranks),
+        };
         state.admit();
         state
     }
@@ -192,7 +281,8 @@
         if request.version.as_ref().is_some_and(|version| *version != self.version) {
             return Err(self.version.clone());
         }
-        let ticket = self.runs.enqueue(&request.request_id, request.priority);
+        let prefix = Prefix::of(&request.prompt, &request.request_id);
+        let ticket = self.runs.enqueue(prefix, request.priority);
         self.admit();
         Ok((ticket, self.version.clone()))
     }
@@ -209,13 +299,19 @@
     }
 
     fn admit(&mut self) {
-        self.runs.admit(self.faults.capacity);
-        self.runs.sample(self.faults.capacity, &self.version, unix_ms());
+        let now_unix_ms = unix_ms();
+        let (cache, entries) = (&mut self.cache, self.faults.cache_entries);
+        let cached = |prefix: &Prefix| cache.touch(prefix, entries, now_unix_ms);
+        self.runs.admit(self.faults.capacity, cached);
+        self.runs.sample(self.faults.capacity, &self.version, now_unix_ms);
     }
 
     fn crash(&mut self) {
         self.version.clone_from(&self.first_version);
         self.runs.clear();
+        self.cache.clear();
+        self.orders.fence = Fence::default();
+        self.ranks.clear();
         self.admit();
     }
 
@@ -279,6 +375,12 @@
             ("POST", ["v1", "completions"]) => completion::complete(self, call).await,
             ("DELETE", ["v1", "requests", request_id]) => self.cancel(request_id).await,
             ("GET", ["load"]) => self.load().await,
+            ("GET", ["cache-events"]) => cache_events::read(self, call).await,
+            ("POST", ["orders"]) => orders::take(self, call).await,
+            ("GET", ["orders"]) => orders::list(self).await,
+            ("GET", ["ranks"]) => ranks::list(self).await,
+            ("GET", ["steps"]) => ranks::steps(self, call).await,
+            ("POST", ["ranks", rank, action]) => ranks::order(self, rank, action, call).await,
             _ => http::not_found(),
         }
     }
--- a/crates/stand-ins/src/engine/completion.rs
+++ b/crates/stand-ins/src/engine/completion.rs
@@ -37,12 +37,14 @@
 
 /// Waits for capacity.
 struct Queued {
-    admitted: oneshot::Receiver<()>,
+    admitted: oneshot::Receiver<bool>,
 }
 
 /// Holds capacity.
 struct Running {
     started: Instant,
+    /// Whether the prompt's prefix was in the cache, which saves the prefill.
+    cached: bool,
 }
 
 /// One request in one stage of its life.
@@ -107,7 +109,7 @@
     switch: Switch,
 ) {
     let result = tokio::select! {
-        _ = cancelled => return,
+        Ok(()) = cancelled => return,
         () = events.closed() => return,
         result = generate(run, &events, &switch) => result,
     };
@@ -119,8 +121,9 @@
 async fn generate(run: Run<Queued>, events: &Events, switch: &Switch) -> Result<(), Ended> {
     let run = run.admitted().await?;
     let mut due = run.stage.started;
-    due += Duration::from_millis(run.faults().await.prefill_ms);
-    tokio::time::sleep_until(due).await;
+    if !run.stage.cached {
+        due += Duration::from_millis(run.faults().await.prefill_ms);
+    }
     for index in run.request.resume_from_token..run.request.max_tokens {
         let faults = run.faults().await;
         due += Duration::from_millis(faults.token_interval_ms);
@@ -140,8 +143,8 @@
 
 impl Run<Queued> {
     async fn admitted(self) -> Result<Run<Running>, Ended> {
-        self.stage.admitted.await.map_err(|_| Ended::Left)?;
-        let stage = Running { started: Instant::now() };
+        let cached = self.stage.admitted.await.map_err(|_| Ended::Left)?;
+        let stage = Running { started: Instant::now(), cached };
         Ok(Run { place: self.place, version: self.version, request: self.request, stage })
     }
 }
--- a/crates/stand-ins/src/engine/runs.rs
+++ b/crates/stand-ins/src/engine/runs.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use super::cache_events::Prefix;
+
 /// Load samples kept for late reports; older ones are not needed at the lags that tests use.
 const MAX_SAMPLES: usize = 1_024;
 
@@ -27,17 +29,16 @@
 /// One request's place in the engine.
 pub(super) struct Ticket {
     pub(super) number: u64,
-    /// Resolves when the request may run.
-    pub(super) admitted: oneshot::Receiver<()>,
-    /// Resolves with an error when the request has been cancelled.
+    /// Resolves when the request may run, with whether its prefix was cached.
+    pub(super) admitted: oneshot::Receiver<bool>,
+    /// Resolves when the request has been cancelled; an error means that it never will be.
     pub(super) cancelled: oneshot::Receiver<()>,
 }
 
 struct Seat {
-    request_id: String,
-    admit: Option<oneshot::Sender<()>>,
-    /// Dropped with the seat, which tells the request that it has been cancelled.
-    _alive: oneshot::Sender<()>,
+    prefix: Prefix,
+    admit: Option<oneshot::Sender<bool>>,
+    cancel: oneshot::Sender<()>,
 }
 
 #[derive(Default)]
@@ -52,25 +53,26 @@
 
 impl Runs {
     /// Queues a request; higher priorities first, then the order of arrival.
-    pub(super) fn enqueue(&mut self, request_id: &str, priority: u8) -> Ticket {
+    pub(super) fn enqueue(&mut self, prefix: Prefix, priority: u8) -> Ticket {
         let number = self.next_number;
         self.next_number += 1;
         let (admit, admitted) = oneshot::channel();
-        let (alive, cancelled) = oneshot::channel();
-        let request_id = request_id.to_owned();
-        self.seats.insert(number, Seat { request_id, admit: Some(admit), _alive: alive });
+        let (cancel, cancelled) = oneshot::channel();
+        self.seats.insert(number, Seat { prefix, admit: Some(admit), cancel });
         self.waiting.insert((Reverse(priority), number));
         Ticket { number, admitted, cancelled }
     }
 
-    /// Starts waiting requests while there is capacity.
-    pub(super) fn admit(&mut self, capacity: u64) {
+    /// Starts waiting requests while there is capacity. `cached` uses a request's prefix and says
+    /// whether it was in the cache.
+    pub(super) fn admit(&mut self, capacity: u64, mut cached: impl FnMut(&Prefix) -> bool) {
         while (self.running.len() as u64) < capacity {
             let Some((_, number)) = self.waiting.pop_first() else { break };
             let Some(seat) = self.seats.get_mut(&number) else { continue };
             self.running.insert(number);
-            *self.starts.entry(seat.request_id.clone()).or_default() += 1;
-            seat.admit.take().map(|admit| admit.send(()));
+            *self.starts.entry(seat.prefix.request_id.clone()).or_default() += 1;
+            let hit = cached(&seat.prefix);
+            seat.admit.take().map(|admit| admit.send(hit));
         }
     }
 
@@ -83,9 +85,10 @@
 
     /// Frees every place of a request; gives how many there were.
     pub(super) fn cancel(&mut self, request_id: &str) -> usize {
-        let matching = self.seats.iter().filter(|(_, seat)| seat.request_id == request_id);
+        let matching = self.seats.iter().filter(|(_, seat)| seat.prefix.request_id == request_id);
         let numbers: Vec<u64> = matching.map(|(number, _)| *number).collect();
         for number in &numbers {
+            self.seats.remove(number).map(|seat| seat.cancel.send(()));
             self.release(*number);
         }
         numbers.len()
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod log;
 mod server;
 pub mod service;
+pub mod weight_store;
--- a/crates/stand-ins/src/server.rs
+++ b/crates/stand-ins/src/server.rs
@@ -64,6 +64,7 @@
 pub(crate) struct Switch {
     wanted: watch::Sender<Power>,
     actual: watch::Receiver<Power>,
+    restarts: watch::Receiver<u64>,
 }
 
 impl Switch {
@@ -84,6 +85,12 @@
         drop(actual.wait_for(|now| *now == power || *now == Power::Stopped).await);
     }
 
+    /// Waits until the server has come up again this often.
+    pub(crate) async fn restarted(&self, restarts: u64) {
+        let mut counted = self.restarts.clone();
+        drop(counted.wait_for(|count| *count >= restarts).await);
+    }
+
     /// Crashes from inside a request and never returns, because the crash ends the request.
     /// Restarts `restart_after_ms` later, or never if that is 0.
     pub(crate) async fn crash(&self, restart_after_ms: u64) -> Infallible {
@@ -127,9 +134,11 @@
         let address = port.address;
         let (wanted, orders) = watch::channel(Power::Up);
         let (reached, actual) = watch::channel(Power::Up);
-        let switch = Switch { wanted, actual };
+        let (restarted, restarts) = watch::channel(0);
+        let switch = Switch { wanted, actual, restarts };
+        let progress = Progress { reached, restarted };
         let fake = Arc::new(make(&switch));
-        tokio::spawn(run(port, orders, reached, fake));
+        tokio::spawn(run(port, orders, progress, fake));
         Ok(Self { address, switch })
     }
 
@@ -148,26 +157,33 @@
     }
 }
 
+/// What the server has done, for those who wait for it.
+struct Progress {
+    reached: watch::Sender<Power>,
+    restarted: watch::Sender<u64>,
+}
+
 async fn run<F: Fake>(
     mut port: Port<Listening>,
     mut orders: watch::Receiver<Power>,
-    reached: watch::Sender<Power>,
+    progress: Progress,
     fake: Arc<F>,
 ) {
     loop {
         serve(&port, &mut orders, &fake).await;
         let Ok(reserved) = port.close() else { break };
         fake.crashed().await;
-        reached.send_replace(Power::Down);
+        progress.reached.send_replace(Power::Down);
         let next = orders.wait_for(|power| *power != Power::Down).await.map(|power| *power);
         if !matches!(next, Ok(Power::Up)) {
             break;
         }
         let Ok(listening) = reserved.listen() else { break };
         port = listening;
-        reached.send_replace(Power::Up);
+        progress.reached.send_replace(Power::Up);
+        progress.restarted.send_modify(|count| *count += 1);
     }
-    reached.send_replace(Power::Stopped);
+    progress.reached.send_replace(Power::Stopped);
 }
 
 /// Serves until the power goes off, then drops every connection.
--- a/crates/stand-ins/tests/contract/engine.rs
+++ b/crates/stand-ins/tests/contract/engine.rs
@@ -1,7 +1,7 @@
 //! Engine: streams, capacity, crashes.
 
 use serde_json::{Value, json};
-use stand_ins::engine::{Engine, EngineFaults, EngineSettings, token};
+use stand_ins::engine::{CacheChange, CacheEvent, Engine, EngineFaults, EngineSettings, token};
 
 use crate::client::{call, events, send};
 
@@ -90,3 +90,62 @@
     engine.wait_for_load(|load| load.queued == 1).await;
     assert_eq!(["first", "low", "high"].map(|id| engine.runs_of(id)), [1, 0, 1]);
 }
+
+/// Guards against cache events that show no use, no eviction, or no gap.
+#[tokio::test]
+async fn cache_events_tell_what_is_cached_but_for_their_gaps() {
+    for (gap_every, offsets) in [(0, vec![0, 1, 2]), (2, vec![0, 2])] {
+        let engine = Engine::start(EngineSettings::default()).unwrap();
+        engine.set_faults(move |faults| {
+            faults.cache_entries = 1;
+            faults.cache_gap_every = gap_every;
+        });
+        for (id, prompt) in [("a", "p"), ("b", "p"), ("c", "q")] {
+            complete(&engine, &request(id, prompt, 0)).await;
+        }
+        let (_, reply) = call(engine.address(), "GET", "/cache-events?from=0", "").await.unwrap();
+        let events: Vec<CacheEvent> = serde_json::from_value(reply["events"].clone()).unwrap();
+        assert_eq!(events.iter().map(|event| event.offset).collect::<Vec<_>>(), offsets);
+        let stored_by = |change| events.iter().rfind(|event| event.change == change);
+        assert_eq!(events[0].request_id, "a");
+        if gap_every == 0 {
+            assert_eq!(stored_by(CacheChange::Stored).unwrap().request_id, "c");
+            assert_eq!(stored_by(CacheChange::Evicted).unwrap().request_id, "a");
+        }
+    }
+}
+
+/// Guards against a load report that hides its age.
+#[tokio::test]
+async fn a_late_load_report_shows_an_earlier_load() {
+    let engine = Engine::start(EngineSettings::default()).unwrap();
+    engine.set_faults(|faults| {
+        faults.stall_after_tokens = Some(0);
+        faults.load_lag_ms = 3_600_000;
+    });
+    let _held = send(engine.address(), "POST", "/v1/completions", &request("a", "p", 0)).await;
+    let (_, load) = call(engine.address(), "GET", "/load", "").await.unwrap();
+    assert_eq!((&load["running"], engine.load().running), (&json!(0), 1));
+    assert!(load["reported_unix_ms"].as_u64().unwrap() <= engine.load().reported_unix_ms);
+}
+
+/// Guards against a crash that is never followed by the planned restart, or by a new crash of the
+/// same prompt.
+#[tokio::test]
+async fn a_prompt_that_crashes_the_engine_does_so_again_after_the_restart() {
+    let engine = Engine::start(EngineSettings::default()).unwrap();
+    engine.set_faults(|faults| {
+        "bad".clone_into(&mut faults.crash_on);
+        faults.restart_after_ms = 1;
+    });
+    for crashes in 1..=2 {
+        let body = request("a", "bad", 0);
+        let response = send(engine.address(), "POST", "/v1/completions", &body).await;
+        if let Some(response) = response {
+            assert!(!events(response).await.1);
+        }
+        engine.wait_for_restarts(crashes).await;
+        assert_eq!(engine.runs_of("a"), crashes);
+    }
+    assert!(complete(&engine, &request("b", "good", 0)).await.1);
+}
--- a/crates/stand-ins/tests/contract/main.rs
+++ b/crates/stand-ins/tests/contract/main.rs
@@ -4,4 +4,7 @@
 mod engine;
 mod instance_list;
 mod log;
+mod process;
+mod ranks;
 mod service;
+mod weight_store;
