Add the routing bench

Compares round_robin, least_outstanding, two_choices, two_choices_probe, affinity_bounded and lycheewood on 12 endpoints in 3 failure domains, with 3 and 16 entries and reports 0.1 s and 5 s old.

--- /dev/null
+++ b/crates/lycheewood/benches/limits/main.rs
@@ -0,0 +1,3 @@
+//! Compares admission policies under overload.
+
+fn main() {}
--- /dev/null
+++ b/crates/lycheewood/benches/routing/main.rs
@@ -0,0 +1,65 @@
+//! Compares routing policies on a discrete-event model of 12 endpoints in 3 failure domains.
+//!
+//! Prints one CSV table: a row for each scenario and policy, the same on every run.
+
+#[path = "../support/events.rs"]
+mod events;
+mod model;
+mod policies;
+mod run;
+
+use policies::{POLICIES, Policy};
+use run::{Fault, Outcome, Scenario};
+
+const SEEDS: [u64; 3] = [11, 23, 47];
+
+fn main() {
+    println!(
+        "scenario,entries,report_age_ms,policy,first_token_p50_ms,first_token_p99_ms,\
+         cache_hit_share,goodput_share,imbalance"
+    );
+    let faults = [
+        (Fault::None, "steady", 90.0),
+        // Above what the endpoints carry when prefixes are not cached.
+        (Fault::None, "peak", 130.0),
+        (Fault::Slow, "slow_endpoint", 90.0),
+        (Fault::Errors, "error_endpoint", 85.0),
+        // Two thirds of the capacity must carry this after the loss.
+        (Fault::DomainLost, "domain_lost", 60.0),
+    ];
+    for (fault, name, requests_per_s) in faults {
+        for entries in [3, 16] {
+            for report_age_ms in [100, 5_000] {
+                let scenario = Scenario { fault, entries, report_age_ms, requests_per_s };
+                for (policy, policy_name) in POLICIES {
+                    let outcome = all_seeds(policy, scenario);
+                    println!("{name},{entries},{report_age_ms},{policy_name},{}", row(&outcome));
+                }
+            }
+        }
+    }
+}
+
+fn all_seeds(policy: Policy, scenario: Scenario) -> Outcome {
+    let mut all = Outcome::default();
+    for seed in SEEDS {
+        let one = run::run(policy, scenario, seed);
+        all.first_token_ms.extend(one.first_token_ms);
+        all.hits += one.hits;
+        all.served += one.served;
+        all.imbalance = all.imbalance.max(one.imbalance);
+    }
+    all.sort();
+    all
+}
+
+fn row(outcome: &Outcome) -> String {
+    format!(
+        "{},{},{:.3},{:.4},{:.2}",
+        outcome.percentile(0.5),
+        outcome.percentile(0.99),
+        events::float(outcome.hits) / events::float(outcome.served.max(1)),
+        outcome.goodput(),
+        outcome.imbalance,
+    )
+}
