Estimate the load by others from own requests when reports are old

Cause: with reports 5 s old the load by others was drawn to the same mean for every endpoint, so no entry saw that all entries follow the same popular prefixes. The prior is now the mean times own requests at the endpoint over the mean of own requests (one-second averages, 0.25 added to both).

--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -10,6 +10,9 @@
 use crate::ids::{FailureDomain, InstanceId};
 use crate::wire::message::Load;
 
+/// Requests added to both sides of the own share: with few own requests it says little.
+const OWN_SHARE_PRIOR: f64 = 0.25;
+
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RoutingPolicy {
@@ -123,6 +126,7 @@
         let mean_others = mean(
             eligible.iter().filter_map(|&i| others(&candidates[i], now)).map(|(load, _)| load),
         );
+        let mean_own = mean(eligible.iter().map(|&i| candidates[i].estimate.in_flight().mean(now)));
         let mean_ms = mean(
             eligible
                 .iter()
@@ -134,7 +138,8 @@
             .iter()
             .map(|&index| {
                 let candidate = &candidates[index];
-                let load = estimated_load(policy, candidate, mean_others, now);
+                let others_now = mean_others * own_share(candidate, mean_own, now);
+                let load = estimated_load(policy, candidate, others_now, now);
                 let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
                 let domain_errors = domain_error_share(candidates, eligible, candidate, now);
                 let expected_ms = (load + 1.0) * latency * (1.0 + 4.0 * domain_errors);
@@ -225,6 +230,13 @@
     Some((load, now.ms_since(report.reported)))
 }
 
+/// Own requests at the candidate over the mean of all candidates. Other entries see the same popular
+/// prefixes, so where own requests gather, those of others do too.
+fn own_share(candidate: &Candidate<'_>, mean_own: f64, now: Timestamp) -> f64 {
+    let own = candidate.estimate.in_flight().mean(now);
+    (own + OWN_SHARE_PRIOR) / (mean_own + OWN_SHARE_PRIOR)
+}
+
 /// Own requests in flight plus the load by others, drawn towards `mean_others` as the report ages.
 fn estimated_load(
     policy: &RoutingPolicy,
