--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,10 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::placement::{
+    ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
+    PlacementChange, PlacementVerdict, PlacementView, decide_placement,
+};
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
