Leave differences within the forecast's error alone

Cause: a layer was searched until its slowest rank was within 1% (skew) or 3% (cost) of the bound, although its shares are known less well than that. On noisy reports most moves followed the noise.

The forecast now tracks its own error, and a layer within two standard deviations of the bound is left alone.

The bench gains a flip at the design size: 32 ranks, 256 experts, 61 layers.

--- a/crates/lycheewood/benches/placement/scenario.rs
+++ b/crates/lycheewood/benches/placement/scenario.rs
@@ -40,26 +40,26 @@
     pub(crate) max_moves: u32,
 }
 
-pub(crate) const SCENARIOS: [Scenario; 7] = [
+pub(crate) const SCENARIOS: [Scenario; 8] = [
     scenario("steady", Kind::Steady),
     scenario("steady_noise", Kind::Noise),
     scenario("drift", Kind::Drift),
     scenario("flip", Kind::Flip),
     scenario("heavy_tails", Kind::HeavyTails),
     scenario("straggler", Kind::Straggler),
-    Scenario {
-        name: "drift_61_layers",
-        kind: Kind::Drift,
-        layers: 61,
-        periods: 24,
-        max_moves: 488,
-    },
+    large_scenario("drift_61_layers", Kind::Drift),
+    large_scenario("flip_61_layers", Kind::Flip),
 ];
 
 const fn scenario(name: &'static str, kind: Kind) -> Scenario {
     Scenario { name, kind, layers: 8, periods: 120, max_moves: 64 }
 }
 
+/// A group of the design size, for the decision time.
+const fn large_scenario(name: &'static str, kind: Kind) -> Scenario {
+    Scenario { name, kind, layers: 61, periods: 24, max_moves: 488 }
+}
+
 /// Tokens by layer and then by expert.
 pub(crate) type Tokens = Vec<Vec<f64>>;
 
--- a/crates/lycheewood/src/decisions/placement.rs
+++ b/crates/lycheewood/src/decisions/placement.rs
@@ -116,11 +116,22 @@
     let layers = view.map.layers.iter().zip(&shares);
     let layers =
         layers.map(|(holders, shares)| Layer::new(holders, shares, speeds, view.map.slots));
-    let plans = layers.map(|layer| Plan::of(layer, weights.target, budget)).collect::<Vec<_>>();
+    let plans = layers.zip(view.forecast.share_errors()).map(|(layer, error)| {
+        let target = weights.target + noise_margin(error, view.map.slots);
+        Plan::of(layer, target, budget)
+    });
+    let plans = plans.collect::<Vec<_>>();
     worthwhile_change(view, &weights, plans, budget)
         .map_or(PlacementVerdict::Keep(KeepReason::NotWorthIt), PlacementVerdict::Change)
 }
 
+/// How far above the bound the slowest rank of a perfectly placed layer seems to be, because its
+/// shares are known only up to `error`. Errors of a rank's experts partly cancel out; the slowest of
+/// a few dozen ranks is about two standard deviations above the mean.
+fn noise_margin(error: f64, slots: usize) -> f64 {
+    2.0 * error / f64::from(u32::try_from(slots.max(1)).unwrap_or(u32::MAX)).sqrt()
+}
+
 fn worthwhile_change(
     view: &PlacementView<'_>,
     weights: &Weights,
--- a/crates/lycheewood/src/decisions/placement/forecast.rs
+++ b/crates/lycheewood/src/decisions/placement/forecast.rs
@@ -11,6 +11,8 @@
 const TREND_DAMPING: f64 = 0.85;
 /// Weight of a new report in the speed of a rank.
 const SPEED_GAIN: f64 = 0.3;
+/// Weight of a new report in the error of the forecast.
+const ERROR_GAIN: f64 = 0.1;
 /// Slowest speed that is believed. Zero would make every load infinite.
 const MIN_SPEED: f64 = 0.05;
 
@@ -38,6 +40,8 @@
 struct LayerForecast {
     levels: Vec<f64>,
     trends: Vec<f64>,
+    /// Smoothed sum of the absolute errors of the shares.
+    error: f64,
 }
 
 impl LoadForecast {
@@ -86,6 +90,16 @@
         &self.speeds
     }
 
+    /// Relative standard error of each layer's shares: how far a typical level is from the share that
+    /// it stands for. Part of the error of a report is real change, so this is an upper estimate.
+    #[must_use]
+    pub fn share_errors(&self) -> Vec<f64> {
+        // The standard deviation of a normal error is sqrt(pi / 2) times its mean absolute value, and
+        // smoothing leaves gain / (2 - gain) of the variance.
+        let left = std::f64::consts::FRAC_PI_2 * LEVEL_GAIN / (2.0 - LEVEL_GAIN);
+        self.layers.iter().map(|layer| layer.error * left.sqrt()).collect()
+    }
+
     fn has_shape_of(&self, report: &LoadReport<'_>) -> bool {
         let layers = self.layers.iter().map(|layer| layer.levels.len());
         layers.eq(report.tokens.iter().map(Vec::len)) && self.speeds.len() == report.speeds.len()
@@ -94,7 +108,7 @@
 
 impl LayerForecast {
     fn start(tokens: &[f64]) -> Self {
-        Self { levels: shares_of(tokens), trends: vec![0.0; tokens.len()] }
+        Self { levels: shares_of(tokens), trends: vec![0.0; tokens.len()], error: 0.0 }
     }
 
     fn observe(&mut self, tokens: &[f64]) {
@@ -102,13 +116,16 @@
             return;
         }
         let shares = shares_of(tokens);
+        let mut error = 0.0;
         for ((level, trend), share) in self.levels.iter_mut().zip(&mut self.trends).zip(shares) {
             let expected = TREND_DAMPING.mul_add(*trend, *level);
+            error += (share - expected).abs();
             let next = LEVEL_GAIN.mul_add(share - expected, expected);
             let step = next - *level;
             *trend = TREND_GAIN.mul_add(step - TREND_DAMPING * *trend, TREND_DAMPING * *trend);
             *level = next;
         }
+        self.error = ERROR_GAIN.mul_add(error - self.error, self.error);
     }
 
     fn shares(&self, reach: f64) -> Vec<f64> {
