Ask for a gain above the noise before the map changes

Cause: a search that stops at the noise margin leaves layers right at it, so the next report pushes some above it and starts another small change. The least gain now includes the margin, which makes the start of a change stricter than its end.

--- a/crates/lycheewood/src/decisions/placement.rs
+++ b/crates/lycheewood/src/decisions/placement.rs
@@ -95,6 +95,14 @@
             Objective::Cost => Self { target: 1.03, min_gain: 0.02, move_price: 1.0 },
         }
     }
+
+    /// Asks for a gain above the noise as well. A search that stops at the noise margin and starts
+    /// right above it would make a change in nearly every period.
+    fn with_noise(self, margins: &[f64]) -> Self {
+        let layers = f64::from(u32::try_from(margins.len().max(1)).unwrap_or(u32::MAX));
+        let min_gain = self.min_gain + margins.iter().sum::<f64>() / layers;
+        Self { min_gain, ..self }
+    }
 }
 
 /// Decides whether a group's expert map changes, and how.
@@ -111,15 +119,17 @@
     if !has_shape(view.map, &shares, speeds) {
         return PlacementVerdict::Keep(KeepReason::NoForecast);
     }
-    let weights = Weights::of(view.policy.objective);
+    let margins = view.forecast.share_errors();
+    let margins = margins.into_iter().map(|error| noise_margin(error, view.map.slots));
+    let margins = margins.collect::<Vec<_>>();
+    let weights = Weights::of(view.policy.objective).with_noise(&margins);
     let budget = usize::try_from(view.policy.max_moves).unwrap_or(usize::MAX);
     let layers = view.map.layers.iter().zip(&shares);
     let layers =
         layers.map(|(holders, shares)| Layer::new(holders, shares, speeds, view.map.slots));
-    let plans = layers.zip(view.forecast.share_errors()).map(|(layer, error)| {
-        let target = weights.target + noise_margin(error, view.map.slots);
-        Plan::of(layer, target, budget)
-    });
+    let plans = layers
+        .zip(&margins)
+        .map(|(layer, margin)| Plan::of(layer, weights.target + margin, budget));
     let plans = plans.collect::<Vec<_>>();
     worthwhile_change(view, &weights, plans, budget)
         .map_or(PlacementVerdict::Keep(KeepReason::NotWorthIt), PlacementVerdict::Change)
