Follow jumps of a share at once

Cause: smoothing needs several reports to follow a share that has changed for good, and meanwhile its misses count as noise and widen the margin. A share that misses by five usual errors is now taken as reported, and counts towards the error only up to that.

--- a/crates/lycheewood/src/decisions/placement/forecast.rs
+++ b/crates/lycheewood/src/decisions/placement/forecast.rs
@@ -13,6 +13,11 @@
 const SPEED_GAIN: f64 = 0.3;
 /// Weight of a new report in the error of the forecast.
 const ERROR_GAIN: f64 = 0.1;
+/// Error assumed before there are reports to tell. It fades within some ten reports.
+const FIRST_ERROR: f64 = 0.1;
+/// A share that is off by more than this many times the usual error has jumped: its old level says
+/// nothing about it. Normal noise gets there about once in 16 000 reports.
+const JUMP_ERRORS: f64 = 5.0;
 /// Slowest speed that is believed. Zero would make every load infinite.
 const MIN_SPEED: f64 = 0.05;
 
@@ -108,7 +113,7 @@
 
 impl LayerForecast {
     fn start(tokens: &[f64]) -> Self {
-        Self { levels: shares_of(tokens), trends: vec![0.0; tokens.len()], error: 0.0 }
+        Self { levels: shares_of(tokens), trends: vec![0.0; tokens.len()], error: FIRST_ERROR }
     }
 
     fn observe(&mut self, tokens: &[f64]) {
@@ -119,7 +124,13 @@
         let mut error = 0.0;
         for ((level, trend), share) in self.levels.iter_mut().zip(&mut self.trends).zip(shares) {
             let expected = TREND_DAMPING.mul_add(*trend, *level);
-            error += (share - expected).abs();
+            let usual = JUMP_ERRORS * self.error * expected.max(0.0);
+            let miss = (share - expected).abs();
+            error += miss.min(usual);
+            if miss > usual {
+                (*level, *trend) = (share, 0.0);
+                continue;
+            }
             let next = LEVEL_GAIN.mul_add(share - expected, expected);
             let step = next - *level;
             *trend = TREND_GAIN.mul_add(step - TREND_DAMPING * *trend, TREND_DAMPING * *trend);
