--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -54,6 +54,10 @@
 pub use decisions::estimate::{Estimate, InFlight};
 pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
 // Under its own name: other log streams have records, pages and states as well.
+pub use decisions::placement::{
+    ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
+    PlacementChange, PlacementVerdict, PlacementView, decide_placement,
+};
 pub use decisions::publication;
 pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
 pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
--- a/crates/lycheewood/tests/support/deployment.rs
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -134,7 +134,7 @@
 
     /// Adds an engine and its daemon.
     pub(crate) fn add_engine(&mut self, faults: EngineFaults) {
-        let settings = EngineSettings { version: "v1".into(), faults };
+        let settings = EngineSettings { faults, ..EngineSettings::default() };
         let engine = {
             let _runtime = self.runtime.enter();
             Engine::start(settings).expect("start an engine")
