--- a/crates/lycheewood/src/adapters/admin.rs
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -16,7 +16,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::controllers::Progress;
+use crate::controllers::document::DocumentInForce;
+use crate::controllers::{Progress, wait_for_progress};
 use crate::ids::Offset;
 use crate::roles::endpoint::EndpointState;
 use crate::roles::entry::EntryState;
@@ -55,6 +56,13 @@
         }
     }
 
+    fn progress(&self) -> &watch::Sender<Progress> {
+        match self {
+            Self::Entry(state) => &state.progress,
+            Self::Endpoint(state) => &state.progress,
+        }
+    }
+
     fn header_timeout_ms(&self) -> u64 {
         match self {
             Self::Entry(state) => state.settings.bounds.header_timeout_ms,
@@ -63,6 +71,10 @@
     }
 }
 
+fn document_state(document: Option<&DocumentInForce>) -> Value {
+    document.map_or(Value::Null, |d| json!({"version": d.version, "upto": d.upto}))
+}
+
 fn entry_state(state: &EntryState) -> Value {
     let document = state.document.load();
     let endpoints: Vec<Value> = state
@@ -90,7 +102,7 @@
         "instance": state.settings.instance,
         "failure_domain": state.settings.failure_domain,
         "incarnation": state.incarnation.to_string(),
-        "document": document.as_ref().map(|d| json!({"version": d.version, "upto": d.upto})),
+        "document": document_state(document.as_deref()),
         "endpoints": endpoints,
         "instances": state.members.load().list.instances,
     })
@@ -105,6 +117,7 @@
         "incarnation": state.incarnation.to_string(),
         "running": status.running,
         "draining": status.draining,
+        "document": document_state(state.document.load().as_deref()),
         "engine_up": status.engine_up,
     })
 }
@@ -147,14 +160,14 @@
     let parameter = |name: &str| {
         query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
     };
-    let (AdminSource::Entry(state), Some(wait_ms)) = (source, parameter("wait_ms")) else { return };
+    let Some(wait_ms) = parameter("wait_ms") else { return };
     let endpoints: u64 = parameter("min_endpoints").unwrap_or(0);
     let wanted = Progress {
         version: parameter("min_version").map(Offset),
         endpoints: usize::try_from(endpoints).unwrap_or(usize::MAX),
     };
     // The state is shown as it is when the wait is over.
-    state.wait_for(wanted, wait_ms.min(MAX_WAIT_MS)).await;
+    wait_for_progress(source.progress(), wanted, wait_ms.min(MAX_WAIT_MS)).await;
 }
 
 async fn handle(source: &AdminSource, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -9,13 +9,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use kameo::actor::ActorRef;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::client_async;
 
 use crate::adapters::peer::connection::{Connection, ConnectionError};
+use crate::adapters::peer::documents;
 use crate::clock::{Clock, Timestamp};
+use crate::controllers::document::DocumentController;
 use crate::controllers::load::{LinkEvent, LoadHandle};
 use crate::decisions::estimate::Estimate;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, Offset};
@@ -232,6 +235,7 @@
     pub(crate) hello: Hello,
     pub(crate) timing: Timing,
     pub(crate) load: LoadHandle,
+    pub(crate) documents: ActorRef<DocumentController>,
 }
 
 /// Starts a link on the present runtime; it ends when `stop` closes.
@@ -264,6 +268,11 @@
     recovering: bool,
 }
 
+async fn send(connection: &mut Connection, frame: &Frame) -> Result<(), ConnectionError> {
+    connection.feed(frame).await?;
+    connection.flush().await
+}
+
 struct LinkTask {
     link: Arc<Link>,
     address: SocketAddr,
@@ -345,7 +354,7 @@
         let endpoint = hello.incarnation;
         let instance = self.link.instance.clone();
         self.config.load.send(LinkEvent::Connected { link: Arc::clone(&self.link), hello });
-        if let Err(end) = self.ask_after_routes(&mut connection, endpoint).await {
+        if let Err(end) = self.greet(&mut connection, endpoint).await {
             return end;
         }
         let mut stopping = false;
@@ -355,6 +364,13 @@
             }
             tokio::select! {
                 frame = connection.receive() => match frame {
+                    Ok(Frame::DocumentAsk(ask)) => {
+                        if let Some(reply) = documents::reply(&self.config.documents, ask).await
+                            && let Err(end) = send(&mut connection, &reply).await
+                        {
+                            return end;
+                        }
+                    }
                     Ok(frame) => self.dispatch_frame(frame, &instance),
                     Err(end) => return end,
                 },
@@ -373,6 +389,18 @@
         }
     }
 
+    /// Sends what a new connection starts with.
+    async fn greet(
+        &mut self,
+        connection: &mut Connection,
+        endpoint: Incarnation,
+    ) -> Result<(), ConnectionError> {
+        if let Some(question) = documents::question(&self.config.documents).await {
+            connection.feed(&question).await?;
+        }
+        self.ask_after_routes(connection, endpoint).await
+    }
+
     /// Asks after the attempts that were in flight on the former connection.
     async fn ask_after_routes(
         &mut self,
@@ -525,8 +553,10 @@
             Frame::Suspects(suspects) => {
                 self.config.load.send(LinkEvent::Suspects { suspects });
             }
-            // Frames that only endpoints receive.
-            Frame::Hello(_)
+            Frame::DocumentState(state) => documents::accept(&self.config.documents, &state),
+            // Frames that only endpoints receive, or that are handled before.
+            Frame::DocumentAsk(_)
+            | Frame::Hello(_)
             | Frame::Heartbeat(_)
             | Frame::Start(_)
             | Frame::Cancel(_)
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -12,6 +12,7 @@
 use tokio_tungstenite::accept_async;
 
 use crate::adapters::peer::connection::{Connection, ConnectionError};
+use crate::adapters::peer::documents;
 use crate::answer::{AnswerBuffer, is_final};
 use crate::controllers::attempts::{AskAfter, Attach, Begin, RecoverAfter, Verdict};
 use crate::ids::AttemptId;
@@ -61,6 +62,9 @@
         .map_err(|_| transport("no hello within the connect timeout".into()))??;
     let (out, frames) = mpsc::channel(OUT_QUEUE);
     let _ = state.attempts.tell(Attach(out.clone())).try_send();
+    if let Some(question) = documents::question(&state.documents).await {
+        let _ = out.try_send(question);
+    }
     let session = Session { state: Arc::clone(state), out, forwarders: HashMap::new() };
     session.run(connection, frames).await
 }
@@ -127,6 +131,12 @@
                 }
                 execution::cancel(&self.state, attempt);
             }
+            Frame::DocumentAsk(ask) => {
+                if let Some(reply) = documents::reply(&self.state.documents, ask).await {
+                    self.send(reply);
+                }
+            }
+            Frame::DocumentState(state) => documents::accept(&self.state.documents, &state),
             // Frames that only entries receive.
             _ => {}
         }
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -11,9 +11,14 @@
 pub(crate) mod membership;
 pub(crate) mod tail;
 
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::timeout;
+
 use crate::ids::Offset;
 
-/// How far an entry has come; waited for by operators and tests.
+/// How far a node has come; operators and tests wait for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Progress {
     /// Version of the document in force.
@@ -21,3 +26,15 @@
     /// Endpoints with a working connection.
     pub(crate) endpoints: usize,
 }
+
+/// Waits until a node has come at least as far as `wanted`.
+pub(crate) async fn wait_for_progress(
+    progress: &watch::Sender<Progress>,
+    wanted: Progress,
+    timeout_ms: u64,
+) -> bool {
+    let mut progress = progress.subscribe();
+    let reached =
+        progress.wait_for(|now| now.version >= wanted.version && now.endpoints >= wanted.endpoints);
+    timeout(Duration::from_millis(timeout_ms), reached).await.is_ok_and(|reached| reached.is_ok())
+}
--- a/crates/lycheewood/src/controllers/document.rs
+++ b/crates/lycheewood/src/controllers/document.rs
@@ -1,18 +1,24 @@
 //! The document controller: folds the log stream `documents` and publishes the document in force.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use kameo::Actor;
-use kameo::actor::Spawn;
+use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
 use tokio::sync::watch;
+use tokio::time::interval;
 
 use crate::adapters::log::{LogClient, LogPage};
+use crate::clock::Clock;
 use crate::controllers::Progress;
 use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
-use crate::decisions::publication::{FoldState, Folded, Page, Start, choose_start, is_faulty};
+use crate::decisions::publication::{
+    FoldState, Folded, Merge, Page, Record, Snapshot, SnapshotView, Start, choose_start,
+    encode_record, is_faulty, merge, snapshot_due,
+};
 use crate::document::checked::Document;
 use crate::ids::Offset;
 use crate::metrics::Metrics;
@@ -39,6 +45,26 @@
     Folding,
 }
 
+/// Whether this node keeps the stream alive by writing snapshots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SnapshotDuty {
+    /// Writes one when the newest is old.
+    Writes,
+    /// Leaves it to others.
+    Reads,
+}
+
+/// What the controller is started with.
+pub(crate) struct DocumentConfig {
+    pub(crate) log: LogClient,
+    pub(crate) published: Arc<ArcSwapOption<DocumentInForce>>,
+    pub(crate) progress: watch::Sender<Progress>,
+    pub(crate) timing: Timing,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) duty: SnapshotDuty,
+}
+
 /// Owns the fold of the stream `documents`.
 #[derive(Actor)]
 pub(crate) struct DocumentController {
@@ -46,32 +72,80 @@
     reading: Reading,
     seen_end: Offset,
     log_up: bool,
-    published: Arc<ArcSwapOption<DocumentInForce>>,
-    progress: watch::Sender<Progress>,
-    metrics: Arc<Metrics>,
+    jitter_ms: u64,
+    config: DocumentConfig,
 }
 
+/// A peer's state, with the evidence of its offset.
+pub(crate) struct Offer(pub(crate) Snapshot);
+
+/// Asks for the state, if it is ahead of what a peer has folded.
+pub(crate) struct StateAbove(pub(crate) Option<Offset>);
+
+/// Asks how far this node has folded, if it needs a state from its peers.
+pub(crate) struct Need;
+
+/// What a node needs from its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, kameo::Reply)]
+pub(crate) enum NeedReply {
+    /// It reads the log, or a peer cannot help.
+    Nothing,
+    /// A state above this offset.
+    Above(Option<Offset>),
+}
+
+/// Time to see whether a snapshot is due.
+struct SnapshotTick;
+
 impl DocumentController {
     /// Starts the controller and its reader on the present runtime.
-    pub(crate) fn start(
-        log: LogClient,
-        published: Arc<ArcSwapOption<DocumentInForce>>,
-        progress: watch::Sender<Progress>,
-        timing: Timing,
-        metrics: Arc<Metrics>,
-    ) {
-        metrics.document_version.set(-1);
+    pub(crate) fn start(config: DocumentConfig) -> ActorRef<Self> {
+        config.metrics.document_version.set(-1);
+        let (log, timing, duty) = (config.log.clone(), config.timing, config.duty);
         let controller = Self {
             state: None,
             reading: Reading::Scanning { records: Vec::new() },
             seen_end: Offset(0),
             log_up: false,
-            published,
-            progress,
-            metrics,
+            jitter_ms: rand::random_range(0..=timing.log_retention_ms / 6),
+            config,
         };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
-        tokio::spawn(tail(log, DOCUMENTS, actor, timing));
+        tokio::spawn(tail(log, DOCUMENTS, actor.clone(), timing));
+        if duty == SnapshotDuty::Writes {
+            tokio::spawn(tick(actor.clone(), timing.log_retention_ms));
+        }
+        actor
+    }
+
+    /// Appends a snapshot when the newest one is old. Failures are made good at the next tick.
+    fn write_snapshot_if_due(&self) {
+        let Some(state) = &self.state else { return };
+        let view = SnapshotView {
+            state,
+            retention_ms: self.config.timing.log_retention_ms,
+            jitter_ms: self.jitter_ms,
+        };
+        // A node that does not read the log cannot know whether another one has written.
+        if !self.log_up || !snapshot_due(&view, self.config.clock.now()) {
+            return;
+        }
+        let Some(snapshot) = state.to_snapshot() else { return };
+        let payload = encode_record(&Record::Snapshot(snapshot));
+        let (log, metrics) = (self.config.log.clone(), Arc::clone(&self.config.metrics));
+        tokio::spawn(async move {
+            if log.append(DOCUMENTS, payload).await.is_ok() {
+                metrics.snapshots_written.inc();
+            }
+        });
+    }
+
+    fn offer(&mut self, offered: &Snapshot) {
+        let Merge::Take(state) = merge(self.state.as_ref(), offered) else { return };
+        let before = self.state.as_ref().and_then(FoldState::version);
+        log::info!("document state taken from a peer upto={}", offered.upto);
+        self.state = Some(state);
+        self.publish(before);
     }
 
     fn apply(&mut self, page: &LogPage) -> TailStep {
@@ -79,7 +153,7 @@
         let view =
             Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
         if is_faulty(self.state.as_ref(), self.seen_end, &view) {
-            self.metrics.log_end_reversals.inc();
+            self.config.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.next_offset());
         }
         self.seen_end = self.seen_end.max(page.end_offset);
@@ -106,7 +180,10 @@
         match choose_start(self.state.as_ref(), &all) {
             Start::Continue => {}
             Start::Replace(state) => self.state = Some(state),
-            Start::Unavailable => return TailStep::Retry(page.first_offset),
+            Start::Unavailable => {
+                log::warn!("no usable snapshot first_offset={}", page.first_offset);
+                return TailStep::Retry(page.first_offset);
+            }
         }
         self.reading = Reading::Folding;
         self.fold(&all)
@@ -143,13 +220,13 @@
             log::info!("document in force version={}", published.version);
         }
         let version = i64::try_from(published.version.0).unwrap_or(i64::MAX);
-        self.metrics.document_version.set(version);
-        self.published.store(Some(Arc::new(DocumentInForce {
+        self.config.metrics.document_version.set(version);
+        self.config.published.store(Some(Arc::new(DocumentInForce {
             version: published.version,
             upto: state.upto(),
             document: Arc::clone(&published.document),
         })));
-        self.progress.send_if_modified(|progress| {
+        self.config.progress.send_if_modified(|progress| {
             progress.version.replace(published.version) != Some(published.version)
         });
     }
@@ -171,7 +248,59 @@
         if let Some(page) = read.page {
             return self.apply(&page);
         }
-        self.metrics.log_errors.inc();
+        self.config.metrics.log_errors.inc();
         TailStep::Retry(self.next_offset())
     }
 }
+
+impl Message<Offer> for DocumentController {
+    type Reply = ();
+
+    async fn handle(&mut self, Offer(offered): Offer, _: &mut Context<Self, ()>) {
+        self.offer(&offered);
+    }
+}
+
+impl Message<StateAbove> for DocumentController {
+    type Reply = Option<Snapshot>;
+
+    async fn handle(
+        &mut self,
+        StateAbove(upto): StateAbove,
+        _: &mut Context<Self, Option<Snapshot>>,
+    ) -> Option<Snapshot> {
+        let state = self.state.as_ref().filter(|state| state.upto() > upto)?;
+        state.to_snapshot()
+    }
+}
+
+impl Message<Need> for DocumentController {
+    type Reply = NeedReply;
+
+    async fn handle(&mut self, _: Need, _: &mut Context<Self, NeedReply>) -> NeedReply {
+        let scanning = matches!(self.reading, Reading::Scanning { .. });
+        if self.log_up && !scanning {
+            return NeedReply::Nothing;
+        }
+        NeedReply::Above(self.state.as_ref().and_then(FoldState::upto))
+    }
+}
+
+impl Message<SnapshotTick> for DocumentController {
+    type Reply = ();
+
+    async fn handle(&mut self, _: SnapshotTick, _: &mut Context<Self, ()>) {
+        self.write_snapshot_if_due();
+    }
+}
+
+/// Looks sixty times within the retention whether a snapshot is due.
+async fn tick(actor: ActorRef<DocumentController>, retention_ms: u64) {
+    let mut ticks = interval(Duration::from_millis((retention_ms / 60).max(10)));
+    loop {
+        ticks.tick().await;
+        if actor.tell(SnapshotTick).try_send().is_err() {
+            return;
+        }
+    }
+}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -88,7 +88,7 @@
 pub use settings::{Bounds, RawSettings, RoleSettings, Settings, SettingsError, Timing};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
-    Ask, Chunk, End, Failed, Frame, Head, Hello, Load, Recover, Refused, RefusedReason, Role,
-    Start, Suspects, Work,
+    Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, Recover,
+    Refused, RefusedReason, Role, Start, Suspects, Work,
 };
 pub use wire::{PROTOCOL_MAX, PROTOCOL_MIN, common_version};
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) claim_appends: IntCounter,
     pub(crate) claim_append_errors: IntCounter,
     pub(crate) retries: IntCounter,
+    pub(crate) snapshots_written: IntCounter,
     pub(crate) brownout: IntGauge,
 }
 
@@ -98,6 +99,10 @@
                 "lycheewood_claim_append_errors_total",
                 "Appends of claims without a reply; they are appended again.",
             )?,
+            snapshots_written: counter(
+                "lycheewood_document_snapshots_written_total",
+                "Snapshots of the document stream that this instance has written.",
+            )?,
             retries: counter(
                 "lycheewood_retries_total",
                 "Attempts made again within the retry budget.",
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -15,11 +16,16 @@
 
 use crate::adapters::admin::{self, AdminSource};
 use crate::adapters::backend::{EngineClient, ServiceClient};
+use crate::adapters::log::LogClient;
 use crate::adapters::peer::server;
 use crate::clock::Clock;
+use crate::controllers::Progress;
 use crate::controllers::attempts::{
     AttemptsConfig, AttemptsController, Backend, Drain, EndpointStatus,
 };
+use crate::controllers::document::{
+    DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
+};
 use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
 use crate::metrics::Metrics;
 use crate::roles::StartError;
@@ -40,6 +46,9 @@
     pub(crate) service: ServiceClient,
     pub(crate) attempts: ActorRef<AttemptsController>,
     pub(crate) status: watch::Receiver<EndpointStatus>,
+    pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
+    pub(crate) documents: ActorRef<DocumentController>,
+    pub(crate) progress: watch::Sender<Progress>,
     kind: EndpointKindName,
     version: Option<VersionName>,
     executions: Mutex<HashMap<AttemptId, Execution>>,
@@ -112,6 +121,23 @@
                 metrics: Arc::clone(&metrics),
             })
         };
+        let (document, progress) = (Arc::default(), watch::Sender::default());
+        let documents = {
+            let _control = control.handle().enter();
+            DocumentController::start(DocumentConfig {
+                log: LogClient::new(
+                    settings.log_address,
+                    timing.connect_ms,
+                    timing.platform_reply_ms,
+                ),
+                published: Arc::clone(&document),
+                progress: progress.clone(),
+                timing,
+                clock,
+                metrics: Arc::clone(&metrics),
+                duty: SnapshotDuty::Reads,
+            })
+        };
         let state = Arc::new(EndpointState {
             settings: settings.clone(),
             incarnation,
@@ -122,6 +148,9 @@
             service: ServiceClient::new(backend_address, timing.connect_ms),
             attempts,
             status,
+            document,
+            documents,
+            progress,
             kind,
             version,
             executions: Mutex::default(),
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -11,7 +11,6 @@
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
 
 use crate::adapters::admin::{self, AdminSource};
 use crate::adapters::caller;
@@ -19,12 +18,14 @@
 use crate::adapters::log::LogClient;
 use crate::adapters::peer::link::LinkConfig;
 use crate::clock::Clock;
-use crate::controllers::Progress;
 use crate::controllers::admission::{AdmissionController, AdmissionViews};
 use crate::controllers::claims::ClaimsController;
-use crate::controllers::document::{DocumentController, DocumentInForce};
+use crate::controllers::document::{
+    DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
+};
 use crate::controllers::load::{EndpointTable, LoadController};
 use crate::controllers::membership::{Members, MembershipController};
+use crate::controllers::{Progress, wait_for_progress};
 use crate::ids::{AttemptId, Incarnation, Offset};
 use crate::metrics::Metrics;
 use crate::roles::StartError;
@@ -55,16 +56,6 @@
         AttemptId { incarnation: self.incarnation, sequence }
     }
 
-    /// Waits until this entry has come at least as far as `wanted`.
-    pub(crate) async fn wait_for(&self, wanted: Progress, timeout_ms: u64) -> bool {
-        let mut progress = self.progress.subscribe();
-        let reached = progress
-            .wait_for(|now| now.version >= wanted.version && now.endpoints >= wanted.endpoints);
-        timeout(Duration::from_millis(timeout_ms), reached)
-            .await
-            .is_ok_and(|reached| reached.is_ok())
-    }
-
     fn hello(&self) -> Hello {
         Hello {
             protocol_min: PROTOCOL_MIN,
@@ -149,7 +140,7 @@
     #[must_use]
     pub fn wait_until_ready(&self, endpoints: usize, timeout_ms: u64) -> bool {
         let wanted = Progress { version: Some(Offset(0)), endpoints };
-        self.traffic.block_on(self.state.wait_for(wanted, timeout_ms))
+        self.traffic.block_on(wait_for_progress(&self.state.progress, wanted, timeout_ms))
     }
 
     /// Stops gracefully: still serves callers that hold its address, then lets answers in flight end.
@@ -204,13 +195,15 @@
     let _control = control.handle().enter();
     let settings = &state.settings;
     let timing = settings.timing;
-    DocumentController::start(
-        log_client(settings),
-        Arc::clone(&state.document),
-        state.progress.clone(),
+    let documents = DocumentController::start(DocumentConfig {
+        log: log_client(settings),
+        published: Arc::clone(&state.document),
+        progress: state.progress.clone(),
         timing,
-        Arc::clone(&state.metrics),
-    );
+        clock: state.clock,
+        metrics: Arc::clone(&state.metrics),
+        duty: SnapshotDuty::Writes,
+    });
     let load = LoadController::start(
         Arc::clone(&state.endpoints),
         state.progress.clone(),
@@ -225,7 +218,7 @@
     MembershipController::start(
         list,
         Arc::clone(&state.members),
-        LinkConfig { hello: state.hello(), timing, load },
+        LinkConfig { hello: state.hello(), timing, load, documents },
         traffic.handle().clone(),
         Arc::clone(&state.metrics),
     );
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -215,6 +215,20 @@
     pub fingerprints: Vec<[u8; 16]>,
 }
 
+/// Asks for the sender's fold of the document stream, if it is ahead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentAsk {
+    /// The last record that the asker has folded.
+    pub upto: Option<Offset>,
+}
+
+/// A fold of the document stream, as JSON of a snapshot record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentState {
+    /// The snapshot.
+    pub snapshot: String,
+}
+
 /// One frame on a connection between two processes of the system.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Frame {
@@ -248,6 +262,10 @@
     Draining,
     /// Endpoint to entry: requests that were in flight when the engine died.
     Suspects(Suspects),
+    /// Either way: the document is wanted.
+    DocumentAsk(DocumentAsk),
+    /// Either way: the document, for a peer that cannot read the log.
+    DocumentState(DocumentState),
     /// A kind that this build does not know; ignored.
     Unknown(u8),
 }
--- a/crates/lycheewood/src/wire/visitors.rs
+++ b/crates/lycheewood/src/wire/visitors.rs
@@ -26,6 +26,8 @@
 const LOAD: u8 = 12;
 const DRAINING: u8 = 13;
 const SUSPECTS: u8 = 14;
+const DOCUMENT_ASK: u8 = 15;
+const DOCUMENT_STATE: u8 = 16;
 
 impl Serialize for Frame {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -51,6 +53,8 @@
             Self::Load(body) => pair(serializer, LOAD, body),
             Self::Draining => pair(serializer, DRAINING, &()),
             Self::Suspects(body) => pair(serializer, SUSPECTS, body),
+            Self::DocumentAsk(body) => pair(serializer, DOCUMENT_ASK, body),
+            Self::DocumentState(body) => pair(serializer, DOCUMENT_STATE, body),
             Self::Unknown(kind) => pair(serializer, *kind, &()),
         }
     }
@@ -97,6 +101,8 @@
             LOAD => Frame::Load(element(&mut seq, "load")?),
             DRAINING => Frame::Draining,
             SUSPECTS => Frame::Suspects(element(&mut seq, "suspects")?),
+            DOCUMENT_ASK => Frame::DocumentAsk(element(&mut seq, "document_ask")?),
+            DOCUMENT_STATE => Frame::DocumentState(element(&mut seq, "document_state")?),
             other => Frame::Unknown(other),
         };
         skip_rest(&mut seq)?;
