Decide which published document is in force

The state is a fold over the stream `documents`. A publication is accepted if its base is the version in force and its result is valid. Publishers ask who won their base; each base has one winner, so a record appended twice under one id publishes once. The state remembers 256 winners. Remembering all ids was ruled out: it grows without bound.

The fold reports a gap when the log's start moves after the choice of a start.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -1,3 +1,5 @@
 //! Decisions: plain functions over borrowed views with the present time as an argument.
 //!
 //! Nothing here reads a clock, opens a socket, talks to an actor or takes a lock.
+
+pub mod publication;
--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -78,6 +78,10 @@
     /// Name of a group of endpoints of one kind, as the document lists them.
     EndpointKindName
 );
+name_type!(
+    /// Identifies one publication of a document, also when its record is appended again.
+    PublicationId
+);
 
 number_type!(
     /// Position of a record in one log stream.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,8 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+// Under its own name: other log streams have records, pages and states as well.
+pub use decisions::publication;
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
@@ -37,7 +39,7 @@
 };
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
+    PublicationId, RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
 };
 pub use lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
