--- a/crates/lycheewood/src/adapters/admin.rs
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -89,6 +89,7 @@
                 "incarnation": endpoint.incarnation.to_string(),
                 "kind": endpoint.kind,
                 "version": endpoint.version,
+                "admin_address": endpoint.admin_address,
                 "draining": endpoint.draining,
                 "in_flight": endpoint.link.estimate().in_flight().count(),
                 "running": endpoint.load.running,
@@ -110,7 +111,14 @@
 
 fn endpoint_state(state: &EndpointState) -> Value {
     let status = *state.status.borrow();
+    let entries: Vec<Value> = state
+        .peers
+        .load()
+        .iter()
+        .map(|entry| json!({"instance": entry.instance, "admin_address": entry.admin_address}))
+        .collect();
     json!({
+        "entries": entries,
         "role": "endpoint",
         "instance": state.settings.instance,
         "failure_domain": state.settings.failure_domain,
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -57,11 +57,12 @@
         let socket = accept_async(tcp).await.map_err(|e| transport(e.to_string()))?;
         Connection::establish(socket, &state.hello(), &timing).await
     };
-    let (connection, _entry) = timeout(Duration::from_millis(timing.connect_ms), establish)
-        .await
-        .map_err(|_| transport("no hello within the connect timeout".into()))??;
+    let (connection, entry) =
+        timeout(Duration::from_millis(timing.connect_ms), establish)
+            .await
+            .map_err(|_| transport("no hello within the connect timeout".into()))??;
     let (out, frames) = mpsc::channel(OUT_QUEUE);
-    let _ = state.attempts.tell(Attach(out.clone())).try_send();
+    let _ = state.attempts.tell(Attach { entry, frames: out.clone() }).try_send();
     if let Some(question) = documents::question(&state.documents).await {
         let _ = out.try_send(question);
     }
--- a/crates/lycheewood/src/controllers/attempts.rs
+++ b/crates/lycheewood/src/controllers/attempts.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
@@ -18,7 +19,7 @@
 use crate::ids::{AttemptId, Incarnation, VersionName};
 use crate::metrics::Metrics;
 use crate::settings::Timing;
-use crate::wire::message::{Ask, Frame, Load, Recover, RefusedReason, Start, Suspects};
+use crate::wire::message::{Ask, Frame, Hello, Load, Recover, RefusedReason, Start, Suspects};
 
 /// The most promises that are remembered at once. A promise takes about 100 bytes.
 const MAX_PROMISES: usize = 100_000;
@@ -69,7 +70,11 @@
     pub(crate) attempt: AttemptId,
     pub(crate) end: ExecutionEnd,
 }
-pub(crate) struct Attach(pub(crate) mpsc::Sender<Frame>);
+/// An entry has connected.
+pub(crate) struct Attach {
+    pub(crate) entry: Hello,
+    pub(crate) frames: mpsc::Sender<Frame>,
+}
 /// The engine's load, or `None` when it does not respond.
 pub(crate) struct Backend(pub(crate) Option<Load>);
 pub(crate) struct Drain;
@@ -96,7 +101,8 @@
     promises: usize,
     draining: bool,
     engine_up: bool,
-    peers: Vec<mpsc::Sender<Frame>>,
+    peers: Vec<Attach>,
+    published_peers: Arc<ArcSwap<Vec<Hello>>>,
     status: watch::Sender<EndpointStatus>,
 }
 
@@ -108,6 +114,8 @@
     pub(crate) timing: Timing,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    /// Connected entries, as others see them.
+    pub(crate) peers: Arc<ArcSwap<Vec<Hello>>>,
 }
 
 impl AttemptsController {
@@ -129,6 +137,7 @@
             draining: false,
             engine_up: false,
             peers: Vec::new(),
+            published_peers: config.peers,
             status,
         };
         (Self::spawn_with_mailbox(controller, mailbox::unbounded()), status_receiver)
@@ -258,12 +267,25 @@
 
     /// Sends a frame to every connected entry. One whose queue is full is behind and loses it.
     fn broadcast(&mut self, frame: &Frame) {
-        self.peers.retain(|peer| !peer.is_closed());
+        self.drop_closed_peers();
         for peer in &self.peers {
-            let _ = peer.try_send(frame.clone());
+            let _ = peer.frames.try_send(frame.clone());
+        }
+    }
+
+    fn drop_closed_peers(&mut self) {
+        let before = self.peers.len();
+        self.peers.retain(|peer| !peer.frames.is_closed());
+        if self.peers.len() != before {
+            self.publish_peers();
         }
     }
 
+    fn publish_peers(&self) {
+        let entries = self.peers.iter().map(|peer| peer.entry.clone()).collect();
+        self.published_peers.store(Arc::new(entries));
+    }
+
     fn expire(&mut self) {
         let now = self.clock.now();
         self.attempts.retain(|_, entry| entry.known == Known::Running || entry.forget_at > now);
@@ -325,11 +347,13 @@
 impl Message<Attach> for AttemptsController {
     type Reply = ();
 
-    async fn handle(&mut self, Attach(peer): Attach, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, peer: Attach, _: &mut Context<Self, ()>) {
         if self.draining {
-            let _ = peer.try_send(Frame::Draining);
+            let _ = peer.frames.try_send(Frame::Draining);
         }
+        self.peers.retain(|known| !known.frames.is_closed());
         self.peers.push(peer);
+        self.publish_peers();
     }
 }
 
@@ -338,6 +362,7 @@
 
     async fn handle(&mut self, Backend(load): Backend, _: &mut Context<Self, ()>) {
         self.expire();
+        self.drop_closed_peers();
         if self.engine_up != load.is_some() {
             self.engine_up = load.is_some();
             log::info!("engine state changed up={}", self.engine_up);
--- a/crates/lycheewood/src/controllers/load.rs
+++ b/crates/lycheewood/src/controllers/load.rs
@@ -1,6 +1,7 @@
 //! The load controller: connected endpoints, what they serve and how busy they are.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
@@ -35,6 +36,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) kind: Option<EndpointKindName>,
     pub(crate) version: Option<VersionName>,
+    pub(crate) admin_address: Option<SocketAddr>,
     pub(crate) draining: bool,
     pub(crate) load: Load,
     pub(crate) load_received: Timestamp,
@@ -100,6 +102,7 @@
             incarnation: hello.incarnation,
             kind: hello.endpoint_kind,
             version: hello.version,
+            admin_address: hello.admin_address,
             draining: false,
             load: Load::default(),
             load_received: self.clock.now(),
--- a/crates/lycheewood/src/decisions/publication.rs
+++ b/crates/lycheewood/src/decisions/publication.rs
@@ -367,6 +367,9 @@
 /// Chooses the start of a fold from all readable records, or from all snapshots among them, given the
 /// state so far. A node whose next record is still readable continues; snapshots are then ignored.
 ///
+/// A new node first asks a peer for its state, because it cannot tell a log that lost its records from
+/// a new one; with a peer's state, [`is_faulty`] can.
+///
 /// The log's start may move after the choice. The fold then reports a [`Gap`], and the choice is
 /// made again.
 #[must_use]
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::actor::ActorRef;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
@@ -49,6 +49,8 @@
     pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
     pub(crate) documents: ActorRef<DocumentController>,
     pub(crate) progress: watch::Sender<Progress>,
+    pub(crate) peers: Arc<ArcSwap<Vec<Hello>>>,
+    admin_address: SocketAddr,
     kind: EndpointKindName,
     version: Option<VersionName>,
     executions: Mutex<HashMap<AttemptId, Execution>>,
@@ -64,6 +66,7 @@
             role: Role::Endpoint,
             endpoint_kind: Some(self.kind.clone()),
             version: self.version.clone(),
+            admin_address: Some(self.admin_address),
         }
     }
 
@@ -106,10 +109,22 @@
         let runtime = |source| StartError::Runtime { source };
         let control = ControlThread::start().map_err(runtime)?;
         let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
+        let listen = |field, address| async move {
+            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
+                field,
+                address,
+                source,
+            })
+        };
+        let peer_listener = traffic.block_on(listen("peer_address", peer_address))?;
+        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
+        let peer_address = peer_listener.local_addr().map_err(runtime)?;
+        let admin_address = admin.local_addr().map_err(runtime)?;
         let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
         let metrics = Arc::new(metrics);
         let (clock, incarnation) = (Clock::system(), Incarnation::random());
         let timing = settings.timing;
+        let peers = Arc::default();
         let (attempts, status) = {
             let _control = control.handle().enter();
             AttemptsController::start(AttemptsConfig {
@@ -119,6 +134,7 @@
                 timing,
                 clock,
                 metrics: Arc::clone(&metrics),
+                peers: Arc::clone(&peers),
             })
         };
         let (document, progress) = (Arc::default(), watch::Sender::default());
@@ -148,6 +164,8 @@
             service: ServiceClient::new(backend_address, timing.connect_ms),
             attempts,
             status,
+            peers,
+            admin_address,
             document,
             documents,
             progress,
@@ -156,18 +174,7 @@
             executions: Mutex::default(),
         });
         let (stop, stopped) = watch::channel(false);
-        let listen = |field, address| async move {
-            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
-                field,
-                address,
-                source,
-            })
-        };
-        let peers = traffic.block_on(listen("peer_address", peer_address))?;
-        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
-        let peer_address = peers.local_addr().map_err(runtime)?;
-        let admin_address = admin.local_addr().map_err(runtime)?;
-        traffic.spawn(server::serve(peers, Arc::clone(&state), stopped.clone()));
+        traffic.spawn(server::serve(peer_listener, Arc::clone(&state), stopped.clone()));
         let source = AdminSource::Endpoint(Arc::clone(&state));
         traffic.spawn(admin::serve(admin, source, stopped));
         traffic.spawn(report_load(Arc::clone(&state)));
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -56,7 +56,7 @@
         AttemptId { incarnation: self.incarnation, sequence }
     }
 
-    fn hello(&self) -> Hello {
+    fn hello(&self, admin_address: SocketAddr) -> Hello {
         Hello {
             protocol_min: PROTOCOL_MIN,
             protocol_max: PROTOCOL_MAX,
@@ -65,6 +65,7 @@
             role: Role::Entry,
             endpoint_kind: None,
             version: None,
+            admin_address: Some(admin_address),
         }
     }
 }
@@ -96,10 +97,6 @@
         let runtime = |source| StartError::Runtime { source };
         let control = ControlThread::start().map_err(runtime)?;
         let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
-        let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
-        let state = start_state(settings, metrics, &control);
-        start_readers(&state, &control, &traffic);
-        let (stop, stopped) = watch::channel(false);
         let listen = |field, address| async move {
             TcpListener::bind(address).await.map_err(|source| StartError::Listen {
                 field,
@@ -111,6 +108,10 @@
         let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
         let caller_address = callers.local_addr().map_err(runtime)?;
         let admin_address = admin.local_addr().map_err(runtime)?;
+        let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
+        let state = start_state(settings, metrics, &control);
+        start_readers(&state, admin_address, &control, &traffic);
+        let (stop, stopped) = watch::channel(false);
         let callers = traffic.spawn(caller::serve(callers, Arc::clone(&state), stopped.clone()));
         let source = AdminSource::Entry(Arc::clone(&state));
         traffic.spawn(admin::serve(admin, source, stopped));
@@ -191,7 +192,12 @@
 }
 
 /// Starts the controllers that follow the platform and the endpoints.
-fn start_readers(state: &Arc<EntryState>, control: &ControlThread, traffic: &Runtime) {
+fn start_readers(
+    state: &Arc<EntryState>,
+    admin_address: SocketAddr,
+    control: &ControlThread,
+    traffic: &Runtime,
+) {
     let _control = control.handle().enter();
     let settings = &state.settings;
     let timing = settings.timing;
@@ -218,7 +224,7 @@
     MembershipController::start(
         list,
         Arc::clone(&state.members),
-        LinkConfig { hello: state.hello(), timing, load, documents },
+        LinkConfig { hello: state.hello(admin_address), timing, load, documents },
         traffic.handle().clone(),
         Arc::clone(&state.metrics),
     );
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -1,5 +1,7 @@
 //! The messages themselves.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +40,9 @@
     /// The version that the engine has loaded, if it serves a model.
     #[serde(default)]
     pub version: Option<VersionName>,
+    /// Where operators reach the sender.
+    #[serde(default)]
+    pub admin_address: Option<SocketAddr>,
 }
 
 /// What an attempt runs.
