Export a span for each hop and answer questions by key

Spans cover the request at the entry, each attempt and its execution at the endpoint; the W3C context passes to engines and services. GET /v1/requests/{key} tells what became of a request without running it.

A claim whose append has no reply is no longer appended again: a second copy could hold the key after the first was freed. Its waiter finds it in the stream or gives up at its deadline as not run.

--- a/crates/lycheewood/src/adapters/backend.rs
+++ b/crates/lycheewood/src/adapters/backend.rs
@@ -39,6 +39,7 @@
     pub(crate) max_tokens: u32,
     pub(crate) priority: u8,
     pub(crate) resume_from_token: u64,
+    pub(crate) traceparent: Option<&'a str>,
 }
 
 /// One event of an engine's stream.
@@ -91,7 +92,8 @@
         let address = self.http.address();
         let body = serde_json::to_vec(&body)
             .map_err(|e| HttpError::Protocol { address, reason: e.to_string() })?;
-        let headers = [(header::CONTENT_TYPE.as_str(), "application/json")];
+        let mut headers = vec![("content-type", "application/json")];
+        headers.extend(completion.traceparent.map(|context| ("traceparent", context)));
         let response = self
             .http
             .open(Method::POST, "/v1/completions", &headers, Bytes::from(body), self.idle_ms)
@@ -192,6 +194,15 @@
     pub(crate) body: Bytes,
 }
 
+/// One call to a plain service.
+pub(crate) struct ServiceCall<'a> {
+    pub(crate) method: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) content_type: &'a str,
+    pub(crate) traceparent: Option<&'a str>,
+    pub(crate) body: Vec<u8>,
+}
+
 /// A client of a plain service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceClient {
@@ -206,20 +217,20 @@
     /// Makes one call and reads the whole reply within `timeout_ms`.
     pub(crate) async fn call(
         &self,
-        method: &str,
-        path: &str,
-        content_type: &str,
-        body: Vec<u8>,
+        call: ServiceCall<'_>,
         timeout_ms: u64,
     ) -> Result<ServiceReply, HttpError> {
         let address = self.http.address();
-        let method = Method::from_bytes(method.as_bytes())
+        let method = Method::from_bytes(call.method.as_bytes())
             .map_err(|e| HttpError::Protocol { address, reason: e.to_string() })?;
         let exchange = async {
-            let headers: &[(&'static str, &str)] = &[("content-type", content_type)];
-            let headers = if content_type.is_empty() { &headers[..0] } else { headers };
-            let response =
-                self.http.open(method, path, headers, Bytes::from(body), timeout_ms).await?;
+            let mut headers = Vec::new();
+            if !call.content_type.is_empty() {
+                headers.push(("content-type", call.content_type));
+            }
+            headers.extend(call.traceparent.map(|context| ("traceparent", context)));
+            let body = Bytes::from(call.body);
+            let response = self.http.open(method, call.path, &headers, body, timeout_ms).await?;
             let status = response.status().as_u16();
             let content_type = response
                 .headers()
--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -20,6 +20,7 @@
 
 use crate::filters;
 use crate::filters::request::Request;
+use crate::ids::RequestKey;
 use crate::roles::entry::EntryState;
 use crate::runtime::stopped;
 
@@ -41,6 +42,8 @@
 pub(crate) enum Asked {
     /// A request for the chain.
     Run(Arc<Request>, Delivery),
+    /// What became of a request.
+    Outcome(Arc<Request>, RequestKey),
     /// The entry addresses to use.
     Entries,
 }
@@ -110,6 +113,10 @@
     };
     match asked {
         Asked::Entries => encode::entries(&state, peer.as_deref().unwrap_or_default()),
+        Asked::Outcome(request, key) => {
+            let inquiry = filters::inquire::run(&state, &request, key).await;
+            encode::inquiry(&state, inquiry).await
+        }
         Asked::Run(request, delivery) => run(&state, &request, delivery).await,
     }
 }
--- a/crates/lycheewood/src/adapters/caller/decode.rs
+++ b/crates/lycheewood/src/adapters/caller/decode.rs
@@ -69,6 +69,12 @@
         let (call, delivery) = completion(&body)?;
         return Ok(Asked::Run(Arc::new(with_headers(&head.headers, call)?), delivery));
     }
+    if let Some(key) = path.strip_prefix("/v1/requests/") {
+        allow(&head.method, &Method::GET, "GET")?;
+        let key =
+            RequestKey::try_from(key).map_err(|e| CallerError::field("key", e.to_string()))?;
+        return Ok(Asked::Outcome(Arc::new(with_headers(&head.headers, Call::Inquiry)?), key));
+    }
     if let Some(rest) = path.strip_prefix("/v1/services/") {
         let service = rest.split('/').next().unwrap_or_default().to_owned();
         let below = &rest[service.len()..];
--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -12,6 +12,7 @@
 
 use crate::adapters::caller::decode::CallerError;
 use crate::adapters::caller::{Delivery, ReplyBody};
+use crate::filters::inquire::Inquiry;
 use crate::filters::relay::{Answer, Piece, Relay};
 use crate::filters::request::Request;
 use crate::outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown};
@@ -103,6 +104,25 @@
     response
 }
 
+/// The reply to a question after a request.
+pub(crate) async fn inquiry(
+    state: &EntryState,
+    inquiry: Result<Inquiry, Refusal>,
+) -> Response<ReplyBody> {
+    match inquiry {
+        Ok(Inquiry::Answer(answer)) => raw(state, *answer).await,
+        Ok(Inquiry::NotRun) => refusal(&Refusal::not_run(NotRunCode::EndpointRefused, 0)),
+        Ok(Inquiry::NotSeen) => json_reply(
+            StatusCode::NOT_FOUND,
+            &json!({"error": {
+                "type": "not_seen",
+                "message": "No attempt with this key is recorded, but one may be on its way. Send the request again with the same key.",
+            }}),
+        ),
+        Err(refused) => refusal(&refused),
+    }
+}
+
 /// The reply to an HTTP request that is no request of this interface.
 pub(crate) fn decode_error(error: &CallerError) -> Response<ReplyBody> {
     let (status, field) = match error {
--- a/crates/lycheewood/src/controllers/claims.rs
+++ b/crates/lycheewood/src/controllers/claims.rs
@@ -172,9 +172,11 @@
             return;
         }
         self.metrics.claim_append_errors.inc();
-        // An entry that is already in the log does no harm there twice.
+        let not_sent = appended.result.is_err_and(|error| error.is_not_sent());
+        // A claim that may be in the log must not come a second time: the copy would hold the key
+        // again after the first was freed. Its waiter looks for it in the stream until its deadline.
         let wanted = appended.batch.into_iter().filter(|entry| match entry {
-            ClaimEntry::Claim(record) => self.waiters.contains_key(&record.attempt),
+            ClaimEntry::Claim(record) => not_sent && self.waiters.contains_key(&record.attempt),
             _ => true,
         });
         let again: Vec<ClaimEntry> = wanted.collect();
--- a/crates/lycheewood/src/filters.rs
+++ b/crates/lycheewood/src/filters.rs
@@ -10,13 +10,16 @@
 pub(crate) mod deduplicate;
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
+pub(crate) mod inquire;
 pub(crate) mod relay;
 pub(crate) mod request;
 pub(crate) mod retry;
 pub(crate) mod route;
+pub(crate) mod trace;
 
 use std::sync::Arc;
 
+use crate::filters::claim::Claiming;
 use crate::filters::deduplicate::Deduplicated;
 use crate::filters::dispatch::Dispatch;
 use crate::filters::exchange::{Admitted, Exchange, View};
@@ -32,13 +35,11 @@
 ) -> Result<Answer, Refusal> {
     let view = View::load(state);
     let received = Exchange::receive(request, &view, state.clock.now())?;
-    let authenticated = authenticate::apply(received)?;
+    let traced = trace::apply(state, received);
+    let authenticated = authenticate::apply(traced)?;
     let classified = classify::apply(authenticated)?;
     let admitted = admit::apply(state, classified).await?;
-    match deduplicate::apply(state, admitted).await? {
-        Deduplicated::New(admitted) => attempt(state, admitted).await,
-        Deduplicated::Known(answer) => Ok(answer),
-    }
+    attempt(state, admitted).await
 }
 
 /// Makes attempts until one gives an answer or no other may be made.
@@ -47,11 +48,21 @@
     mut admitted: Exchange<'_, Admitted>,
 ) -> Result<Answer, Refusal> {
     loop {
-        let routed = route::apply(state, admitted)?;
-        let claimed = claim::apply(state, routed).await?;
+        let new = match deduplicate::apply(state, admitted).await? {
+            Deduplicated::New(new) => new,
+            Deduplicated::Known(answer) => return Ok(*answer),
+        };
+        let routed = route::apply(state, new)?;
+        let claimed = match claim::apply(state, routed).await? {
+            Claiming::Claimed(claimed) => claimed,
+            Claiming::Held(held) => {
+                admitted = held;
+                continue;
+            }
+        };
         let failed = match dispatch::apply(state, claimed).await? {
-            Dispatch::Sent(sent) => match relay::first_piece(state, sent).await? {
-                FirstPiece::Answer(answer) => return Ok(answer),
+            Dispatch::Sent(sent) => match relay::first_piece(state, *sent).await? {
+                FirstPiece::Answer(answer) => return Ok(*answer),
                 FirstPiece::Again(again) => again,
             },
             Dispatch::NotSent(again) => again,
--- a/crates/lycheewood/src/filters/admit.rs
+++ b/crates/lycheewood/src/filters/admit.rs
@@ -79,15 +79,6 @@
     };
     Ok(exchange.advance(|Classified { mut terms }| {
         terms.priority = admitted.priority;
-        Admitted {
-            terms,
-            admission: Arc::new(guard),
-            attempts: 0,
-            version: None,
-            next_piece: 0,
-            avoid: Vec::new(),
-            refused: None,
-            may_have_run: None,
-        }
+        Admitted::new(terms, Some(Arc::new(guard)))
     }))
 }
--- a/crates/lycheewood/src/filters/authenticate.rs
+++ b/crates/lycheewood/src/filters/authenticate.rs
@@ -1,14 +1,14 @@
 //! Finds the workspace that a bearer token belongs to.
 
-use crate::filters::exchange::{Authenticated, Exchange, Received};
+use crate::filters::exchange::{Authenticated, Exchange, Traced};
 use crate::outcome::{InvalidRequest, Refusal};
 
 pub(crate) fn apply(
-    exchange: Exchange<'_, Received>,
+    exchange: Exchange<'_, Traced>,
 ) -> Result<Exchange<'_, Authenticated<'_>>, Refusal> {
     let digest = exchange.request.token_digest.as_ref();
     let workspace = digest
         .and_then(|digest| exchange.document.document.workspace_of_token(digest))
         .ok_or(Refusal::Invalid(InvalidRequest::Unauthorized))?;
-    Ok(exchange.advance(|Received| Authenticated { workspace }))
+    Ok(exchange.advance(|Traced { span }| Authenticated { span, workspace }))
 }
--- a/crates/lycheewood/src/filters/claim.rs
+++ b/crates/lycheewood/src/filters/claim.rs
@@ -6,7 +6,7 @@
 use crate::controllers::claims::{Acquire, NotGranted};
 use crate::decisions::claims::different_request;
 use crate::decisions::claims::record::{ClaimKey, ClaimRecord};
-use crate::filters::exchange::{Claimed, Exchange, Routed};
+use crate::filters::exchange::{Admitted, Claimed, Exchange, Routed};
 use crate::ids::RequestKey;
 use crate::lifecycle::claim::{Claim, Granted, LostReason};
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
@@ -15,30 +15,42 @@
 /// How soon a caller may come back when its claim was not decided or another attempt holds its key.
 pub(crate) const CLAIM_RETRY_MS: u64 = 1_000;
 
+/// What became of a claim.
+pub(crate) enum Claiming<'r> {
+    /// The attempt may be sent.
+    Claimed(Exchange<'r, Claimed<'r>>),
+    /// Another attempt holds the key; this one has not been sent.
+    Held(Exchange<'r, Admitted>),
+}
+
 pub(crate) async fn apply<'r>(
     state: &EntryState,
     exchange: Exchange<'r, Routed<'r>>,
-) -> Result<Exchange<'r, Claimed<'r>>, Refusal> {
+) -> Result<Claiming<'r>, Refusal> {
     let claim = match (exchange.stage.admitted.terms.non_idempotent, exchange.request.key) {
         (false, _) => None,
-        (true, Some(key)) => Some(acquire(state, &exchange, key).await?),
+        (true, Some(key)) => match acquire(state, &exchange, key).await? {
+            Some(claim) => Some(claim),
+            None => return Ok(Claiming::Held(exchange.advance(|routed| routed.admitted))),
+        },
         // The chain has refused requests without the key that they need.
         (true, None) => return Err(Refusal::field("idempotency-key", "send a key")),
     };
-    Ok(exchange.advance(|Routed { admitted, endpoint, attempt }| {
+    Ok(Claiming::Claimed(exchange.advance(|Routed { admitted, endpoint, attempt }| {
         let ticket = match claim {
             Some(claim) => Ticket::Claimed(claim, attempt),
             None => Ticket::Repeatable(attempt),
         };
         Claimed { admitted, endpoint, ticket }
-    }))
+    })))
 }
 
+/// Waits until the log has decided. Gives `None` when another attempt holds the key.
 async fn acquire(
     state: &EntryState,
     exchange: &Exchange<'_, Routed<'_>>,
     key: RequestKey,
-) -> Result<Claim<Granted>, Refusal> {
+) -> Result<Option<Claim<Granted>>, Refusal> {
     let Routed { admitted, endpoint, attempt } = &exchange.stage;
     let record = ClaimRecord {
         key: ClaimKey::new(&admitted.terms.workspace, &key),
@@ -57,7 +69,8 @@
     // A stopped control thread drops the reply's sender.
     let _ = state.claims.tell(acquire).try_send();
     match granted.await {
-        Ok(Ok(claim)) => Ok(claim),
+        Ok(Ok(claim)) => Ok(Some(claim)),
+        Ok(Err(NotGranted::Lost(LostReason::HeldBy(_)))) => Ok(None),
         Ok(Err(NotGranted::Lost(reason))) => Err(refusal(&reason, key)),
         Ok(Err(NotGranted::TimedOut)) | Err(_) => {
             Err(Refusal::not_run(NotRunCode::ClaimUnavailable, CLAIM_RETRY_MS))
--- a/crates/lycheewood/src/filters/classify.rs
+++ b/crates/lycheewood/src/filters/classify.rs
@@ -1,5 +1,7 @@
 //! Checks a request against the document: target, priority, deadline, and whether it may repeat.
 
+use std::sync::Arc;
+
 use crate::document::checked::{Document, EndpointRole, Workspace};
 use crate::filters::exchange::{Authenticated, Classified, Exchange, Terms};
 use crate::filters::request::{Call, Request};
@@ -36,6 +38,7 @@
         priority,
         deadline: exchange.now.plus_ms(deadline_ms),
         fingerprint: request.call.fingerprint(workspace.name.as_str()),
+        span: Arc::clone(&exchange.stage.span),
     };
     Ok(exchange.advance(|_| Classified { terms }))
 }
@@ -58,18 +61,46 @@
                 .collect();
             Ok(Target { kinds, priority: found.priority, non_idempotent: false })
         }
+        Call::Inquiry => Err(Refusal::field("path", "send a completion or a call to a service")),
         Call::Service { service, method, path, .. } => {
             let kind = document.service(service).ok_or_else(|| unknown("service", service))?;
             let priority = match &kind.role {
                 EndpointRole::Service { priority, .. } => *priority,
                 EndpointRole::Model { .. } => 0,
             };
+            check_path(path)?;
             let non_idempotent = kind.is_non_idempotent(method, path);
             Ok(Target { kinds: vec![kind.name.clone()], priority, non_idempotent })
         }
     }
 }
 
+/// Refuses spellings of a path that a service may read as another path. Otherwise a call that may not
+/// repeat could be spelt so that no pattern of the document matches it.
+fn check_path(path: &str) -> Result<(), Refusal> {
+    let path = path.split_once('?').map_or(path, |(path, _)| path);
+    let refused = |remedy: &str| Err(Refusal::field("path", remedy));
+    if path.contains("//") || path.contains('\\') {
+        return refused("send one slash between the segments and no backslash");
+    }
+    if path.split('/').any(|segment| segment == "." || segment == "..") {
+        return refused("send the path without the segments `.` and `..`");
+    }
+    let mut encoded = path.split('%').skip(1);
+    if encoded.any(|rest| is_needless(rest.get(..2).unwrap_or_default())) {
+        return refused("percent-encode only bytes that a path cannot hold");
+    }
+    Ok(())
+}
+
+/// Whether a percent-encoded byte could stand for itself, or hides a slash, backslash or percent sign.
+fn is_needless(hex: &str) -> bool {
+    match u8::from_str_radix(hex, 16) {
+        Ok(byte) => byte.is_ascii_alphanumeric() || b"-._~/\\%".contains(&byte),
+        Err(_) => true,
+    }
+}
+
 fn priority(request: &Request, workspace: &Workspace, target: &Target) -> Result<u8, Refusal> {
     match request.priority {
         None => Ok(target.priority.min(workspace.max_priority)),
--- a/crates/lycheewood/src/filters/deduplicate.rs
+++ b/crates/lycheewood/src/filters/deduplicate.rs
@@ -13,6 +13,7 @@
 use crate::filters::claim::CLAIM_RETRY_MS;
 use crate::filters::exchange::{Admitted, Exchange};
 use crate::filters::relay::{self, Answer, Recovered};
+use crate::filters::request::Request;
 use crate::ids::RequestKey;
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
 use crate::roles::entry::EntryState;
@@ -23,7 +24,7 @@
     /// No attempt holds it.
     New(Exchange<'r, Admitted>),
     /// An earlier attempt has the answer.
-    Known(Answer),
+    Known(Box<Answer>),
 }
 
 pub(crate) async fn apply<'r>(
@@ -46,66 +47,90 @@
         Found::KeyExpired => {
             Err(Refusal::Unknown(Unknown { code: UnknownCode::KeyExpired, key: Some(key) }))
         }
-        Found::Held(holder) => recover(state, exchange, key, claim_key, &holder).await,
+        Found::Held(holder) => {
+            let question = Question {
+                request: exchange.request,
+                admitted: &exchange.stage,
+                key,
+                claim_key,
+                holder: &holder,
+            };
+            match question.resolve(state).await? {
+                Resolved::Answer(answer) => Ok(Deduplicated::Known(answer)),
+                Resolved::Free => Ok(Deduplicated::New(exchange)),
+            }
+        }
     }
 }
 
-/// Asks the endpoint process that the claim names, until it replies or the deadline passes.
-async fn recover<'r>(
-    state: &Arc<EntryState>,
-    exchange: Exchange<'r, Admitted>,
-    key: RequestKey,
-    claim_key: ClaimKey,
-    holder: &Holder,
-) -> Result<Deduplicated<'r>, Refusal> {
-    let deadline = exchange.stage.terms.deadline;
-    let mut answer = None;
-    let mut reply = RecoveryReply::NotAsked;
-    loop {
-        match recovery_step(&claim_key, holder, reply, deadline, state.clock.now()) {
-            RecoveryStep::Ask | RecoveryStep::Wait => {
-                let (asked, found) = ask(state, &exchange, holder).await;
-                (reply, answer) = (asked, found);
-            }
-            RecoveryStep::ClaimAnew(entry) => {
-                // The new claim follows this entry in the same order in the log.
-                let _ = state.claims.tell(Promised { entry }).try_send();
-                return Ok(Deduplicated::New(exchange));
-            }
-            RecoveryStep::Relay => {
-                let unknown = Unknown { code: UnknownCode::HolderLost, key: Some(key) };
-                return answer.map(Deduplicated::Known).ok_or(Refusal::Unknown(unknown));
-            }
-            RecoveryStep::Unknown(code) => {
-                return Err(Refusal::Unknown(Unknown { code, key: Some(key) }));
+/// What became of the attempt that holds a key.
+pub(crate) enum Resolved {
+    /// It has an answer.
+    Answer(Box<Answer>),
+    /// It has never run and never will; the key is free.
+    Free,
+}
+
+/// A question after the attempt that holds a key.
+pub(crate) struct Question<'q> {
+    pub(crate) request: &'q Arc<Request>,
+    pub(crate) admitted: &'q Admitted,
+    pub(crate) key: RequestKey,
+    pub(crate) claim_key: ClaimKey,
+    pub(crate) holder: &'q Holder,
+}
+
+impl Question<'_> {
+    /// Asks the endpoint process that the claim names, until it replies or the deadline passes.
+    pub(crate) async fn resolve(&self, state: &Arc<EntryState>) -> Result<Resolved, Refusal> {
+        let deadline = self.admitted.terms.deadline;
+        let unknown = |code| Refusal::Unknown(Unknown { code, key: Some(self.key) });
+        let mut answer = None;
+        let mut reply = RecoveryReply::NotAsked;
+        loop {
+            let now = state.clock.now();
+            match recovery_step(&self.claim_key, self.holder, reply, deadline, now) {
+                RecoveryStep::Ask | RecoveryStep::Wait => {
+                    (reply, answer) = self.ask(state).await;
+                }
+                RecoveryStep::ClaimAnew(entry) => {
+                    // A new claim follows this entry in the same order in the log.
+                    let _ = state.claims.tell(Promised { entry }).try_send();
+                    return Ok(Resolved::Free);
+                }
+                RecoveryStep::Relay => {
+                    let answer = answer.ok_or_else(|| unknown(UnknownCode::HolderLost))?;
+                    return Ok(Resolved::Answer(answer));
+                }
+                RecoveryStep::Unknown(code) => return Err(unknown(code)),
             }
         }
     }
-}
 
-/// Asks once; waits for the endpoint to be connected first.
-async fn ask(
-    state: &Arc<EntryState>,
-    exchange: &Exchange<'_, Admitted>,
-    holder: &Holder,
-) -> (RecoveryReply, Option<Answer>) {
-    let left_ms = exchange.stage.terms.deadline.ms_since(state.clock.now());
-    let until = Instant::now() + Duration::from_millis(left_ms);
-    let Ok(endpoint) = timeout_at(until, connected(state, holder)).await else {
-        return (RecoveryReply::NoAnswer, None);
-    };
-    if endpoint.incarnation != holder.endpoint_incarnation {
-        return (RecoveryReply::IncarnationGone, None);
-    }
-    let recover =
-        Recover { attempt: holder.attempt, endpoint_incarnation: holder.endpoint_incarnation };
-    let events = endpoint.link.recover(recover).await;
-    match relay::recovered(state, exchange, &endpoint, events).await {
-        Recovered::Answer(answer) => (RecoveryReply::Answer, Some(*answer)),
-        Recovered::Promised => (RecoveryReply::Promised, None),
-        Recovered::Failed => (RecoveryReply::Failed, None),
-        Recovered::IncarnationGone => (RecoveryReply::IncarnationGone, None),
-        Recovered::NoAnswer => (RecoveryReply::NoAnswer, None),
+    /// Asks once; waits for the endpoint to be connected first.
+    async fn ask(&self, state: &Arc<EntryState>) -> (RecoveryReply, Option<Box<Answer>>) {
+        let left_ms = self.admitted.terms.deadline.ms_since(state.clock.now());
+        let until = Instant::now() + Duration::from_millis(left_ms);
+        let Ok(endpoint) = timeout_at(until, connected(state, self.holder)).await else {
+            return (RecoveryReply::NoAnswer, None);
+        };
+        if endpoint.incarnation != self.holder.endpoint_incarnation {
+            return (RecoveryReply::IncarnationGone, None);
+        }
+        let recover = Recover {
+            attempt: self.holder.attempt,
+            endpoint_incarnation: self.holder.endpoint_incarnation,
+        };
+        let events = endpoint.link.recover(recover).await;
+        let recovered =
+            relay::recovered(state, self.request, self.admitted, &endpoint, events).await;
+        match recovered {
+            Recovered::Answer(answer) => (RecoveryReply::Answer, Some(answer)),
+            Recovered::Promised => (RecoveryReply::Promised, None),
+            Recovered::Failed => (RecoveryReply::Failed, None),
+            Recovered::IncarnationGone => (RecoveryReply::IncarnationGone, None),
+            Recovered::NoAnswer => (RecoveryReply::NoAnswer, None),
+        }
     }
 }
 
--- a/crates/lycheewood/src/filters/dispatch.rs
+++ b/crates/lycheewood/src/filters/dispatch.rs
@@ -2,6 +2,9 @@
 
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanKind;
+
 use crate::adapters::peer::link::{AttemptEvents, Flight, Link, Ticket};
 use crate::controllers::claims::Release;
 use crate::controllers::load::EndpointView;
@@ -12,6 +15,7 @@
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRunCode, Refusal};
 use crate::roles::entry::EntryState;
+use crate::telemetry::HopSpan;
 use crate::wire::message::{Start, Work};
 
 /// The attempt has been sent; what the endpoint says of it arrives as events.
@@ -22,12 +26,13 @@
     pub(crate) link: Arc<Link>,
     pub(crate) endpoint: Incarnation,
     pub(crate) flight: Flight,
+    pub(crate) span: HopSpan,
 }
 
 /// What became of an attempt that was to be sent.
 pub(crate) enum Dispatch<'r> {
     /// A byte may have reached the endpoint.
-    Sent(Exchange<'r, Sent>),
+    Sent(Box<Exchange<'r, Sent>>),
     /// Nothing was sent.
     NotSent(Exchange<'r, Admitted>),
 }
@@ -36,7 +41,8 @@
     state: &EntryState,
     exchange: Exchange<'r, Claimed<'r>>,
 ) -> Result<Dispatch<'r>, Refusal> {
-    let start = start(&exchange);
+    let span = span(state, &exchange.stage);
+    let start = start(&exchange, &span);
     let Exchange { request, view, document, now, stage } = exchange;
     let Claimed { mut admitted, endpoint, ticket } = stage;
     let link = Arc::clone(&endpoint.link);
@@ -44,8 +50,9 @@
     match link.open(ticket, start).await {
         Ok((attempt, events)) => {
             let endpoint = endpoint.incarnation;
-            let sent = Sent { admitted, attempt, events, link, endpoint, flight };
-            Ok(Dispatch::Sent(Exchange { request, view, document, now, stage: sent }))
+            let sent = Sent { admitted, attempt, events, link, endpoint, flight, span };
+            let exchange = Exchange { request, view, document, now, stage: sent };
+            Ok(Dispatch::Sent(Box::new(exchange)))
         }
         Err(Some(unsent)) => {
             state.metrics.attempts.with_label_values(&["not_sent"]).inc();
@@ -65,7 +72,16 @@
     }
 }
 
-fn start(exchange: &Exchange<'_, Claimed<'_>>) -> Box<Start> {
+fn span(state: &EntryState, claimed: &Claimed<'_>) -> HopSpan {
+    let attributes = vec![
+        KeyValue::new("lycheewood.endpoint", claimed.endpoint.link.instance.to_string()),
+        KeyValue::new("lycheewood.attempt", claimed.ticket.attempt().to_string()),
+    ];
+    let parent = claimed.admitted.terms.span.traceparent();
+    state.telemetry.span("attempt", SpanKind::Client, parent, attributes)
+}
+
+fn start(exchange: &Exchange<'_, Claimed<'_>>, span: &HopSpan) -> Box<Start> {
     let Claimed { admitted, endpoint, ticket } = &exchange.stage;
     let request = exchange.request;
     Box::new(Start {
@@ -78,7 +94,7 @@
         priority: admitted.terms.priority,
         run_alone: false,
         work: work(&request.call, admitted, endpoint),
-        traceparent: request.traceparent.clone(),
+        traceparent: span.traceparent().map(str::to_owned),
     })
 }
 
@@ -92,6 +108,14 @@
             max_tokens: *max_tokens,
             resume_from_token: admitted.next_piece,
         },
+        // Classify refuses questions, which run nothing.
+        Call::Inquiry => Work::Service {
+            service: target,
+            method: String::new(),
+            path: String::new(),
+            content_type: String::new(),
+            body: Vec::new(),
+        },
         Call::Service { method, path, content_type, body, .. } => Work::Service {
             service: target,
             method: method.clone(),
--- a/crates/lycheewood/src/filters/exchange.rs
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -15,6 +15,7 @@
 use crate::lifecycle::attempt::{Attempt, Planned};
 use crate::outcome::{NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 use crate::roles::entry::EntryState;
+use crate::telemetry::HopSpan;
 
 /// How soon a caller may come back when this instance has no document yet.
 const NO_DOCUMENT_RETRY_MS: u64 = 1_000;
@@ -43,8 +44,14 @@
 /// Nothing is known of the caller.
 pub(crate) struct Received;
 
+/// The request has a span.
+pub(crate) struct Traced {
+    pub(crate) span: Arc<HopSpan>,
+}
+
 /// The caller belongs to a workspace.
 pub(crate) struct Authenticated<'r> {
+    pub(crate) span: Arc<HopSpan>,
     pub(crate) workspace: &'r Workspace,
 }
 
@@ -59,6 +66,8 @@
     pub(crate) priority: u8,
     pub(crate) deadline: Timestamp,
     pub(crate) fingerprint: [u8; 16],
+    /// Span of the request; ends with its last holder.
+    pub(crate) span: Arc<HopSpan>,
 }
 
 /// The request is well formed and allowed.
@@ -70,8 +79,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Admitted {
     pub(crate) terms: Terms,
-    /// Ends the admission when the last holder of it is dropped.
-    pub(crate) admission: Arc<AdmissionGuard>,
+    /// Ends the admission when the last holder of it is dropped. A question after a key needs none.
+    pub(crate) admission: Option<Arc<AdmissionGuard>>,
     /// Attempts made so far.
     pub(crate) attempts: u32,
     /// The version that earlier pieces came from; no other may continue the answer.
@@ -87,6 +96,20 @@
 }
 
 impl Admitted {
+    /// A request on which no attempt has been made.
+    pub(crate) fn new(terms: Terms, admission: Option<Arc<AdmissionGuard>>) -> Self {
+        Self {
+            terms,
+            admission,
+            attempts: 0,
+            version: None,
+            next_piece: 0,
+            avoid: Vec::new(),
+            refused: None,
+            may_have_run: None,
+        }
+    }
+
     /// The refusal when no further attempt is made.
     pub(crate) fn refuse(&self, not_run: NotRun, key: Option<RequestKey>) -> Refusal {
         match self.may_have_run {
--- /dev/null
+++ b/crates/lycheewood/src/filters/inquire.rs
@@ -0,0 +1,63 @@
+//! Answers a caller who asks by key what became of a request.
+
+use std::sync::Arc;
+
+use crate::controllers::claims::{Found, Look, claim_settings};
+use crate::decisions::claims::record::ClaimKey;
+use crate::filters::claim::CLAIM_RETRY_MS;
+use crate::filters::deduplicate::{Question, Resolved};
+use crate::filters::exchange::{Admitted, Exchange, Terms, View};
+use crate::filters::relay::Answer;
+use crate::filters::request::Request;
+use crate::filters::{authenticate, trace};
+use crate::ids::{RequestKey, TargetName};
+use crate::outcome::{NotRunCode, Refusal};
+use crate::roles::entry::EntryState;
+
+/// What is known of a key.
+pub(crate) enum Inquiry {
+    /// An attempt has answered.
+    Answer(Box<Answer>),
+    /// The attempt that held the key has never run and never will.
+    NotRun,
+    /// No attempt is recorded; one may still be on its way.
+    NotSeen,
+}
+
+pub(crate) async fn run(
+    state: &Arc<EntryState>,
+    request: &Arc<Request>,
+    key: RequestKey,
+) -> Result<Inquiry, Refusal> {
+    let view = View::load(state);
+    let received = Exchange::receive(request, &view, state.clock.now())?;
+    let authenticated = authenticate::apply(trace::apply(state, received))?;
+    let (now, document) = (authenticated.now, authenticated.document);
+    claim_settings(&state.settings.timing).check_key(&key, now)?;
+    let workspace = &authenticated.stage.workspace.name;
+    let claim_key = ClaimKey::new(workspace, &key);
+    let unavailable = || Refusal::not_run(NotRunCode::ClaimUnavailable, CLAIM_RETRY_MS);
+    let look = Look { key: claim_key, fingerprint: None };
+    let holder = match state.claims.ask(look).await.map_err(|_| unavailable())? {
+        Found::Held(holder) => holder,
+        Found::NotRead => return Err(unavailable()),
+        Found::Free | Found::DifferentRequest | Found::KeyExpired => return Ok(Inquiry::NotSeen),
+    };
+    let wait_ms = request.deadline_ms.unwrap_or(document.document.deadlines.default_ms);
+    let terms = Terms {
+        workspace: workspace.clone(),
+        target: TargetName::new(request.call.target()),
+        kinds: Vec::new(),
+        non_idempotent: true,
+        priority: 0,
+        deadline: now.plus_ms(wait_ms),
+        fingerprint: [0; 16],
+        span: authenticated.stage.span,
+    };
+    let admitted = Admitted::new(terms, None);
+    let question = Question { request, admitted: &admitted, key, claim_key, holder: &holder };
+    match question.resolve(state).await? {
+        Resolved::Answer(answer) => Ok(Inquiry::Answer(answer)),
+        Resolved::Free => Ok(Inquiry::NotRun),
+    }
+}
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -17,6 +17,7 @@
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRun, NotRunCode, Refusal, UnknownCode};
 use crate::roles::entry::EntryState;
+use crate::telemetry::HopSpan;
 use crate::wire::message::{Ask, Head};
 
 /// Questions after the same piece before the attempt counts as lost.
@@ -27,7 +28,7 @@
 /// What an attempt has come to before its answer starts.
 pub(crate) enum FirstPiece<'r> {
     /// The answer starts.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// The request may be attempted again.
     Again(Exchange<'r, Admitted>),
 }
@@ -67,6 +68,7 @@
     asks: u32,
     /// `None` for the answer of an earlier attempt, which another request has counted.
     flight: Option<Flight>,
+    span: Option<HopSpan>,
 }
 
 /// What an attempt has come to.
@@ -92,6 +94,7 @@
             deadline: Instant::now() + Duration::from_millis(left_ms),
             asks: 0,
             flight: Some(sent.flight),
+            span: Some(sent.span),
         }
     }
 
@@ -116,10 +119,16 @@
                 }
                 Ok(Some(AttemptEvent::End(pieces))) if pieces == self.admitted.next_piece => {
                     self.attempt = None;
-                    self.admitted.admission.completed();
+                    if let Some(admission) = &self.admitted.admission {
+                        admission.completed();
+                    }
                     if let Some(flight) = &mut self.flight {
                         flight.completed();
                     }
+                    if let Some(span) = &self.span {
+                        span.set_outcome("done");
+                    }
+                    self.admitted.terms.span.set_outcome("done");
                     return Step::End;
                 }
                 Ok(Some(AttemptEvent::End(_)) | None) => {
@@ -164,6 +173,9 @@
         if let Some(flight) = &mut self.flight {
             flight.failed(penalty_ms);
         }
+        if let Some(span) = &self.span {
+            span.set_outcome("failed");
+        }
     }
 
     /// Gives up the attempt for another one on another endpoint.
@@ -193,7 +205,7 @@
     match source.step().await {
         Step::Head(head) => {
             let relay = Relay { state: Arc::clone(state), request: Arc::clone(request), source };
-            Ok(FirstPiece::Answer(Answer { head, relay }))
+            Ok(FirstPiece::Answer(Box::new(Answer { head, relay })))
         }
         // A link passes no piece before the head.
         Step::Bytes(_) | Step::End => Err(unknown(&mut source, request, UnknownCode::EndpointLost)),
@@ -241,13 +253,14 @@
 /// Waits for what an endpoint says of an earlier attempt.
 pub(crate) async fn recovered(
     state: &Arc<EntryState>,
-    exchange: &Exchange<'_, Admitted>,
+    request: &Arc<Request>,
+    admitted: &Admitted,
     endpoint: &EndpointView,
     events: AttemptEvents,
 ) -> Recovered {
-    let left_ms = exchange.stage.terms.deadline.ms_since(state.clock.now());
+    let left_ms = admitted.terms.deadline.ms_since(state.clock.now());
     let mut source = Source {
-        admitted: exchange.stage.clone(),
+        admitted: admitted.clone(),
         attempt: None,
         events,
         link: Arc::clone(&endpoint.link),
@@ -255,12 +268,13 @@
         deadline: Instant::now() + Duration::from_millis(left_ms),
         asks: 0,
         flight: None,
+        span: None,
     };
     loop {
         match timeout_at(source.deadline, source.events.recv()).await {
             Ok(Some(AttemptEvent::Accepted)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
-                let request = Arc::clone(exchange.request);
+                let request = Arc::clone(request);
                 let relay = Relay { state: Arc::clone(state), request, source };
                 return Recovered::Answer(Box::new(Answer { head, relay }));
             }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -30,6 +30,7 @@
 mod roles;
 mod runtime;
 mod settings;
+mod telemetry;
 mod wire;
 
 pub use adapters::http::HttpError;
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -32,6 +32,7 @@
 use crate::roles::endpoint::execution::Execution;
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RoleSettings, Settings};
+use crate::telemetry::Telemetry;
 use crate::wire::message::{Hello, Load, Role};
 use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
 
@@ -41,6 +42,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) telemetry: Telemetry,
     pub(crate) backend_address: SocketAddr,
     pub(crate) engine: EngineClient,
     pub(crate) service: ServiceClient,
@@ -159,6 +161,7 @@
             incarnation,
             clock,
             metrics,
+            telemetry: Telemetry::start(settings, traffic.handle()),
             backend_address,
             engine: EngineClient::new(backend_address, timing.connect_ms, timing.backend_idle_ms),
             service: ServiceClient::new(backend_address, timing.connect_ms),
@@ -210,6 +213,7 @@
             let _ = status.wait_for(|status| status.running == 0).await;
         });
         self.stop.send_replace(true);
+        state.telemetry.flush();
         log::info!("endpoint stopped instance={}", state.settings.instance);
         self.traffic.shutdown_background();
     }
--- a/crates/lycheewood/src/roles/endpoint/execution.rs
+++ b/crates/lycheewood/src/roles/endpoint/execution.rs
@@ -2,14 +2,17 @@
 
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanKind;
 use tokio::task::JoinHandle;
 
-use crate::adapters::backend::{Completion, EngineEvent};
+use crate::adapters::backend::{Completion, EngineEvent, ServiceCall};
 use crate::adapters::http::HttpError;
 use crate::answer::{AnswerBuffer, AnswerEnd};
 use crate::controllers::attempts::{Ended, ExecutionEnd};
 use crate::ids::AttemptId;
 use crate::roles::endpoint::EndpointState;
+use crate::telemetry::HopSpan;
 use crate::wire::message::{Start, Work};
 
 /// Times that a cut stream is continued on the same engine.
@@ -55,9 +58,12 @@
 
 async fn execute(state: Arc<EndpointState>, start: Box<Start>, buffer: Arc<AnswerBuffer>) {
     let attempt = start.attempt;
+    let attributes = vec![KeyValue::new("lycheewood.attempt", attempt.to_string())];
+    let parent = start.traceparent.as_deref();
+    let span = state.telemetry.span("execute", SpanKind::Server, parent, attributes);
     let end = match &start.work {
-        Work::Model { .. } => complete(&state, &start, &buffer).await,
-        Work::Service { .. } => call_service(&state, &start, &buffer).await,
+        Work::Model { .. } => complete(&state, &start, &span, &buffer).await,
+        Work::Service { .. } => call_service(&state, &start, &span, &buffer).await,
     };
     // The controller learns of the end first: it tells of suspects before the answer fails.
     let _ = state.attempts.ask(Ended { attempt, end }).await;
@@ -68,16 +74,22 @@
         ExecutionEnd::Failed => AnswerEnd::Failed { engine_died: false },
         ExecutionEnd::EngineDied => AnswerEnd::Failed { engine_died: true },
     });
+    span.set_outcome(if end == ExecutionEnd::Answered { "done" } else { "failed" });
     let label = if end == ExecutionEnd::Answered { "done" } else { "failed" };
     state.metrics.attempts.with_label_values(&[label]).inc();
 }
 
 /// Runs a completion; continues a cut stream from the next token.
-async fn complete(state: &EndpointState, start: &Start, buffer: &AnswerBuffer) -> ExecutionEnd {
+async fn complete(
+    state: &EndpointState,
+    start: &Start,
+    span: &HopSpan,
+    buffer: &AnswerBuffer,
+) -> ExecutionEnd {
     buffer.set_head(200, String::new());
     let mut resumes = 0;
     loop {
-        let error = match stream_tokens(state, start, buffer).await {
+        let error = match stream_tokens(state, start, span, buffer).await {
             Ok(()) => return ExecutionEnd::Answered,
             Err(error) => error,
         };
@@ -107,6 +119,7 @@
 async fn stream_tokens(
     state: &EndpointState,
     start: &Start,
+    span: &HopSpan,
     buffer: &AnswerBuffer,
 ) -> Result<(), HttpError> {
     let Work::Model { model, version, prompt, max_tokens, .. } = &start.work else {
@@ -120,6 +133,7 @@
         max_tokens: *max_tokens,
         priority: start.priority,
         resume_from_token: buffer.next_index(),
+        traceparent: span.traceparent(),
     };
     let mut stream = state.engine.open(completion).await?;
     let address = state.backend_address;
@@ -137,12 +151,24 @@
     }
 }
 
-async fn call_service(state: &EndpointState, start: &Start, buffer: &AnswerBuffer) -> ExecutionEnd {
+async fn call_service(
+    state: &EndpointState,
+    start: &Start,
+    span: &HopSpan,
+    buffer: &AnswerBuffer,
+) -> ExecutionEnd {
     let Work::Service { method, path, content_type, body, .. } = &start.work else {
         return ExecutionEnd::NotStarted;
     };
     let left_ms = start.deadline.ms_since(state.clock.now());
-    let call = state.service.call(method, path, content_type, body.clone(), left_ms);
+    let call = ServiceCall {
+        method,
+        path,
+        content_type,
+        traceparent: span.traceparent(),
+        body: body.clone(),
+    };
+    let call = state.service.call(call, left_ms);
     match call.await {
         Ok(reply) => {
             buffer.set_head(reply.status, reply.content_type);
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -31,6 +31,7 @@
 use crate::roles::StartError;
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RoleSettings, Settings};
+use crate::telemetry::Telemetry;
 use crate::wire::message::{Hello, Role};
 use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
 
@@ -40,6 +41,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) telemetry: Telemetry,
     pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
     pub(crate) endpoints: Arc<ArcSwap<EndpointTable>>,
     pub(crate) members: Arc<ArcSwap<Members>>,
@@ -109,7 +111,7 @@
         let caller_address = callers.local_addr().map_err(runtime)?;
         let admin_address = admin.local_addr().map_err(runtime)?;
         let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
-        let state = start_state(settings, metrics, &control);
+        let state = start_state(settings, metrics, &control, &traffic);
         start_readers(&state, admin_address, &control, &traffic);
         let (stop, stopped) = watch::channel(false);
         let callers = traffic.spawn(caller::serve(callers, Arc::clone(&state), stopped.clone()));
@@ -148,21 +150,27 @@
     ///
     /// Blocks until the last answer has been sent.
     pub fn shutdown(self) {
-        let linger = Duration::from_millis(self.state.settings.timing.entry_linger_ms);
-        log::info!("entry leaving instance={}", self.state.settings.instance);
-        let Self { traffic, callers, stop, .. } = self;
+        let Self { state, traffic, callers, stop, .. } = self;
+        let linger = Duration::from_millis(state.settings.timing.entry_linger_ms);
+        log::info!("entry leaving instance={}", state.settings.instance);
         traffic.block_on(async {
             tokio::time::sleep(linger).await;
             stop.send_replace(true);
             let _ = callers.await;
         });
-        log::info!("entry stopped instance={}", self.state.settings.instance);
+        state.telemetry.flush();
+        log::info!("entry stopped instance={}", state.settings.instance);
         traffic.shutdown_background();
     }
 }
 
 /// Starts the controllers that requests talk to.
-fn start_state(settings: &Settings, metrics: Metrics, control: &ControlThread) -> Arc<EntryState> {
+fn start_state(
+    settings: &Settings,
+    metrics: Metrics,
+    control: &ControlThread,
+    traffic: &Runtime,
+) -> Arc<EntryState> {
     let _control = control.handle().enter();
     let (clock, metrics) = (Clock::system(), Arc::new(metrics));
     let views = AdmissionViews {
@@ -181,6 +189,7 @@
         progress: watch::Sender::default(),
         claims: ClaimsController::start(log, timing, Arc::clone(&metrics)),
         admission: AdmissionController::start(views, clock, Arc::clone(&metrics)),
+        telemetry: Telemetry::start(settings, traffic.handle()),
         metrics,
         sequence: AtomicU64::new(1),
     })
