--- a/crates/lycheewood/src/decisions/claims.rs
+++ b/crates/lycheewood/src/decisions/claims.rs
@@ -273,12 +273,11 @@
     }
 
     fn expire(&mut self) {
-        while let Some(oldest) = self.slots.first_entry() {
-            let key = *oldest.key();
-            if key.created.plus_ms(self.settings.key_window_ms) >= self.log_time {
+        while let Some((key, _)) = self.slots.first_key_value() {
+            if !self.is_past_window(key) {
                 break;
             }
-            oldest.remove();
+            self.slots.pop_first();
         }
         while self.slots.len() > self.settings.max_keys {
             if let Some((key, _)) = self.slots.pop_first() {
--- a/crates/lycheewood/src/lifecycle/claim.rs
+++ b/crates/lycheewood/src/lifecycle/claim.rs
@@ -2,7 +2,7 @@
 
 use crate::decisions::claims::record::{ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord};
 use crate::decisions::claims::{ClaimTable, ClaimVerdict, Holder, OwnClaim};
-use crate::ids::{AttemptId, Incarnation, InstanceId, Offset};
+use crate::ids::{AttemptId, Incarnation, InstanceId};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
 
 /// A claim that has not been sent to the log.
@@ -65,8 +65,18 @@
     pub endpoint: InstanceId,
     /// The process there; `Start` must name it.
     pub endpoint_incarnation: Incarnation,
-    /// The claim's offset; `Start` carries it.
-    pub claim_offset: Offset,
+    /// The key.
+    pub key: ClaimKey,
+    /// The claim; `Start` carries its offset.
+    pub claim: ClaimPosition,
+}
+
+impl Permit {
+    /// The entry that frees the key after the endpoint has refused the `Start` that was sent once.
+    #[must_use]
+    pub const fn recovered(&self) -> ClaimEntry {
+        ClaimEntry::Recovered { key: self.key, claim: self.claim }
+    }
 }
 
 /// One claim, in the stage `S`.
@@ -193,7 +203,8 @@
         let permit = Permit {
             endpoint: self.record.endpoint,
             endpoint_incarnation: self.record.endpoint_incarnation,
-            claim_offset: self.stage.position.offset,
+            key: self.record.key,
+            claim: self.stage.position,
         };
         Ok((attempt.dispatch(), permit))
     }
