Add quarantine of requests that crash endpoints

Cause: a request that crashes every endpoint, sent again by its caller, must not take down more than two endpoints, and no innocent request may be refused permanently.

A suspect runs alone, and only one trial of it at a time in the system: the trial is a record, and log order decides. It is quarantined after a crash alone, or after two crashes in company, which happens when copies already ran elsewhere. Reports carry an id, so repetitions count once. A warning from the endpoint itself holds a request back until the log has its report.

Ruled out: - trials without a record: two entries would try one suspect at once and lose two more endpoints; - waiting for the log alone: a report that is late there lets a third endpoint be lost; - running normally after a quarantine: each period would cost two endpoints instead of one.

A request that crashes only at random and completes its trials is suspected afresh at each crash.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -5,3 +5,4 @@
 pub(crate) mod attempts;
 pub(crate) mod claims;
 pub(crate) mod digest;
+pub(crate) mod quarantine;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -37,6 +37,10 @@
     ClaimSettings, ClaimTable, ClaimVerdict, Folded, Holder, OwnClaim, Standing, different_request,
 };
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
+pub use decisions::quarantine::record::{
+    QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport,
+};
+pub use decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
--- /dev/null
+++ b/crates/lycheewood/tests/quarantine.rs
@@ -0,0 +1,171 @@
+//! Requests that crash endpoints: bounds on endpoints lost and on refusals.
+
+use std::cell::Cell;
+
+use lycheewood::{
+    AttemptId, Fingerprint, Incarnation, QuarantineEntry, QuarantineRecord, QuarantineSettings,
+    QuarantineTable, QuarantineVerdict, ReportId, SuspectReport, Timestamp, VersionName,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const QUARANTINE_MS: u64 = 10_000;
+const SETTINGS: QuarantineSettings = QuarantineSettings {
+    clock_skew_ms: 100,
+    max_trial_ms: 2_000,
+    max_quarantine_ms: QUARANTINE_MS,
+    max_cases: 100,
+};
+
+fn ms(unix_ms: u64) -> Timestamp {
+    Timestamp::from_unix_ms(unix_ms)
+}
+
+fn attempt(sequence: u64) -> AttemptId {
+    AttemptId { incarnation: Incarnation(1), sequence }
+}
+
+fn request(n: u8) -> Fingerprint {
+    Fingerprint::from([n; 16])
+}
+
+fn report(crash: u64, requests: &[u8], ran_alone: bool, version: Option<&str>) -> SuspectReport {
+    SuspectReport {
+        report: ReportId { incarnation: Incarnation(crash), sequence: 1 },
+        fingerprints: requests.iter().map(|n| request(*n)).collect(),
+        ran_alone,
+        version: version.map(VersionName::new),
+        quarantine_ms: QUARANTINE_MS,
+    }
+}
+
+fn fold(table: &mut QuarantineTable, at_ms: u64, entry: QuarantineEntry) -> bool {
+    table.fold(table.next_offset(), ms(at_ms), &QuarantineRecord::new(entry).to_json())
+}
+
+fn trial(sequence: u64, version: Option<&str>) -> QuarantineEntry {
+    let (attempt, version) = (attempt(sequence), version.map(VersionName::new));
+    QuarantineEntry::Trial { fingerprint: request(1), attempt, version, duration_ms: 2_000 }
+}
+
+fn cleared(sequence: u64) -> QuarantineEntry {
+    QuarantineEntry::Cleared { fingerprint: request(1), attempt: attempt(sequence) }
+}
+
+fn verdict(
+    table: &QuarantineTable,
+    at_ms: u64,
+    sequence: u64,
+    v: Option<&str>,
+) -> QuarantineVerdict {
+    let version = v.map(VersionName::new);
+    table.verdict(&request(1), version.as_ref(), attempt(sequence), ms(at_ms))
+}
+
+/// Guards against two entries trying one suspect at a time, and against a trial running past its end.
+#[test]
+fn one_trial_at_a_time() {
+    let mut table = QuarantineTable::new(SETTINGS);
+    fold(&mut table, 0, QuarantineEntry::Suspects(report(1, &[1, 2], false, None)));
+    assert_eq!(verdict(&table, 0, 1, None), QuarantineVerdict::NeedsTrial);
+    assert!(fold(&mut table, 0, trial(1, None)) && !fold(&mut table, 1, trial(2, None)));
+    let alone = QuarantineVerdict::RunAlone { latest_deadline: ms(1_900) };
+    assert_eq!(verdict(&table, 1, 1, None), alone);
+    assert_eq!(verdict(&table, 1, 2, None), QuarantineVerdict::RefuseUntil(ms(2_000)));
+    // The next trial starts when the first has ended without a result; a late result does not count.
+    assert!(fold(&mut table, 2_000, trial(2, None)) && !fold(&mut table, 2_001, cleared(1)));
+    assert!(fold(&mut table, 2_002, cleared(2)));
+    assert_eq!(verdict(&table, 2_002, 3, None), QuarantineVerdict::Run);
+}
+
+/// Guards against repeated and late reports counting twice or undoing a clearance.
+#[test]
+fn a_repeated_report_counts_once() {
+    let mut table = QuarantineTable::new(SETTINGS);
+    let first = report(1, &[1, 2], false, None);
+    table.warn(&first, ms(0));
+    assert_eq!(verdict(&table, 0, 1, None), QuarantineVerdict::RefuseUntil(ms(QUARANTINE_MS)));
+    assert!(fold(&mut table, 1, QuarantineEntry::Suspects(first.clone())));
+    assert!(!fold(&mut table, 2, QuarantineEntry::Suspects(first.clone())));
+    assert_eq!(verdict(&table, 2, 1, None), QuarantineVerdict::NeedsTrial);
+    fold(&mut table, 3, trial(1, None));
+    fold(&mut table, 4, cleared(1));
+    fold(&mut table, 5, QuarantineEntry::Suspects(first.clone()));
+    table.warn(&first, ms(5));
+    assert_eq!(verdict(&table, 5, 1, None), QuarantineVerdict::Run);
+}
+
+/// Guards against a quarantine that outlives its time or binds a new version.
+#[test]
+fn a_quarantine_ends_by_time_or_version() {
+    let (mut table, old, new) = (QuarantineTable::new(SETTINGS), Some("v1"), Some("v2"));
+    fold(&mut table, 0, QuarantineEntry::Suspects(report(1, &[1], true, old)));
+    assert_eq!(verdict(&table, 9_999, 1, old), QuarantineVerdict::RefuseUntil(ms(10_000)));
+    assert_eq!(verdict(&table, 10_000, 1, old), QuarantineVerdict::NeedsTrial);
+    assert_eq!(verdict(&table, 20_000, 1, old), QuarantineVerdict::Run);
+    assert!(!fold(&mut table, 1, trial(1, old)) && fold(&mut table, 1, trial(2, new)));
+    assert!(fold(&mut table, 2, cleared(2)));
+    assert_eq!(verdict(&table, 3, 3, new), QuarantineVerdict::Run);
+    assert_eq!(verdict(&table, 3, 3, old), QuarantineVerdict::RefuseUntil(ms(10_000)));
+}
+
+/// Guards against a request taking down a third endpoint, and against one that is refused for good.
+///
+/// Request 1 crashes every endpoint that runs it; request 2 is innocent. Copies of both start before
+/// the first crash; each crash is reported, at once or late, in any order, and repeatedly. Nothing is
+/// started in between, and each further quarantine period may cost one more endpoint.
+#[test]
+fn at_most_two_endpoints_are_lost_and_the_innocent_runs() {
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let steps = prop::collection::vec((0..4u8, any::<bool>(), 1..1_500u64), 10..80);
+    let quarantined = Cell::new(0);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(1..4u64, steps), |(copies, steps)| {
+            let mut table = QuarantineTable::new(SETTINGS);
+            let (mut now, mut crashes, mut started) = (0, copies, 0);
+            // The copies that run when the first report comes crash together with it.
+            let mut reports: Vec<_> =
+                (1..=copies).map(|c| report(c, &[1, 2], false, None)).collect();
+            for report in &reports {
+                table.warn(report, ms(now));
+            }
+            for (what, flag, wait_ms) in steps {
+                now += wait_ms;
+                match (what, verdict(&table, now, started, None)) {
+                    (0, _) if !reports.is_empty() => {
+                        let entry = QuarantineEntry::Suspects(reports[0].clone());
+                        fold(&mut table, now, entry);
+                        if flag {
+                            reports.remove(0);
+                        }
+                    }
+                    (1, QuarantineVerdict::NeedsTrial) => {
+                        started += 1;
+                        fold(&mut table, now, trial(started, None));
+                    }
+                    (_, QuarantineVerdict::RunAlone { latest_deadline })
+                        if ms(now) < latest_deadline =>
+                    {
+                        crashes += 1;
+                        let crash = report(100 + crashes, &[1], true, None);
+                        table.warn(&crash, ms(now));
+                        reports.push(crash);
+                    }
+                    // Suspicion has ended, or a report stayed out of the log for a whole period.
+                    (_, QuarantineVerdict::Run) if now >= QUARANTINE_MS => break,
+                    (_, QuarantineVerdict::Run) => crashes += 100,
+                    _ => {}
+                }
+                let bound = copies.max(2) + now / QUARANTINE_MS;
+                prop_assert!(crashes <= bound, "{} endpoints lost at {} ms", crashes, now);
+                quarantined.set(quarantined.get() + u32::from(crashes > copies));
+            }
+            let later = ms(now + 2 * QUARANTINE_MS);
+            let innocent = table.verdict(&request(2), None, attempt(0), later);
+            prop_assert_eq!(innocent, QuarantineVerdict::Run);
+            Ok(())
+        })
+        .unwrap();
+    assert!(quarantined.get() > 0);
+}
