Add membership, entry addresses and the shutdown life cycle

Cause: a leaving instance must receive no new work within seconds, but the platform's list lags and may be down; callers cache entry addresses.

The instance's own word and its connection come before the list. `Leaving` counts even in a stale list, `Absent` only in a fresh one and only after the list's lag. Callers and load watchers choose by rendezvous hash, which needs no agreement and moves only those who used a changed instance. An address stays valid for less than an entry lingers, less the time until all others know that it leaves.

Ruled out: - removing what a stale list omits: an outage of the list would empty the routing tables; - a bound on the time in which a stopping process waits for requests in flight: streams last minutes and must not be cut off; - only the own failure domain for load watching: its loss would leave a daemon without endpoints, so up to half of the places go to others.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -5,4 +5,6 @@
 pub(crate) mod attempts;
 pub(crate) mod claims;
 pub(crate) mod digest;
+pub(crate) mod entries;
+pub(crate) mod membership;
 pub(crate) mod quarantine;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -37,6 +37,12 @@
     ClaimSettings, ClaimTable, ClaimVerdict, Folded, Holder, OwnClaim, Standing, different_request,
 };
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
+pub use decisions::entries::{
+    AdviceSettings, Candidate, EntryAdvice, entry_advice, watched_endpoints,
+};
+pub use decisions::membership::{
+    Connection, Eligibility, InstanceView, Listed, MembershipSettings, eligibility, may_be_told,
+};
 pub use decisions::quarantine::record::{
     QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport,
 };
@@ -53,6 +59,7 @@
 pub use lifecycle::claim::{
     Abandoned, Claim, Granted, Judged, Lost, LostReason, Needed, Permit, Sent,
 };
+pub use lifecycle::shutdown::{Lingering, Refusing, Serving, Shutdown, ShutdownSettings, Stopped};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
--- a/crates/lycheewood/src/lifecycle.rs
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod attempt;
 pub(crate) mod claim;
+pub(crate) mod shutdown;
--- /dev/null
+++ b/crates/lycheewood/tests/membership.rs
@@ -0,0 +1,136 @@
+//! Membership, entry addresses, watched endpoints and planned stops, as tables.
+
+use std::collections::BTreeSet;
+
+use lycheewood::{
+    AdviceSettings, Candidate, Connection, Eligibility, FailureDomain, InstanceId, InstanceView,
+    Listed, MembershipSettings, Shutdown, ShutdownSettings, Timestamp, eligibility, entry_advice,
+    may_be_told, watched_endpoints,
+};
+
+const SETTINGS: MembershipSettings =
+    MembershipSettings { silent_after_ms: 2_000, list_lag_ms: 10_000, list_stale_after_ms: 15_000 };
+const NOW: Timestamp = Timestamp::from_unix_ms(1_000_000);
+
+fn ago(ms: u64) -> Timestamp {
+    Timestamp::from_unix_ms(NOW.unix_ms() - ms)
+}
+
+fn open(opened_ms: u64, frame_ms: u64) -> Connection {
+    Connection::Open { opened: ago(opened_ms), last_frame: ago(frame_ms) }
+}
+
+/// Guards against new work for leaving or silent instances, and against a late or stale list taking
+/// working instances away.
+#[test]
+fn own_word_and_connection_come_before_the_list() {
+    use Connection::{Closed, NeverOpened};
+    use Eligibility::{Draining, Eligible, ListedLeaving, NotConnected, Removed, Silent};
+    use Listed::{Absent, Leaving, Live};
+    let (fresh, stale) = (Some(ago(1_000)), Some(ago(15_000)));
+    let table = [
+        // listed, draining, connection, list received, eligible, told to callers
+        (Live, false, open(60_000, 1_999), fresh, Eligible, true),
+        (Live, false, open(60_000, 2_000), fresh, Silent, false),
+        (Live, true, open(60_000, 0), fresh, Draining, false),
+        (Leaving, false, open(60_000, 0), fresh, ListedLeaving, false),
+        (Leaving, false, open(60_000, 0), stale, ListedLeaving, false),
+        (Absent, false, open(60_000, 0), fresh, Removed, false),
+        (Absent, false, open(10_000, 0), fresh, Eligible, true),
+        (Absent, false, open(60_000, 0), stale, Eligible, true),
+        (Absent, false, open(60_000, 0), None, Eligible, true),
+        (Live, false, Closed, fresh, NotConnected, false),
+        (Live, false, NeverOpened, fresh, NotConnected, true),
+        (Live, true, NeverOpened, fresh, Draining, false),
+        (Absent, false, NeverOpened, stale, NotConnected, false),
+    ];
+    for (row, (listed, draining, connection, list, eligible, told)) in table.into_iter().enumerate()
+    {
+        let view = InstanceView { listed, draining, connection };
+        assert_eq!(eligibility(&view, list, &SETTINGS, NOW), eligible, "row {row}");
+        assert_eq!(may_be_told(&view, list, &SETTINGS, NOW), told, "row {row}");
+    }
+}
+
+struct Fleet {
+    ids: Vec<InstanceId>,
+    domains: Vec<FailureDomain>,
+}
+
+impl Fleet {
+    fn new(instances: usize) -> Self {
+        let ids = (0..instances).map(|n| InstanceId::new(&format!("i{n}"))).collect();
+        Self { ids, domains: ["a", "b", "c"].map(FailureDomain::new).to_vec() }
+    }
+
+    fn candidates(&self) -> Vec<Candidate<'_>> {
+        let pairs = self.ids.iter().zip(self.domains.iter().cycle());
+        pairs
+            .map(|(id, failure_domain)| Candidate { id, address: id.as_str(), failure_domain })
+            .collect()
+    }
+}
+
+const ADVICE: AdviceSettings = AdviceSettings {
+    max_addresses: 3,
+    valid_for_ms: 30_000,
+    entry_linger_ms: 32_000,
+    drain_notice_ms: 3_000,
+};
+
+/// Guards against advice that lies in one failure domain, overloads one entry, moves callers without
+/// need, or is cached longer than a leaving entry lingers.
+#[test]
+fn advice_is_spread_and_stable() {
+    let fleet = Fleet::new(18);
+    let all = fleet.candidates();
+    let mut first = vec![0; all.len()];
+    for caller in (0..1_800).map(|n| n.to_string()) {
+        let advice = entry_advice(&caller, &all, &ADVICE);
+        assert_eq!(advice.valid_for_ms, 29_000);
+        let at = |address: &str| all.iter().position(|c| c.address == address).unwrap();
+        let domains: BTreeSet<_> = advice.addresses.iter().map(|a| at(a) % 3).collect();
+        assert_eq!(domains.len(), 3);
+        first[at(advice.addresses[0])] += 1;
+        // Only callers that used the entry that left get another one.
+        let without: Vec<_> = all.iter().filter(|c| c.address != "i7").copied().collect();
+        let after = entry_advice(&caller, &without, &ADVICE);
+        assert!(after == advice || advice.addresses.contains(&"i7"));
+        assert!(!after.addresses.contains(&"i7"));
+    }
+    // 100 callers each on average; a fair hash stays well within half and double.
+    assert!(first.iter().all(|callers| (50..=200).contains(callers)), "{first:?}");
+    let none = entry_advice("caller", &[], &ADVICE);
+    assert!(none.addresses.is_empty() && none.valid_for_ms == 1_000);
+}
+
+/// Guards against a daemon that watches too many endpoints, only remote ones, or none outside its domain.
+#[test]
+fn watchers_prefer_their_own_domain() {
+    let (large, small) = (Fleet::new(300), Fleet::new(9));
+    let (own, daemon) = (FailureDomain::new("b"), InstanceId::new("entry-1"));
+    // fleet, most, most remote, expected own, expected remote
+    let table =
+        [(&large, 40, 8, 32, 8), (&large, 4, 8, 2, 2), (&small, 40, 2, 3, 6), (&small, 4, 0, 3, 1)];
+    for (fleet, max, max_remote, own_count, remote_count) in table {
+        let all = fleet.candidates();
+        let watched = watched_endpoints(&daemon, &own, &all, max, max_remote);
+        let is_own = watched.iter().filter(|c| *c.failure_domain == own).count();
+        assert_eq!((is_own, watched.len() - is_own), (own_count, remote_count));
+        let ids: BTreeSet<_> = watched.iter().map(|c| c.id).collect();
+        assert_eq!(ids.len(), watched.len());
+    }
+}
+
+/// Guards against a stop that cuts off a request in flight or a caller with a cached address.
+#[test]
+fn a_planned_stop_waits_for_callers_and_streams() {
+    let settings = ShutdownSettings { linger_ms: 32_000, min_refusing_ms: 1_000 };
+    let lingering = Shutdown::serving(settings).announce(NOW);
+    let lingering = lingering.refuse(NOW.plus_ms(31_999)).unwrap_err();
+    let refusing = lingering.refuse(NOW.plus_ms(40_000)).unwrap();
+    assert_eq!(refusing.stops_from(), NOW.plus_ms(41_000));
+    let refusing = refusing.stop(NOW.plus_ms(40_999), 0).unwrap_err();
+    let refusing = refusing.stop(NOW.plus_ms(600_000), 1).unwrap_err();
+    assert!(refusing.stop(NOW.plus_ms(600_000), 0).is_ok());
+}
