Bound what an endpoint remembers of attempts

Cause: an endpoint may vouch for an attempt only if it has forgotten nothing about it, but its memory is bounded. Entries count attempts upwards, so the highest forgotten attempt of an entry process tells which ones may have run; they count as lost, never as never seen. A refusal that finds no room for its promise becomes `Failed`, which is no evidence.

Ruled out: dropping the oldest promises (a delayed `Start` would run after a not-run answer) and a flag that ends all vouching after the first forgotten attempt (every later recovery would stay unknown).

The state machine now uses this memory with room for six attempts. Two claims of one key in one append moved from the machine to the table test `a_late_duplicate_frees_nothing`, which checks which of them holds.

--- a/crates/lycheewood/src/decisions/attempts.rs
+++ b/crates/lycheewood/src/decisions/attempts.rs
@@ -8,6 +8,8 @@
 use crate::ids::{Incarnation, VersionName};
 use crate::wire::message::{RefusedReason, Start, Work};
 
+pub(crate) mod memory;
+
 /// What this endpoint process knows of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Known {
@@ -55,7 +57,7 @@
     pub version: Option<&'e VersionName>,
     /// What runs there.
     pub occupancy: Occupancy,
-    /// Whether the memory for promises is full.
+    /// Whether no further promise can be remembered; see [`crate::AttemptMemory::is_full`].
     pub promises_full: bool,
 }
 
@@ -73,7 +75,7 @@
         /// Until when to remember the attempt as [`Known::Promised`], if at all.
         remember_until: Option<Timestamp>,
     },
-    /// Reply `Failed`: the attempt may have run.
+    /// Reply `Failed`: the attempt may have run, or may still run when a copy of `Start` arrives.
     Fail,
 }
 
@@ -116,6 +118,8 @@
         // The clock does not go back, so a later copy is refused without memory.
         Known::NeverSeen if now >= start.deadline => refuse(RefusedReason::DeadlinePassed, None),
         Known::NeverSeen => match obstacle(endpoint, start) {
+            // A refusal that cannot be remembered must not be evidence.
+            Some(_) if endpoint.promises_full => StartDecision::Fail,
             Some(reason) => refuse(reason, Some(start.deadline)),
             None => StartDecision::Run,
         },
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,7 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::attempts::memory::AttemptMemory;
 pub use decisions::attempts::{
     EndpointView, Known, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
     decide_start,
--- a/crates/lycheewood/tests/claims.rs
+++ b/crates/lycheewood/tests/claims.rs
@@ -3,20 +3,18 @@
 use std::cell::Cell;
 
 use lycheewood::{
-    AttemptId, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord, ClaimSettings,
-    ClaimTable, ClaimVerdict, Fingerprint, Incarnation, Offset, OwnClaim, Refusal, Standing,
-    Timestamp, UnknownCode, WorkspaceName,
+    AttemptId, AttemptMemory, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord,
+    ClaimSettings, ClaimTable, ClaimVerdict, EndpointView, Fingerprint, Incarnation, Known,
+    Occupancy, Offset, OwnClaim, RecoverDecision, Refusal, RefusedReason, Standing, Start,
+    StartDecision, Timestamp, UnknownCode, VersionName, WorkspaceName, decide_ask, decide_start,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-#[path = "claims/op.rs"]
-mod op;
 #[path = "claims/world.rs"]
 mod world;
 
-use op::{Op, Reply};
-use world::{SETTINGS, World, endpoint_name, key, workspace};
+use world::{Op, Reply, SETTINGS, What, World, claim_key, key, op, record, start};
 
 /// Guards against a second run of a key and against a not-run answer for an attempt that ran.
 #[test]
@@ -24,11 +22,11 @@
     let config = Config { cases: 1_000, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let (runs, after_recovery) = (Cell::new(0), Cell::new(0));
-    let ops = prop::collection::vec(op::op(), 40..160);
+    let ops = prop::collection::vec(op(), 40..160);
     TestRunner::new_with_rng(config, rng)
         .run(&ops, |ops| {
             let mut world = World::new();
-            for op in &ops {
+            for op in ops {
                 world.step(op);
                 world.check()?;
             }
@@ -46,24 +44,33 @@
 /// was still fresh, arrives after that at an entry that never saw the first.
 #[test]
 fn an_append_delayed_past_the_window_runs_nothing() {
-    let send = |entry, reply| Op::Send { entry, key: 0, endpoint: 0, twice: false, reply };
-    let work = |entry| Op::Work { entry, reads: true, pauses: false };
-    let (deliver, wait) = (Op::DeliverStart { which: 0, again: false }, |ms| Op::Advance { ms });
-    let first = [send(0, Reply::Arrives), work(0), deliver.clone(), wait(59_000)];
-    let late = [send(1, Reply::Delayed), wait(3_500), Op::DelayedAppend, work(1), deliver];
+    let quiet = Op {
+        what: What::Work,
+        entry: 0,
+        key: 0,
+        endpoint: 0,
+        even: false,
+        likely: true,
+        reply: Reply::Arrives,
+        wait_ms: 59_000,
+    };
+    let other = Op { entry: 1, reply: Reply::Delayed, wait_ms: 3_500, ..quiet };
+    let first = [What::Send, What::Work, What::Deliver, What::Advance];
+    let late = [What::Send, What::Advance, What::Append, What::Work, What::Deliver];
     let mut world = World::new();
-    first.iter().chain(&late).for_each(|op| world.step(op));
+    for op in first.map(|what| Op { what, ..quiet }) {
+        world.step(op);
+    }
+    for op in late.map(|what| Op { what, ..other }) {
+        world.step(op);
+    }
     assert_eq!(world.ran.len(), 1);
 }
 
-fn record(key: ClaimKey, sequence: u64, body: u8) -> ClaimRecord {
-    ClaimRecord {
-        key,
-        attempt: AttemptId { incarnation: Incarnation(1), sequence },
-        endpoint: endpoint_name(0),
-        endpoint_incarnation: Incarnation(9),
-        fingerprint: Fingerprint::from([body; 16]),
-    }
+fn claim(at_ms: u64, sequence: u64, body: u8) -> ClaimRecord {
+    let attempt = AttemptId { incarnation: Incarnation(1), sequence };
+    let record = record(key_at(at_ms), attempt, Incarnation(9), 0);
+    ClaimRecord { fingerprint: Fingerprint::from([body; 16]), ..record }
 }
 
 fn fold(table: &mut ClaimTable, at_ms: u64, entries: &[ClaimEntry]) {
@@ -71,22 +78,23 @@
     table.fold(table.next_offset(), Timestamp::from_unix_ms(at_ms), &payload);
 }
 
-fn claim_key(at_ms: u64) -> ClaimKey {
-    ClaimKey::new(&workspace(), &key(Timestamp::from_unix_ms(at_ms), 0))
+fn key_at(ms: u64) -> ClaimKey {
+    claim_key(&key(Timestamp::from_unix_ms(ms), 0))
 }
 
-/// Guards against a late copy of `Recovered` or `Released` freeing a newer claim.
+/// Guards against the wrong claim of a batch winning, and against a late copy of `Recovered` or `Released` freeing a newer claim.
 #[test]
 fn a_late_duplicate_frees_nothing() {
-    let (mut table, key) = (ClaimTable::new(SETTINGS), claim_key(5));
+    let (mut table, key) = (ClaimTable::new(SETTINGS), key_at(5));
     let first = ClaimPosition { offset: Offset(0), index: 0 };
     let recovered = ClaimEntry::Recovered { key, claim: first };
-    fold(&mut table, 10, &[ClaimEntry::Claim(record(key, 1, 0))]);
+    // In one batch the first claim holds.
+    fold(&mut table, 10, &[1, 3].map(|sequence| ClaimEntry::Claim(claim(5, sequence, 0))));
     // Another process may not release; the holder's promise frees the key for the claim behind it.
     let foreign = ClaimEntry::Released { key, claim: first, by: Incarnation(2) };
     fold(&mut table, 10, &[foreign]);
     assert_eq!(table.holder(&key).unwrap().attempt.sequence, 1);
-    fold(&mut table, 10, &[recovered.clone(), ClaimEntry::Claim(record(key, 2, 0))]);
+    fold(&mut table, 10, &[recovered.clone(), ClaimEntry::Claim(claim(5, 2, 0))]);
     let released = ClaimEntry::Released { key, claim: first, by: Incarnation(1) };
     fold(&mut table, 10, &[recovered, released]);
     let holder = table.holder(&key).unwrap();
@@ -102,9 +110,9 @@
     let [a, ab] = ["a", "ab"].map(WorkspaceName::new);
     assert_ne!(Fingerprint::of(&a, "bc", "", b""), Fingerprint::of(&ab, "c", "", b""));
 
-    let (mut table, key) = (ClaimTable::new(SETTINGS), claim_key(5));
-    let own = record(key, 2, 1);
-    fold(&mut table, 10, &[ClaimEntry::Claim(record(key, 1, 0)), ClaimEntry::Claim(own.clone())]);
+    let mut table = ClaimTable::new(SETTINGS);
+    let own = claim(5, 2, 1);
+    fold(&mut table, 10, &[ClaimEntry::Claim(claim(5, 1, 0)), ClaimEntry::Claim(own.clone())]);
     let position = Some(ClaimPosition { offset: Offset(0), index: 1 });
     let verdict = table.verdict(&OwnClaim { record: &own, position });
     assert_eq!(verdict, ClaimVerdict::DifferentRequest);
@@ -114,7 +122,7 @@
 #[test]
 fn missed_claims_count_as_expired() {
     let any = Fingerprint::from([0; 16]);
-    let standing = |table: &ClaimTable, at_ms| match table.standing(&claim_key(at_ms), &any) {
+    let standing = |table: &ClaimTable, at_ms| match table.standing(&key_at(at_ms), &any) {
         Standing::Free => "free",
         Standing::KeyExpired => "expired",
         _ => "other",
@@ -129,11 +137,7 @@
         assert_eq!([52_000, 52_001].map(|ms| standing(&table, ms)), ["expired", "free"]);
     }
     let mut full = ClaimTable::new(ClaimSettings { max_keys: 1, ..SETTINGS });
-    fold(
-        &mut full,
-        50_000,
-        &[40_000, 41_000].map(|ms| ClaimEntry::Claim(record(claim_key(ms), ms, 0))),
-    );
+    fold(&mut full, 50_000, &[40_000, 41_000].map(|ms| ClaimEntry::Claim(claim(ms, ms, 0))));
     assert_eq!([40_000, 40_001].map(|ms| standing(&full, ms)), ["expired", "free"]);
     fold(&mut full, 101_001, &[]);
     assert!(full.is_empty() && standing(&full, 41_000) == "expired");
@@ -149,3 +153,98 @@
     let expired = check(160_001).unwrap_err();
     assert!(matches!(expired, Refusal::Unknown(u) if u.code == UnknownCode::KeyExpired));
 }
+
+/// Guards against an endpoint that starts what it must not, or vouches for what it cannot know.
+#[test]
+fn an_endpoint_refuses_only_what_it_can_vouch_for() {
+    use Known::{Answered, Lost, NeverSeen, Promised, Running};
+    let (now, v1) = (Timestamp::from_unix_ms(1_000), VersionName::new("v1"));
+    let idle = EndpointView {
+        incarnation: Incarnation(9),
+        draining: false,
+        engine_up: true,
+        version: Some(&v1),
+        occupancy: Occupancy { running: 1, capacity: 2, runs_alone: false },
+        promises_full: false,
+    };
+    let alone = Occupancy { runs_alone: true, ..idle.occupancy };
+    let id = AttemptId { incarnation: Incarnation(1), sequence: 1 };
+    let sent = start(id, Incarnation(9), now.plus_ms(1));
+    let refuse = |reason, until: Option<u64>| StartDecision::Refuse {
+        reason,
+        remember_until: until.map(Timestamp::from_unix_ms),
+    };
+    let draining = EndpointView { draining: true, ..idle };
+    let table = [
+        (idle, NeverSeen, sent.clone(), StartDecision::Run),
+        (draining, Running, sent.clone(), StartDecision::Attach),
+        (idle, Answered, Start { deadline: now, ..sent.clone() }, StartDecision::Attach),
+        (idle, Lost, sent.clone(), StartDecision::Fail),
+        (idle, Promised, sent.clone(), refuse(RefusedReason::Promised, None)),
+        (
+            idle,
+            NeverSeen,
+            Start { deadline: now, ..sent.clone() },
+            refuse(RefusedReason::DeadlinePassed, None),
+        ),
+        (
+            idle,
+            Running,
+            Start { endpoint_incarnation: Incarnation(8), ..sent.clone() },
+            refuse(RefusedReason::OtherIncarnation, None),
+        ),
+        (draining, NeverSeen, sent.clone(), refuse(RefusedReason::Draining, Some(1_001))),
+        (
+            EndpointView { engine_up: false, ..idle },
+            NeverSeen,
+            sent.clone(),
+            refuse(RefusedReason::EngineDown, Some(1_001)),
+        ),
+        (
+            EndpointView { occupancy: alone, ..idle },
+            NeverSeen,
+            sent.clone(),
+            refuse(RefusedReason::Full, Some(1_001)),
+        ),
+        (
+            idle,
+            NeverSeen,
+            Start { run_alone: true, ..sent.clone() },
+            refuse(RefusedReason::Full, Some(1_001)),
+        ),
+        (
+            EndpointView { promises_full: true, ..draining },
+            NeverSeen,
+            sent.clone(),
+            StartDecision::Fail,
+        ),
+    ];
+    for (row, (view, known, start, decision)) in table.into_iter().enumerate() {
+        assert_eq!(decide_start(&view, known, &start, now), decision, "row {row}");
+    }
+    // An `Ask` that overtakes its `Start` gets a promise.
+    let promise = RecoverDecision::Promise {
+        reason: RefusedReason::NeverSeen,
+        remember_until: Some(now.plus_ms(10)),
+    };
+    assert_eq!(decide_ask(&idle, NeverSeen, 10, now), promise);
+}
+
+/// Guards against a forgotten attempt being vouched for, and against promises that are forgotten early.
+#[test]
+fn a_forgotten_attempt_counts_as_lost() {
+    let id = |sequence| AttemptId { incarnation: Incarnation(1), sequence };
+    let (now, mut memory) = (Timestamp::from_unix_ms(0), AttemptMemory::new(2));
+    memory.promise(id(1), Some(now.plus_ms(10)));
+    for sequence in [3, 4] {
+        memory.start(id(sequence));
+        memory.end(id(sequence), true);
+    }
+    let known = [1, 2, 3, 4, 5].map(|sequence| memory.known(id(sequence), now));
+    let expected = [Known::Promised, Known::Lost, Known::Lost, Known::Answered, Known::NeverSeen];
+    assert_eq!(known, expected);
+    memory.promise(id(5), Some(now.plus_ms(10)));
+    assert!(memory.is_full());
+    memory.expire(now.plus_ms(10));
+    assert!(!memory.is_full());
+}
--- a/crates/lycheewood/tests/claims/world.rs
+++ b/crates/lycheewood/tests/claims/world.rs
@@ -3,16 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lycheewood::{
-    Abandoned, Attempt, AttemptId, Claim, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition,
-    ClaimRecord, ClaimSettings, ClaimTable, EndpointView, Fingerprint, Granted, Holder,
-    Incarnation, InstanceId, Judged, Known, LostReason, Occupancy, Offset, Permit, Planned,
+    Abandoned, Attempt, AttemptId, AttemptMemory, Claim, ClaimBatch, ClaimEntry, ClaimKey,
+    ClaimPosition, ClaimRecord, ClaimSettings, ClaimTable, EndpointView, Fingerprint, Granted,
+    Holder, Incarnation, InstanceId, Judged, LostReason, Occupancy, Offset, Permit, Planned,
     RecoverDecision, RecoveryReply, RecoveryStep, RefusedReason, RequestKey, Sent, Start,
     StartDecision, TargetName, Timestamp, Work, WorkspaceName, decide_recover, decide_start,
     recovery_step,
 };
 use proptest::prelude::*;
-
-use crate::op::{Op, Reply};
+use proptest::sample::select;
 
 pub(crate) const SETTINGS: ClaimSettings =
     ClaimSettings { key_window_ms: 60_000, clock_skew_ms: 1_000, max_keys: 64 };
@@ -20,6 +19,58 @@
 /// Half of the allowed skew to either side of the true time, so that any two clocks differ by at most it.
 const SKEWS_MS: [i64; 3] = [-500, 0, 500];
 
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Reply {
+    Arrives,
+    Lost,
+    Delayed,
+    Never,
+}
+
+#[derive(Clone, Copy, Debug)]
+#[rustfmt::skip]
+pub(crate) enum What {
+    NewKey, Send, Work, Deliver, Recover, Finish, Advance, Append, Log, Drain, Restart, Replace,
+}
+
+/// One event. `entry` and `endpoint` are indexes, `key` counts back from the newest key; each event uses
+/// the fields that it needs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Op {
+    pub(crate) what: What,
+    pub(crate) entry: usize,
+    pub(crate) key: usize,
+    pub(crate) endpoint: usize,
+    pub(crate) even: bool,
+    pub(crate) likely: bool,
+    pub(crate) reply: Reply,
+    pub(crate) wait_ms: u64,
+}
+
+pub(crate) fn op() -> impl Strategy<Value = Op> {
+    use Reply::{Arrives, Delayed, Lost, Never};
+    use What::{Advance, Append, Deliver, Drain, Finish, Log, NewKey, Recover, Replace, Restart};
+    use What::{Send, Work};
+    let often = [Send, Send, Send, Work, Work, Work, Work, Deliver, Deliver, Recover, Recover];
+    let seldom = [Advance, Append, Finish, NewKey, Restart, Advance, Append, Finish, NewKey];
+    let whats = [&often[..], &often, &often, &often, &seldom, &[Log, Drain, Replace]].concat();
+    let replies = vec![Arrives, Arrives, Arrives, Arrives, Lost, Lost, Delayed, Delayed, Never];
+    let waits_ms = vec![20, 20, 20, 1_500, 1_500, 6_000, 29_000, 58_500];
+    let flags = (any::<bool>(), prop::bool::weighted(0.75));
+    let op =
+        (select(whats), 0..3usize, 0..2usize, 0..2usize, flags, select(replies), select(waits_ms));
+    op.prop_map(|(what, entry, key, endpoint, (even, likely), reply, wait_ms)| Op {
+        what,
+        entry,
+        key,
+        endpoint,
+        even,
+        likely,
+        reply,
+        wait_ms,
+    })
+}
+
 enum Stage {
     Sent(Claim<Sent>, Attempt<Planned>),
     Granted(Claim<Granted>, Attempt<Planned>),
@@ -43,7 +94,8 @@
 struct Endpoint {
     incarnation: Incarnation,
     draining: bool,
-    known: BTreeMap<AttemptId, (Known, Timestamp)>,
+    running: Vec<AttemptId>,
+    memory: AttemptMemory,
 }
 
 #[derive(Default)]
@@ -51,7 +103,7 @@
     now_ms: u64,
     processes: u64,
     log: Vec<(Timestamp, String)>,
-    log_up: bool,
+    log_down: bool,
     delayed: Vec<String>,
     entries: Vec<Entry>,
     endpoints: Vec<Endpoint>,
@@ -61,30 +113,52 @@
     /// One element for each run.
     pub(crate) ran: Vec<AttemptId>,
     not_run: BTreeSet<AttemptId>,
-    /// Runs of a key after an earlier claim of it was recovered.
-    pub(crate) runs_after_recovery: u32,
+    /// Keys of which an earlier claim was recovered, and runs of them after that.
     recovered: BTreeSet<ClaimKey>,
+    pub(crate) runs_after_recovery: usize,
 }
 
-const FOREVER: Timestamp = Timestamp::from_unix_ms(u64::MAX);
-
 /// A version 7 key created at `at`; `n` makes it unique.
 pub(crate) fn key(at: Timestamp, n: usize) -> RequestKey {
     let time = format!("{:012x}", at.unix_ms());
     RequestKey::try_from(format!("{}-{}-7000-8000-{n:012x}", &time[..8], &time[8..])).unwrap()
 }
 
-pub(crate) fn workspace() -> WorkspaceName {
-    WorkspaceName::new("night")
+pub(crate) fn claim_key(key: &RequestKey) -> ClaimKey {
+    ClaimKey::new(&WorkspaceName::new("night"), key)
+}
+
+pub(crate) fn record(
+    key: ClaimKey,
+    attempt: AttemptId,
+    meant: Incarnation,
+    on: usize,
+) -> ClaimRecord {
+    let (endpoint, fingerprint) = (InstanceId::new(&on.to_string()), Fingerprint::from([0; 16]));
+    ClaimRecord { key, attempt, endpoint, endpoint_incarnation: meant, fingerprint }
 }
 
-pub(crate) fn endpoint_name(endpoint: usize) -> InstanceId {
-    InstanceId::new(&endpoint.to_string())
+pub(crate) fn start(attempt: AttemptId, meant: Incarnation, deadline: Timestamp) -> Start {
+    let (method, path) = ("POST".into(), "/next".into());
+    let (content_type, body) = (String::new(), Vec::new());
+    let service = TargetName::new("serials");
+    Start {
+        attempt,
+        endpoint_incarnation: meant,
+        fingerprint: [0; 16],
+        key: None,
+        claim_offset: None,
+        deadline,
+        priority: 0,
+        run_alone: false,
+        work: Work::Service { service, method, path, content_type, body },
+        traceparent: None,
+    }
 }
 
 impl World {
     pub(crate) fn new() -> Self {
-        let mut world = Self { now_ms: 1_000_000, log_up: true, ..Self::default() };
+        let mut world = Self { now_ms: 1_000_000, ..Self::default() };
         world.entries = (0..3).map(|_| world.new_entry()).collect();
         world.endpoints = (0..2).map(|_| world.new_endpoint()).collect();
         world.keys = vec![key(world.clock(2), 0), key(world.clock(0), 1)];
@@ -97,17 +171,13 @@
     }
 
     fn new_entry(&mut self) -> Entry {
-        Entry {
-            incarnation: self.new_incarnation(),
-            sequence: 0,
-            table: ClaimTable::new(SETTINGS),
-            flights: Vec::new(),
-            abandoned: Vec::new(),
-        }
+        let (incarnation, table) = (self.new_incarnation(), ClaimTable::new(SETTINGS));
+        Entry { incarnation, sequence: 0, table, flights: Vec::new(), abandoned: Vec::new() }
     }
 
     fn new_endpoint(&mut self) -> Endpoint {
-        Endpoint { incarnation: self.new_incarnation(), draining: false, known: BTreeMap::new() }
+        let (incarnation, memory) = (self.new_incarnation(), AttemptMemory::new(6));
+        Endpoint { incarnation, draining: false, running: Vec::new(), memory }
     }
 
     fn clock(&self, which: usize) -> Timestamp {
@@ -123,8 +193,8 @@
         let payload = ClaimBatch::new(entries).to_json();
         match reply {
             Reply::Delayed => self.delayed.push(payload),
-            Reply::Arrives if self.log_up => return Some(self.arrive(payload)),
-            Reply::Lost if self.log_up => drop(self.arrive(payload)),
+            Reply::Arrives if !self.log_down => return Some(self.arrive(payload)),
+            Reply::Lost if !self.log_down => drop(self.arrive(payload)),
             _ => {}
         }
         None
@@ -132,166 +202,120 @@
 
     /// Folds all readable records. Records expire as soon as the settings allow.
     fn read(&mut self, entry: usize) {
-        if !self.log_up {
-            return;
-        }
         let now = self.clock(1);
-        let table = &mut self.entries[entry].table;
         for (index, (appended, payload)) in self.log.iter().enumerate() {
-            if now.ms_since(*appended) <= SETTINGS.min_retention_ms() {
-                table.fold(Offset(index as u64), *appended, payload);
+            if !self.log_down && now.ms_since(*appended) <= SETTINGS.min_retention_ms() {
+                self.entries[entry].table.fold(Offset(index as u64), *appended, payload);
             }
         }
     }
 
-    fn plan(&mut self, entry: usize, key: ClaimKey, endpoint: usize) -> ClaimEntry {
-        let e = &mut self.entries[entry];
+    /// Claims a key in one append, behind the entries of `batch`.
+    fn claim(&mut self, at: Op, key: ClaimKey, mut batch: Vec<ClaimEntry>) {
+        let e = &mut self.entries[at.entry];
         e.sequence += 1;
         let id = AttemptId { incarnation: e.incarnation, sequence: e.sequence };
         self.key_of.insert(id, key);
-        let deadline = self.clock(entry).plus_ms(MAX_DEADLINE_MS);
-        let claim = Claim::new(ClaimRecord {
-            key,
-            attempt: id,
-            endpoint: endpoint_name(endpoint),
-            endpoint_incarnation: self.endpoints[endpoint].incarnation,
-            fingerprint: Fingerprint::from([0; 16]),
-        });
-        let (record, claim) = claim.send();
-        let stage = Stage::Sent(claim, Attempt::plan(id));
-        self.entries[entry].flights.push(Flight { key, deadline, stage });
-        record
-    }
-
-    /// Claims for `count` attempts in one append, behind the entries of `batch`.
-    fn claim(
-        &mut self,
-        entry: usize,
-        key: ClaimKey,
-        endpoint: usize,
-        count: usize,
-        reply: Reply,
-        mut batch: Vec<ClaimEntry>,
-    ) {
-        let (begin, first) = (self.entries[entry].flights.len(), batch.len());
-        batch.extend((0..count).map(|_| self.plan(entry, key, endpoint)));
-        let Some(offset) = self.append(batch, reply) else { return };
-        let planned = self.entries[entry].flights.split_off(begin);
-        for (flight, index) in planned.into_iter().zip(u32::try_from(first).unwrap()..) {
-            let Stage::Sent(claim, attempt) = flight.stage else { unreachable!() };
-            let stage = Stage::Sent(claim.appended(ClaimPosition { offset, index }), attempt);
-            self.entries[entry].flights.push(Flight { stage, ..flight });
+        let record = record(key, id, self.endpoints[at.endpoint].incarnation, at.endpoint);
+        let (entry, mut claim) = Claim::new(record).send();
+        let index = u32::try_from(batch.len()).unwrap();
+        batch.push(entry);
+        if let Some(offset) = self.append(batch, at.reply) {
+            claim = claim.appended(ClaimPosition { offset, index });
         }
+        let deadline = self.clock(at.entry).plus_ms(MAX_DEADLINE_MS);
+        let stage = Stage::Sent(claim, Attempt::plan(id));
+        self.entries[at.entry].flights.push(Flight { key, deadline, stage });
     }
 
-    fn send(&mut self, entry: usize, key: usize, endpoint: usize, twice: bool, reply: Reply) {
-        let key = self.keys[self.keys.len() - 1 - key];
-        if SETTINGS.check_key(&key, self.clock(entry)).is_ok() {
-            let key = ClaimKey::new(&workspace(), &key);
-            self.claim(entry, key, endpoint, 1 + usize::from(twice), reply, Vec::new());
+    fn send(&mut self, at: Op) {
+        let key = self.keys[self.keys.len() - 1 - at.key];
+        if SETTINGS.check_key(&key, self.clock(at.entry)).is_ok() {
+            self.claim(at, claim_key(&key), Vec::new());
         }
     }
 
     /// Lets an entry act on what it has read. One that pauses does so between grant and dispatch.
     fn work(&mut self, entry: usize, pauses: bool) {
-        let now = self.clock(entry);
-        for mut flight in std::mem::take(&mut self.entries[entry].flights) {
-            let table = &self.entries[entry].table;
-            flight.stage = match flight.stage {
-                Stage::Sent(claim, attempt) if now >= flight.deadline => {
-                    self.entries[entry].abandoned.push(claim.abandon());
-                    self.not_run.insert(attempt.id());
-                    continue;
-                }
-                Stage::Sent(claim, attempt) => match claim.judge(table) {
-                    Judged::Waiting(claim) => Stage::Sent(claim, attempt),
-                    Judged::Granted(claim) if pauses => Stage::Granted(claim, attempt),
-                    Judged::Granted(claim) => {
-                        self.dispatch(claim, attempt, flight.deadline);
-                        continue;
-                    }
-                    Judged::Lost(claim) => {
-                        let reason = claim.reason().clone();
-                        self.entries[entry].abandoned.push(claim.abandon());
-                        self.not_run.insert(attempt.id());
-                        let LostReason::HeldBy(holder) = reason else { continue };
-                        Stage::Held(holder, RecoveryReply::NotAsked)
-                    }
-                },
-                Stage::Granted(claim, attempt) => {
-                    self.dispatch(claim, attempt, flight.deadline);
-                    continue;
-                }
-                held @ Stage::Held(..) => held,
-            };
-            self.entries[entry].flights.push(flight);
+        for flight in std::mem::take(&mut self.entries[entry].flights) {
+            if let Some(stage) = self.advance(entry, flight.stage, flight.deadline, pauses) {
+                self.entries[entry].flights.push(Flight { stage, ..flight });
+            }
         }
         let e = &self.entries[entry];
         let release: Vec<_> = e.abandoned.iter().filter_map(|a| a.release(&e.table)).collect();
-        if !release.is_empty() {
-            self.append(release, Reply::Arrives);
-        }
+        self.append(release, Reply::Arrives);
     }
 
-    fn dispatch(&mut self, claim: Claim<Granted>, attempt: Attempt<Planned>, deadline: Timestamp) {
-        let (attempt, permit) = claim.dispatch(attempt).unwrap();
-        let start = Start {
-            attempt: attempt.id(),
-            endpoint_incarnation: permit.endpoint_incarnation,
-            fingerprint: [0; 16],
-            key: None,
-            claim_offset: Some(permit.claim.offset),
-            deadline,
-            priority: 0,
-            run_alone: false,
-            work: Work::Service {
-                service: TargetName::new("serials"),
-                method: "POST".into(),
-                path: "/next".into(),
-                content_type: String::new(),
-                body: Vec::new(),
+    fn advance(
+        &mut self,
+        entry: usize,
+        stage: Stage,
+        deadline: Timestamp,
+        pauses: bool,
+    ) -> Option<Stage> {
+        let late = self.clock(entry) >= deadline;
+        let e = &mut self.entries[entry];
+        match stage {
+            Stage::Sent(claim, attempt) if late => {
+                e.abandoned.push(claim.abandon());
+                self.not_run.insert(attempt.id());
+            }
+            Stage::Sent(claim, attempt) => match claim.judge(&e.table) {
+                Judged::Waiting(claim) => return Some(Stage::Sent(claim, attempt)),
+                Judged::Granted(claim) if pauses => return Some(Stage::Granted(claim, attempt)),
+                Judged::Granted(claim) => self.dispatch(claim, attempt, deadline),
+                Judged::Lost(claim) => {
+                    let reason = claim.reason().clone();
+                    e.abandoned.push(claim.abandon());
+                    self.not_run.insert(attempt.id());
+                    let LostReason::HeldBy(holder) = reason else { return None };
+                    return Some(Stage::Held(holder, RecoveryReply::NotAsked));
+                }
             },
-            traceparent: None,
-        };
-        let endpoint = permit.endpoint.as_str().parse().unwrap();
-        self.starts.push((endpoint, start, permit));
+            Stage::Granted(claim, attempt) => self.dispatch(claim, attempt, deadline),
+            held @ Stage::Held(..) => return Some(held),
+        }
+        None
     }
 
-    fn known(&self, endpoint: usize, attempt: AttemptId) -> Known {
-        let now = self.clock(2 - endpoint);
-        let known = self.endpoints[endpoint].known.get(&attempt);
-        known.filter(|(_, until)| *until > now).map_or(Known::NeverSeen, |(known, _)| *known)
+    fn dispatch(&mut self, claim: Claim<Granted>, attempt: Attempt<Planned>, deadline: Timestamp) {
+        let (attempt, permit) = claim.dispatch(attempt).unwrap();
+        let start = start(attempt.id(), permit.endpoint_incarnation, deadline);
+        self.starts.push((permit.endpoint.as_str().parse().unwrap(), start, permit));
     }
 
     fn view(&self, endpoint: usize) -> EndpointView<'static> {
         let e = &self.endpoints[endpoint];
-        let running = e.known.values().filter(|(known, _)| *known == Known::Running).count();
-        let running = u32::try_from(running).unwrap();
+        let running = u32::try_from(e.running.len()).unwrap();
         EndpointView {
             incarnation: e.incarnation,
             draining: e.draining,
             engine_up: true,
             version: None,
             occupancy: Occupancy { running, capacity: 2, runs_alone: false },
-            promises_full: false,
+            promises_full: e.memory.is_full(),
         }
     }
 
     /// Delivers a `Start` in any order. A copy may stay in the network.
     fn deliver_start(&mut self, which: usize, again: bool) {
-        if self.starts.is_empty() {
-            return;
-        }
-        let which = which % self.starts.len();
+        let Some(which) = which.checked_rem(self.starts.len()) else { return };
         let (endpoint, start, permit) = self.starts[which].clone();
         if !again {
             self.starts.remove(which);
         }
-        let (known, now) = (self.known(endpoint, start.attempt), self.clock(2 - endpoint));
-        match decide_start(&self.view(endpoint), known, &start, now) {
-            StartDecision::Run => self.run(endpoint, start.attempt),
+        let (view, now) = (self.view(endpoint), self.clock(2 - endpoint));
+        let e = &mut self.endpoints[endpoint];
+        match decide_start(&view, e.memory.known(start.attempt, now), &start, now) {
+            StartDecision::Run => {
+                e.memory.start(start.attempt);
+                e.running.push(start.attempt);
+                self.ran.push(start.attempt);
+                self.runs_after_recovery += usize::from(self.recovered.contains(&permit.key));
+            }
             StartDecision::Refuse { reason, remember_until } => {
-                self.remember(endpoint, start.attempt, Known::Promised, remember_until);
+                e.memory.promise(start.attempt, remember_until);
                 // With a copy elsewhere, a refusal by another process is no evidence.
                 if reason != RefusedReason::OtherIncarnation {
                     self.recovered.insert(permit.key);
@@ -303,39 +327,25 @@
         }
     }
 
-    fn remember(&mut self, on: usize, attempt: AttemptId, known: Known, until: Option<Timestamp>) {
-        let known = until.map(|until| (attempt, (known, until)));
-        self.endpoints[on].known.extend(known);
-    }
-
-    fn run(&mut self, endpoint: usize, attempt: AttemptId) {
-        self.remember(endpoint, attempt, Known::Running, Some(FOREVER));
-        self.ran.push(attempt);
-        self.runs_after_recovery += u32::from(self.recovered.contains(&self.key_of[&attempt]));
-    }
-
     /// Asks the endpoint about the latest claim that blocks a request of this entry.
-    fn recover(&mut self, entry: usize, reaches: bool) {
-        let flights = &self.entries[entry].flights;
-        let Some(at) = flights.iter().rposition(|f| matches!(f.stage, Stage::Held(..))) else {
-            return;
-        };
-        let flight = self.entries[entry].flights.remove(at);
+    fn recover(&mut self, at: Op) {
+        let flights = &mut self.entries[at.entry].flights;
+        let blocked = flights.iter().rposition(|f| matches!(f.stage, Stage::Held(..)));
+        let Some(flight) = blocked.map(|index| flights.remove(index)) else { return };
         let Stage::Held(holder, reply) = flight.stage else { unreachable!() };
-        let now = self.clock(entry);
+        let now = self.clock(at.entry);
         match recovery_step(&flight.key, &holder, reply, flight.deadline, now) {
             RecoveryStep::Ask | RecoveryStep::Wait => {
-                let reply = if reaches { self.ask(&holder) } else { RecoveryReply::NoAnswer };
+                let reply = if at.likely { self.ask(&holder) } else { RecoveryReply::NoAnswer };
                 let stage = Stage::Held(holder, reply);
-                self.entries[entry].flights.push(Flight { stage, ..flight });
+                self.entries[at.entry].flights.push(Flight { stage, ..flight });
                 if reply == RecoveryReply::Promised {
-                    self.recover(entry, reaches);
+                    self.recover(at);
                 }
             }
             RecoveryStep::ClaimAnew(free) => {
                 self.recovered.insert(flight.key);
-                let endpoint = holder.endpoint.as_str().parse().unwrap();
-                self.claim(entry, flight.key, endpoint, 1, Reply::Arrives, vec![free]);
+                self.claim(Op { reply: Reply::Arrives, ..at }, flight.key, vec![free]);
             }
             RecoveryStep::Relay | RecoveryStep::Unknown(_) => {}
         }
@@ -343,12 +353,13 @@
 
     fn ask(&mut self, holder: &Holder) -> RecoveryReply {
         let endpoint: usize = holder.endpoint.as_str().parse().unwrap();
-        let (known, now) = (self.known(endpoint, holder.attempt), self.clock(2 - endpoint));
+        let (view, now) = (self.view(endpoint), self.clock(2 - endpoint));
         let max_ms = MAX_DEADLINE_MS + SETTINGS.clock_skew_ms;
-        let meant = holder.endpoint_incarnation;
-        match decide_recover(&self.view(endpoint), known, meant, max_ms, now) {
+        let memory = &mut self.endpoints[endpoint].memory;
+        let known = memory.known(holder.attempt, now);
+        match decide_recover(&view, known, holder.endpoint_incarnation, max_ms, now) {
             RecoverDecision::Promise { remember_until, .. } => {
-                self.remember(endpoint, holder.attempt, Known::Promised, remember_until);
+                memory.promise(holder.attempt, remember_until);
                 self.not_run.insert(holder.attempt);
                 RecoveryReply::Promised
             }
@@ -358,39 +369,32 @@
         }
     }
 
-    pub(crate) fn step(&mut self, op: &Op) {
-        match *op {
-            Op::NewKey => {
-                let next = key(self.clock(self.keys.len() % 3), self.keys.len());
-                self.keys.push(next);
-            }
-            Op::Send { entry, key, endpoint, twice, reply } => {
-                self.send(entry, key, endpoint, twice, reply);
-            }
-            Op::Work { entry, reads, pauses } => {
-                if reads {
-                    self.read(entry);
+    pub(crate) fn step(&mut self, op: Op) {
+        match op.what {
+            What::NewKey => self.keys.push(key(self.clock(self.keys.len() % 3), self.keys.len())),
+            What::Send => self.send(op),
+            What::Work => {
+                if op.likely {
+                    self.read(op.entry);
                 }
-                self.work(entry, pauses);
+                self.work(op.entry, op.even);
             }
-            Op::DeliverStart { which, again } => self.deliver_start(which, again),
-            Op::Recover { entry, reaches } => self.recover(entry, reaches),
-            Op::FinishRun { endpoint, lost } => {
-                let known = self.endpoints[endpoint].known.values_mut();
-                for (known, _) in known.filter(|(known, _)| *known == Known::Running) {
-                    *known = if lost { Known::Lost } else { Known::Answered };
-                }
+            What::Deliver => self.deliver_start(op.entry, op.even),
+            What::Recover => self.recover(op),
+            What::Finish => {
+                let Endpoint { running, memory, .. } = &mut self.endpoints[op.endpoint];
+                running.drain(..).for_each(|attempt| memory.end(attempt, op.even));
             }
-            Op::Advance { ms } => self.now_ms += ms,
-            Op::DelayedAppend => {
+            What::Advance => self.now_ms += op.wait_ms,
+            What::Append => {
                 if let Some(payload) = self.delayed.pop() {
                     self.arrive(payload);
                 }
             }
-            Op::LogUp(up) => self.log_up = up,
-            Op::Drain { endpoint, on } => self.endpoints[endpoint].draining = on,
-            Op::RestartEndpoint { endpoint } => self.endpoints[endpoint] = self.new_endpoint(),
-            Op::RestartEntry { entry } => self.entries[entry] = self.new_entry(),
+            What::Log => self.log_down = !op.likely,
+            What::Drain => self.endpoints[op.endpoint].draining = !op.likely,
+            What::Restart => self.endpoints[op.endpoint] = self.new_endpoint(),
+            What::Replace => self.entries[op.entry] = self.new_entry(),
         }
     }
 
--- a/crates/lycheewood/tests/membership.rs
+++ b/crates/lycheewood/tests/membership.rs
@@ -52,23 +52,15 @@
     }
 }
 
-struct Fleet {
-    ids: Vec<InstanceId>,
-    domains: Vec<FailureDomain>,
+/// Instances that alternate between three failure domains.
+fn fleet(instances: usize) -> Vec<(InstanceId, FailureDomain)> {
+    let domains = ["a", "b", "c"].into_iter().cycle().map(FailureDomain::new);
+    (0..instances).map(|n| InstanceId::new(&format!("i{n}"))).zip(domains).collect()
 }
 
-impl Fleet {
-    fn new(instances: usize) -> Self {
-        let ids = (0..instances).map(|n| InstanceId::new(&format!("i{n}"))).collect();
-        Self { ids, domains: ["a", "b", "c"].map(FailureDomain::new).to_vec() }
-    }
-
-    fn candidates(&self) -> Vec<Candidate<'_>> {
-        let pairs = self.ids.iter().zip(self.domains.iter().cycle());
-        pairs
-            .map(|(id, failure_domain)| Candidate { id, address: id.as_str(), failure_domain })
-            .collect()
-    }
+fn candidates(fleet: &[(InstanceId, FailureDomain)]) -> Vec<Candidate<'_>> {
+    let one = |(id, failure_domain)| Candidate { id, address: id.as_str(), failure_domain };
+    fleet.iter().map(|(id, domain)| one((id, domain))).collect()
 }
 
 const ADVICE: AdviceSettings = AdviceSettings {
@@ -82,8 +74,8 @@
 /// need, or is cached longer than a leaving entry lingers.
 #[test]
 fn advice_is_spread_and_stable() {
-    let fleet = Fleet::new(18);
-    let all = fleet.candidates();
+    let fleet = fleet(18);
+    let all = candidates(&fleet);
     let mut first = vec![0; all.len()];
     for caller in (0..1_800).map(|n| n.to_string()) {
         let advice = entry_advice(&caller, &all, &ADVICE);
@@ -107,13 +99,13 @@
 /// Guards against a daemon that watches too many endpoints, only remote ones, or none outside its domain.
 #[test]
 fn watchers_prefer_their_own_domain() {
-    let (large, small) = (Fleet::new(300), Fleet::new(9));
+    let (large, small) = (fleet(300), fleet(9));
     let (own, daemon) = (FailureDomain::new("b"), InstanceId::new("entry-1"));
     // fleet, most, most remote, expected own, expected remote
     let table =
         [(&large, 40, 8, 32, 8), (&large, 4, 8, 2, 2), (&small, 40, 2, 3, 6), (&small, 4, 0, 3, 1)];
     for (fleet, max, max_remote, own_count, remote_count) in table {
-        let all = fleet.candidates();
+        let all = candidates(fleet);
         let watched = watched_endpoints(&daemon, &own, &all, max, max_remote);
         let is_own = watched.iter().filter(|c| *c.failure_domain == own).count();
         assert_eq!((is_own, watched.len() - is_own), (own_count, remote_count));
