--- a/crates/lycheewood/tests/claims/world.rs
+++ b/crates/lycheewood/tests/claims/world.rs
@@ -210,28 +210,36 @@
         }
     }
 
-    /// Claims a key in one append, behind the entries of `batch`.
-    fn claim(&mut self, at: Op, key: ClaimKey, mut batch: Vec<ClaimEntry>) {
+    /// Claims a key for `count` attempts in one append, behind the entries of `batch`.
+    fn claim(&mut self, at: Op, key: ClaimKey, count: usize, mut batch: Vec<ClaimEntry>) {
+        let first = u32::try_from(batch.len()).unwrap();
+        let planned: Vec<_> = (0..count).map(|_| self.plan(at, key)).collect();
+        batch.extend(planned.iter().map(|(entry, _)| entry.clone()));
+        let offset = self.append(batch, at.reply);
+        let deadline = self.clock(at.entry).plus_ms(MAX_DEADLINE_MS);
+        for ((_, mut claim), index) in planned.into_iter().zip(first..) {
+            if let Some(offset) = offset {
+                claim = claim.appended(ClaimPosition { offset, index });
+            }
+            let attempt = Attempt::plan(claim.record().attempt);
+            let stage = Stage::Sent(claim, attempt);
+            self.entries[at.entry].flights.push(Flight { key, deadline, stage });
+        }
+    }
+
+    fn plan(&mut self, at: Op, key: ClaimKey) -> (ClaimEntry, Claim<Sent>) {
         let e = &mut self.entries[at.entry];
         e.sequence += 1;
         let id = AttemptId { incarnation: e.incarnation, sequence: e.sequence };
         self.key_of.insert(id, key);
-        let record = record(key, id, self.endpoints[at.endpoint].incarnation, at.endpoint);
-        let (entry, mut claim) = Claim::new(record).send();
-        let index = u32::try_from(batch.len()).unwrap();
-        batch.push(entry);
-        if let Some(offset) = self.append(batch, at.reply) {
-            claim = claim.appended(ClaimPosition { offset, index });
-        }
-        let deadline = self.clock(at.entry).plus_ms(MAX_DEADLINE_MS);
-        let stage = Stage::Sent(claim, Attempt::plan(id));
-        self.entries[at.entry].flights.push(Flight { key, deadline, stage });
+        let meant = self.endpoints[at.endpoint].incarnation;
+        Claim::new(record(key, id, meant, at.endpoint)).send()
     }
 
     fn send(&mut self, at: Op) {
         let key = self.keys[self.keys.len() - 1 - at.key];
         if SETTINGS.check_key(&key, self.clock(at.entry)).is_ok() {
-            self.claim(at, claim_key(&key), Vec::new());
+            self.claim(at, claim_key(&key), if at.likely { 1 } else { 2 }, Vec::new());
         }
     }
 
@@ -345,7 +353,7 @@
             }
             RecoveryStep::ClaimAnew(free) => {
                 self.recovered.insert(flight.key);
-                self.claim(Op { reply: Reply::Arrives, ..at }, flight.key, vec![free]);
+                self.claim(Op { reply: Reply::Arrives, ..at }, flight.key, 1, vec![free]);
             }
             RecoveryStep::Relay | RecoveryStep::Unknown(_) => {}
         }
