--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -40,6 +40,7 @@
 pub use decisions::admission::{
     Admission, AdmissionPolicy, AdmissionRequest, Admitted, Brownout, TargetLoad, admit,
 };
+pub use decisions::attempts::memory::AttemptMemory;
 pub use decisions::attempts::{
     EndpointView, Known, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
     decide_start,
@@ -59,7 +60,17 @@
     PlacementChange, PlacementVerdict, PlacementView, decide_placement,
 };
 // Under its own name: other log streams have records, pages and states as well.
+pub use decisions::entries::{
+    AdviceSettings, EntryAdvice, InstanceCandidate, entry_advice, watched_endpoints,
+};
+pub use decisions::membership::{
+    Connection, Eligibility, InstanceView, Listed, MembershipSettings, eligibility, may_be_told,
+};
 pub use decisions::publication;
+pub use decisions::quarantine::record::{
+    QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport,
+};
+pub use decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
 pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
 pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
@@ -82,6 +93,7 @@
 pub use lifecycle::claim::{
     Abandoned, Claim, Granted, Judged, Lost, LostReason, Needed, Permit, Sent,
 };
+pub use lifecycle::shutdown::{Lingering, Refusing, Serving, Shutdown, ShutdownSettings, Stopped};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use roles::StartError;
 pub use roles::endpoint::Endpoint;
