--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -84,9 +84,11 @@
 async fn connection(tcp: TcpStream, state: Arc<EntryState>, mut stop: watch::Receiver<bool>) {
     let _ = tcp.set_nodelay(true);
     let bounds = state.settings.bounds;
+    // Callers are told entries by their address, the same ones each time.
+    let caller = tcp.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
     let service = service_fn(|request| {
-        let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(handle(state, request).await) }
+        let (state, caller) = (Arc::clone(&state), caller.as_str());
+        async move { Ok::<_, Infallible>(handle(state, caller, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -105,14 +107,17 @@
     }
 }
 
-async fn handle(state: Arc<EntryState>, request: HttpRequest<Incoming>) -> Response<ReplyBody> {
-    let peer = request.headers().get("x-caller").and_then(|v| v.to_str().ok()).map(str::to_owned);
+async fn handle(
+    state: Arc<EntryState>,
+    caller: &str,
+    request: HttpRequest<Incoming>,
+) -> Response<ReplyBody> {
     let asked = match decode::decode(request, &state.settings.bounds).await {
         Ok(asked) => asked,
         Err(error) => return encode::decode_error(&error),
     };
     match asked {
-        Asked::Entries => encode::entries(&state, peer.as_deref().unwrap_or_default()),
+        Asked::Entries => encode::entries(&state, caller),
         Asked::Outcome(request, key) => {
             let inquiry = filters::inquire::run(&state, &request, key).await;
             encode::inquiry(&state, inquiry).await
@@ -126,10 +131,7 @@
     request: &Arc<Request>,
     delivery: Delivery,
 ) -> Response<ReplyBody> {
-    state.metrics.requests_in_flight.inc();
-    let result = filters::run(state, request).await;
-    state.metrics.requests_in_flight.dec();
-    match result {
+    match filters::run(state, request).await {
         Ok(answer) => encode::answer(state, request, answer, delivery).await,
         Err(refusal) => {
             encode::count(state, &refusal);
--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -12,12 +12,16 @@
 
 use crate::adapters::caller::decode::CallerError;
 use crate::adapters::caller::{Delivery, ReplyBody};
+use crate::adapters::instance_list::ListedInstance;
+use crate::decisions::entries::{AdviceSettings, InstanceCandidate, entry_advice};
 use crate::filters::inquire::Inquiry;
 use crate::filters::relay::{Answer, Piece, Relay};
 use crate::filters::request::Request;
 use crate::outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown};
-use crate::roles::entry::EntryState;
+use crate::roles::entry::{EntryState, Phase};
 
+/// The most entry addresses that a caller is told.
+const MAX_ADDRESSES: usize = 6;
 const JSON: &str = "application/json";
 const EVENTS: &str = "text/event-stream";
 
@@ -37,14 +41,32 @@
 }
 
 /// Which entries to use and for how long.
-pub(crate) fn entries(state: &EntryState, _caller: &str) -> Response<ReplyBody> {
+pub(crate) fn entries(state: &EntryState, caller: &str) -> Response<ReplyBody> {
     let members = state.members.load();
-    let entries: Vec<Value> = members
+    let own = &state.settings.instance;
+    let told: Vec<(String, &ListedInstance)> = members
         .live_entries()
-        .map(|entry| json!({"address": entry.address, "failure_domain": entry.failure_domain}))
+        .filter(|entry| &entry.id != own || state.phase() == Phase::Serving)
+        .map(|entry| (entry.address.to_string(), entry))
         .collect();
-    let valid_for_ms = state.settings.timing.entries_valid_ms;
-    json_reply(StatusCode::OK, &json!({"entries": entries, "valid_for_ms": valid_for_ms}))
+    let candidates: Vec<InstanceCandidate<'_>> = told
+        .iter()
+        .map(|(address, entry)| InstanceCandidate {
+            id: &entry.id,
+            address,
+            failure_domain: &entry.failure_domain,
+        })
+        .collect();
+    let timing = &state.settings.timing;
+    let settings = AdviceSettings {
+        max_addresses: MAX_ADDRESSES,
+        valid_for_ms: timing.entries_valid_ms,
+        entry_linger_ms: timing.entry_linger_ms,
+        drain_notice_ms: timing.drain_notice_ms,
+    };
+    let advice = entry_advice(caller, &candidates, &settings);
+    let body = json!({"entries": advice.addresses, "valid_for_ms": advice.valid_for_ms});
+    json_reply(StatusCode::OK, &body)
 }
 
 /// The error object of a refusal, the same in replies and in streams.
--- a/crates/lycheewood/src/adapters/peer/connection.rs
+++ b/crates/lycheewood/src/adapters/peer/connection.rs
@@ -102,6 +102,14 @@
         }
     }
 
+    /// Closes the connection after what has been sent.
+    pub(crate) async fn close(&mut self) -> Result<(), ConnectionError> {
+        match timeout(self.silence, self.socket.close(None)).await {
+            Ok(result) => result.map_err(|e| transport(&e)),
+            Err(_) => Err(self.silent()),
+        }
+    }
+
     async fn send_heartbeat(&mut self) -> Result<(), ConnectionError> {
         self.heartbeats_sent += 1;
         self.feed(&Frame::Heartbeat(self.heartbeats_sent)).await?;
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -20,6 +20,7 @@
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::document::DocumentController;
 use crate::controllers::load::{LinkEvent, LoadHandle};
+use crate::controllers::quarantine::{QuarantineController, Warn};
 use crate::decisions::estimate::Estimate;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, Offset};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
@@ -236,6 +237,7 @@
     pub(crate) timing: Timing,
     pub(crate) load: LoadHandle,
     pub(crate) documents: ActorRef<DocumentController>,
+    pub(crate) quarantine: ActorRef<QuarantineController>,
 }
 
 /// Starts a link on the present runtime; it ends when `stop` closes.
@@ -551,7 +553,7 @@
                 self.config.load.send(LinkEvent::Draining { instance: instance.clone() });
             }
             Frame::Suspects(suspects) => {
-                self.config.load.send(LinkEvent::Suspects { suspects });
+                let _ = self.config.quarantine.tell(Warn(suspects.into())).try_send();
             }
             Frame::DocumentState(state) => documents::accept(&self.config.documents, &state),
             // Frames that only endpoints receive, or that are handled before.
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -24,7 +24,7 @@
 /// Frames that wait for the socket before their senders wait.
 const OUT_QUEUE: usize = 1_024;
 
-/// Accepts entries until `stop` is set, then closes the connections.
+/// Accepts entries until `stop` is set, then waits until every connection has sent its answers.
 pub(crate) async fn serve(
     listener: TcpListener,
     state: Arc<EndpointState>,
@@ -35,21 +35,29 @@
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((tcp, _)) = accepted else { continue };
-                let state = Arc::clone(&state);
+                let (state, stop) = (Arc::clone(&state), stop.clone());
                 connections.spawn(async move {
-                    if let Err(ConnectionError::Silent { .. }) = connection(tcp, &state).await {
+                    if let Err(ConnectionError::Silent { .. }) = connection(tcp, &state, stop).await
+                    {
                         state.metrics.connections_silent.inc();
                     }
                 });
             }
             // Takes finished connections out of the set.
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
-            () = stopped(&mut stop) => return Ok(()),
+            () = stopped(&mut stop) => break,
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+    Ok(())
 }
 
-async fn connection(tcp: TcpStream, state: &Arc<EndpointState>) -> Result<(), ConnectionError> {
+async fn connection(
+    tcp: TcpStream,
+    state: &Arc<EndpointState>,
+    stop: watch::Receiver<bool>,
+) -> Result<(), ConnectionError> {
     let transport = |reason: String| ConnectionError::Transport { reason };
     tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
     let timing = state.settings.timing;
@@ -66,23 +74,22 @@
     if let Some(question) = documents::question(&state.documents).await {
         let _ = out.try_send(question);
     }
-    let session = Session { state: Arc::clone(state), out, forwarders: HashMap::new() };
-    session.run(connection, frames).await
+    let session = Session {
+        state: Arc::clone(state),
+        out,
+        forwarders: JoinSet::new(),
+        by_attempt: HashMap::new(),
+    };
+    session.run(connection, frames, stop).await
 }
 
 /// One connection and the answers that are sent on it.
 struct Session {
     state: Arc<EndpointState>,
     out: mpsc::Sender<Frame>,
-    forwarders: HashMap<AttemptId, AbortHandle>,
-}
-
-impl Drop for Session {
-    fn drop(&mut self) {
-        for forwarder in self.forwarders.values() {
-            forwarder.abort();
-        }
-    }
+    /// Tasks that send answers; they end with the session.
+    forwarders: JoinSet<()>,
+    by_attempt: HashMap<AttemptId, AbortHandle>,
 }
 
 impl Session {
@@ -90,8 +97,13 @@
         mut self,
         mut connection: Connection,
         mut frames: mpsc::Receiver<Frame>,
+        mut stop: watch::Receiver<bool>,
     ) -> Result<(), ConnectionError> {
+        let mut stopping = false;
         loop {
+            if stopping && self.forwarders.is_empty() && frames.is_empty() {
+                return connection.close().await;
+            }
             tokio::select! {
                 frame = connection.receive() => self.handle(frame?).await,
                 Some(frame) = frames.recv() => {
@@ -101,12 +113,15 @@
                     }
                     connection.flush().await?;
                 }
+                () = stopped(&mut stop), if !stopping => stopping = true,
+                Some(_) = self.forwarders.join_next(), if !self.forwarders.is_empty() => {
+                    self.by_attempt.retain(|_, forwarder| !forwarder.is_finished());
+                }
             }
         }
     }
 
     async fn handle(&mut self, frame: Frame) {
-        self.forwarders.retain(|_, forwarder| !forwarder.is_finished());
         let attempts = &self.state.attempts;
         match frame {
             Frame::Start(start) => {
@@ -127,7 +142,7 @@
                 self.answer(recover.attempt, verdict.unwrap_or(Verdict::Silent), 0);
             }
             Frame::Cancel(attempt) => {
-                if let Some(forwarder) = self.forwarders.remove(&attempt) {
+                if let Some(forwarder) = self.by_attempt.remove(&attempt) {
                     forwarder.abort();
                 }
                 execution::cancel(&self.state, attempt);
@@ -166,22 +181,32 @@
     /// Sends an answer as it grows. A later question after the same attempt replaces the first.
     fn forward(&mut self, attempt: AttemptId, buffer: Arc<AnswerBuffer>, from: u64) {
         let out = self.out.clone();
-        let task = tokio::spawn(async move {
-            if out.send(Frame::Accepted(attempt)).await.is_err() {
-                return;
-            }
-            let mut reader = buffer.reader(from);
-            while let Some(frames) = reader.frames(&buffer).await {
-                for frame in frames {
-                    let last = is_final(&frame);
-                    if out.send(frame).await.is_err() || last {
-                        return;
-                    }
-                }
-            }
+        let forwarder = self.forwarders.spawn(async move {
+            // A connection that has ended needs no more frames.
+            let _ = send_answer(&out, attempt, &buffer, from).await;
         });
-        if let Some(former) = self.forwarders.insert(attempt, task.abort_handle()) {
+        if let Some(former) = self.by_attempt.insert(attempt, forwarder) {
             former.abort();
         }
     }
 }
+
+async fn send_answer(
+    out: &mpsc::Sender<Frame>,
+    attempt: AttemptId,
+    buffer: &AnswerBuffer,
+    from: u64,
+) -> Result<(), mpsc::error::SendError<Frame>> {
+    out.send(Frame::Accepted(attempt)).await?;
+    let mut reader = buffer.reader(from);
+    while let Some(frames) = reader.frames(buffer).await {
+        for frame in frames {
+            let last = is_final(&frame);
+            out.send(frame).await?;
+            if last {
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -9,6 +9,7 @@
 pub(crate) mod document;
 pub(crate) mod load;
 pub(crate) mod membership;
+pub(crate) mod quarantine;
 pub(crate) mod tail;
 
 use std::time::Duration;
@@ -23,7 +24,7 @@
 pub(crate) struct Progress {
     /// Version of the document in force.
     pub(crate) version: Option<Offset>,
-    /// Endpoints with a working connection.
+    /// Endpoints with a working connection and room for requests.
     pub(crate) endpoints: usize,
 }
 
--- a/crates/lycheewood/src/controllers/attempts.rs
+++ b/crates/lycheewood/src/controllers/attempts.rs
@@ -3,35 +3,44 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
 use tokio::sync::{mpsc, watch};
 
+use crate::adapters::log::LogClient;
 use crate::answer::AnswerBuffer;
 use crate::clock::{Clock, Timestamp};
+use crate::controllers::document::DocumentInForce;
+use crate::controllers::quarantine::append_report;
+use crate::decisions::attempts::memory::AttemptMemory;
 use crate::decisions::attempts::{
-    EndpointView, Known, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
+    EndpointView, Occupancy, RecoverDecision, StartDecision, decide_ask, decide_recover,
     decide_start,
 };
+use crate::decisions::quarantine::record::{ReportId, SuspectReport};
 use crate::ids::{AttemptId, Incarnation, VersionName};
 use crate::metrics::Metrics;
 use crate::settings::Timing;
 use crate::wire::message::{Ask, Frame, Hello, Load, Recover, RefusedReason, Start, Suspects};
 
-/// The most promises that are remembered at once. A promise takes about 100 bytes.
-const MAX_PROMISES: usize = 100_000;
+/// Attempts that are remembered; about 100 bytes each. Well above what comes within one deadline.
+const MAX_REMEMBERED: usize = 100_000;
+/// The longest deadline while no document is in force. Promises are kept at least that long.
+const FALLBACK_MAX_DEADLINE_MS: u64 = 3_600_000;
+/// Quarantine while no document is in force.
+const FALLBACK_QUARANTINE_MS: u64 = 3_600_000;
 
-/// What is known of one attempt.
+/// An attempt that runs, or whose answer is still buffered.
 struct Entry {
-    known: Known,
-    buffer: Option<Arc<AnswerBuffer>>,
+    buffer: Arc<AnswerBuffer>,
     fingerprint: [u8; 16],
     alone: bool,
-    /// When the entry may be dropped; not while the attempt runs.
-    forget_at: Timestamp,
+    running: bool,
+    /// When the answer may be dropped; not while the attempt runs.
+    drop_at: Timestamp,
 }
 
 /// What a connection is to do with a `Start`, an `Ask` or a `Recover`.
@@ -62,10 +71,13 @@
     EngineDied,
 }
 
-/// Messages to the controller.
+/// An entry asks for an attempt to be run.
 pub(crate) struct Begin(pub(crate) Box<Start>);
+/// An entry asks after its attempt.
 pub(crate) struct AskAfter(pub(crate) Ask);
+/// An entry asks for the result of another entry's attempt, or a promise.
 pub(crate) struct RecoverAfter(pub(crate) Recover);
+/// An execution has ended.
 pub(crate) struct Ended {
     pub(crate) attempt: AttemptId,
     pub(crate) end: ExecutionEnd,
@@ -77,6 +89,7 @@
 }
 /// The engine's load, or `None` when it does not respond.
 pub(crate) struct Backend(pub(crate) Option<Load>);
+/// The process is leaving.
 pub(crate) struct Drain;
 
 /// State of the endpoint as others see it.
@@ -87,25 +100,6 @@
     pub(crate) engine_up: bool,
 }
 
-/// Owns what this process knows of attempts.
-#[derive(Actor)]
-pub(crate) struct AttemptsController {
-    incarnation: Incarnation,
-    version: Option<VersionName>,
-    capacity: u32,
-    timing: Timing,
-    clock: Clock,
-    metrics: Arc<Metrics>,
-    attempts: HashMap<AttemptId, Entry>,
-    running: u32,
-    promises: usize,
-    draining: bool,
-    engine_up: bool,
-    peers: Vec<Attach>,
-    published_peers: Arc<ArcSwap<Vec<Hello>>>,
-    status: watch::Sender<EndpointStatus>,
-}
-
 /// What the controller is started with.
 pub(crate) struct AttemptsConfig {
     pub(crate) incarnation: Incarnation,
@@ -114,10 +108,27 @@
     pub(crate) timing: Timing,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
+    pub(crate) log: LogClient,
     /// Connected entries, as others see them.
     pub(crate) peers: Arc<ArcSwap<Vec<Hello>>>,
 }
 
+/// Owns what this process knows of attempts.
+#[derive(Actor)]
+pub(crate) struct AttemptsController {
+    config: AttemptsConfig,
+    memory: AttemptMemory,
+    entries: HashMap<AttemptId, Entry>,
+    running: u32,
+    draining: bool,
+    engine_up: bool,
+    crashes: u64,
+    load: Load,
+    peers: Vec<Attach>,
+    status: watch::Sender<EndpointStatus>,
+}
+
 impl AttemptsController {
     /// Starts the controller on the present runtime.
     pub(crate) fn start(
@@ -125,71 +136,54 @@
     ) -> (ActorRef<Self>, watch::Receiver<EndpointStatus>) {
         let (status, status_receiver) = watch::channel(EndpointStatus::default());
         let controller = Self {
-            incarnation: config.incarnation,
-            version: config.version,
-            capacity: config.capacity,
-            timing: config.timing,
-            clock: config.clock,
-            metrics: config.metrics,
-            attempts: HashMap::new(),
+            config,
+            memory: AttemptMemory::new(MAX_REMEMBERED),
+            entries: HashMap::new(),
             running: 0,
-            promises: 0,
             draining: false,
             engine_up: false,
+            crashes: 0,
+            load: Load::default(),
             peers: Vec::new(),
-            published_peers: config.peers,
             status,
         };
         (Self::spawn_with_mailbox(controller, mailbox::unbounded()), status_receiver)
     }
 
-    fn known(&self, attempt: AttemptId) -> Known {
-        self.attempts.get(&attempt).map_or(Known::NeverSeen, |entry| entry.known)
+    fn now(&self) -> Timestamp {
+        self.config.clock.now()
     }
 
     fn view(&self) -> EndpointView<'_> {
         EndpointView {
-            incarnation: self.incarnation,
+            incarnation: self.config.incarnation,
             draining: self.draining,
             engine_up: self.engine_up,
-            version: self.version.as_ref(),
+            version: self.config.version.as_ref(),
             occupancy: Occupancy {
                 running: self.running,
-                capacity: self.capacity,
-                runs_alone: self.attempts.values().any(|e| e.alone && e.known == Known::Running),
+                capacity: self.config.capacity,
+                runs_alone: self.entries.values().any(|entry| entry.alone && entry.running),
             },
-            promises_full: self.promises >= MAX_PROMISES,
+            promises_full: self.memory.is_full(),
         }
     }
 
     fn attach(&self, attempt: AttemptId) -> Verdict {
-        match self.attempts.get(&attempt).and_then(|entry| entry.buffer.clone()) {
-            Some(buffer) => Verdict::Attach(buffer),
+        match self.entries.get(&attempt) {
+            Some(entry) => Verdict::Attach(Arc::clone(&entry.buffer)),
             None => Verdict::Fail,
         }
     }
 
-    fn promise(&mut self, attempt: AttemptId, until: Timestamp) {
-        self.promises += 1;
-        let entry = Entry {
-            known: Known::Promised,
-            buffer: None,
-            fingerprint: [0; 16],
-            alone: false,
-            forget_at: until,
-        };
-        self.attempts.insert(attempt, entry);
-    }
-
     fn begin(&mut self, start: &Start) -> Verdict {
-        let now = self.clock.now();
-        match decide_start(&self.view(), self.known(start.attempt), start, now) {
+        let now = self.now();
+        let known = self.memory.known(start.attempt, now);
+        match decide_start(&self.view(), known, start, now) {
             StartDecision::Run => self.run(start),
             StartDecision::Attach => self.attach(start.attempt),
             StartDecision::Refuse { reason, remember_until } => {
-                if let Some(until) = remember_until {
-                    self.promise(start.attempt, until);
-                }
+                self.memory.promise(start.attempt, remember_until);
                 Verdict::Refuse(reason)
             }
             StartDecision::Fail => Verdict::Fail,
@@ -199,24 +193,32 @@
     fn run(&mut self, start: &Start) -> Verdict {
         let buffer = Arc::new(AnswerBuffer::new(start));
         let entry = Entry {
-            known: Known::Running,
-            buffer: Some(Arc::clone(&buffer)),
+            buffer: Arc::clone(&buffer),
             fingerprint: start.fingerprint,
             alone: start.run_alone,
-            forget_at: start.deadline.plus_ms(self.timing.result_keep_ms),
+            running: true,
+            drop_at: start.deadline.plus_ms(self.config.timing.result_keep_ms),
         };
-        self.attempts.insert(start.attempt, entry);
+        self.entries.insert(start.attempt, entry);
+        self.memory.start(start.attempt);
         self.running += 1;
         self.publish();
         Verdict::Run(buffer)
     }
 
+    /// The longest deadline that an entry may give, plus the clock skew.
+    fn max_deadline_ms(&self) -> u64 {
+        let document = self.config.document.load();
+        let max_ms = document
+            .as_ref()
+            .map_or(FALLBACK_MAX_DEADLINE_MS, |document| document.document.deadlines.max_ms);
+        max_ms.saturating_add(self.config.timing.clock_skew_ms)
+    }
+
     fn recover(&mut self, attempt: AttemptId, decision: RecoverDecision) -> Verdict {
         match decision {
             RecoverDecision::Promise { reason, remember_until } => {
-                if let Some(until) = remember_until {
-                    self.promise(attempt, until);
-                }
+                self.memory.promise(attempt, remember_until);
                 Verdict::Refuse(reason)
             }
             RecoverDecision::Attach => self.attach(attempt),
@@ -227,42 +229,43 @@
 
     fn ended(&mut self, attempt: AttemptId, end: ExecutionEnd) {
         if end == ExecutionEnd::EngineDied {
-            self.report_suspects();
+            self.report_crash();
         }
-        let forget_at = self.clock.now().plus_ms(self.timing.result_keep_ms);
-        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
-        if entry.known != Known::Running {
+        let drop_at = self.now().plus_ms(self.config.timing.result_keep_ms);
+        let Some(entry) = self.entries.get_mut(&attempt).filter(|entry| entry.running) else {
             return;
-        }
-        entry.known = match end {
-            ExecutionEnd::Answered => Known::Answered,
-            ExecutionEnd::NotStarted => Known::Promised,
-            ExecutionEnd::Failed | ExecutionEnd::EngineDied => Known::Lost,
         };
-        entry.forget_at = entry.forget_at.max(forget_at);
-        if end == ExecutionEnd::NotStarted {
-            entry.buffer = None;
-            self.promises += 1;
-        }
+        entry.running = false;
+        entry.drop_at = entry.drop_at.max(drop_at);
         self.running -= 1;
+        // An attempt of which nothing was sent counts as ended without an answer. Its entry is told that
+        // it never ran; who asks later learns only that it may have.
+        self.memory.end(attempt, end == ExecutionEnd::Answered);
         self.publish();
     }
 
-    /// Tells all entries which requests were in flight when the engine died, once for each death.
-    fn report_suspects(&mut self) {
+    /// Tells all entries and the log which requests were in flight, once for each death of the engine.
+    fn report_crash(&mut self) {
         if !self.engine_up {
             return;
         }
         self.engine_up = false;
+        self.crashes += 1;
         log::warn!("engine died attempts_in_flight={}", self.running);
-        let running: Vec<&Entry> =
-            self.attempts.values().filter(|entry| entry.known == Known::Running).collect();
-        let suspects = Suspects {
+        let running: Vec<&Entry> = self.entries.values().filter(|entry| entry.running).collect();
+        let document = self.config.document.load();
+        let report = SuspectReport {
+            report: ReportId { incarnation: self.config.incarnation, sequence: self.crashes },
             ran_alone: running.len() == 1 && running[0].alone,
-            fingerprints: running.iter().map(|entry| entry.fingerprint).collect(),
+            fingerprints: running.iter().map(|entry| entry.fingerprint.into()).collect(),
+            version: self.config.version.clone(),
+            quarantine_ms: document
+                .as_ref()
+                .map_or(FALLBACK_QUARANTINE_MS, |document| document.document.quarantine_ms),
         };
-        self.metrics.suspects_reported.inc_by(suspects.fingerprints.len() as u64);
-        self.broadcast(&Frame::Suspects(suspects));
+        self.config.metrics.suspects_reported.inc_by(report.fingerprints.len() as u64);
+        self.broadcast(&Frame::Suspects(Suspects::from(&report)));
+        append_report(self.config.log.clone(), report, self.config.timing);
     }
 
     /// Sends a frame to every connected entry. One whose queue is full is behind and loses it.
@@ -283,14 +286,21 @@
 
     fn publish_peers(&self) {
         let entries = self.peers.iter().map(|peer| peer.entry.clone()).collect();
-        self.published_peers.store(Arc::new(entries));
+        self.config.peers.store(Arc::new(entries));
     }
 
+    /// Drops answers that nobody will ask for and promises that nobody needs.
     fn expire(&mut self) {
-        let now = self.clock.now();
-        self.attempts.retain(|_, entry| entry.known == Known::Running || entry.forget_at > now);
-        self.promises =
-            self.attempts.values().filter(|entry| entry.known == Known::Promised).count();
+        let now = self.now();
+        let memory = &mut self.memory;
+        self.entries.retain(|attempt, entry| {
+            let keep = entry.running || entry.drop_at > now;
+            if !keep {
+                memory.drop_answer(*attempt);
+            }
+            keep
+        });
+        memory.expire(now);
     }
 
     fn publish(&self) {
@@ -314,8 +324,9 @@
     type Reply = Verdict;
 
     async fn handle(&mut self, AskAfter(ask): AskAfter, _: &mut Context<Self, Verdict>) -> Verdict {
-        let keep_ms = self.timing.result_keep_ms;
-        let decision = decide_ask(&self.view(), self.known(ask.attempt), keep_ms, self.clock.now());
+        let now = self.now();
+        let known = self.memory.known(ask.attempt, now);
+        let decision = decide_ask(&self.view(), known, self.max_deadline_ms(), now);
         self.recover(ask.attempt, decision)
     }
 }
@@ -328,10 +339,10 @@
         RecoverAfter(recover): RecoverAfter,
         _: &mut Context<Self, Verdict>,
     ) -> Verdict {
-        let known = self.known(recover.attempt);
+        let now = self.now();
+        let known = self.memory.known(recover.attempt, now);
         let meant = recover.endpoint_incarnation;
-        let keep_ms = self.timing.result_keep_ms;
-        let decision = decide_recover(&self.view(), known, meant, keep_ms, self.clock.now());
+        let decision = decide_recover(&self.view(), known, meant, self.max_deadline_ms(), now);
         self.recover(recover.attempt, decision)
     }
 }
@@ -351,6 +362,7 @@
         if self.draining {
             let _ = peer.frames.try_send(Frame::Draining);
         }
+        let _ = peer.frames.try_send(Frame::Load(self.load));
         self.peers.retain(|known| !known.frames.is_closed());
         self.peers.push(peer);
         self.publish_peers();
@@ -367,9 +379,9 @@
             self.engine_up = load.is_some();
             log::info!("engine state changed up={}", self.engine_up);
         }
-        if let Some(load) = load {
-            self.broadcast(&Frame::Load(load));
-        }
+        // A backend that does not respond has no room, so that entries choose another endpoint.
+        self.load = load.unwrap_or_default();
+        self.broadcast(&Frame::Load(self.load));
         self.publish();
     }
 }
--- a/crates/lycheewood/src/controllers/load.rs
+++ b/crates/lycheewood/src/controllers/load.rs
@@ -16,7 +16,7 @@
 use crate::controllers::Progress;
 use crate::ids::{EndpointKindName, Incarnation, InstanceId, VersionName};
 use crate::metrics::Metrics;
-use crate::wire::message::{Hello, Load, Suspects};
+use crate::wire::message::{Hello, Load};
 
 /// What a link tells the controllers.
 #[derive(Debug)]
@@ -26,7 +26,6 @@
     Removed { instance: InstanceId },
     Load { instance: InstanceId, load: Load },
     Draining { instance: InstanceId },
-    Suspects { suspects: Suspects },
 }
 
 /// A connected endpoint.
@@ -39,7 +38,7 @@
     pub(crate) admin_address: Option<SocketAddr>,
     pub(crate) draining: bool,
     pub(crate) load: Load,
-    pub(crate) load_received: Timestamp,
+    pub(crate) opened: Timestamp,
 }
 
 /// All connected endpoints.
@@ -87,7 +86,8 @@
         let mut endpoints: Vec<EndpointView> = self.endpoints.values().cloned().collect();
         endpoints.sort_by(|a, b| a.link.instance.cmp(&b.link.instance));
         self.metrics.endpoints_connected.set(i64::try_from(endpoints.len()).unwrap_or(i64::MAX));
-        let connected = endpoints.len();
+        // An endpoint takes requests once it has reported room.
+        let connected = endpoints.iter().filter(|e| e.load.capacity > 0).count();
         self.published.store(Arc::new(EndpointTable { endpoints }));
         self.progress.send_if_modified(|progress| {
             std::mem::replace(&mut progress.endpoints, connected) != connected
@@ -105,7 +105,7 @@
             admin_address: hello.admin_address,
             draining: false,
             load: Load::default(),
-            load_received: self.clock.now(),
+            opened: self.clock.now(),
         };
         self.endpoints.insert(instance, view);
     }
@@ -131,10 +131,8 @@
                 self.endpoints.remove(&instance);
             }
             LinkEvent::Load { instance, load } => {
-                let now = self.clock.now();
                 if let Some(endpoint) = self.endpoints.get_mut(&instance) {
                     endpoint.load = load;
-                    endpoint.load_received = now;
                 }
             }
             LinkEvent::Draining { instance } => {
@@ -143,9 +141,6 @@
                     log::info!("endpoint draining instance={instance}");
                 }
             }
-            LinkEvent::Suspects { suspects } => {
-                self.metrics.suspects_reported.inc_by(suspects.fingerprints.len() as u64);
-            }
         }
         self.publish();
     }
--- a/crates/lycheewood/src/controllers/membership.rs
+++ b/crates/lycheewood/src/controllers/membership.rs
@@ -15,18 +15,43 @@
 
 use crate::adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 use crate::adapters::peer::link::{LinkConfig, spawn_link};
+use crate::clock::{Clock, Timestamp};
+use crate::decisions::membership::{Listed, MembershipSettings};
 use crate::ids::InstanceId;
 use crate::metrics::Metrics;
 use crate::settings::Timing;
 use crate::wire::message::Role;
 
 /// Instances as the list last showed them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Members {
     pub(crate) list: ListPage,
+    /// When the list last answered, if it ever did.
+    pub(crate) received: Option<Timestamp>,
+    pub(crate) settings: MembershipSettings,
+    by_id: HashMap<InstanceId, ListedState>,
 }
 
 impl Members {
+    /// No instances, before the list has answered.
+    pub(crate) fn empty(timing: &Timing) -> Self {
+        let settings = MembershipSettings {
+            silent_after_ms: timing.silence_ms,
+            list_lag_ms: timing.list_lag_ms,
+            list_stale_after_ms: 2 * timing.long_poll_ms,
+        };
+        Self { list: ListPage::default(), received: None, settings, by_id: HashMap::new() }
+    }
+
+    /// What the list says of an instance.
+    pub(crate) fn listed(&self, instance: &InstanceId) -> Listed {
+        match self.by_id.get(instance) {
+            Some(ListedState::Live) => Listed::Live,
+            Some(ListedState::Leaving) => Listed::Leaving,
+            None => Listed::Absent,
+        }
+    }
+
     /// Entries that the list shows as live.
     pub(crate) fn live_entries(&self) -> impl Iterator<Item = &ListedInstance> {
         self.list.instances.iter().filter(|i| i.role == Role::Entry && i.state == ListedState::Live)
@@ -40,6 +65,8 @@
     published: Arc<ArcSwap<Members>>,
     link_config: LinkConfig,
     traffic: Handle,
+    clock: Clock,
+    version: u64,
 }
 
 impl MembershipController {
@@ -49,10 +76,12 @@
         published: Arc<ArcSwap<Members>>,
         link_config: LinkConfig,
         traffic: Handle,
+        clock: Clock,
         metrics: Arc<Metrics>,
     ) {
         let timing = link_config.timing;
-        let controller = Self { links: HashMap::new(), published, link_config, traffic };
+        let controller =
+            Self { links: HashMap::new(), published, link_config, traffic, clock, version: 0 };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
         tokio::spawn(read_list(client, actor, timing, metrics));
     }
@@ -90,8 +119,14 @@
     type Reply = ();
 
     async fn handle(&mut self, page: ListPage, _: &mut Context<Self, ()>) {
-        self.update_links(&page);
-        self.published.store(Arc::new(Members { list: page }));
+        if page.version > self.version {
+            self.version = page.version;
+            self.update_links(&page);
+        }
+        let by_id = page.instances.iter().map(|i| (i.id.clone(), i.state)).collect();
+        let settings = self.published.load().settings;
+        let received = Some(self.clock.now());
+        self.published.store(Arc::new(Members { list: page, received, settings, by_id }));
     }
 }
 
@@ -105,11 +140,12 @@
     let mut version = 0;
     while actor.is_alive() {
         match client.read(version, timing.long_poll_ms).await {
-            Ok(page) if page.version > version => {
+            // A list that answers with an older version is behind; it is read again.
+            Ok(page) if page.version >= version => {
                 version = page.version;
                 let _ = actor.tell(page).try_send();
             }
-            Ok(_) => {}
+            Ok(_) => metrics.list_errors.inc(),
             Err(_) => {
                 metrics.list_errors.inc();
                 let bound_ms = timing.reconnect_max_ms.max(2);
--- /dev/null
+++ b/crates/lycheewood/src/controllers/quarantine.rs
@@ -0,0 +1,219 @@
+//! The quarantine controller of an entry: requests that crash endpoints.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+
+use crate::adapters::log::{LogClient, LogPage};
+use crate::clock::{Clock, Timestamp};
+use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::decisions::digest::Fingerprint;
+use crate::decisions::publication::{Page, is_faulty};
+use crate::decisions::quarantine::record::{QuarantineEntry, QuarantineRecord, SuspectReport};
+use crate::decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
+use crate::ids::{AttemptId, Offset, VersionName};
+use crate::metrics::Metrics;
+use crate::settings::Timing;
+
+/// The stream that carries suspects, trials and clearances.
+pub(crate) const QUARANTINE: &str = "quarantine";
+/// The longest trial that counts.
+const MAX_TRIAL_MS: u64 = 600_000;
+/// The most suspects kept; about 200 bytes each.
+const MAX_CASES: usize = 10_000;
+/// Appends of one report before it is left to the entries that were told.
+const REPORT_APPENDS: u32 = 10;
+
+/// Appends the report of a crash, again and again while the log does not take it. A report counts once.
+pub(crate) fn append_report(log: LogClient, report: SuspectReport, timing: Timing) {
+    let payload = QuarantineRecord::new(QuarantineEntry::Suspects(report)).to_json();
+    tokio::spawn(async move {
+        for _ in 0..REPORT_APPENDS {
+            if log.append(QUARANTINE, payload.clone()).await.is_ok() {
+                return;
+            }
+            let bound_ms = timing.reconnect_max_ms.max(2);
+            sleep(Duration::from_millis(rand::random_range(bound_ms / 2..=bound_ms))).await;
+        }
+    });
+}
+
+/// Asks to run a suspect alone. The reply is the latest deadline, or until when it is refused.
+pub(crate) struct Try {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) attempt: AttemptId,
+    pub(crate) version: Option<VersionName>,
+    pub(crate) duration_ms: u64,
+    pub(crate) reply: oneshot::Sender<Result<Timestamp, Timestamp>>,
+}
+
+/// The trial of a suspect has ended with a whole answer.
+pub(crate) struct Clear {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) attempt: AttemptId,
+}
+
+/// An endpoint has told of a crash.
+pub(crate) struct Warn(pub(crate) SuspectReport);
+
+struct Waiter {
+    fingerprint: Fingerprint,
+    version: Option<VersionName>,
+    reply: oneshot::Sender<Result<Timestamp, Timestamp>>,
+}
+
+/// Owns the table of suspects.
+#[derive(Actor)]
+pub(crate) struct QuarantineController {
+    log: LogClient,
+    table: QuarantineTable,
+    published: Arc<ArcSwap<QuarantineTable>>,
+    waiters: HashMap<AttemptId, Waiter>,
+    seen_end: Offset,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+}
+
+impl QuarantineController {
+    /// An empty table by the settings.
+    pub(crate) fn empty_table(timing: &Timing) -> QuarantineTable {
+        QuarantineTable::new(QuarantineSettings {
+            clock_skew_ms: timing.clock_skew_ms,
+            max_trial_ms: MAX_TRIAL_MS,
+            max_quarantine_ms: timing.log_retention_ms / 2,
+            max_cases: MAX_CASES,
+        })
+    }
+
+    /// Starts the controller and its reader on the present runtime.
+    pub(crate) fn start(
+        log: LogClient,
+        published: Arc<ArcSwap<QuarantineTable>>,
+        timing: Timing,
+        clock: Clock,
+        metrics: Arc<Metrics>,
+    ) -> ActorRef<Self> {
+        let controller = Self {
+            log: log.clone(),
+            table: Self::empty_table(&timing),
+            published,
+            waiters: HashMap::new(),
+            seen_end: Offset(0),
+            clock,
+            metrics,
+        };
+        let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
+        tokio::spawn(tail(log, QUARANTINE, actor.clone(), timing));
+        actor
+    }
+
+    fn apply(&mut self, page: &LogPage) -> TailStep {
+        let views = record_views(&page.records);
+        let view =
+            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
+        let seen = self.seen_end.max(self.table.next_offset());
+        if is_faulty(None, seen, &view) {
+            self.metrics.log_end_reversals.inc();
+            return TailStep::Retry(self.table.next_offset());
+        }
+        self.seen_end = page.end_offset;
+        for record in &page.records {
+            self.table.fold(record.offset, record.appended, &record.payload);
+        }
+        if !page.records.is_empty() {
+            self.decide_waiters();
+            self.publish();
+        }
+        TailStep::Continue(self.table.next_offset().max(page.first_offset))
+    }
+
+    fn decide_waiters(&mut self) {
+        let now = self.clock.now();
+        let waiting = std::mem::take(&mut self.waiters);
+        for (attempt, waiter) in waiting {
+            let version = waiter.version.as_ref();
+            match self.table.verdict(&waiter.fingerprint, version, attempt, now) {
+                // Its own record has not been read yet.
+                QuarantineVerdict::NeedsTrial => {
+                    self.waiters.insert(attempt, waiter);
+                }
+                QuarantineVerdict::RunAlone { latest_deadline } => {
+                    let _ = waiter.reply.send(Ok(latest_deadline));
+                }
+                // Cleared meanwhile; its trial needs no end.
+                QuarantineVerdict::Run => {
+                    let _ = waiter.reply.send(Ok(now.plus_ms(MAX_TRIAL_MS)));
+                }
+                QuarantineVerdict::RefuseUntil(until) => {
+                    let _ = waiter.reply.send(Err(until));
+                }
+            }
+        }
+    }
+
+    fn publish(&self) {
+        self.metrics.suspects.set(i64::try_from(self.table.len()).unwrap_or(i64::MAX));
+        self.published.store(Arc::new(self.table.clone()));
+    }
+
+    fn append(&self, entry: QuarantineEntry) {
+        let (log, payload) = (self.log.clone(), QuarantineRecord::new(entry).to_json());
+        // An append that fails leaves the request refused until its trial or suspicion ends by time.
+        tokio::spawn(async move { log.append(QUARANTINE, payload).await });
+    }
+}
+
+impl Message<TailRead> for QuarantineController {
+    type Reply = TailStep;
+
+    async fn handle(&mut self, read: TailRead, _: &mut Context<Self, TailStep>) -> TailStep {
+        if let Some(page) = read.page {
+            return self.apply(&page);
+        }
+        self.metrics.log_errors.inc();
+        TailStep::Retry(self.table.next_offset())
+    }
+}
+
+impl Message<Try> for QuarantineController {
+    type Reply = ();
+
+    async fn handle(&mut self, request: Try, _: &mut Context<Self, ()>) {
+        let Try { fingerprint, attempt, version, duration_ms, reply } = request;
+        self.append(QuarantineEntry::Trial {
+            fingerprint,
+            attempt,
+            version: version.clone(),
+            duration_ms,
+        });
+        self.waiters.retain(|_, waiter| !waiter.reply.is_closed());
+        self.waiters.insert(attempt, Waiter { fingerprint, version, reply });
+    }
+}
+
+impl Message<Clear> for QuarantineController {
+    type Reply = ();
+
+    async fn handle(&mut self, clear: Clear, _: &mut Context<Self, ()>) {
+        let Clear { fingerprint, attempt } = clear;
+        self.append(QuarantineEntry::Cleared { fingerprint, attempt });
+    }
+}
+
+impl Message<Warn> for QuarantineController {
+    type Reply = ();
+
+    async fn handle(&mut self, Warn(report): Warn, _: &mut Context<Self, ()>) {
+        self.metrics.suspects_reported.inc_by(report.fingerprints.len() as u64);
+        self.table.warn(&report, self.clock.now());
+        self.publish();
+    }
+}
--- a/crates/lycheewood/src/filters.rs
+++ b/crates/lycheewood/src/filters.rs
@@ -16,6 +16,7 @@
 pub(crate) mod retry;
 pub(crate) mod route;
 pub(crate) mod trace;
+pub(crate) mod trial;
 
 use std::sync::Arc;
 
@@ -34,7 +35,7 @@
     request: &Arc<Request>,
 ) -> Result<Answer, Refusal> {
     let view = View::load(state);
-    let received = Exchange::receive(request, &view, state.clock.now())?;
+    let received = Exchange::receive(request, &view, state.phase(), state.clock.now())?;
     let traced = trace::apply(state, received);
     let authenticated = authenticate::apply(traced)?;
     let classified = classify::apply(authenticated)?;
@@ -52,7 +53,7 @@
             Deduplicated::New(new) => new,
             Deduplicated::Known(answer) => return Ok(*answer),
         };
-        let routed = route::apply(state, new)?;
+        let routed = trial::apply(state, route::apply(state, new)?).await?;
         let claimed = match claim::apply(state, routed).await? {
             Claiming::Claimed(claimed) => claimed,
             Claiming::Held(held) => {
--- a/crates/lycheewood/src/filters/admit.rs
+++ b/crates/lycheewood/src/filters/admit.rs
@@ -11,7 +11,7 @@
 use crate::filters::exchange::{Admitted, Classified, Exchange};
 use crate::ids::{TargetName, WorkspaceName};
 use crate::outcome::{NotRunCode, Refusal};
-use crate::roles::entry::EntryState;
+use crate::roles::entry::{EntryState, InFlight};
 
 /// How soon a caller may come back when the control thread does not answer.
 const CONTROL_RETRY_MS: u64 = 1_000;
@@ -26,6 +26,7 @@
     target: TargetName,
     admitted: Admission,
     completed: AtomicBool,
+    _in_flight: InFlight,
 }
 
 impl AdmissionGuard {
@@ -53,6 +54,8 @@
     state: &EntryState,
     exchange: Exchange<'r, Classified>,
 ) -> Result<Exchange<'r, Admitted>, Refusal> {
+    // Counted before the first wait, so that a stop waits for this request.
+    let in_flight = state.count_in_flight();
     let terms = &exchange.stage.terms;
     let first_asked = exchange.request.key.map_or(exchange.now, |key| key.created());
     let offer = Offer {
@@ -76,6 +79,7 @@
         target: terms.target.clone(),
         admitted,
         completed: AtomicBool::new(false),
+        _in_flight: in_flight,
     };
     Ok(exchange.advance(|Classified { mut terms }| {
         terms.priority = admitted.priority;
--- a/crates/lycheewood/src/filters/claim.rs
+++ b/crates/lycheewood/src/filters/claim.rs
@@ -36,12 +36,13 @@
         // The chain has refused requests without the key that they need.
         (true, None) => return Err(Refusal::field("idempotency-key", "send a key")),
     };
-    Ok(Claiming::Claimed(exchange.advance(|Routed { admitted, endpoint, attempt }| {
+    Ok(Claiming::Claimed(exchange.advance(|routed| {
+        let Routed { admitted, endpoint, attempt, run_alone } = routed;
         let ticket = match claim {
             Some(claim) => Ticket::Claimed(claim, attempt),
             None => Ticket::Repeatable(attempt),
         };
-        Claimed { admitted, endpoint, ticket }
+        Claimed { admitted, endpoint, ticket, run_alone }
     })))
 }
 
@@ -51,7 +52,7 @@
     exchange: &Exchange<'_, Routed<'_>>,
     key: RequestKey,
 ) -> Result<Option<Claim<Granted>>, Refusal> {
-    let Routed { admitted, endpoint, attempt } = &exchange.stage;
+    let Routed { admitted, endpoint, attempt, .. } = &exchange.stage;
     let record = ClaimRecord {
         key: ClaimKey::new(&admitted.terms.workspace, &key),
         attempt: attempt.id(),
--- a/crates/lycheewood/src/filters/dispatch.rs
+++ b/crates/lycheewood/src/filters/dispatch.rs
@@ -27,6 +27,7 @@
     pub(crate) endpoint: Incarnation,
     pub(crate) flight: Flight,
     pub(crate) span: HopSpan,
+    pub(crate) run_alone: bool,
 }
 
 /// What became of an attempt that was to be sent.
@@ -44,13 +45,13 @@
     let span = span(state, &exchange.stage);
     let start = start(&exchange, &span);
     let Exchange { request, view, document, now, stage } = exchange;
-    let Claimed { mut admitted, endpoint, ticket } = stage;
+    let Claimed { mut admitted, endpoint, ticket, run_alone } = stage;
     let link = Arc::clone(&endpoint.link);
     let flight = link.start(state.clock);
     match link.open(ticket, start).await {
         Ok((attempt, events)) => {
             let endpoint = endpoint.incarnation;
-            let sent = Sent { admitted, attempt, events, link, endpoint, flight, span };
+            let sent = Sent { admitted, attempt, events, link, endpoint, flight, span, run_alone };
             let exchange = Exchange { request, view, document, now, stage: sent };
             Ok(Dispatch::Sent(Box::new(exchange)))
         }
@@ -82,7 +83,7 @@
 }
 
 fn start(exchange: &Exchange<'_, Claimed<'_>>, span: &HopSpan) -> Box<Start> {
-    let Claimed { admitted, endpoint, ticket } = &exchange.stage;
+    let Claimed { admitted, endpoint, ticket, run_alone } = &exchange.stage;
     let request = exchange.request;
     Box::new(Start {
         attempt: ticket.attempt(),
@@ -92,7 +93,7 @@
         claim_offset: ticket.claim_offset(),
         deadline: admitted.terms.deadline,
         priority: admitted.terms.priority,
-        run_alone: false,
+        run_alone: *run_alone,
         work: work(&request.call, admitted, endpoint),
         traceparent: span.traceparent().map(str::to_owned),
     })
--- a/crates/lycheewood/src/filters/exchange.rs
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -6,6 +6,8 @@
 use crate::clock::Timestamp;
 use crate::controllers::document::DocumentInForce;
 use crate::controllers::load::{EndpointTable, EndpointView};
+use crate::controllers::membership::Members;
+use crate::decisions::quarantine::QuarantineTable;
 use crate::document::checked::Workspace;
 use crate::filters::admit::AdmissionGuard;
 use crate::filters::request::Request;
@@ -14,7 +16,7 @@
 };
 use crate::lifecycle::attempt::{Attempt, Planned};
 use crate::outcome::{NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::EntryState;
+use crate::roles::entry::{EntryState, Phase};
 use crate::telemetry::HopSpan;
 
 /// How soon a caller may come back when this instance has no document yet.
@@ -24,11 +26,18 @@
 pub(crate) struct View {
     pub(crate) document: Option<Arc<DocumentInForce>>,
     pub(crate) endpoints: Arc<EndpointTable>,
+    pub(crate) members: Arc<Members>,
+    pub(crate) quarantine: Arc<QuarantineTable>,
 }
 
 impl View {
     pub(crate) fn load(state: &EntryState) -> Self {
-        Self { document: state.document.load_full(), endpoints: state.endpoints.load_full() }
+        Self {
+            document: state.document.load_full(),
+            endpoints: state.endpoints.load_full(),
+            members: state.members.load_full(),
+            quarantine: state.quarantined.load_full(),
+        }
     }
 }
 
@@ -124,6 +133,8 @@
     pub(crate) admitted: Admitted,
     pub(crate) endpoint: &'r EndpointView,
     pub(crate) attempt: Attempt<Planned>,
+    /// The request is suspected of crashing endpoints.
+    pub(crate) run_alone: bool,
 }
 
 /// The attempt may be sent: it may repeat, or it holds a claim.
@@ -131,14 +142,19 @@
     pub(crate) admitted: Admitted,
     pub(crate) endpoint: &'r EndpointView,
     pub(crate) ticket: Ticket,
+    pub(crate) run_alone: bool,
 }
 
 impl<'r> Exchange<'r, Received> {
     pub(crate) fn receive(
         request: &'r Arc<Request>,
         view: &'r View,
+        phase: Phase,
         now: Timestamp,
     ) -> Result<Self, Refusal> {
+        if phase == Phase::Refusing {
+            return Err(Refusal::not_run(NotRunCode::Draining, 0));
+        }
         let document = view
             .document
             .as_deref()
--- a/crates/lycheewood/src/filters/inquire.rs
+++ b/crates/lycheewood/src/filters/inquire.rs
@@ -30,7 +30,7 @@
     key: RequestKey,
 ) -> Result<Inquiry, Refusal> {
     let view = View::load(state);
-    let received = Exchange::receive(request, &view, state.clock.now())?;
+    let received = Exchange::receive(request, &view, state.phase(), state.clock.now())?;
     let authenticated = authenticate::apply(trace::apply(state, received))?;
     let (now, document) = (authenticated.now, authenticated.document);
     claim_settings(&state.settings.timing).check_key(&key, now)?;
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -9,6 +9,7 @@
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::claims::Vouched;
 use crate::controllers::load::EndpointView;
+use crate::controllers::quarantine::Clear;
 use crate::decisions::claims::record::ClaimKey;
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
@@ -69,6 +70,8 @@
     /// `None` for the answer of an earlier attempt, which another request has counted.
     flight: Option<Flight>,
     span: Option<HopSpan>,
+    /// The attempt is the trial of a suspect.
+    run_alone: bool,
 }
 
 /// What an attempt has come to.
@@ -95,6 +98,7 @@
             asks: 0,
             flight: Some(sent.flight),
             span: Some(sent.span),
+            run_alone: sent.run_alone,
         }
     }
 
@@ -118,7 +122,6 @@
                     }
                 }
                 Ok(Some(AttemptEvent::End(pieces))) if pieces == self.admitted.next_piece => {
-                    self.attempt = None;
                     if let Some(admission) = &self.admitted.admission {
                         admission.completed();
                     }
@@ -269,6 +272,7 @@
         asks: 0,
         flight: None,
         span: None,
+        run_alone: false,
     };
     loop {
         match timeout_at(source.deadline, source.events.recv()).await {
@@ -314,6 +318,7 @@
                 }
                 Step::End => {
                     count(&self.state, "done");
+                    self.clear_suspect();
                     return Piece::End;
                 }
                 Step::NotRun(_) => {
@@ -333,6 +338,16 @@
         }
     }
 
+    /// A trial that has ended with a whole answer clears its request.
+    fn clear_suspect(&mut self) {
+        if let (true, Some(attempt)) = (self.source.run_alone, &self.source.attempt) {
+            let fingerprint = self.source.admitted.terms.fingerprint.into();
+            let clear = Clear { fingerprint, attempt: attempt.id() };
+            let _ = self.state.quarantine.tell(clear).try_send();
+        }
+        self.source.attempt = None;
+    }
+
     fn cut(&mut self, code: UnknownCode) -> Piece {
         Piece::Cut(unknown(&mut self.source, &self.request, code))
     }
--- a/crates/lycheewood/src/filters/route.rs
+++ b/crates/lycheewood/src/filters/route.rs
@@ -2,11 +2,13 @@
 
 use crate::controllers::load::EndpointView;
 use crate::decisions::estimate::Estimate;
+use crate::decisions::membership::{Connection, Eligibility, InstanceView, eligibility};
+use crate::decisions::quarantine::QuarantineVerdict;
 use crate::decisions::routing::{Candidate, RouteRequest, RoutingPolicy, choose_endpoint};
 use crate::decisions::versions::choose_version;
 use crate::filters::exchange::{Admitted, Exchange, Routed};
 use crate::filters::request::Call;
-use crate::ids::{InstanceId, VersionName};
+use crate::ids::{AttemptId, InstanceId, VersionName};
 use crate::lifecycle::attempt::Attempt;
 use crate::outcome::{NotRunCode, Refusal};
 use crate::roles::entry::EntryState;
@@ -21,10 +23,25 @@
     mut exchange: Exchange<'r, Admitted>,
 ) -> Result<Exchange<'r, Routed<'r>>, Refusal> {
     fix_version(&mut exchange)?;
-    let endpoint = choose(state, &exchange)
-        .ok_or_else(|| exchange.refuse(NotRunCode::NoEndpoint, NO_ENDPOINT_RETRY_MS))?;
     let attempt = Attempt::plan(state.next_attempt());
-    Ok(exchange.advance(|admitted| Routed { admitted, endpoint, attempt }))
+    let run_alone = must_run_alone(&exchange, attempt.id())?;
+    let endpoint = choose(state, &exchange, run_alone)
+        .ok_or_else(|| exchange.refuse(NotRunCode::NoEndpoint, NO_ENDPOINT_RETRY_MS))?;
+    Ok(exchange.advance(|admitted| Routed { admitted, endpoint, attempt, run_alone }))
+}
+
+/// Whether the request is suspected of crashing endpoints. Refuses it while it is quarantined.
+fn must_run_alone(exchange: &Exchange<'_, Admitted>, attempt: AttemptId) -> Result<bool, Refusal> {
+    let admitted = &exchange.stage;
+    let fingerprint = admitted.terms.fingerprint.into();
+    let (version, now) = (admitted.version.as_ref(), exchange.now);
+    match exchange.view.quarantine.verdict(&fingerprint, version, attempt, now) {
+        QuarantineVerdict::Run => Ok(false),
+        QuarantineVerdict::NeedsTrial | QuarantineVerdict::RunAlone { .. } => Ok(true),
+        QuarantineVerdict::RefuseUntil(until) => {
+            Err(exchange.refuse(NotRunCode::Quarantined, until.ms_since(now)))
+        }
+    }
 }
 
 /// Chooses the version of a model once; no other version may continue the answer.
@@ -36,9 +53,7 @@
     }
     let endpoints = &exchange.view.endpoints.endpoints;
     let loaded = |version: &VersionName| {
-        endpoints
-            .iter()
-            .any(|e| can_take(e, &exchange.stage) && e.version.as_ref() == Some(version))
+        endpoints.iter().any(|e| can_take(exchange, e) && e.version.as_ref() == Some(version))
     };
     let version = exchange
         .document
@@ -53,14 +68,18 @@
     Ok(())
 }
 
-fn choose<'r>(state: &EntryState, exchange: &Exchange<'r, Admitted>) -> Option<&'r EndpointView> {
+fn choose<'r>(
+    state: &EntryState,
+    exchange: &Exchange<'r, Admitted>,
+    run_alone: bool,
+) -> Option<&'r EndpointView> {
     let admitted = &exchange.stage;
     let usable: Vec<(&EndpointView, Estimate)> = exchange
         .view
         .endpoints
         .endpoints
         .iter()
-        .filter(|e| can_take(e, admitted))
+        .filter(|e| can_take(exchange, e))
         .filter(|e| admitted.version.is_none() || admitted.version == e.version)
         .map(|e| (e, *e.link.estimate()))
         .collect();
@@ -78,17 +97,25 @@
         })
         .collect();
     let tried: Vec<&InstanceId> = admitted.avoid.iter().collect();
-    let request =
-        RouteRequest { prefix: prefix(&exchange.request.call), run_alone: false, tried: &tried };
+    let request = RouteRequest { prefix: prefix(&exchange.request.call), run_alone, tried: &tried };
     let policy = RoutingPolicy::default();
     let now = state.clock.now();
     let index = choose_endpoint(&policy, &candidates, &request, now, rand::random()).ok()?;
     Some(usable[index].0)
 }
 
-fn can_take(endpoint: &EndpointView, admitted: &Admitted) -> bool {
-    !endpoint.draining
-        && endpoint.kind.as_ref().is_some_and(|kind| admitted.terms.kinds.contains(kind))
+fn can_take(exchange: &Exchange<'_, Admitted>, endpoint: &EndpointView) -> bool {
+    let members = &exchange.view.members;
+    let instance = InstanceView {
+        listed: members.listed(&endpoint.link.instance),
+        draining: endpoint.draining,
+        // A silent connection is closed, and its endpoint leaves the table.
+        connection: Connection::Open { opened: endpoint.opened, last_frame: exchange.now },
+    };
+    let settings = &members.settings;
+    eligibility(&instance, members.received, settings, exchange.now) == Eligibility::Eligible
+        && endpoint.load.capacity > 0
+        && endpoint.kind.as_ref().is_some_and(|kind| exchange.stage.terms.kinds.contains(kind))
 }
 
 /// Hash of the beginning of a prompt, which engines may have in their caches.
--- /dev/null
+++ b/crates/lycheewood/src/filters/trial.rs
@@ -0,0 +1,52 @@
+//! Runs a request that may have crashed an endpoint alone, if the log allows a trial now.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::clock::Timestamp;
+use crate::controllers::quarantine::Try;
+use crate::filters::exchange::{Exchange, Routed};
+use crate::outcome::{NotRun, NotRunCode, Refusal};
+use crate::roles::entry::EntryState;
+
+pub(crate) async fn apply<'r>(
+    state: &EntryState,
+    mut exchange: Exchange<'r, Routed<'r>>,
+) -> Result<Exchange<'r, Routed<'r>>, Refusal> {
+    if !exchange.stage.run_alone {
+        return Ok(exchange);
+    }
+    let Routed { admitted, attempt, .. } = &exchange.stage;
+    let left_ms = admitted.terms.deadline.ms_since(state.clock.now());
+    let (reply, verdict) = oneshot::channel();
+    let request = Try {
+        fingerprint: admitted.terms.fingerprint.into(),
+        attempt: attempt.id(),
+        version: admitted.version.clone(),
+        // The deadline ends one clock skew before the trial does.
+        duration_ms: left_ms.saturating_add(2 * state.settings.timing.clock_skew_ms),
+        reply,
+    };
+    let _ = state.quarantine.tell(request).try_send();
+    let wait = Duration::from_millis(left_ms.min(state.settings.timing.claim_wait_ms));
+    match timeout(wait, verdict).await {
+        Ok(Ok(Ok(latest_deadline))) => {
+            let terms = &mut exchange.stage.admitted.terms;
+            terms.deadline = terms.deadline.min(latest_deadline);
+            Ok(exchange)
+        }
+        Ok(Ok(Err(until))) => Err(refuse(state, &exchange, until)),
+        Ok(Err(_)) | Err(_) => {
+            let soon = state.clock.now().plus_ms(state.settings.timing.claim_wait_ms);
+            Err(refuse(state, &exchange, soon))
+        }
+    }
+}
+
+fn refuse(state: &EntryState, exchange: &Exchange<'_, Routed<'_>>, until: Timestamp) -> Refusal {
+    let not_run =
+        NotRun { code: NotRunCode::Quarantined, retry_after_ms: until.ms_since(state.clock.now()) };
+    exchange.stage.admitted.refuse(not_run, exchange.request.key)
+}
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) claim_appends: IntCounter,
     pub(crate) claim_append_errors: IntCounter,
     pub(crate) retries: IntCounter,
+    pub(crate) suspects: IntGauge,
     pub(crate) snapshots_written: IntCounter,
     pub(crate) brownout: IntGauge,
 }
@@ -99,6 +100,10 @@
                 "lycheewood_claim_append_errors_total",
                 "Appends of claims without a reply; they are appended again.",
             )?,
+            suspects: gauge(
+                "lycheewood_suspects",
+                "Requests that are suspected or quarantined because an engine died under them.",
+            )?,
             snapshots_written: counter(
                 "lycheewood_document_snapshots_written_total",
                 "Snapshots of the document stream that this instance has written.",
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -3,6 +3,7 @@
 pub(crate) mod execution;
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::adapters::admin::{self, AdminSource};
@@ -27,6 +29,7 @@
     DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
 };
 use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
+use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
 use crate::roles::StartError;
 use crate::roles::endpoint::execution::Execution;
@@ -89,6 +92,7 @@
     peer_address: SocketAddr,
     admin_address: SocketAddr,
     stop: watch::Sender<bool>,
+    connections: JoinHandle<io::Result<()>>,
     // Dropped before the control thread, since its tasks talk to controllers.
     traffic: Runtime,
     _control: ControlThread,
@@ -126,36 +130,31 @@
         let metrics = Arc::new(metrics);
         let (clock, incarnation) = (Clock::system(), Incarnation::random());
         let timing = settings.timing;
-        let peers = Arc::default();
-        let (attempts, status) = {
-            let _control = control.handle().enter();
-            AttemptsController::start(AttemptsConfig {
-                incarnation,
-                version: version.clone(),
-                capacity: settings.bounds.max_attempts,
-                timing,
-                clock,
-                metrics: Arc::clone(&metrics),
-                peers: Arc::clone(&peers),
-            })
-        };
-        let (document, progress) = (Arc::default(), watch::Sender::default());
-        let documents = {
-            let _control = control.handle().enter();
-            DocumentController::start(DocumentConfig {
-                log: LogClient::new(
-                    settings.log_address,
-                    timing.connect_ms,
-                    timing.platform_reply_ms,
-                ),
-                published: Arc::clone(&document),
-                progress: progress.clone(),
-                timing,
-                clock,
-                metrics: Arc::clone(&metrics),
-                duty: SnapshotDuty::Reads,
-            })
-        };
+        let log = LogClient::new(settings.log_address, timing.connect_ms, timing.platform_reply_ms);
+        let (document, progress, peers) =
+            (Arc::default(), watch::Sender::default(), Arc::default());
+        let control_guard = control.handle().enter();
+        let documents = DocumentController::start(DocumentConfig {
+            log: log.clone(),
+            published: Arc::clone(&document),
+            progress: progress.clone(),
+            timing,
+            clock,
+            metrics: Arc::clone(&metrics),
+            duty: SnapshotDuty::Reads,
+        });
+        let (attempts, status) = AttemptsController::start(AttemptsConfig {
+            incarnation,
+            version: version.clone(),
+            capacity: settings.bounds.max_attempts,
+            timing,
+            clock,
+            metrics: Arc::clone(&metrics),
+            document: Arc::clone(&document),
+            log,
+            peers: Arc::clone(&peers),
+        });
+        drop(control_guard);
         let state = Arc::new(EndpointState {
             settings: settings.clone(),
             incarnation,
@@ -177,7 +176,8 @@
             executions: Mutex::default(),
         });
         let (stop, stopped) = watch::channel(false);
-        traffic.spawn(server::serve(peer_listener, Arc::clone(&state), stopped.clone()));
+        let connections =
+            traffic.spawn(server::serve(peer_listener, Arc::clone(&state), stopped.clone()));
         let source = AdminSource::Endpoint(Arc::clone(&state));
         traffic.spawn(admin::serve(admin, source, stopped));
         traffic.spawn(report_load(Arc::clone(&state)));
@@ -185,7 +185,15 @@
             "endpoint started instance={} incarnation={incarnation} peer_address={peer_address} admin_address={admin_address}",
             settings.instance
         );
-        Ok(Self { state, peer_address, admin_address, stop, traffic, _control: control })
+        Ok(Self {
+            state,
+            peer_address,
+            admin_address,
+            stop,
+            connections,
+            traffic,
+            _control: control,
+        })
     }
 
     /// Where entries connect.
@@ -202,20 +210,47 @@
 
     /// Stops gracefully: refuses new work, lets attempts in flight end, then stops.
     ///
-    /// Blocks until all attempts have ended and the drain notice has passed.
+    /// Blocks until all attempts have ended, their answers are sent and the drain notice has passed; must
+    /// not be called from async code.
     pub fn shutdown(self) {
-        let state = &self.state;
-        let notice = Duration::from_millis(state.settings.timing.drain_notice_ms);
-        self.traffic.block_on(async {
-            let _ = state.attempts.ask(Drain).await;
-            tokio::time::sleep(notice).await;
-            let mut status = state.status.clone();
-            let _ = status.wait_for(|status| status.running == 0).await;
+        let Self { state, traffic, stop, mut connections, .. } = self;
+        traffic.block_on(async {
+            leave(&state).await;
+            stop.send_replace(true);
+            // Each connection ends after the answers on it.
+            let _ = (&mut connections).await;
         });
-        self.stop.send_replace(true);
         state.telemetry.flush();
         log::info!("endpoint stopped instance={}", state.settings.instance);
-        self.traffic.shutdown_background();
+        traffic.shutdown_background();
+    }
+}
+
+/// Goes through the life cycle of a planned stop.
+async fn leave(state: &EndpointState) {
+    let min_refusing_ms = state.settings.timing.drain_notice_ms;
+    // Entries route around a leaving endpoint at once, so it does not linger.
+    let settings = ShutdownSettings { linger_ms: 0, min_refusing_ms };
+    let _ = state.attempts.ask(Drain).await;
+    let mut lingering = Shutdown::serving(settings).announce(state.clock.now());
+    let mut refusing = loop {
+        match lingering.refuse(state.clock.now()) {
+            Ok(refusing) => break refusing,
+            Err(early) => lingering = early,
+        }
+    };
+    let mut status = state.status.clone();
+    loop {
+        let left_ms = refusing.stops_from().ms_since(state.clock.now());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
+        let running = match status.wait_for(|status| status.running == 0).await {
+            Ok(status) => status.running,
+            Err(_) => return,
+        };
+        match refusing.stop(state.clock.now(), usize::try_from(running).unwrap_or(usize::MAX)) {
+            Ok(_stopped) => return,
+            Err(busy) => refusing = busy,
+        }
     }
 }
 
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -17,7 +17,7 @@
 use crate::adapters::instance_list::ListClient;
 use crate::adapters::log::LogClient;
 use crate::adapters::peer::link::LinkConfig;
-use crate::clock::Clock;
+use crate::clock::{Clock, Timestamp};
 use crate::controllers::admission::{AdmissionController, AdmissionViews};
 use crate::controllers::claims::ClaimsController;
 use crate::controllers::document::{
@@ -25,8 +25,11 @@
 };
 use crate::controllers::load::{EndpointTable, LoadController};
 use crate::controllers::membership::{Members, MembershipController};
+use crate::controllers::quarantine::QuarantineController;
 use crate::controllers::{Progress, wait_for_progress};
+use crate::decisions::quarantine::QuarantineTable;
 use crate::ids::{AttemptId, Incarnation, Offset};
+use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
 use crate::roles::StartError;
 use crate::runtime::{ControlThread, traffic_runtime};
@@ -35,6 +38,31 @@
 use crate::wire::message::{Hello, Role};
 use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
 
+/// How far an entry is on its way to a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Phase {
+    /// Serves, and its address is told to callers.
+    Serving,
+    /// Serves callers that hold its address.
+    Lingering,
+    /// Refuses new requests as not run.
+    Refusing,
+}
+
+/// Counts one request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    count: watch::Sender<usize>,
+    metrics: Arc<Metrics>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.count.send_modify(|count| *count -= 1);
+        self.metrics.requests_in_flight.dec();
+    }
+}
+
 /// What the traffic threads of an entry share: settings, counters and snapshots of control state.
 pub(crate) struct EntryState {
     pub(crate) settings: Settings,
@@ -48,6 +76,10 @@
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) claims: ActorRef<ClaimsController>,
     pub(crate) admission: ActorRef<AdmissionController>,
+    pub(crate) quarantine: ActorRef<QuarantineController>,
+    pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
+    phase: ArcSwap<Phase>,
+    in_flight: watch::Sender<usize>,
     sequence: AtomicU64,
 }
 
@@ -58,6 +90,23 @@
         AttemptId { incarnation: self.incarnation, sequence }
     }
 
+    /// How far this entry is on its way to a planned stop.
+    pub(crate) fn phase(&self) -> Phase {
+        **self.phase.load()
+    }
+
+    fn enter(&self, phase: Phase) {
+        log::info!("entry phase changed instance={} phase={phase:?}", self.settings.instance);
+        self.phase.store(Arc::new(phase));
+    }
+
+    /// Counts a request as in flight.
+    pub(crate) fn count_in_flight(&self) -> InFlight {
+        self.in_flight.send_modify(|count| *count += 1);
+        self.metrics.requests_in_flight.inc();
+        InFlight { count: self.in_flight.clone(), metrics: Arc::clone(&self.metrics) }
+    }
+
     fn hello(&self, admin_address: SocketAddr) -> Hello {
         Hello {
             protocol_min: PROTOCOL_MIN,
@@ -146,15 +195,14 @@
         self.traffic.block_on(wait_for_progress(&self.state.progress, wanted, timeout_ms))
     }
 
-    /// Stops gracefully: still serves callers that hold its address, then lets answers in flight end.
+    /// Stops gracefully: still serves callers that hold its address, then refuses new requests as not
+    /// run, and ends after the last answer in flight.
     ///
-    /// Blocks until the last answer has been sent.
+    /// Blocks until then; must not be called from async code.
     pub fn shutdown(self) {
         let Self { state, traffic, callers, stop, .. } = self;
-        let linger = Duration::from_millis(state.settings.timing.entry_linger_ms);
-        log::info!("entry leaving instance={}", state.settings.instance);
         traffic.block_on(async {
-            tokio::time::sleep(linger).await;
+            leave(&state).await;
             stop.send_replace(true);
             let _ = callers.await;
         });
@@ -164,6 +212,40 @@
     }
 }
 
+/// Goes through the life cycle of a planned stop.
+async fn leave(state: &EntryState) {
+    let timing = &state.settings.timing;
+    let settings = ShutdownSettings {
+        linger_ms: timing.entry_linger_ms,
+        min_refusing_ms: timing.entry_refuse_ms,
+    };
+    state.enter(Phase::Lingering);
+    let mut lingering = Shutdown::serving(settings).announce(state.clock.now());
+    let mut refusing = loop {
+        sleep_until(state, lingering.refuses_from()).await;
+        match lingering.refuse(state.clock.now()) {
+            Ok(refusing) => break refusing,
+            Err(early) => lingering = early,
+        }
+    };
+    state.enter(Phase::Refusing);
+    let mut in_flight = state.in_flight.subscribe();
+    loop {
+        sleep_until(state, refusing.stops_from()).await;
+        // The state holds the sender, so the channel stays open.
+        let _ = in_flight.wait_for(|count| *count == 0).await;
+        match refusing.stop(state.clock.now(), *state.in_flight.borrow()) {
+            Ok(_stopped) => return,
+            Err(busy) => refusing = busy,
+        }
+    }
+}
+
+async fn sleep_until(state: &EntryState, until: Timestamp) {
+    let left_ms = until.ms_since(state.clock.now());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
+
 /// Starts the controllers that requests talk to.
 fn start_state(
     settings: &Settings,
@@ -176,8 +258,10 @@
     let views = AdmissionViews {
         document: Arc::default(),
         endpoints: Arc::default(),
-        members: Arc::default(),
+        members: Arc::new(ArcSwap::from_pointee(Members::empty(&settings.timing))),
     };
+    let empty = QuarantineController::empty_table(&settings.timing);
+    let quarantined = Arc::new(ArcSwap::from_pointee(empty));
     let (log, timing) = (log_client(settings), settings.timing);
     Arc::new(EntryState {
         settings: settings.clone(),
@@ -187,7 +271,17 @@
         endpoints: Arc::clone(&views.endpoints),
         members: Arc::clone(&views.members),
         progress: watch::Sender::default(),
-        claims: ClaimsController::start(log, timing, Arc::clone(&metrics)),
+        claims: ClaimsController::start(log.clone(), timing, Arc::clone(&metrics)),
+        quarantine: QuarantineController::start(
+            log,
+            Arc::clone(&quarantined),
+            timing,
+            clock,
+            Arc::clone(&metrics),
+        ),
+        quarantined,
+        phase: ArcSwap::from_pointee(Phase::Serving),
+        in_flight: watch::Sender::default(),
         admission: AdmissionController::start(views, clock, Arc::clone(&metrics)),
         telemetry: Telemetry::start(settings, traffic.handle()),
         metrics,
@@ -233,8 +327,15 @@
     MembershipController::start(
         list,
         Arc::clone(&state.members),
-        LinkConfig { hello: state.hello(admin_address), timing, load, documents },
+        LinkConfig {
+            hello: state.hello(admin_address),
+            timing,
+            load,
+            documents,
+            quarantine: state.quarantine.clone(),
+        },
         traffic.handle().clone(),
+        state.clock,
         Arc::clone(&state.metrics),
     );
 }
--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -103,10 +103,14 @@
     pub load_report_ms: u64,
     /// The longest pause between two pieces of an engine's answer.
     pub backend_idle_ms: u64,
+    /// The list shows an instance at most this long after it starts.
+    pub list_lag_ms: u64,
     /// How long callers may keep the list of entry addresses.
     pub entries_valid_ms: u64,
     /// How long a leaving entry still takes requests; callers hold its address that long.
     pub entry_linger_ms: u64,
+    /// How long a leaving entry refuses requests with an answer before it closes its listener.
+    pub entry_refuse_ms: u64,
     /// How long an endpoint may still receive new work after it told that it leaves.
     pub drain_notice_ms: u64,
     /// How long the result of a finished attempt is kept for questions.
@@ -132,8 +136,10 @@
             platform_reply_ms: 2_000,
             load_report_ms: 1_000,
             backend_idle_ms: 5_000,
+            list_lag_ms: 30_000,
             entries_valid_ms: 10_000,
             entry_linger_ms: 12_000,
+            entry_refuse_ms: 1_000,
             drain_notice_ms: 3_000,
             result_keep_ms: 60_000,
             key_window_ms: 6 * 3_600_000,
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Timestamp;
+use crate::decisions::digest::Fingerprint;
+use crate::decisions::quarantine::record::{ReportId, SuspectReport};
 use crate::ids::{
     AttemptId, EndpointKindName, Incarnation, InstanceId, Offset, RequestKey, TargetName,
     VersionName,
@@ -214,12 +216,46 @@
 /// Requests that were in flight when an engine died.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspects {
+    /// The daemon that reports.
+    pub incarnation: Incarnation,
+    /// Counts the crashes that it saw.
+    pub sequence: u64,
     /// Whether the single request ran alone.
     pub ran_alone: bool,
+    /// The version that the engine had loaded.
+    #[serde(default)]
+    pub version: Option<VersionName>,
+    /// How long a quarantine lasts, in milliseconds.
+    pub quarantine_ms: u64,
     /// Digests of workspace, target and body.
     pub fingerprints: Vec<[u8; 16]>,
 }
 
+impl From<&SuspectReport> for Suspects {
+    fn from(report: &SuspectReport) -> Self {
+        Self {
+            incarnation: report.report.incarnation,
+            sequence: report.report.sequence,
+            ran_alone: report.ran_alone,
+            version: report.version.clone(),
+            quarantine_ms: report.quarantine_ms,
+            fingerprints: report.fingerprints.iter().map(|f| f.bytes()).collect(),
+        }
+    }
+}
+
+impl From<Suspects> for SuspectReport {
+    fn from(suspects: Suspects) -> Self {
+        Self {
+            report: ReportId { incarnation: suspects.incarnation, sequence: suspects.sequence },
+            fingerprints: suspects.fingerprints.into_iter().map(Fingerprint::from).collect(),
+            ran_alone: suspects.ran_alone,
+            version: suspects.version,
+            quarantine_ms: suspects.quarantine_ms,
+        }
+    }
+}
+
 /// Asks for the sender's fold of the document stream, if it is ahead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentAsk {
