Hold replies and await records in the fakes

Cause: the tests with separate processes kill an entry or a daemon between an effect and its reply, and freeze an entry after its claim. delay_ms strikes before the effect, and report_end hides a claim from the test too.

Ruled out: a crash of the service (it ends the call for the daemon as well) and sleeping until the effect is likely.

Conclusion: ServiceFaults::hold_replies holds replies after the effect; Service::wait_for_executions_of and Log::wait_for_records tell of it.

--- a/crates/stand-ins/src/log.rs
+++ b/crates/stand-ins/src/log.rs
@@ -121,6 +121,16 @@
         })
     }
 
+    /// Waits until a stream has this many records, past every fault.
+    pub async fn wait_for_records(&self, stream: &str, records: u64) {
+        let stream = stream.to_owned();
+        let appended = move |state: &LogState| {
+            let end = state.streams.get(&stream).map_or(0, |stream| stream.end_offset);
+            (end >= records).then_some(())
+        };
+        self.control.wait(appended).await;
+    }
+
     /// Stops and drops every connection.
     pub async fn stop(self) {
         self.server.switch().set(Power::Stopped).await;
--- a/crates/stand-ins/src/service.rs
+++ b/crates/stand-ins/src/service.rs
@@ -24,6 +24,8 @@
     pub crash_on: String,
     /// Restarts this long after a crash; 0 is never.
     pub restart_after_ms: u64,
+    /// Requests take effect, and their replies wait until this is unset.
+    pub hold_replies: bool,
 }
 
 /// One request that the service ran.
@@ -99,6 +101,16 @@
         self.control.read_blocking(move |state| state.counts.get(&body).copied().unwrap_or(0))
     }
 
+    /// Waits until a body has been executed this often.
+    pub async fn wait_for_executions_of(&self, body: &[u8], executions: u64) {
+        let body = Bytes::copy_from_slice(body);
+        let count = move |state: &ServiceState| {
+            let count = state.counts.get(&body).copied().unwrap_or(0);
+            (count >= executions).then_some(())
+        };
+        self.control.wait(count).await;
+    }
+
     /// Drops every connection and refuses new ones; returns once that is so.
     pub async fn crash(&self) {
         self.server.switch().set(Power::Down).await;
@@ -164,6 +176,11 @@
             self.switch.crash(faults.restart_after_ms).await;
         }
     }
+
+    async fn hold_reply(&self) {
+        let released = |state: &ServiceState| (!state.faults.hold_replies).then_some(());
+        self.control.wait(released).await;
+    }
 }
 
 impl Fake for ServiceFake {
@@ -184,6 +201,7 @@
         };
         let receipt = self.control.change(move |state| state.execute(execution)).await;
         self.crash_if_marked(call).await;
+        self.hold_reply().await;
         http::ok(&receipt)
     }
 
--- a/crates/stand-ins/tests/contract/log.rs
+++ b/crates/stand-ins/tests/contract/log.rs
@@ -80,3 +80,15 @@
     let (status, _) = call(log.address(), "POST", "/faults", "{\"outgae\":1}").await.unwrap();
     assert_eq!(status, 400);
 }
+
+/// Guards against tests that cannot see a record which the log hides from its readers.
+#[tokio::test]
+async fn a_hidden_record_counts_for_those_who_wait_past_the_faults() {
+    let log = Log::start().unwrap();
+    log.set_faults(|faults| faults.report_end = Some(0));
+    let append = call(log.address(), "POST", RECORDS, "{}");
+    let (append, ()) = tokio::join!(append, log.wait_for_records("s", 1));
+    assert_eq!(append.unwrap(), (200, json!({ "offset": 0 })));
+    let (_, page) = call(log.address(), "GET", RECORDS, "").await.unwrap();
+    assert_eq!(page["end_offset"], 0);
+}
--- a/crates/stand-ins/tests/contract/service.rs
+++ b/crates/stand-ins/tests/contract/service.rs
@@ -35,3 +35,16 @@
     let (_, receipt) = call(service.address(), "POST", "/seats", "a").await.unwrap();
     assert_eq!(receipt, json!({ "serial": 2, "executions": 2 }));
 }
+
+/// Guards against a held reply whose request has not taken effect, or that never comes.
+#[tokio::test]
+async fn a_held_reply_follows_its_execution() {
+    let service = Service::start().unwrap();
+    service.set_faults(|faults| faults.hold_replies = true);
+    let release = async {
+        service.wait_for_executions_of(b"a", 1).await;
+        service.set_faults(|faults| faults.hold_replies = false);
+    };
+    let (reply, ()) = tokio::join!(call(service.address(), "POST", "/seats", "a"), release);
+    assert_eq!(reply, Some((200, json!({ "serial": 1, "executions": 1 }))));
+}
