--- /dev/null
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -0,0 +1,382 @@
+//! A deployment of separate `lycheewoodd` processes, with the platform's fakes in the test's own.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::thread;
+use std::time::Instant;
+
+use lycheewood::publication::{Change, Publication, Record, encode_record};
+use lycheewood::{LogClient, PublicationId, RawDocument};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use stand_ins::engine::{Engine, EngineFaults, EngineSettings};
+use stand_ins::instance_list::{Instance, InstanceList, InstanceState, Role};
+use stand_ins::log::Log;
+use stand_ins::service::Service;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::caller::{Call, DEADLINE};
+
+/// A document with a model and a service whose `POST /jobs` may not repeat.
+pub(crate) const DOCUMENT: &str = r"
+schema: 1
+service: jobs
+models:
+  - name: draft
+    versions: [{name: v1}]
+endpoints:
+  - {name: engines, models: [draft]}
+  - name: jobs
+    service: jobs
+    non_idempotent: [{method: POST, path_prefix: /jobs}]
+workspaces:
+  - name: north
+    token_sha256: [836cfa606b46bcc7e646421dd3bf83a1a787fde882184d875f8e2028216d7f0d]
+    rate_per_s: 1000000
+    burst: 1000000
+    max_priority: 9
+deadlines: {default_ms: 20000, max_ms: 600000}
+placement: {objective: skew}
+";
+
+/// Shorter than the defaults, so that tests wait less. The silence is long enough for a process that
+/// waits for a processor.
+const SETTINGS: &str = "
+timing:
+  heartbeat_ms: 100
+  silence_ms: 1000
+  reconnect_max_ms: 200
+  load_report_ms: 100
+  entries_valid_ms: 300
+  entry_linger_ms: 500
+  drain_notice_ms: 400
+  claim_wait_ms: 3000
+bounds:
+  max_body_bytes: 65536
+";
+
+/// One process of ours. Dropping it kills it.
+pub(crate) struct Process {
+    child: Child,
+    lines: Receiver<String>,
+    pub(crate) instance: String,
+    role: Role,
+    /// Where an entry serves callers, or an endpoint daemon serves entries.
+    pub(crate) address: SocketAddr,
+    pub(crate) admin_address: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(instance: &str, role: Role, settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lycheewoodd"))
+            .arg("run")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("start lycheewoodd");
+        let output = child.stdout.take().expect("the output is piped");
+        let (sender, lines) = channel();
+        // Reads to the end, so that the process never waits for a reader of its output.
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let instance = instance.to_owned();
+        let mut process = Self { child, lines, instance, role, address: any, admin_address: any };
+        let line = process.wait_for_line("admin_address=");
+        let field = |name: &str| {
+            let value = line.split_whitespace().find_map(|word| word.strip_prefix(name));
+            value.and_then(|value| value.parse().ok()).expect("the line holds the address")
+        };
+        process.admin_address = field("admin_address=");
+        process.address = match role {
+            Role::Entry => field("caller_address="),
+            Role::Endpoint => field("peer_address="),
+        };
+        process
+    }
+
+    /// Waits for a line of output that holds `text`.
+    pub(crate) fn wait_for_line(&self, text: &str) -> String {
+        let until = Instant::now() + DEADLINE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(line) if line.contains(text) => return line,
+                Ok(_) => {}
+                Err(error) => panic!("{} wrote no line with `{text}`: {error}", self.instance),
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(id.expect("a child has an id"), signal).expect("signal a child");
+    }
+
+    /// Stops the process at once; it runs nothing more.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("kill a child");
+        self.child.wait().expect("wait for a child");
+    }
+
+    /// Pauses the process until [`Process::resume`]. Its connections stay open.
+    pub(crate) fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks for a graceful shutdown.
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until the process has ended: its output ends with it.
+    pub(crate) fn wait_for_end(&mut self) -> ExitStatus {
+        let until = Instant::now() + DEADLINE;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            match self.lines.recv_timeout(left) {
+                Ok(_) => {}
+                Err(RecvTimeoutError::Disconnected) => break,
+                Err(RecvTimeoutError::Timeout) => panic!("{} does not end", self.instance),
+            }
+        }
+        self.child.wait().expect("wait for a child")
+    }
+}
+
+/// An engine or service and the daemon beside it.
+pub(crate) struct Slot<Backend> {
+    pub(crate) backend: Backend,
+    pub(crate) daemon: Process,
+}
+
+/// A deployment. Dropping it ends its processes and removes its files.
+pub(crate) struct Deployment {
+    pub(crate) entries: Vec<Process>,
+    pub(crate) engines: Vec<Slot<Engine>>,
+    pub(crate) services: Vec<Slot<Service>>,
+    pub(crate) log: Log,
+    pub(crate) list: InstanceList,
+    pub(crate) runtime: Runtime,
+    directory: PathBuf,
+    started: u64,
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl Deployment {
+    /// Starts the platform, publishes [`DOCUMENT`], starts the daemons and waits until the entries
+    /// have the document and all endpoints.
+    pub(crate) fn start(entries: usize, engines: usize, services: usize) -> Self {
+        let deployment = Self::start_without_document(entries, engines, services);
+        deployment.publish();
+        deployment.wait_until_ready();
+        deployment
+    }
+
+    /// Starts the platform and the daemons, and publishes nothing.
+    pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
+        static DEPLOYMENTS: AtomicU64 = AtomicU64::new(0);
+        let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("lycheewood-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(&directory).expect("create a directory for settings");
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("start the runtime of the fakes");
+        let (log, list) = runtime.block_on(async {
+            (Log::start().expect("start the log"), InstanceList::start().expect("start the list"))
+        });
+        let mut deployment = Self {
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            log,
+            list,
+            runtime,
+            directory,
+            started: 0,
+        };
+        for _ in 0..engines {
+            deployment.add_engine(EngineFaults::default());
+        }
+        for _ in 0..services {
+            deployment.add_service();
+        }
+        for _ in 0..entries {
+            deployment.add_entry();
+        }
+        deployment.announce();
+        deployment
+    }
+
+    /// Publishes [`DOCUMENT`].
+    pub(crate) fn publish(&self) {
+        let (raw, _) = RawDocument::from_yaml(DOCUMENT).expect("the document is valid");
+        let record = Record::Publication(Publication {
+            id: PublicationId::new("first"),
+            base: None,
+            change: Change::Document(raw.to_value()),
+        });
+        let client = LogClient::new(self.log.address(), 1_000, 2_000);
+        self.runtime
+            .block_on(client.append("documents", encode_record(&record)))
+            .expect("append the publication");
+    }
+
+    fn start_process(&mut self, role: Role, instance: &str, more: &str) -> Process {
+        let name = match role {
+            Role::Entry => "entry",
+            Role::Endpoint => "endpoint",
+        };
+        let (log, list) = (self.log.address(), self.list.address());
+        let settings = format!(
+            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}"
+        );
+        let file = self.directory.join(format!("{instance}.yaml"));
+        fs::write(&file, settings).expect("write the settings");
+        Process::start(instance, role, &file)
+    }
+
+    fn next_instance(&mut self, kind: &str) -> String {
+        self.started += 1;
+        format!("{kind}-{}", self.started)
+    }
+
+    /// Starts a daemon beside an engine.
+    pub(crate) fn start_engine_daemon(&mut self, instance: &str, backend: SocketAddr) -> Process {
+        let more = format!(
+            "peer_address: 127.0.0.1:0\nbackend_address: {backend}\nendpoint_kind: engines\nversion: v1\n"
+        );
+        self.start_process(Role::Endpoint, instance, &more)
+    }
+
+    /// Starts a daemon beside a service.
+    pub(crate) fn start_service_daemon(&mut self, instance: &str, backend: SocketAddr) -> Process {
+        let more =
+            format!("peer_address: 127.0.0.1:0\nbackend_address: {backend}\nendpoint_kind: jobs\n");
+        self.start_process(Role::Endpoint, instance, &more)
+    }
+
+    /// Adds an engine and its daemon.
+    pub(crate) fn add_engine(&mut self, faults: EngineFaults) {
+        let settings = EngineSettings { faults, ..EngineSettings::default() };
+        let backend = {
+            let _runtime = self.runtime.enter();
+            Engine::start(settings).expect("start an engine")
+        };
+        let instance = self.next_instance("engine");
+        let daemon = self.start_engine_daemon(&instance, backend.address());
+        self.engines.push(Slot { backend, daemon });
+    }
+
+    /// Adds a service and its daemon.
+    pub(crate) fn add_service(&mut self) {
+        let backend = {
+            let _runtime = self.runtime.enter();
+            Service::start().expect("start a service")
+        };
+        let instance = self.next_instance("service");
+        let daemon = self.start_service_daemon(&instance, backend.address());
+        self.services.push(Slot { backend, daemon });
+    }
+
+    /// Adds an entry.
+    pub(crate) fn add_entry(&mut self) {
+        let instance = self.next_instance("entry");
+        let entry = self.start_process(Role::Entry, &instance, "caller_address: 127.0.0.1:0\n");
+        self.entries.push(entry);
+    }
+
+    fn endpoint_daemons(&self) -> impl Iterator<Item = &Process> {
+        let engines = self.engines.iter().map(|slot| &slot.daemon);
+        engines.chain(self.services.iter().map(|slot| &slot.daemon))
+    }
+
+    /// Puts all processes on the instance list as live.
+    pub(crate) fn announce(&self) {
+        let instance = |process: &Process| Instance {
+            id: process.instance.clone(),
+            role: process.role,
+            address: process.address.to_string(),
+            failure_domain: "fd-1".into(),
+            state: InstanceState::Live,
+        };
+        let all = self.endpoint_daemons().chain(&self.entries).map(instance).collect();
+        self.runtime.block_on(self.list.set(all));
+    }
+
+    /// Waits until every entry has a document and all endpoints.
+    pub(crate) fn wait_until_ready(&self) {
+        let endpoints = self.endpoint_daemons().count();
+        for entry in &self.entries {
+            self.wait_for_endpoints(entry, endpoints);
+        }
+    }
+
+    /// Waits until an entry has a document and this many endpoints.
+    pub(crate) fn wait_for_endpoints(&self, entry: &Process, endpoints: usize) {
+        let wait_ms = DEADLINE.as_millis();
+        let path = format!("/state?min_version=0&min_endpoints={endpoints}&wait_ms={wait_ms}");
+        let state = self.state(entry, &path);
+        let connected = state["endpoints"].as_array().map_or(0, Vec::len);
+        assert!(
+            connected >= endpoints && !state["document"].is_null(),
+            "{} is not ready: {state}",
+            entry.instance
+        );
+    }
+
+    fn state(&self, process: &Process, path: &str) -> Value {
+        let reply = self.runtime.block_on(Call::new("GET", path, "").send(process.admin_address));
+        reply.expect("the admin interface replies").json()
+    }
+
+    /// Where the entry with this index serves callers.
+    pub(crate) fn entry(&self, index: usize) -> SocketAddr {
+        self.entries[index].address
+    }
+
+    /// How often a call's body was executed by any service.
+    pub(crate) fn executions_of(&self, body: &str) -> u64 {
+        self.services.iter().map(|slot| slot.backend.executions_of(body.as_bytes())).sum()
+    }
+
+    /// Changes the faults of every engine.
+    pub(crate) fn set_engine_faults(
+        &self,
+        change: impl Fn(&mut EngineFaults) + Clone + Send + 'static,
+    ) {
+        for slot in &self.engines {
+            slot.backend.set_faults(change.clone());
+        }
+    }
+}
