Bound the search for edits

Cause: a flip at the design size took up to 137 ms to decide. For each expert that the slowest rank could drop, all 256 experts were tried in its slot, each layer was searched for as many moves as the whole group may make, and edits were measured in full that could not win.

Now the eight lightest experts are tried for the slot, a layer is searched for three times its even part of the budget, and edits are skipped when a lower bound of their result does not beat the best so far.

--- a/crates/lycheewood/src/decisions/placement.rs
+++ b/crates/lycheewood/src/decisions/placement.rs
@@ -77,6 +77,12 @@
     pub gain: f64,
 }
 
+/// A layer is searched for this many times its even part of the move budget. The rest of a longer
+/// search is rarely taken, since the layers compete for the budget.
+const SEARCH_FACTOR: usize = 3;
+/// Even part assumed when the budget is small.
+const MIN_SEARCH_MOVES: usize = 4;
+
 /// How an objective weighs step time against moves.
 struct Weights {
     /// A layer whose slowest rank is within this factor of the bound is left alone.
@@ -124,12 +130,14 @@
     let margins = margins.collect::<Vec<_>>();
     let weights = Weights::of(view.policy.objective).with_noise(&margins);
     let budget = usize::try_from(view.policy.max_moves).unwrap_or(usize::MAX);
+    let even = budget / view.map.layers.len();
+    let search_moves = budget.min(SEARCH_FACTOR * even.max(MIN_SEARCH_MOVES));
     let layers = view.map.layers.iter().zip(&shares);
     let layers =
         layers.map(|(holders, shares)| Layer::new(holders, shares, speeds, view.map.slots));
     let plans = layers
         .zip(&margins)
-        .map(|(layer, margin)| Plan::of(layer, weights.target + margin, budget));
+        .map(|(layer, margin)| Plan::of(layer, weights.target + margin, search_moves));
     let plans = plans.collect::<Vec<_>>();
     worthwhile_change(view, &weights, plans, budget)
         .map_or(PlacementVerdict::Keep(KeepReason::NotWorthIt), PlacementVerdict::Change)
--- a/crates/lycheewood/src/decisions/placement/layer.rs
+++ b/crates/lycheewood/src/decisions/placement/layer.rs
@@ -3,6 +3,8 @@
 /// Ranks that are tried as the other side of a change, lightest first. More of them cost decision
 /// time and rarely give a better change.
 const TARGETS: usize = 8;
+/// Light experts that are tried for a slot that the slowest rank frees. Any light one serves.
+const FILLERS: usize = 8;
 /// The least relative fall of the slowest rank's time for a change to count as progress.
 const MIN_PROGRESS: f64 = 1e-3;
 
@@ -43,6 +45,8 @@
     holders: Vec<Vec<usize>>,
     held: Vec<Vec<usize>>,
     times: Vec<f64>,
+    /// Experts with the smallest shares.
+    lightest: Vec<usize>,
 }
 
 impl<'a> Layer<'a> {
@@ -59,7 +63,9 @@
             }
         }
         let times = vec![0.0; speeds.len()];
-        let mut layer = Self { shares, speeds, slots, holders: holders.to_vec(), held, times };
+        let holders = holders.to_vec();
+        let lightest = lightest(shares);
+        let mut layer = Self { shares, speeds, slots, holders, held, times, lightest };
         for rank in 0..speeds.len() {
             layer.refresh(rank);
         }
@@ -150,20 +156,28 @@
                     .max(self.times[rank] + part / self.speeds[rank]);
                 search.offer(Edit::Relocate { expert: add, from: hot, to: rank }, worst);
             }
+            let added = self.share_over(add, self.holders[add].len() + 1);
+            // What is dropped can only slow the slowest rank, so this bounds all drops at once.
+            if !search.wants(1, self.times[hot] - (self.part(add) - added) / self.speeds[hot]) {
+                continue;
+            }
             for &drop in self.held[rank].iter().filter(|&&expert| self.holders[expert].len() > 1) {
+                let loaded = self.times[rank] + (added - self.part(drop)) / self.speeds[rank];
+                if !search.wants(1, loaded) {
+                    continue;
+                }
                 let worst = self.time_after_load(hot, rank, add, Some(drop));
                 search.offer(Edit::Load { rank, add, drop: Some(drop) }, worst);
             }
         }
     }
 
-    /// The slowest rank drops an expert that has another replica and loads a lighter one.
+    /// The slowest rank drops an expert that has another replica, and fills the slot with a light one.
     fn try_drops(&self, hot: usize, search: &mut Search) {
         let redundant = self.held[hot].iter().filter(|&&expert| self.holders[expert].len() > 1);
         for &drop in redundant {
-            for add in 0..self.shares.len() {
-                let lighter = self.part(add) < self.part(drop);
-                if lighter && add != drop && !self.holders[add].contains(&hot) {
+            for &add in &self.lightest {
+                if add != drop && !self.holders[add].contains(&hot) {
                     let worst = self.time_after_load(hot, hot, add, Some(drop));
                     search.offer(Edit::Load { rank: hot, add, drop: Some(drop) }, worst);
                 }
@@ -249,6 +263,13 @@
     }
 }
 
+fn lightest(shares: &[f64]) -> Vec<usize> {
+    let mut experts = (0..shares.len()).collect::<Vec<_>>();
+    experts.sort_unstable_by(|&a, &b| shares[a].total_cmp(&shares[b]).then(a.cmp(&b)));
+    experts.truncate(FILLERS);
+    experts
+}
+
 /// The best edit so far.
 struct Search {
     before: f64,
@@ -258,13 +279,19 @@
 
 impl Search {
     fn offer(&mut self, edit: Edit, worst: f64) {
-        let moves = edit.moves();
-        if moves > self.max_moves || worst > self.before * (1.0 - MIN_PROGRESS) {
-            return;
-        }
-        let fall = (self.before - worst) / if moves == 1 { 1.0 } else { 2.0 };
-        if self.best.is_none_or(|(best, _)| fall > best) {
-            self.best = Some((fall, edit));
+        if self.wants(edit.moves(), worst) {
+            self.best = Some((self.fall_per_move(edit.moves(), worst), edit));
         }
     }
+
+    /// Whether an edit after which the worst rank takes `worst` would be the best so far.
+    fn wants(&self, moves: usize, worst: f64) -> bool {
+        moves <= self.max_moves
+            && worst <= self.before * (1.0 - MIN_PROGRESS)
+            && self.best.is_none_or(|(best, _)| self.fall_per_move(moves, worst) > best)
+    }
+
+    fn fall_per_move(&self, moves: usize, worst: f64) -> f64 {
+        (self.before - worst) / if moves == 1 { 1.0 } else { 2.0 }
+    }
 }
