--- a/crates/lycheewood/src/decisions/placement/forecast.rs
+++ b/crates/lycheewood/src/decisions/placement/forecast.rs
@@ -5,7 +5,7 @@
 /// Weight of a new report in the level of a share.
 const LEVEL_GAIN: f64 = 0.3;
 /// Weight of a new difference in the trend of a share.
-const TREND_GAIN: f64 = 0.25;
+const TREND_GAIN: f64 = 0.1;
 /// Share of the trend that is left after each report period. A trend that is not damped overshoots
 /// when popularity stops drifting.
 const TREND_DAMPING: f64 = 0.85;
