Bound prefixes by own requests when the load report is old

Cause: with reports 5 s old the load bound still let an entry gather its own requests on one endpoint, since the load by others outweighs them. Own requests now have to keep the bound by themselves once the report is older than report_decay_ms. An error weighs 0.5 in the error share instead of 0.2.

--- a/crates/lycheewood/src/decisions/estimate.rs
+++ b/crates/lycheewood/src/decisions/estimate.rs
@@ -5,6 +5,9 @@
 
 /// Weight of a new latency sample. A slow endpoint shows after about five answers.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of an error in the error share. Errors weigh more than answers, so that an endpoint that
+/// fails each request loses new ones after two.
+const ERROR_WEIGHT: f64 = 0.5;
 /// Time constant of the error share, in milliseconds. Longer values keep a repaired endpoint idle.
 const ERROR_DECAY_MS: u64 = 10_000;
 /// Time constant of the average of own requests in flight, in milliseconds.
@@ -138,7 +141,8 @@
         let weight = if self.first_token_ms > 0.0 { SAMPLE_WEIGHT } else { 1.0 };
         self.first_token_ms += weight * (ms - self.first_token_ms);
         let share = self.error_share(now);
-        self.error_share = share + SAMPLE_WEIGHT * (error - share);
+        let weight = if error > share { ERROR_WEIGHT } else { SAMPLE_WEIGHT };
+        self.error_share = share + weight * (error - share);
         self.sampled = now;
     }
 }
--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -13,6 +13,9 @@
 /// Requests added to both sides of the own share: with few own requests it says little.
 const OWN_SHARE_PRIOR: f64 = 0.25;
 
+/// Factor on the share of errors in the cost: at a share of 1 the endpoint costs five times as much.
+const ERROR_COST: f64 = 4.0;
+
 /// Settings of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RoutingPolicy {
@@ -23,13 +26,18 @@
     /// Time constant with which an old latency returns to the mean, in milliseconds. Without it an
     /// endpoint that was slow once would never be tried again.
     pub latency_decay_ms: u64,
-    /// How many endpoints, in order of their hash with the prefix, may hold a popular prefix.
-    pub prefix_homes: usize,
+    /// No prefix is followed to an endpoint with a higher share of errors, 0 to 1.
+    pub max_error_share: f64,
 }
 
 impl Default for RoutingPolicy {
     fn default() -> Self {
-        Self { load_bound: 1.25, report_decay_ms: 2_000, latency_decay_ms: 10_000, prefix_homes: 2 }
+        Self {
+            load_bound: 1.25,
+            report_decay_ms: 2_000,
+            latency_decay_ms: 10_000,
+            max_error_share: 0.1,
+        }
     }
 }
 
@@ -106,14 +114,23 @@
 /// Load and cost of one eligible candidate.
 struct Cost {
     index: usize,
+    /// Own requests in flight.
+    own: f64,
+    /// Estimate of all requests there, scaled up where answers are slow.
     load: f64,
+    /// Grows with the time that a request would wait there; only compared, never shown.
     expected_ms: f64,
+    /// The report is recent enough to stand for the load by others.
+    fresh: bool,
+    errors: f64,
 }
 
 /// Costs of the eligible candidates and their mean load.
 struct Costs {
     all: Vec<Cost>,
     mean_load: f64,
+    mean_own: f64,
+    count: f64,
 }
 
 impl Costs {
@@ -134,20 +151,40 @@
                 .map(|(ms, _)| ms),
         )
         .max(1.0);
-        let all: Vec<Cost> = eligible
-            .iter()
-            .map(|&index| {
-                let candidate = &candidates[index];
-                let others_now = mean_others * own_share(candidate, mean_own, now);
-                let load = estimated_load(policy, candidate, others_now, now);
-                let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
-                let domain_errors = domain_error_share(candidates, eligible, candidate, now);
-                let expected_ms = (load + 1.0) * latency * (1.0 + 4.0 * domain_errors);
-                Cost { index, load: load * (latency / mean_ms).max(1.0), expected_ms }
-            })
-            .collect();
+        let cost = |index: usize| {
+            let candidate = &candidates[index];
+            let others_now = mean_others * own_share(candidate, mean_own, now);
+            let load = estimated_load(policy, candidate, others_now, now);
+            let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
+            let errors = domain_error_share(candidates, eligible, candidate, now);
+            let age_ms = candidate.report.map(|r| now.ms_since(r.reported));
+            Cost {
+                index,
+                own: f64::from(candidate.estimate.in_flight().count()),
+                load: load * (latency / mean_ms).max(1.0),
+                expected_ms: (load + 1.0) * latency * (1.0 + ERROR_COST * errors),
+                fresh: age_ms.is_some_and(|ms| ms < policy.report_decay_ms),
+                errors: candidate.estimate.error_share(now),
+            }
+        };
+        let all: Vec<Cost> = eligible.iter().map(|&index| cost(index)).collect();
         let mean_load = mean(all.iter().map(|c| c.load));
-        Self { all, mean_load }
+        let mean_own = mean(all.iter().map(|c| c.own));
+        let count = all.iter().fold(0.0, |sum, _| sum + 1.0);
+        Self { all, mean_load, mean_own, count }
+    }
+}
+
+impl Costs {
+    /// Whether a prefix may be followed to this candidate. One request above the bound is allowed,
+    /// or an idle group would follow no prefix at all. With an old report, own requests have to keep
+    /// the bound by themselves: if every entry's share is even, so is the sum.
+    fn allow(&self, policy: &RoutingPolicy, cost: &Cost) -> bool {
+        let with_this = self.mean_own + 1.0 / self.count;
+        let own_bound = (policy.load_bound * with_this).ceil();
+        cost.errors <= policy.max_error_share
+            && cost.load < policy.load_bound * self.mean_load + 1.0
+            && (cost.fresh || cost.own < own_bound)
     }
 }
 
@@ -185,7 +222,7 @@
     Ok(idle[index_below(random, idle.len())])
 }
 
-/// The first home of the prefix, by cache hint and then by hash, that is not overloaded.
+/// The first endpoint, in order of cache hint and then of hash with the prefix, that is not overloaded.
 fn follow_prefix(
     policy: &RoutingPolicy,
     candidates: &[Candidate<'_>],
@@ -201,13 +238,7 @@
         })
         .collect();
     homes.sort_by_key(|home| std::cmp::Reverse((home.0, home.1)));
-    // One request above the bound is allowed, or an idle group would follow no prefix at all.
-    let bound = policy.load_bound * costs.mean_load + 1.0;
-    homes
-        .iter()
-        .take(policy.prefix_homes)
-        .find(|(_, _, cost)| cost.load < bound)
-        .map(|(_, _, cost)| cost.index)
+    homes.iter().map(|home| home.2).find(|cost| costs.allow(policy, cost)).map(|cost| cost.index)
 }
 
 /// The cheaper of two different random candidates.
