Let one workspace take less of the free room

Cause: with a multiple of 1 four workspaces of ten times the weight leave 1/23 of the room free, about two requests at each entry, so noise in the load estimate refused small workspaces as well. The multiple is now 0.1.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -39,7 +39,7 @@
             queue_ms: 1_000,
             margin: 1.2,
             ageing_ms: 2_000,
-            fair_multiple: 1.0,
+            fair_multiple: 0.1,
             report_decay_ms: 2_000,
             brownout_at: [1.2, 1.8, 2.5],
         }
