Exempt one request of each workspace from brownout

Cause: brownout refused every request of low priority, also from workspaces that use none of the capacity; a low priority with a short deadline never aged enough to run. A workspace without a request in flight at the entry is now exempt.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -225,7 +225,9 @@
     if left_ms <= 0.0 || needed_ms > left_ms {
         return refuse(NotRunCode::DeadlineUnreachable, needed_ms - left_ms);
     }
-    if priority < state.brownout.min_priority() {
+    // One request of each workspace is exempt, or low priorities of small ones would never run.
+    let idle = state.of_workspace(&request.workspace.name) < 1.0;
+    if priority < state.brownout.min_priority() && !idle {
         let steps = state.brownout.min_priority() - priority;
         return refuse(NotRunCode::Overloaded, float_ms(policy.ageing_ms) * f64::from(steps));
     }
