Allow each workspace one request above its threshold

Cause: the part of a small workspace at one entry is below one request, so any second request was refused while free room remained.

Ruled out: a multiple of 0.05 instead of 0.1.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -257,10 +257,15 @@
     let capacity = f64::from(load.capacity.max(1));
     let room = capacity * (1.0 + float_ms(policy.queue_ms) / state.hold_ms.max(1.0));
     let free = (room - in_system).max(0.0) / f64::from(load.entries.max(1));
+    if free <= 0.0 {
+        return false;
+    }
     let weight = f64::from(request.workspace.weight) / request.mean_weight.max(f64::MIN_POSITIVE);
     // Two steps of priority double the threshold, so low priorities lose their place first.
     let by_priority = ((f64::from(priority) - 5.0) / 2.0).exp2();
-    state.of_workspace(&request.workspace.name) < policy.fair_multiple * weight * by_priority * free
+    // One above the threshold is allowed: the part of a small workspace at one entry is below one.
+    let threshold = policy.fair_multiple * weight * by_priority * free + 1.0;
+    free > 0.0 && state.of_workspace(&request.workspace.name) < threshold
 }
 
 /// The brownout step for an offered load, with hysteresis downwards.
