Leave room for long requests in the deadline check

Cause: the check assumed the mean running time, so callers that came again late were admitted and long requests among them missed the deadline. Twice the mean must now be left (hold_margin).

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -23,6 +23,9 @@
     pub queue_ms: u64,
     /// Factor on the predicted wait when it is held against the deadline.
     pub margin: f64,
+    /// Multiple of the mean running time that must be left after the wait. Longer requests than this
+    /// miss their deadline; a larger multiple refuses more short ones that would have made it.
+    pub hold_margin: f64,
     /// Waiting time that raises a request by one priority, in milliseconds.
     pub ageing_ms: u64,
     /// Multiple of the free room that one workspace of mean weight may use.
@@ -38,6 +41,7 @@
         Self {
             queue_ms: 1_000,
             margin: 1.2,
+            hold_margin: 2.0,
             ageing_ms: 2_000,
             fair_multiple: 0.1,
             report_decay_ms: 2_000,
@@ -220,7 +224,7 @@
     let capacity = f64::from(load.capacity.max(1));
     let in_system = state.estimated_load(policy, load, now);
     let wait_ms = (in_system + 1.0 - capacity).max(0.0) * state.hold_ms / capacity;
-    let needed_ms = wait_ms * policy.margin + state.hold_ms;
+    let needed_ms = wait_ms * policy.margin + state.hold_ms * policy.hold_margin;
     let left_ms = float_ms(request.deadline.ms_since(now));
     if left_ms <= 0.0 || needed_ms > left_ms {
         return refuse(NotRunCode::DeadlineUnreachable, needed_ms - left_ms);
