Give each seed of the routing bench its own prefixes

Cause: the popular prefixes were the same in all seeds, so the result hung on which endpoints each policy's hash gives them. Prefixes now differ with the seed, and there are 8 seeds instead of 3.

--- a/crates/lycheewood/benches/routing/main.rs
+++ b/crates/lycheewood/benches/routing/main.rs
@@ -11,7 +11,7 @@
 use policies::{POLICIES, Policy};
 use run::{Fault, Outcome, Scenario};
 
-const SEEDS: [u64; 3] = [11, 23, 47];
+const SEEDS: [u64; 8] = [11, 23, 47, 59, 71, 83, 97, 113];
 
 fn main() {
     println!(
--- a/crates/lycheewood/benches/routing/run.rs
+++ b/crates/lycheewood/benches/routing/run.rs
@@ -100,6 +100,7 @@
     seen: Vec<Seen>,
     requests: Vec<Request>,
     zipf: Vec<f64>,
+    first_prefix: u64,
     next_arrival: f64,
     outcome: Outcome,
 }
@@ -119,6 +120,7 @@
         seen: (0..ENDPOINTS).map(seen).collect(),
         requests: Vec::new(),
         zipf: zipf(),
+        first_prefix: seed * 1_000,
         next_arrival: 0.0,
         outcome: Outcome::default(),
     };
@@ -158,7 +160,9 @@
 
     fn arrive(&mut self, now: u64) {
         let point = self.random.unit();
-        let prefix = self.zipf.partition_point(|p| *p <= point).min(PREFIXES - 1) as u64;
+        let rank = self.zipf.partition_point(|p| *p <= point).min(PREFIXES - 1);
+        // Prefixes differ with the seed, so that no policy's hash is lucky with the popular ones.
+        let prefix = self.first_prefix + rank as u64;
         let entry = self.random.below(self.entries.len());
         let decode_ms = self.random.exponential(DECODE_MS).clamp(20.0, 4_000.0);
         self.budgets[entry].on_request(&self.retries, false);
