--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -23,6 +23,9 @@
     pub queue_ms: u64,
     /// Factor on the predicted wait when it is held against the deadline.
     pub margin: f64,
+    /// Multiple of the mean running time that must be left after the wait. Longer requests than this
+    /// miss their deadline; a larger multiple refuses more short ones that would have made it.
+    pub hold_margin: f64,
     /// Waiting time that raises a request by one priority, in milliseconds.
     pub ageing_ms: u64,
     /// Multiple of the free room that one workspace of mean weight may use.
@@ -38,8 +41,9 @@
         Self {
             queue_ms: 1_000,
             margin: 1.2,
+            hold_margin: 2.0,
             ageing_ms: 2_000,
-            fair_multiple: 1.0,
+            fair_multiple: 0.1,
             report_decay_ms: 2_000,
             brownout_at: [1.2, 1.8, 2.5],
         }
@@ -220,12 +224,14 @@
     let capacity = f64::from(load.capacity.max(1));
     let in_system = state.estimated_load(policy, load, now);
     let wait_ms = (in_system + 1.0 - capacity).max(0.0) * state.hold_ms / capacity;
-    let needed_ms = wait_ms * policy.margin + state.hold_ms;
+    let needed_ms = wait_ms * policy.margin + state.hold_ms * policy.hold_margin;
     let left_ms = float_ms(request.deadline.ms_since(now));
     if left_ms <= 0.0 || needed_ms > left_ms {
         return refuse(NotRunCode::DeadlineUnreachable, needed_ms - left_ms);
     }
-    if priority < state.brownout.min_priority() {
+    // One request of each workspace is exempt, or low priorities of small ones would never run.
+    let idle = state.of_workspace(&request.workspace.name) < 1.0;
+    if priority < state.brownout.min_priority() && !idle {
         let steps = state.brownout.min_priority() - priority;
         return refuse(NotRunCode::Overloaded, float_ms(policy.ageing_ms) * f64::from(steps));
     }
@@ -255,10 +261,15 @@
     let capacity = f64::from(load.capacity.max(1));
     let room = capacity * (1.0 + float_ms(policy.queue_ms) / state.hold_ms.max(1.0));
     let free = (room - in_system).max(0.0) / f64::from(load.entries.max(1));
+    if free <= 0.0 {
+        return false;
+    }
     let weight = f64::from(request.workspace.weight) / request.mean_weight.max(f64::MIN_POSITIVE);
     // Two steps of priority double the threshold, so low priorities lose their place first.
     let by_priority = ((f64::from(priority) - 5.0) / 2.0).exp2();
-    state.of_workspace(&request.workspace.name) < policy.fair_multiple * weight * by_priority * free
+    // One above the threshold is allowed: the part of a small workspace at one entry is below one.
+    let threshold = policy.fair_multiple * weight * by_priority * free + 1.0;
+    free > 0.0 && state.of_workspace(&request.workspace.name) < threshold
 }
 
 /// The brownout step for an offered load, with hysteresis downwards.
