--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -65,7 +65,13 @@
         drain_notice_ms: timing.drain_notice_ms,
     };
     let advice = entry_advice(caller, &candidates, &settings);
-    let body = json!({"entries": advice.addresses, "valid_for_ms": advice.valid_for_ms});
+    let entries: Vec<Value> = advice
+        .addresses
+        .iter()
+        .filter_map(|address| candidates.iter().find(|candidate| candidate.address == *address))
+        .map(|entry| json!({"address": entry.address, "failure_domain": entry.failure_domain}))
+        .collect();
+    let body = json!({"entries": entries, "valid_for_ms": advice.valid_for_ms});
     json_reply(StatusCode::OK, &body)
 }
 
