Shut a fake's listener down before its port is bound again

Cause: a child process between fork and exec holds copies of all listeners. When a fake crashed in that window, its port was still in use, the bind that reserves the port failed and the fake could not come back.

Before, 60 runs of the contract tests: the bind failed 48 times (most of them at the end of a fake, where it does no harm) and 4 tests failed, as

service::a_restarted_service_counts_on panicked at service.rs:35: called Option::unwrap() on a None value

Ruled out: the new tests (without the test that starts processes, 60 runs had no failed bind), and another fake on the same port.

Conclusion: shutdown(2) ends listening for every holder of the socket.

--- a/crates/stand-ins/src/server.rs
+++ b/crates/stand-ins/src/server.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rustix::net::{Shutdown, shutdown};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -46,6 +47,9 @@
 
 impl Port<Listening> {
     fn close(self) -> io::Result<Port<Reserved>> {
+        // A child process that this one is starting may still hold the listener, which would keep the
+        // port in use. Shutting down ends listening for every holder.
+        let _ = shutdown(&self.stage.0, Shutdown::Both);
         drop(self.stage);
         Port::reserve(self.address)
     }
