Find silent connections of every kind and move their work

Cause: HTTP clients kept idle connections for later. One that had gone silent swallowed the next request, and a silent connection to an engine passed for a dead engine. Callers that read nothing held their answers for good.

Change: no idle connection is kept towards the platform, engines and services; callers get a write timeout and TCP probes. Connections between our processes already had heartbeats; tests now cover all five kinds through a forwarder whose open connections go silent.

Ruled out: detecting silence by TCP probes alone. The middle box of the tests answers probes, as real ones may.

--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -15,8 +15,10 @@
 use hyper::service::service_fn;
 use hyper::{Request as HttpRequest, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
+use tokio_io_timeout::TimeoutStream;
 
 use crate::filters;
 use crate::filters::request::Request;
@@ -82,20 +84,27 @@
 }
 
 async fn connection(tcp: TcpStream, state: Arc<EntryState>, mut stop: watch::Receiver<bool>) {
-    let _ = tcp.set_nodelay(true);
     let bounds = state.settings.bounds;
+    let stall = Duration::from_millis(bounds.caller_stall_ms);
+    let _ = tcp.set_nodelay(true);
+    // Finds callers that vanished while their connection was idle.
+    let probes = TcpKeepalive::new().with_time(stall).with_interval(stall / 3).with_retries(3);
+    let _ = SockRef::from(&tcp).set_tcp_keepalive(&probes);
     // Callers are told entries by their address, the same ones each time.
     let caller = tcp.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
     let service = service_fn(|request| {
         let (state, caller) = (Arc::clone(&state), caller.as_str());
         async move { Ok::<_, Infallible>(handle(state, caller, request).await) }
     });
+    // A caller that reads nothing gives up its answer, or it would hold the entry's memory for good.
+    let mut io = TimeoutStream::new(tcp);
+    io.set_write_timeout(Some(stall));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(bounds.header_timeout_ms))
         // hyper refuses buffers below 8 KiB.
         .max_buf_size(bounds.max_header_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(Box::pin(io)), service);
     tokio::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => {}
--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -9,7 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioExecutor;
 use tokio::time::timeout;
 
 /// The most bytes accepted in one reply that is read as a whole.
@@ -80,9 +80,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
-        // A request that failed after it was sent must not be sent again by the library.
+        // No connection is kept for later: one that went silent while idle would swallow the next
+        // request, and nobody could tell whether it arrived. A request that failed after it was sent
+        // must not be sent again by the library.
         let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
         Self { address, client }
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -195,6 +195,15 @@
         self.traffic.block_on(wait_for_progress(&self.state.progress, wanted, timeout_ms))
     }
 
+    /// Waits until the document published at `version`, or a later one, is in force.
+    ///
+    /// Must not be called from async code, because it blocks. Gives `false` after `timeout_ms`.
+    #[must_use]
+    pub fn wait_until_version(&self, version: Offset, timeout_ms: u64) -> bool {
+        let wanted = Progress { version: Some(version), endpoints: 0 };
+        self.traffic.block_on(wait_for_progress(&self.state.progress, wanted, timeout_ms))
+    }
+
     /// Stops gracefully: still serves callers that hold its address, then refuses new requests as not
     /// run, and ends after the last answer in flight.
     ///
--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -64,6 +64,8 @@
     pub header_timeout_ms: u64,
     /// Time to receive the whole body.
     pub body_timeout_ms: u64,
+    /// How long a caller may read nothing of an answer, or keep a connection without any sign of life.
+    pub caller_stall_ms: u64,
     /// Connections from callers at once.
     pub max_connections: usize,
     /// Attempts that an endpoint daemon runs at once.
@@ -77,6 +79,7 @@
             max_body_bytes: 4 * 1024 * 1024,
             header_timeout_ms: 5_000,
             body_timeout_ms: 30_000,
+            caller_stall_ms: 15_000,
             max_connections: 4_096,
             max_attempts: 256,
         }
--- /dev/null
+++ b/crates/lycheewood/tests/silence.rs
@@ -0,0 +1,189 @@
+//! Connections that go silent for good while new ones work: found in a bounded time on each kind of
+//! connection, with work in flight moved to a new one and nothing doubled.
+
+#[path = "support/deployment.rs"]
+mod deployment;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use deployment::{Backend, DOCUMENT, Deployment, TOKEN, completion, expected_text, request, send};
+use lycheewood::{Clock, Offset, RequestKey};
+use stand_ins::engine::EngineFaults;
+use stand_ins::service::Service;
+use tokio::time::timeout;
+
+/// Short timings, so that each silence is found within a second.
+const TIMING: &str = "\
+timing: {heartbeat_ms: 50, silence_ms: 300, long_poll_ms: 500, platform_reply_ms: 300, \
+backend_idle_ms: 400, load_report_ms: 100, entries_valid_ms: 10, entry_linger_ms: 20, \
+entry_refuse_ms: 10, drain_notice_ms: 10}
+bounds: {caller_stall_ms: 300}
+";
+const TOKENS: u32 = 40;
+const WAIT_MS: u64 = 20_000;
+
+/// Slow enough that a silence falls into the middle of an answer.
+fn slow_engine() -> EngineFaults {
+    EngineFaults { token_interval_ms: 25, ..EngineFaults::default() }
+}
+
+/// A platform with the document published.
+fn platform() -> Deployment {
+    let deployment = Deployment::platform(TIMING);
+    deployment.publish(DOCUMENT, None);
+    deployment
+}
+
+fn text_of(body: &str) -> String {
+    let body: serde_json::Value = serde_json::from_str(body).expect("a JSON answer");
+    body["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Guards against an answer that hangs, loses a token or runs twice when the connection between entry
+/// and endpoint daemon goes silent.
+#[test]
+fn an_answer_survives_a_silent_connection_to_its_endpoint() {
+    let mut deployment = platform();
+    deployment.add_engine(slow_engine());
+    deployment.add_entry();
+    let daemon = deployment.forwarder(deployment.slots[0].daemon.peer_address());
+    deployment.announce_at(|_, _| daemon.address());
+    deployment.wait_until_ready();
+    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
+    let ask = request(
+        deployment.entries[0].caller_address(),
+        "/v1/completions",
+        None,
+        &completion("silent endpoint", TOKENS),
+    );
+    let answer = deployment.runtime.block_on(async {
+        let answer = tokio::spawn(send(ask));
+        engine.wait_for_load(|load| load.running == 1).await;
+        daemon.silence();
+        answer.await.expect("the caller")
+    });
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    assert_eq!(text_of(&answer.1), expected_text("silent endpoint", u64::from(TOKENS)));
+    assert!(daemon.opened() >= 2, "the entry has opened another connection");
+}
+
+/// Guards against a call that may not repeat being sent again when its connection goes silent.
+#[test]
+fn a_call_runs_once_when_its_connection_goes_silent() {
+    let mut deployment = platform();
+    let service = {
+        let _runtime = deployment.runtime.enter();
+        Service::start().expect("start a service")
+    };
+    service.set_faults(|faults| faults.common.delay_ms = 800);
+    let address = service.address();
+    deployment.add_slot("jobs", "", address, Backend::Service(service));
+    deployment.add_entry();
+    let daemon = deployment.forwarder(deployment.slots[0].daemon.peer_address());
+    deployment.announce_at(|_, _| daemon.address());
+    deployment.wait_until_ready();
+    let key = RequestKey::generate(Clock::system().now());
+    let entry = deployment.entries[0].caller_address();
+    let call = request(entry, "/v1/services/jobs/jobs", Some(key), "job 1");
+    let opened = daemon.opened();
+    let (answer, reconnected) = deployment.runtime.block_on(async {
+        let answer = tokio::spawn(send(call));
+        // The claim stands in the log just before the call is sent.
+        let claims = deployment.log_client();
+        let page = claims.read("claims", Offset(0), WAIT_MS).await;
+        assert!(page.is_ok_and(|page| !page.records.is_empty()), "no claim in the log");
+        daemon.silence();
+        let reconnected = daemon.wait_for_opened_above(opened);
+        let reconnected = timeout(Duration::from_millis(WAIT_MS), reconnected).await;
+        (answer.await.expect("the caller"), reconnected)
+    });
+    assert!(reconnected.is_ok(), "the entry opened no other connection");
+    let Backend::Service(service) = &deployment.slots[0].backend else { unreachable!() };
+    assert!(service.executions_of(b"job 1") <= 1, "the call ran twice");
+    // Whether the silence came before or after the call was sent, the caller is told the truth.
+    match answer.0 {
+        200 => assert_eq!(service.executions_of(b"job 1"), 1),
+        503 => assert_eq!(service.executions_of(b"job 1"), 0, "{}", answer.1),
+        status => panic!("status {status}: {}", answer.1),
+    }
+}
+
+/// Guards against a daemon that takes a silent connection to its engine for a dead engine.
+#[test]
+fn an_answer_survives_a_silent_connection_to_its_engine() {
+    let mut deployment = platform();
+    let engine = deployment.engine(slow_engine());
+    let near = deployment.forwarder(engine.address());
+    deployment.add_slot("engines", "version: v1\n", near.address(), Backend::Engine(engine));
+    deployment.add_entry();
+    deployment.announce();
+    deployment.wait_until_ready();
+    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
+    let ask = request(
+        deployment.entries[0].caller_address(),
+        "/v1/completions",
+        None,
+        &completion("silent engine", TOKENS),
+    );
+    let answer = deployment.runtime.block_on(async {
+        let answer = tokio::spawn(send(ask));
+        engine.wait_for_load(|load| load.running == 1).await;
+        near.silence();
+        answer.await.expect("the caller")
+    });
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    assert_eq!(text_of(&answer.1), expected_text("silent engine", u64::from(TOKENS)));
+}
+
+/// Guards against a node that waits for good on a silent connection to the log or the instance list.
+#[test]
+fn nodes_follow_the_platform_over_silent_connections() {
+    let mut deployment = platform();
+    let log = deployment.forwarder(deployment.log_address);
+    let list = deployment.forwarder(deployment.list_address);
+    (deployment.log_address, deployment.list_address) = (log.address(), list.address());
+    deployment.add_engine(EngineFaults::default());
+    deployment.add_entry();
+    deployment.announce();
+    deployment.wait_until_ready();
+    log.silence();
+    list.silence();
+    let version = deployment.publish(DOCUMENT, Some(Offset(0)));
+    assert!(deployment.entries[0].wait_until_version(version, WAIT_MS), "the log went unread");
+    deployment.add_engine(EngineFaults::default());
+    deployment.announce();
+    deployment.wait_until_ready();
+}
+
+/// Guards against a caller that stops reading and holds an answer, and a planned stop, for good.
+#[test]
+fn a_caller_that_reads_nothing_does_not_hold_up_a_stop() {
+    let mut deployment = platform();
+    deployment.add_engine(EngineFaults { token_interval_ms: 0, ..EngineFaults::default() });
+    deployment.add_entry();
+    deployment.announce();
+    deployment.wait_until_ready();
+    let entry = deployment.entries.remove(0);
+    let body = r#"{"model": "draft", "prompt": "unread", "max_tokens": 65536, "stream": true}"#;
+    let mut caller = TcpStream::connect(entry.caller_address()).expect("connect");
+    write!(
+        caller,
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {TOKEN}\r\nx-deadline-ms: 600000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("send the request");
+    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
+    deployment.runtime.block_on(engine.wait_for_load(|load| load.running == 1));
+    let (ended, end) = mpsc::channel();
+    let stop = thread::spawn(move || {
+        entry.shutdown();
+        ended.send(())
+    });
+    assert!(end.recv_timeout(Duration::from_millis(WAIT_MS)).is_ok(), "the entry did not stop");
+    assert!(stop.join().is_ok());
+    drop(caller);
+}
--- a/crates/lycheewood/tests/support/deployment.rs
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -4,9 +4,18 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
 use lycheewood::publication::{Change, Publication, Record, encode_record};
-use lycheewood::{Endpoint, Entry, LogClient, Offset, PublicationId, RawDocument, Settings};
+use lycheewood::{
+    Endpoint, Entry, LogClient, Offset, PublicationId, RawDocument, RequestKey, Settings,
+};
 use stand_ins::engine::{Engine, EngineFaults, EngineSettings};
+use stand_ins::forwarder::Forwarder;
 use stand_ins::instance_list::{Instance, InstanceList, InstanceState, Role};
 use stand_ins::log::Log;
 use stand_ins::service::Service;
@@ -59,6 +68,9 @@
     pub(crate) entries: Vec<Entry>,
     /// More lines of settings for each daemon.
     pub(crate) extra: String,
+    /// Addresses that daemons use in place of the fakes' own.
+    pub(crate) log_address: SocketAddr,
+    pub(crate) list_address: SocketAddr,
 }
 
 impl Deployment {
@@ -72,8 +84,17 @@
         let (log, list) = runtime.block_on(async {
             (Log::start().expect("start the log"), InstanceList::start().expect("start the list"))
         });
-        let extra = extra.to_owned();
-        Self { runtime, log, list, slots: Vec::new(), entries: Vec::new(), extra }
+        let (log_address, list_address) = (log.address(), list.address());
+        Self {
+            runtime,
+            log,
+            list,
+            slots: Vec::new(),
+            entries: Vec::new(),
+            extra: extra.to_owned(),
+            log_address,
+            list_address,
+        }
     }
 
     /// Starts the platform, `engines` engines, one service and `entries` entries, publishes
@@ -115,14 +136,19 @@
     fn settings(&self, role: &str, id: &str, more: &str) -> Settings {
         let yaml = format!(
             "role: {role}\ninstance: {id}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {}\ninstance_list_address: {}\n{more}{}",
-            self.log.address(),
-            self.list.address(),
-            self.extra,
+            self.log_address, self.list_address, self.extra,
         );
         Settings::from_yaml(&yaml).expect("the settings are valid")
     }
 
-    fn add_slot(&mut self, kind: &str, version: &str, address: SocketAddr, backend: Backend) {
+    /// Adds a daemon of the endpoint kind `kind` beside `backend`, which it reaches at `address`.
+    pub(crate) fn add_slot(
+        &mut self,
+        kind: &str,
+        version: &str,
+        address: SocketAddr,
+        backend: Backend,
+    ) {
         let id = format!("{kind}-{}", self.slots.len());
         let more = format!(
             "peer_address: 127.0.0.1:0\nbackend_address: {address}\nendpoint_kind: {kind}\n{version}"
@@ -132,13 +158,22 @@
         self.slots.push(Slot { id, backend, daemon });
     }
 
+    /// Starts an engine without a daemon.
+    pub(crate) fn engine(&self, faults: EngineFaults) -> Engine {
+        let settings = EngineSettings { faults, ..EngineSettings::default() };
+        let _runtime = self.runtime.enter();
+        Engine::start(settings).expect("start an engine")
+    }
+
+    /// Starts a forwarder to `target`.
+    pub(crate) fn forwarder(&self, target: SocketAddr) -> Forwarder {
+        let _runtime = self.runtime.enter();
+        Forwarder::start(target).expect("start a forwarder")
+    }
+
     /// Adds an engine and its daemon.
     pub(crate) fn add_engine(&mut self, faults: EngineFaults) {
-        let settings = EngineSettings { faults, ..EngineSettings::default() };
-        let engine = {
-            let _runtime = self.runtime.enter();
-            Engine::start(settings).expect("start an engine")
-        };
+        let engine = self.engine(faults);
         let address = engine.address();
         self.add_slot("engines", "version: v1\n", address, Backend::Engine(engine));
     }
@@ -162,6 +197,11 @@
 
     /// Puts all daemons on the instance list as live.
     pub(crate) fn announce(&self) {
+        self.announce_at(|_, address| address);
+    }
+
+    /// The same, with the address of each endpoint daemon changed by `change`.
+    pub(crate) fn announce_at(&self, change: impl Fn(usize, SocketAddr) -> SocketAddr) {
         let instance = |id: &str, role, address: SocketAddr| Instance {
             id: id.to_owned(),
             role,
@@ -169,10 +209,9 @@
             failure_domain: "fd-1".into(),
             state: InstanceState::Live,
         };
-        let endpoints = self
-            .slots
-            .iter()
-            .map(|slot| instance(&slot.id, Role::Endpoint, slot.daemon.peer_address()));
+        let endpoints = self.slots.iter().enumerate().map(|(index, slot)| {
+            instance(&slot.id, Role::Endpoint, change(index, slot.daemon.peer_address()))
+        });
         let entries = self.entries.iter().enumerate().map(|(index, entry)| {
             instance(&format!("entry-{index}"), Role::Entry, entry.caller_address())
         });
@@ -187,3 +226,41 @@
         }
     }
 }
+
+/// A request of the workspace `north`.
+pub(crate) fn request(
+    address: SocketAddr,
+    path: &str,
+    key: Option<RequestKey>,
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::post(format!("http://{address}{path}"))
+        .header(header::AUTHORIZATION, format!("Bearer {TOKEN}"));
+    if let Some(key) = key {
+        request = request.header("idempotency-key", key.to_string());
+    }
+    request.body(Full::new(Bytes::from(body.to_owned()))).expect("a valid request")
+}
+
+/// A client that callers use.
+pub(crate) fn client() -> Client<HttpConnector, Full<Bytes>> {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+/// Sends a request and reads the whole reply.
+pub(crate) async fn send(request: Request<Full<Bytes>>) -> (u16, String) {
+    let response = client().request(request).await.expect("a reply");
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.expect("a whole body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Body of a whole completion.
+pub(crate) fn completion(prompt: &str, max_tokens: u32) -> String {
+    format!(r#"{{"model": "draft", "prompt": "{prompt}", "max_tokens": {max_tokens}}}"#)
+}
+
+/// The text that an engine with version v1 answers to a prompt.
+pub(crate) fn expected_text(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| stand_ins::engine::token("v1", prompt, index)).collect()
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine;
 pub mod faults;
 mod filters;
+pub mod forwarder;
 mod http;
 pub mod instance_list;
 pub mod log;
