Make the decoding of document records public

The operator's tool is asked by the id of a publication alone, and needs the base in its record to ask the fold for the verdict. The function is unchanged.

--- a/crates/lycheewood/src/decisions/publication.rs
+++ b/crates/lycheewood/src/decisions/publication.rs
@@ -188,7 +188,9 @@
     value.to_string()
 }
 
-fn decode_record(payload: &str) -> Option<Record> {
+/// Decodes the payload of a record, or gives `None` when it is no record of this schema.
+#[must_use]
+pub fn decode_record(payload: &str) -> Option<Record> {
     let mut value: Value = serde_json::from_str(payload).ok()?;
     // Without the schema, exactly the key of the variant remains.
     let schema = value.as_object_mut()?.remove("schema")?;
