Add the command-line tool

Operators had no way to publish a document, to learn what became of it, or to see which nodes have it. The tool folds the stream as the daemons do, so it reports what the log's order decided. A publication is a typestate whose id is chosen before its payload can be read; a lost append reply is resolved by reading the stream, and a repeated append has the same id. Nodes are found from one admin address through the peers that each node names.

The tests run the real binary against the log, list, engine and service of the stand-ins: races, lost replies, a log that is down or hides records, expired records, nodes that left, cut streams.

--- /dev/null
+++ b/crates/lycheewood-cli/src/decisions.rs
@@ -0,0 +1,5 @@
+//! Decisions as plain functions, without clock, socket or terminal.
+
+pub(crate) mod answer;
+pub(crate) mod node_set;
+pub(crate) mod publish;
--- /dev/null
+++ b/crates/lycheewood-cli/src/lifecycle.rs
@@ -0,0 +1,3 @@
+//! Life cycles as types.
+
+pub(crate) mod publication;
