Follow prefixes to 1.35 times the mean and ignore noise in latency

Cause: one miss among cache hits raises the latency estimate of a healthy endpoint, which then counted as overloaded and lost its prefixes. Latency now scales the load only above twice the mean; the load bound rises from 1.25 to 1.35. Error shares are summed once for each failure domain instead of once for each candidate.

The tests now pass their load bound of 1.25 explicitly, so that they don't move with the default.

--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -13,6 +13,9 @@
 /// Requests added to both sides of the own share: with few own requests it says little.
 const OWN_SHARE_PRIOR: f64 = 0.25;
 
+/// An endpoint counts as slow above this multiple of the mean latency. Cached prefixes alone make the
+/// latencies of healthy endpoints differ by less.
+const SLOW_AFTER: f64 = 2.0;
 /// Factor on the share of errors in the cost: at a share of 1 the endpoint costs five times as much.
 const ERROR_COST: f64 = 4.0;
 
@@ -33,7 +36,7 @@
 impl Default for RoutingPolicy {
     fn default() -> Self {
         Self {
-            load_bound: 1.25,
+            load_bound: 1.35,
             report_decay_ms: 2_000,
             latency_decay_ms: 10_000,
             max_error_share: 0.1,
@@ -151,20 +154,23 @@
                 .map(|(ms, _)| ms),
         )
         .max(1.0);
+        let domains = domain_error_shares(candidates, eligible, now);
         let cost = |index: usize| {
             let candidate = &candidates[index];
             let others_now = mean_others * own_share(candidate, mean_own, now);
             let load = estimated_load(policy, candidate, others_now, now);
             let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
-            let errors = domain_error_share(candidates, eligible, candidate, now);
+            let errors = candidate.estimate.error_share(now);
+            let domain = domains.iter().find(|(domain, _)| *domain == candidate.failure_domain);
+            let with_domain = domain.map_or(errors, |(_, share)| errors.max(*share));
             let age_ms = candidate.report.map(|r| now.ms_since(r.reported));
             Cost {
                 index,
                 own: f64::from(candidate.estimate.in_flight().count()),
-                load: load * (latency / mean_ms).max(1.0),
-                expected_ms: (load + 1.0) * latency * (1.0 + ERROR_COST * errors),
+                load: load * (latency / mean_ms / SLOW_AFTER).max(1.0),
+                expected_ms: (load + 1.0) * latency * (1.0 + ERROR_COST * with_domain),
                 fresh: age_ms.is_some_and(|ms| ms < policy.report_decay_ms),
-                errors: candidate.estimate.error_share(now),
+                errors,
             }
         };
         let all: Vec<Cost> = eligible.iter().map(|&index| cost(index)).collect();
@@ -292,21 +298,24 @@
     measured.max(float_ms(estimate.stalled_ms(now)))
 }
 
-/// Mean error share over the candidate's failure domain: errors there tend to come together.
-fn domain_error_share(
-    candidates: &[Candidate<'_>],
+/// Mean error share of each failure domain: errors there tend to come together.
+fn domain_error_shares<'a>(
+    candidates: &[Candidate<'a>],
     eligible: &[usize],
-    candidate: &Candidate<'_>,
     now: Timestamp,
-) -> f64 {
-    let domain = mean(
-        eligible
-            .iter()
-            .map(|&i| &candidates[i])
-            .filter(|c| c.failure_domain == candidate.failure_domain)
-            .map(|c| c.estimate.error_share(now)),
-    );
-    domain.max(candidate.estimate.error_share(now))
+) -> Vec<(&'a FailureDomain, f64)> {
+    let mut sums: Vec<(&FailureDomain, f64, f64)> = Vec::new();
+    for candidate in eligible.iter().map(|&i| &candidates[i]) {
+        let share = candidate.estimate.error_share(now);
+        match sums.iter_mut().find(|(domain, ..)| *domain == candidate.failure_domain) {
+            Some((_, sum, count)) => {
+                *sum += share;
+                *count += 1.0;
+            }
+            None => sums.push((candidate.failure_domain, share, 1.0)),
+        }
+    }
+    sums.into_iter().map(|(domain, sum, count)| (domain, sum / count)).collect()
 }
 
 /// Weight of an endpoint for a prefix: the same at every entry, and spread over the endpoints.
--- a/crates/lycheewood/tests/routing.rs
+++ b/crates/lycheewood/tests/routing.rs
@@ -9,6 +9,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const NOW: Timestamp = Timestamp::from_unix_ms(1_000_000);
+const LOAD_BOUND: f64 = 1.25;
 
 /// The same cases on every run, and no files of failed cases.
 fn runner() -> TestRunner {
@@ -63,7 +64,8 @@
             reserved: e.reserved,
         })
         .collect();
-    choose_endpoint(&RoutingPolicy::default(), &candidates, request, NOW, random)
+    let policy = RoutingPolicy { load_bound: LOAD_BOUND, ..RoutingPolicy::default() };
+    choose_endpoint(&policy, &candidates, request, NOW, random)
 }
 
 fn report(running: u32, age_ms: u64) -> Load {
@@ -120,7 +122,7 @@
             let chosen = choose(&all, &request, random).unwrap();
             let count = u32::try_from(loads.len()).unwrap();
             let mean = f64::from(loads.iter().sum::<u32>()) / f64::from(count);
-            let below = |load: u32| f64::from(load) < 1.25 * mean + 1.0;
+            let below = |load: u32| f64::from(load) < LOAD_BOUND * mean + 1.0;
             prop_assert!(below(loads[chosen]), "load {} at mean {mean}", loads[chosen]);
             prop_assert_eq!(chosen == 0, below(loads[0]) || chosen == 0);
             Ok(())
