Assume a running time before the first request ended

Cause: without a measurement the predicted wait was 0 and the waiting room had no bound, so an entry that starts in the peak would admit everything. initial_hold_ms (1000) stands in until the first request ends.

The test of an entry without measurements admits at most 16 requests on 8 slots.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -26,6 +26,9 @@
     /// Multiple of the mean running time that must be left after the wait. Longer requests than this
     /// miss their deadline; a larger multiple refuses more short ones that would have made it.
     pub hold_margin: f64,
+    /// Running time assumed before the first request ended, in milliseconds. Without it an entry that
+    /// starts in the peak would let everything in.
+    pub initial_hold_ms: u64,
     /// Waiting time that raises a request by one priority, in milliseconds.
     pub ageing_ms: u64,
     /// Multiple of the free room that one workspace of mean weight may use.
@@ -42,6 +45,7 @@
             queue_ms: 1_000,
             margin: 1.2,
             hold_margin: 2.0,
+            initial_hold_ms: 1_000,
             ageing_ms: 2_000,
             fair_multiple: 0.1,
             report_decay_ms: 2_000,
@@ -141,7 +145,7 @@
     /// A request is offered, before the decision about it.
     pub fn on_offered(&mut self, policy: &AdmissionPolicy, load: &TargetLoad, now: Timestamp) {
         self.offered.on_request(now);
-        self.brownout = next_brownout(policy, self.brownout, self.load_ratio(load, now));
+        self.brownout = next_brownout(policy, self.brownout, self.load_ratio(policy, load, now));
     }
 
     /// The request was admitted.
@@ -182,11 +186,11 @@
         self.brownout
     }
 
-    /// Offered load in multiples of capacity; 0 before the first request ended.
+    /// Offered load in multiples of capacity.
     #[must_use]
-    pub fn load_ratio(&self, load: &TargetLoad, now: Timestamp) -> f64 {
+    pub fn load_ratio(&self, policy: &AdmissionPolicy, load: &TargetLoad, now: Timestamp) -> f64 {
         let offered_per_s = self.offered.per_s(now) * f64::from(load.entries);
-        offered_per_s * self.hold_ms / 1000.0 / f64::from(load.capacity.max(1))
+        offered_per_s * self.hold_ms(policy) / 1000.0 / f64::from(load.capacity.max(1))
     }
 
     /// Requests in the system now. Own requests are exact. A report is corrected by the change of
@@ -201,6 +205,10 @@
         weight * reported + (1.0 - weight) * own * entries
     }
 
+    fn hold_ms(&self, policy: &AdmissionPolicy) -> f64 {
+        if self.hold_ms > 0.0 { self.hold_ms } else { float_ms(policy.initial_hold_ms) }
+    }
+
     fn of_workspace(&self, workspace: &WorkspaceName) -> f64 {
         f64::from(self.by_workspace.get(workspace).copied().unwrap_or(0))
     }
@@ -222,9 +230,10 @@
     let refuse = |code, ms: f64| Err(NotRun { code, retry_after_ms: jittered_ms(ms, random) });
     let priority = aged_priority(policy, request, now);
     let capacity = f64::from(load.capacity.max(1));
+    let hold_ms = state.hold_ms(policy);
     let in_system = state.estimated_load(policy, load, now);
-    let wait_ms = (in_system + 1.0 - capacity).max(0.0) * state.hold_ms / capacity;
-    let needed_ms = wait_ms * policy.margin + state.hold_ms * policy.hold_margin;
+    let wait_ms = (in_system + 1.0 - capacity).max(0.0) * hold_ms / capacity;
+    let needed_ms = wait_ms * policy.margin + hold_ms * policy.hold_margin;
     let left_ms = float_ms(request.deadline.ms_since(now));
     if left_ms <= 0.0 || needed_ms > left_ms {
         return refuse(NotRunCode::DeadlineUnreachable, needed_ms - left_ms);
@@ -236,7 +245,7 @@
         return refuse(NotRunCode::Overloaded, float_ms(policy.ageing_ms) * f64::from(steps));
     }
     if in_system >= capacity && !has_room(policy, state, load, request, priority, in_system) {
-        return refuse(NotRunCode::Overloaded, wait_ms.max(state.hold_ms));
+        return refuse(NotRunCode::Overloaded, wait_ms.max(hold_ms));
     }
     let load_factor = ((in_system + 1.0) / capacity).max(1.0);
     Ok(Admitted { priority, wait_ms: whole_ms(wait_ms), load_factor })
@@ -259,7 +268,7 @@
     in_system: f64,
 ) -> bool {
     let capacity = f64::from(load.capacity.max(1));
-    let room = capacity * (1.0 + float_ms(policy.queue_ms) / state.hold_ms.max(1.0));
+    let room = capacity * (1.0 + float_ms(policy.queue_ms) / state.hold_ms(policy).max(1.0));
     let free = (room - in_system).max(0.0) / f64::from(load.entries.max(1));
     if free <= 0.0 {
         return false;
--- a/crates/lycheewood/tests/limits.rs
+++ b/crates/lycheewood/tests/limits.rs
@@ -175,6 +175,23 @@
     assert_eq!(ask(0).unwrap_err().code, NotRunCode::DeadlineUnreachable);
 }
 
+/// Guards against an entry that starts in the peak and lets everything in.
+#[test]
+fn entry_without_measurements_bounds_what_it_admits() {
+    let policy = AdmissionPolicy::default();
+    let workspace = workspace("w", 1);
+    let mut state = Admission::default();
+    let mut admitted = 0;
+    for _ in 0..200 {
+        if admit(&policy, &state, &LOAD, &request(&workspace, 5, 60_000), NOW, 0).is_ok() {
+            state.on_admitted(&workspace.name, NOW);
+            admitted += 1;
+        }
+    }
+    // 8 slots and as many waiting: queue_ms equals the assumed running time.
+    assert!((8..=16).contains(&admitted), "{admitted}");
+}
+
 /// Guards against a large workspace that fills the room before a small one comes.
 #[test]
 fn small_workspace_finds_room_beside_a_large_one() {
