Assume a time to first token before any was measured

Cause: without a sample the mean was taken as 1 ms, so right after a start each endpoint with an unanswered request looked stalled and lost its prefixes. 500 ms stands in until the first answer. The means over the candidates are now a type of their own, which shortens the function that computed them.

--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -13,6 +13,9 @@
 /// Requests added to both sides of the own share: with few own requests it says little.
 const OWN_SHARE_PRIOR: f64 = 0.25;
 
+/// Time to first token assumed before any was measured, in milliseconds. A much lower one would make
+/// every endpoint that has just been sent its first request look stalled.
+const INITIAL_FIRST_TOKEN_MS: f64 = 500.0;
 /// An endpoint counts as slow above this multiple of the mean latency. Cached prefixes alone make the
 /// latencies of healthy endpoints differ by less.
 const SLOW_AFTER: f64 = 2.0;
@@ -128,6 +131,52 @@
     errors: f64,
 }
 
+/// Means over the eligible candidates, against which each is judged.
+struct Group<'a> {
+    others: f64,
+    own: f64,
+    first_token_ms: f64,
+    error_shares: Vec<(&'a FailureDomain, f64)>,
+}
+
+impl<'a> Group<'a> {
+    fn new(candidates: &[Candidate<'a>], eligible: &[usize], now: Timestamp) -> Self {
+        let each = || eligible.iter().map(|&i| &candidates[i]);
+        let measured = mean(each().filter_map(|c| c.estimate.first_token_ms()).map(|(ms, _)| ms));
+        Self {
+            others: mean(each().filter_map(|c| others(c, now)).map(|(load, _)| load)),
+            own: mean(each().map(|c| c.estimate.in_flight().mean(now))),
+            first_token_ms: if measured > 0.0 { measured } else { INITIAL_FIRST_TOKEN_MS },
+            error_shares: domain_error_shares(candidates, eligible, now),
+        }
+    }
+
+    fn cost(
+        &self,
+        policy: &RoutingPolicy,
+        candidate: &Candidate<'_>,
+        index: usize,
+        now: Timestamp,
+    ) -> Cost {
+        let others_now = self.others * own_share(candidate, self.own, now);
+        let load = estimated_load(policy, candidate, others_now, now);
+        let latency = latency_ms(policy, candidate.estimate, self.first_token_ms, now);
+        let slowness = (latency / self.first_token_ms / SLOW_AFTER).max(1.0);
+        let errors = candidate.estimate.error_share(now);
+        let domain = self.error_shares.iter().find(|(name, _)| *name == candidate.failure_domain);
+        let with_domain = domain.map_or(errors, |(_, share)| errors.max(*share));
+        let age_ms = candidate.report.map(|r| now.ms_since(r.reported));
+        Cost {
+            index,
+            own: f64::from(candidate.estimate.in_flight().count()),
+            load: load * slowness,
+            expected_ms: (load + 1.0) * latency * (1.0 + ERROR_COST * with_domain),
+            fresh: age_ms.is_some_and(|ms| ms < policy.report_decay_ms),
+            errors,
+        }
+    }
+}
+
 /// Costs of the eligible candidates and their mean load.
 struct Costs {
     all: Vec<Cost>,
@@ -143,45 +192,15 @@
         eligible: &[usize],
         now: Timestamp,
     ) -> Self {
-        let mean_others = mean(
-            eligible.iter().filter_map(|&i| others(&candidates[i], now)).map(|(load, _)| load),
-        );
-        let mean_own = mean(eligible.iter().map(|&i| candidates[i].estimate.in_flight().mean(now)));
-        let mean_ms = mean(
-            eligible
-                .iter()
-                .filter_map(|&i| candidates[i].estimate.first_token_ms())
-                .map(|(ms, _)| ms),
-        )
-        .max(1.0);
-        let domains = domain_error_shares(candidates, eligible, now);
-        let cost = |index: usize| {
-            let candidate = &candidates[index];
-            let others_now = mean_others * own_share(candidate, mean_own, now);
-            let load = estimated_load(policy, candidate, others_now, now);
-            let latency = latency_ms(policy, candidate.estimate, mean_ms, now);
-            let errors = candidate.estimate.error_share(now);
-            let domain = domains.iter().find(|(domain, _)| *domain == candidate.failure_domain);
-            let with_domain = domain.map_or(errors, |(_, share)| errors.max(*share));
-            let age_ms = candidate.report.map(|r| now.ms_since(r.reported));
-            Cost {
-                index,
-                own: f64::from(candidate.estimate.in_flight().count()),
-                load: load * (latency / mean_ms / SLOW_AFTER).max(1.0),
-                expected_ms: (load + 1.0) * latency * (1.0 + ERROR_COST * with_domain),
-                fresh: age_ms.is_some_and(|ms| ms < policy.report_decay_ms),
-                errors,
-            }
-        };
-        let all: Vec<Cost> = eligible.iter().map(|&index| cost(index)).collect();
+        let group = Group::new(candidates, eligible, now);
+        let cost = |&index: &usize| group.cost(policy, &candidates[index], index, now);
+        let all: Vec<Cost> = eligible.iter().map(cost).collect();
         let mean_load = mean(all.iter().map(|c| c.load));
         let mean_own = mean(all.iter().map(|c| c.own));
         let count = all.iter().fold(0.0, |sum, _| sum + 1.0);
         Self { all, mean_load, mean_own, count }
     }
-}
 
-impl Costs {
     /// Whether a prefix may be followed to this candidate. One request above the bound is allowed,
     /// or an idle group would follow no prefix at all. With an old report, own requests have to keep
     /// the bound by themselves: if every entry's share is even, so is the sum.
