--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -39,7 +39,7 @@
 impl Default for RoutingPolicy {
     fn default() -> Self {
         Self {
-            load_bound: 1.4,
+            load_bound: 1.35,
             report_decay_ms: 2_000,
             latency_decay_ms: 10_000,
             max_error_share: 0.1,
