Halve the free room that one workspace may take

With it the room at capacity is bounded by the deadline check, so the smaller multiple no longer costs goodput there.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -47,7 +47,7 @@
             hold_margin: 2.0,
             initial_hold_ms: 1_000,
             ageing_ms: 2_000,
-            fair_multiple: 0.1,
+            fair_multiple: 0.05,
             report_decay_ms: 2_000,
             brownout_at: [1.2, 1.8, 2.5],
         }
