Add leases and the two-phase change of the expert map

Both are folds of records in log order, so every node decides alike, and life cycles that make wrong orders fail to compile: only a held lease signs, only a change staged at every rank can be committed.

- A stalled rank staged a second change and then lacked the map of steps before the first ("a rank granted a step without a map").
A rank now takes up one change at a time.
- A log clock set back and forward again ended a lease early in the log's time: "2 holders can sign".
A process that takes over now waits by its own clock as well, and its grant names the lease that it saw run out.
- A refusal that passes by itself (a rank that has not read the proposal) aborted changes, and so did an answer of a replaced process.
Both now count as silence.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -2,4 +2,6 @@
 //!
 //! Nothing here reads a clock, opens a socket, talks to an actor or takes a lock.
 
+pub(crate) mod leases;
+pub(crate) mod map_change;
 pub(crate) mod placement;
--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -78,6 +78,10 @@
     /// Name of a group of endpoints of one kind, as the document lists them.
     EndpointKindName
 );
+name_type!(
+    /// Name of what one lease covers, such as a group of ranks.
+    ScopeName
+);
 
 number_type!(
     /// Position of a record in one log stream.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -25,6 +25,14 @@
 mod wire;
 
 pub use clock::{Clock, Timestamp};
+pub use decisions::leases::{
+    CurrentLease, FencingGate, LeaseEffect, LeaseRecord, LeaseVersion, Leases, OrderRefusal,
+    RecordError, ReleaseRecord, decode_record, encode_record,
+};
+pub use decisions::map_change::{
+    CommittedMap, MapEffect, MapRecord, PendingChange, RankEvidence, RankGate, RankMaps,
+    Resolution, StageOrder, StageRefusal, resolve_change,
+};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementVerdict, PlacementView, decide_placement,
@@ -35,9 +43,13 @@
 };
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
+    RequestKey, RequestKeyError, ScopeName, TargetName, VersionName, WorkspaceName,
 };
 pub use lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
+pub use lifecycle::lease::{
+    Held, Lease, LeaseExpired, LeaseTaken, LeaseWatch, Requested, Signature,
+};
+pub use lifecycle::map_change::{Aborted, Committed, Decided, MapChange, Proposed, Staged};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
--- a/crates/lycheewood/src/lifecycle.rs
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -1,3 +1,5 @@
 //! Life cycles as types: a transition that must not happen does not compile.
 
 pub(crate) mod attempt;
+pub(crate) mod lease;
+pub(crate) mod map_change;
