Test leases under lost replies, pauses and wrong clocks

500 schedules with a fixed seed over three holders whose clocks run apart and a log clock that is set back and forward; at most one of them can sign.

--- /dev/null
+++ b/crates/lycheewood/tests/leases.rs
@@ -0,0 +1,223 @@
+//! Leases under faults: never two holders that can sign, and no order of a superseded one runs.
+
+use lycheewood::{
+    CurrentLease, FencingGate, FencingNumber, Held, Incarnation, Lease, LeaseEffect, LeaseRecord,
+    LeaseWatch, Leases, Offset, OrderRefusal, Requested, ScopeName, Timestamp,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Tick(u16),
+    /// The log's clock is set back by so much, or runs on.
+    LogClock(u16),
+    Request(usize),
+    Renew(usize),
+    Release(usize),
+    /// An append arrives; with `true` it arrives again later.
+    Append(u8, bool),
+    /// A holder reads the log. One that does not is paused.
+    Read(usize),
+}
+
+struct Holder {
+    incarnation: Incarnation,
+    /// The lease as the process last read it.
+    current: Option<CurrentLease>,
+    watch: LeaseWatch,
+    requests: u64,
+    requested: Option<Lease<Requested>>,
+    held: Option<Lease<Held>>,
+}
+
+struct World {
+    now: Timestamp,
+    log_back_ms: u64,
+    next: u64,
+    leases: Leases,
+    holders: Vec<Holder>,
+    appends: Vec<LeaseRecord>,
+    granted: usize,
+}
+
+fn scope() -> ScopeName {
+    ScopeName::new("group")
+}
+
+impl World {
+    fn new() -> Self {
+        let holder = |number| Holder {
+            incarnation: Incarnation(number),
+            current: None,
+            watch: LeaseWatch::new(),
+            requests: 0,
+            requested: None,
+            held: None,
+        };
+        Self {
+            now: Timestamp::from_unix_ms(1_000_000),
+            log_back_ms: 0,
+            next: 0,
+            leases: Leases::new(),
+            holders: (1..4).map(holder).collect(),
+            appends: Vec::new(),
+            granted: 0,
+        }
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Tick(ms) => self.now = self.now.plus_ms(u64::from(ms)),
+            Op::LogClock(back_ms) => self.log_back_ms = u64::from(back_ms),
+            Op::Request(holder) => {
+                let now = self.clock(holder);
+                let holder = &mut self.holders[holder];
+                holder.requests += 1;
+                let Ok(supersedes) = holder.watch.check(holder.current, now) else { return };
+                let (process, number) = (holder.incarnation, holder.requests);
+                let lease = Lease::request(scope(), process, number, supersedes, 1_000, now);
+                self.appends.push(lease.record());
+                holder.requested = Some(lease);
+            }
+            Op::Renew(holder) => {
+                let now = self.clock(holder);
+                let renewal = self.holders[holder].held.as_mut().map(|held| held.renewal(now));
+                self.appends.extend(renewal.and_then(Result::ok));
+            }
+            Op::Release(holder) => {
+                self.appends.extend(self.holders[holder].held.take().map(Lease::release));
+            }
+            Op::Append(index, again) if !self.appends.is_empty() => {
+                let index = usize::from(index) % self.appends.len();
+                let record = self.appends[index].clone();
+                if !again {
+                    self.appends.remove(index);
+                }
+                let at = Timestamp::from_unix_ms(self.now.unix_ms() - self.log_back_ms);
+                let effect = self.leases.apply(Offset(self.next), at, &record);
+                self.granted += usize::from(matches!(effect, LeaseEffect::Granted(_)));
+                self.next += 1;
+            }
+            Op::Append(..) => {}
+            Op::Read(holder) => self.read(holder),
+        }
+    }
+
+    /// The clock of a holder: the first one is exact, the second slow, the third fast.
+    fn clock(&self, holder: usize) -> Timestamp {
+        let elapsed_ms = self.now.ms_since(Timestamp::from_unix_ms(1_000_000));
+        Timestamp::from_unix_ms(1_000_000 + elapsed_ms * [1_000, 975, 1_020][holder] / 1_000)
+    }
+
+    fn read(&mut self, holder: usize) {
+        let current = self.leases.current(&scope());
+        let now = self.clock(holder);
+        let holder = &mut self.holders[holder];
+        holder.current = current;
+        let _ = holder.watch.check(current, now);
+        if let Some(held) = &mut holder.held {
+            held.renewed(current);
+        }
+        match holder.requested.take().map(|requested| requested.granted(current)) {
+            Some(Ok(held)) => holder.held = Some(held),
+            Some(Err(requested)) => holder.requested = Some(requested),
+            None => {}
+        }
+    }
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        3 => (0..400_u16).prop_map(Op::Tick),
+        1 => (0..3_000_u16).prop_map(Op::LogClock),
+        3 => (0..3_usize).prop_map(Op::Request),
+        3 => (0..3_usize).prop_map(Op::Renew),
+        1 => (0..3_usize).prop_map(Op::Release),
+        6 => (any::<u8>(), 0..4_u8).prop_map(|(index, again)| Op::Append(index, again == 0)),
+        6 => (0..3_usize).prop_map(Op::Read),
+    ]
+}
+
+/// Guards against two processes that can sign at one time, under lost replies, late and repeated
+/// records, pauses, clocks that run apart and a log clock that is set back and forward again.
+#[test]
+fn at_most_one_holder_can_sign() {
+    let granted = std::cell::Cell::new(0);
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    TestRunner::new_with_rng(config, random)
+        .run(&proptest::collection::vec(op(), 150..300), |ops| {
+            let mut world = World::new();
+            for op in ops {
+                world.apply(op);
+                let can_sign = |holder: &usize| {
+                    let held = world.holders[*holder].held.as_ref();
+                    held.is_some_and(|held| held.sign(world.clock(*holder)).is_ok())
+                };
+                let signing = (0..3).filter(can_sign).count();
+                prop_assert!(signing <= 1, "{signing} holders can sign");
+            }
+            granted.set(granted.get() + world.granted);
+            Ok(())
+        })
+        .unwrap();
+    assert!(granted.get() > 2 * 500, "only {} grants", granted.get());
+}
+
+fn granted(leases: &mut Leases, offset: u64, unix_ms: u64) -> LeaseEffect {
+    let holder = Incarnation(offset + 1);
+    let supersedes = leases.current(&scope()).map(|lease| lease.version());
+    let (scope, duration_ms) = (scope(), 1_000);
+    let record = LeaseRecord::Grant { scope, holder, request: 1, supersedes, duration_ms };
+    leases.apply(Offset(offset), Timestamp::from_unix_ms(unix_ms), &record)
+}
+
+/// Guards against a grant that ends early because the log's clock was set back when it was made.
+#[test]
+fn the_time_of_the_fold_never_goes_back() {
+    let mut leases = Leases::new();
+    assert_eq!(granted(&mut leases, 0, 5_000), LeaseEffect::Granted(FencingNumber(0)));
+    assert_eq!(granted(&mut leases, 1, 6_000), LeaseEffect::Granted(FencingNumber(1)));
+    let release = LeaseRecord::Release(lycheewood::ReleaseRecord {
+        scope: scope(),
+        fencing: FencingNumber(1),
+    });
+    leases.apply(Offset(2), Timestamp::from_unix_ms(1_000), &release);
+    // Set back to 2 000, but the fold is at 6 000, so the lease ends at 7 000.
+    assert_eq!(granted(&mut leases, 3, 2_000), LeaseEffect::Granted(FencingNumber(3)));
+    assert_eq!(granted(&mut leases, 4, 3_500), LeaseEffect::None);
+    assert_eq!(granted(&mut leases, 5, 7_000), LeaseEffect::Granted(FencingNumber(5)));
+}
+
+/// Guards against orders of a superseded lease at an engine that does not check numbers, also right
+/// after a restart of its daemon.
+#[test]
+fn an_endpoint_refuses_superseded_orders() {
+    let mut leases = Leases::new();
+    granted(&mut leases, 4, 0);
+    let current = leases.current(&scope());
+    let mut gate = FencingGate::new();
+    gate.read(None, Offset(3), Offset(5));
+    assert_eq!(gate.admit(FencingNumber(2)), Err(OrderRefusal::CatchingUp));
+    gate.read(current, Offset(5), Offset(5));
+    let superseded = Err(OrderRefusal::Superseded { highest: FencingNumber(4) });
+    assert_eq!(gate.admit(FencingNumber(2)), superseded);
+    assert_eq!(gate.admit(FencingNumber(4)), Ok(()));
+    assert_eq!(gate.admit(FencingNumber(9)), Ok(()), "a number not read yet is newer");
+    assert!(gate.admit(FencingNumber(4)).is_err());
+}
+
+/// Guards against a holder that signs on because its clock runs slow: 4% is far more than instances
+/// drift.
+#[test]
+fn a_slow_clock_stops_before_the_lease_ends() {
+    let mut leases = Leases::new();
+    let asked = Timestamp::from_unix_ms(0);
+    let request = Lease::request(scope(), Incarnation(1), 1, None, 1_000, asked);
+    leases.apply(Offset(0), asked, &request.record());
+    let held = request.granted(leases.current(&scope())).expect("the lease is granted");
+    let ends = leases.current(&scope()).unwrap().ends;
+    let slow = Timestamp::from_unix_ms(ends.unix_ms() * 96 / 100);
+    assert!(held.sign(slow).is_err());
+}
