--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -82,6 +82,10 @@
     /// Identifies one publication of a document, also when its record is appended again.
     PublicationId
 );
+name_type!(
+    /// Name of what one lease covers, such as a group of ranks.
+    ScopeName
+);
 
 number_type!(
     /// Position of a record in one log stream.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -54,7 +54,15 @@
 };
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::estimate::{Estimate, InFlight};
+pub use decisions::leases::{
+    CurrentLease, FencingGate, LeaseEffect, LeaseRecord, LeaseVersion, Leases, OrderRefusal,
+    RecordError, ReleaseRecord, decode_record, encode_record,
+};
 pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
+pub use decisions::map_change::{
+    CommittedMap, MapEffect, MapRecord, PendingChange, RankEvidence, RankGate, RankMaps,
+    Resolution, StageOrder, StageRefusal, resolve_change,
+};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementVerdict, PlacementView, decide_placement,
@@ -87,12 +95,16 @@
 };
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    PublicationId, RequestKey, RequestKeyError, TargetName, VersionName, WorkspaceName,
+    PublicationId, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName, WorkspaceName,
 };
 pub use lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
 pub use lifecycle::claim::{
     Abandoned, Claim, Granted, Judged, Lost, LostReason, Needed, Permit, Sent,
 };
+pub use lifecycle::lease::{
+    Held, Lease, LeaseExpired, LeaseTaken, LeaseWatch, Requested, Signature,
+};
+pub use lifecycle::map_change::{Aborted, Committed, Decided, MapChange, Proposed, Staged};
 pub use lifecycle::shutdown::{Lingering, Refusing, Serving, Shutdown, ShutdownSettings, Stopped};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use roles::StartError;
--- a/crates/lycheewood/src/lifecycle.rs
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -2,4 +2,6 @@
 
 pub(crate) mod attempt;
 pub(crate) mod claim;
+pub(crate) mod lease;
+pub(crate) mod map_change;
 pub(crate) mod shutdown;
