Move requests away from endpoints that cannot be reached

Cause: when an endpoint daemon died without a successor, its link tried to open a connection until the deadline of each request, and told nobody. Only another process at the same address ended the attempts (Lost). A stream stood still for its whole deadline and was then cut, although another endpoint had the same model and version.

Before (failures.rs, the daemon killed after 10 of 40 tokens):

an_interrupted_stream_goes_on_from_the_next_token left: ([10 tokens], Error) right: ([40 tokens], Done)

Ruled out: ending every attempt at the first failed connection. A call that may not repeat must wait for its endpoint, which may hold the answer, and so should a stream that nobody else can continue.

Conclusion: the link tells each attempt after a failed connection, and the relay moves what may repeat if another endpoint can take it. After: passes.

--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -316,6 +316,20 @@
         self.entries.push(entry);
     }
 
+    /// Lets a process that has been replaced leave: the entries know its replacement, then it stops.
+    /// The list is late and shows both until then.
+    pub(crate) fn leave(&self, mut old: Process) {
+        self.set_list([&old]);
+        if old.role == Role::Endpoint {
+            for entry in &self.entries {
+                self.wait_for_endpoints(entry, self.endpoint_daemons().count() + 1);
+            }
+        }
+        old.terminate();
+        assert!(old.wait_for_end().success(), "{} failed", old.instance);
+        self.announce();
+    }
+
     fn endpoint_daemons(&self) -> impl Iterator<Item = &Process> {
         let engines = self.engines.iter().map(|slot| &slot.daemon);
         engines.chain(self.services.iter().map(|slot| &slot.daemon))
@@ -323,6 +337,10 @@
 
     /// Puts all processes on the instance list as live.
     pub(crate) fn announce(&self) {
+        self.set_list([]);
+    }
+
+    fn set_list<const N: usize>(&self, more: [&Process; N]) {
         let instance = |process: &Process| Instance {
             id: process.instance.clone(),
             role: process.role,
@@ -330,7 +348,7 @@
             failure_domain: "fd-1".into(),
             state: InstanceState::Live,
         };
-        let all = self.endpoint_daemons().chain(&self.entries).map(instance).collect();
+        let all = self.endpoint_daemons().chain(&self.entries).chain(more).map(instance).collect();
         self.runtime.block_on(self.list.set(all));
     }
 
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -50,6 +50,8 @@
     Failed,
     /// The endpoint process that ran it is gone.
     Lost,
+    /// The connection is lost and no other could be opened so far; the link goes on trying.
+    Unreachable,
 }
 
 /// Events of one attempt. When the channel closes without an end, ask for the rest.
@@ -294,12 +296,18 @@
                 self.disconnected(&end);
             } else {
                 failures += 1;
+                self.tell_unreachable();
                 self.wait_to_reconnect(failures, &mut stop).await;
             }
         }
         self.config.load.send(LinkEvent::Removed { instance: self.link.instance.clone() });
     }
 
+    /// Lets requests that may repeat go elsewhere. The others keep waiting for their endpoint.
+    fn tell_unreachable(&mut self) {
+        self.routes.retain(|_, route| route.events.try_send(AttemptEvent::Unreachable).is_ok());
+    }
+
     /// A closed channel counts as told to stop.
     fn may_end(&self, stop: &watch::Receiver<bool>) -> bool {
         (*stop.borrow() || stop.has_changed().is_err()) && self.routes.is_empty()
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -14,6 +14,7 @@
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
 use crate::filters::request::Request;
+use crate::filters::route;
 use crate::ids::{AttemptId, Incarnation};
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRun, NotRunCode, Refusal, UnknownCode};
@@ -103,7 +104,7 @@
     }
 
     /// Waits for what comes next, within the deadline.
-    async fn step(&mut self) -> Step {
+    async fn step(&mut self, state: &EntryState) -> Step {
         loop {
             match timeout_at(self.deadline, self.events.recv()).await {
                 Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
@@ -149,10 +150,23 @@
                 Ok(Some(AttemptEvent::Failed | AttemptEvent::Lost)) => {
                     return Step::Broken(UnknownCode::EndpointLost);
                 }
+                Ok(Some(AttemptEvent::Unreachable)) => {
+                    if self.can_move(state) {
+                        return Step::Broken(UnknownCode::EndpointLost);
+                    }
+                }
             }
         }
     }
 
+    /// Whether another endpoint can take over. Otherwise it is better to wait for this one, which may
+    /// still hold the answer.
+    fn can_move(&self, state: &EntryState) -> bool {
+        let (view, now) = (View::load(state), state.clock.now());
+        !self.admitted.terms.non_idempotent
+            && route::others_can_take(&view, &self.admitted, now, &self.link.instance)
+    }
+
     /// Asks for the pieces from the next one on.
     async fn ask(&mut self) {
         let Some(attempt) = self.attempt.as_ref() else { return };
@@ -205,7 +219,7 @@
         let now = state.clock.now();
         Ok(FirstPiece::Again(Exchange { request, view, document, now, stage: admitted }))
     };
-    match source.step().await {
+    match source.step(state).await {
         Step::Head(head) => {
             let relay = Relay { state: Arc::clone(state), request: Arc::clone(request), source };
             Ok(FirstPiece::Answer(Box::new(Answer { head, relay })))
@@ -276,7 +290,7 @@
     };
     loop {
         match timeout_at(source.deadline, source.events.recv()).await {
-            Ok(Some(AttemptEvent::Accepted)) => {}
+            Ok(Some(AttemptEvent::Accepted | AttemptEvent::Unreachable)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
                 let request = Arc::clone(request);
                 let relay = Relay { state: Arc::clone(state), request, source };
@@ -310,7 +324,7 @@
     /// The next piece. After [`Piece::End`] and [`Piece::Cut`] nothing follows.
     pub(crate) async fn next(&mut self) -> Piece {
         loop {
-            match self.source.step().await {
+            match self.source.step(&self.state).await {
                 Step::Head(_) => {}
                 Step::Bytes(bytes) => {
                     self.state.metrics.answer_pieces.inc();
--- a/crates/lycheewood/src/filters/route.rs
+++ b/crates/lycheewood/src/filters/route.rs
@@ -1,12 +1,13 @@
 //! Chooses the version and the endpoint for the next attempt.
 
+use crate::clock::Timestamp;
 use crate::controllers::load::EndpointView;
 use crate::decisions::estimate::Estimate;
 use crate::decisions::membership::{Connection, Eligibility, InstanceView, eligibility};
 use crate::decisions::quarantine::QuarantineVerdict;
 use crate::decisions::routing::{Candidate, RouteRequest, RoutingPolicy, choose_endpoint};
 use crate::decisions::versions::choose_version;
-use crate::filters::exchange::{Admitted, Exchange, Routed};
+use crate::filters::exchange::{Admitted, Exchange, Routed, View};
 use crate::filters::request::Call;
 use crate::ids::{AttemptId, InstanceId, VersionName};
 use crate::lifecycle::attempt::Attempt;
@@ -53,7 +54,8 @@
     }
     let endpoints = &exchange.view.endpoints.endpoints;
     let loaded = |version: &VersionName| {
-        endpoints.iter().any(|e| can_take(exchange, e) && e.version.as_ref() == Some(version))
+        let mut usable = endpoints.iter().filter(|e| e.version.as_ref() == Some(version));
+        usable.any(|e| can_take(exchange.view, &exchange.stage, exchange.now, e))
     };
     let version = exchange
         .document
@@ -79,7 +81,7 @@
         .endpoints
         .endpoints
         .iter()
-        .filter(|e| can_take(exchange, e))
+        .filter(|e| can_take(exchange.view, admitted, exchange.now, e))
         .filter(|e| admitted.version.is_none() || admitted.version == e.version)
         .map(|e| (e, *e.link.estimate()))
         .collect();
@@ -104,18 +106,32 @@
     Some(usable[index].0)
 }
 
-fn can_take(exchange: &Exchange<'_, Admitted>, endpoint: &EndpointView) -> bool {
-    let members = &exchange.view.members;
+/// Whether any endpoint but `present` can run a request with the version that it has.
+pub(crate) fn others_can_take(
+    view: &View,
+    admitted: &Admitted,
+    now: Timestamp,
+    present: &InstanceId,
+) -> bool {
+    view.endpoints.endpoints.iter().any(|e| {
+        e.link.instance != *present
+            && (admitted.version.is_none() || admitted.version == e.version)
+            && can_take(view, admitted, now, e)
+    })
+}
+
+fn can_take(view: &View, admitted: &Admitted, now: Timestamp, endpoint: &EndpointView) -> bool {
+    let members = &view.members;
     let instance = InstanceView {
         listed: members.listed(&endpoint.link.instance),
         draining: endpoint.draining,
         // A silent connection is closed, and its endpoint leaves the table.
-        connection: Connection::Open { opened: endpoint.opened, last_frame: exchange.now },
+        connection: Connection::Open { opened: endpoint.opened, last_frame: now },
     };
     let settings = &members.settings;
-    eligibility(&instance, members.received, settings, exchange.now) == Eligibility::Eligible
+    eligibility(&instance, members.received, settings, now) == Eligibility::Eligible
         && endpoint.load.capacity > 0
-        && endpoint.kind.as_ref().is_some_and(|kind| exchange.stage.terms.kinds.contains(kind))
+        && endpoint.kind.as_ref().is_some_and(|kind| admitted.terms.kinds.contains(kind))
 }
 
 /// Hash of the beginning of a prompt, which engines may have in their caches.
