Bound the attempts of a stream that makes no progress

Cause: the relay continued a stream on another endpoint whenever an attempt broke. Only failures before the head of an answer counted against the retry policy, and an endpoint sends the head before its engine gives a token. A stream that every engine cut was thus attempted without pause until its deadline.

Ruled out: taking every continuation from the retry budget. It would cut streams that one failure interrupts once the reserve is used up.

Conclusion: the first continuation after a piece is free, and the next ones are retries like any other, with the budget, the wait and the bound on attempts.

--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -56,6 +56,7 @@
   load_report_ms: 100
   entries_valid_ms: 300
   entry_linger_ms: 500
+  entry_refuse_ms: 300
   drain_notice_ms: 400
   claim_wait_ms: 3000
 bounds:
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -14,7 +14,7 @@
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
 use crate::filters::request::Request;
-use crate::filters::route;
+use crate::filters::{retry, route};
 use crate::ids::{AttemptId, Incarnation};
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRun, NotRunCode, Refusal, UnknownCode};
@@ -73,6 +73,8 @@
     span: Option<HopSpan>,
     /// The attempt is the trial of a suspect.
     run_alone: bool,
+    /// The attempt has given a piece.
+    progressed: bool,
 }
 
 /// What an attempt has come to.
@@ -100,6 +102,7 @@
             flight: Some(sent.flight),
             span: Some(sent.span),
             run_alone: sent.run_alone,
+            progressed: false,
         }
     }
 
@@ -118,7 +121,9 @@
                 Ok(Some(AttemptEvent::Chunk(index, bytes))) => {
                     if index == self.admitted.next_piece {
                         self.admitted.next_piece += 1;
+                        self.admitted.attempts = 0;
                         self.asks = 0;
+                        self.progressed = true;
                         return Step::Bytes(bytes);
                     }
                 }
@@ -287,6 +292,7 @@
         flight: None,
         span: None,
         run_alone: false,
+        progressed: false,
     };
     loop {
         match timeout_at(source.deadline, source.events.recv()).await {
@@ -366,7 +372,8 @@
         Piece::Cut(unknown(&mut self.source, &self.request, code))
     }
 
-    /// Continues a model's answer on another endpoint with the same version, from the next token.
+    /// Continues a model's answer on another endpoint with the same version, from the next token. After
+    /// an attempt that gave no piece, this is a retry like any other and takes from the budget.
     async fn resume(&mut self) -> bool {
         let admitted = &self.source.admitted;
         if admitted.terms.non_idempotent || admitted.version.is_none() {
@@ -384,6 +391,14 @@
             now: self.state.clock.now(),
             stage: admitted,
         };
+        let exchange = if self.source.progressed {
+            exchange
+        } else {
+            match retry::apply(&self.state, exchange).await {
+                Ok(exchange) => exchange,
+                Err(_) => return false,
+            }
+        };
         // Boxed because the chain's future contains this one.
         match Box::pin(crate::filters::attempt(&self.state, exchange)).await {
             Ok(mut answer) => {
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -193,6 +193,12 @@
         self.control.read_blocking(move |state| state.runs.starts(&request_id))
     }
 
+    /// How often any request has started to run, over all crashes.
+    #[must_use]
+    pub fn runs(&self) -> u64 {
+        self.control.read_blocking(|state| state.runs.all_starts())
+    }
+
     /// The orders that it has taken, over all crashes.
     #[must_use]
     pub fn orders(&self) -> Vec<Order> {
--- a/crates/stand-ins/src/engine/runs.rs
+++ b/crates/stand-ins/src/engine/runs.rs
@@ -103,6 +103,10 @@
     }
 
     /// How often a request has started to run.
+    pub(super) fn all_starts(&self) -> u64 {
+        self.starts.values().sum()
+    }
+
     pub(super) fn starts(&self, request_id: &str) -> u64 {
         self.starts.get(request_id).copied().unwrap_or(0)
     }
