--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -14,6 +14,7 @@
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
 use crate::filters::request::Request;
+use crate::filters::{retry, route};
 use crate::ids::{AttemptId, Incarnation};
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRun, NotRunCode, Refusal, UnknownCode};
@@ -72,6 +73,8 @@
     span: Option<HopSpan>,
     /// The attempt is the trial of a suspect.
     run_alone: bool,
+    /// The attempt has given a piece.
+    progressed: bool,
 }
 
 /// What an attempt has come to.
@@ -99,11 +102,12 @@
             flight: Some(sent.flight),
             span: Some(sent.span),
             run_alone: sent.run_alone,
+            progressed: false,
         }
     }
 
     /// Waits for what comes next, within the deadline.
-    async fn step(&mut self) -> Step {
+    async fn step(&mut self, state: &EntryState) -> Step {
         loop {
             match timeout_at(self.deadline, self.events.recv()).await {
                 Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
@@ -117,7 +121,9 @@
                 Ok(Some(AttemptEvent::Chunk(index, bytes))) => {
                     if index == self.admitted.next_piece {
                         self.admitted.next_piece += 1;
+                        self.admitted.attempts = 0;
                         self.asks = 0;
+                        self.progressed = true;
                         return Step::Bytes(bytes);
                     }
                 }
@@ -149,10 +155,23 @@
                 Ok(Some(AttemptEvent::Failed | AttemptEvent::Lost)) => {
                     return Step::Broken(UnknownCode::EndpointLost);
                 }
+                Ok(Some(AttemptEvent::Unreachable)) => {
+                    if self.can_move(state) {
+                        return Step::Broken(UnknownCode::EndpointLost);
+                    }
+                }
             }
         }
     }
 
+    /// Whether another endpoint can take over. Otherwise it is better to wait for this one, which may
+    /// still hold the answer.
+    fn can_move(&self, state: &EntryState) -> bool {
+        let (view, now) = (View::load(state), state.clock.now());
+        !self.admitted.terms.non_idempotent
+            && route::others_can_take(&view, &self.admitted, now, &self.link.instance)
+    }
+
     /// Asks for the pieces from the next one on.
     async fn ask(&mut self) {
         let Some(attempt) = self.attempt.as_ref() else { return };
@@ -205,7 +224,7 @@
         let now = state.clock.now();
         Ok(FirstPiece::Again(Exchange { request, view, document, now, stage: admitted }))
     };
-    match source.step().await {
+    match source.step(state).await {
         Step::Head(head) => {
             let relay = Relay { state: Arc::clone(state), request: Arc::clone(request), source };
             Ok(FirstPiece::Answer(Box::new(Answer { head, relay })))
@@ -273,10 +292,11 @@
         flight: None,
         span: None,
         run_alone: false,
+        progressed: false,
     };
     loop {
         match timeout_at(source.deadline, source.events.recv()).await {
-            Ok(Some(AttemptEvent::Accepted)) => {}
+            Ok(Some(AttemptEvent::Accepted | AttemptEvent::Unreachable)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
                 let request = Arc::clone(request);
                 let relay = Relay { state: Arc::clone(state), request, source };
@@ -310,7 +330,7 @@
     /// The next piece. After [`Piece::End`] and [`Piece::Cut`] nothing follows.
     pub(crate) async fn next(&mut self) -> Piece {
         loop {
-            match self.source.step().await {
+            match self.source.step(&self.state).await {
                 Step::Head(_) => {}
                 Step::Bytes(bytes) => {
                     self.state.metrics.answer_pieces.inc();
@@ -352,7 +372,8 @@
         Piece::Cut(unknown(&mut self.source, &self.request, code))
     }
 
-    /// Continues a model's answer on another endpoint with the same version, from the next token.
+    /// Continues a model's answer on another endpoint with the same version, from the next token. After
+    /// an attempt that gave no piece, this is a retry like any other and takes from the budget.
     async fn resume(&mut self) -> bool {
         let admitted = &self.source.admitted;
         if admitted.terms.non_idempotent || admitted.version.is_none() {
@@ -370,6 +391,14 @@
             now: self.state.clock.now(),
             stage: admitted,
         };
+        let exchange = if self.source.progressed {
+            exchange
+        } else {
+            match retry::apply(&self.state, exchange).await {
+                Ok(exchange) => exchange,
+                Err(_) => return false,
+            }
+        };
         // Boxed because the chain's future contains this one.
         match Box::pin(crate::filters::attempt(&self.state, exchange)).await {
             Ok(mut answer) => {
