--- a/crates/lycheewood/tests/support/deployment.rs
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -46,6 +46,26 @@
 placement: {objective: skew}
 ";
 
+/// A document for which the cost of rebalancing weighs more, whose `POST /blocks` may not repeat.
+pub(crate) const COST_DOCUMENT: &str = r"
+schema: 1
+service: serials
+models:
+  - name: draft
+    versions: [{name: v1}]
+endpoints:
+  - {name: engines, models: [draft]}
+  - name: jobs
+    service: jobs
+    non_idempotent: [{method: POST, path_prefix: /blocks}]
+workspaces:
+  - name: north
+    token_sha256: [836cfa606b46bcc7e646421dd3bf83a1a787fde882184d875f8e2028216d7f0d]
+    rate_per_s: 20
+    burst: 40
+placement: {objective: cost, max_moves: 2, min_interval_ms: 600000}
+";
+
 /// What stands beside an endpoint daemon.
 pub(crate) enum Backend {
     Engine(Engine),
@@ -195,6 +215,16 @@
         self.entries.push(Entry::start(&settings).expect("start an entry"));
     }
 
+    /// Stops all daemons gracefully, entries first.
+    pub(crate) fn shutdown(&mut self) {
+        for entry in self.entries.drain(..) {
+            entry.shutdown();
+        }
+        for slot in self.slots.drain(..) {
+            slot.daemon.shutdown();
+        }
+    }
+
     /// Puts all daemons on the instance list as live.
     pub(crate) fn announce(&self) {
         self.announce_at(|_, address| address);
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod clock;
+pub mod collector;
 mod control;
 pub mod engine;
 pub mod faults;
