--- a/crates/lycheewood/src/decisions/publication.rs
+++ b/crates/lycheewood/src/decisions/publication.rs
@@ -9,7 +9,6 @@
 
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::clock::Timestamp;
@@ -18,8 +17,17 @@
 use crate::document::raw::RawDocument;
 use crate::ids::{Offset, PublicationId};
 
-/// Schema number of the records that this crate reads and writes.
-pub const SCHEMA: u32 = 1;
+mod publisher;
+mod record;
+mod start;
+
+pub use publisher::{PublisherView, Verdict, verdict};
+pub use record::{
+    Change, Publication, Record, SCHEMA, Snapshot, Win, decode_record, encode_record,
+};
+pub use start::{Merge, Start, choose_start, is_faulty, merge};
+
+use start::state_of;
 
 /// Accepted publications that the state remembers, so that a publisher can still ask for its verdict.
 /// At the design size of 15 000 changes a day this covers 25 minutes.
@@ -28,68 +36,6 @@
 /// Longer ids are skipped, which bounds the size of a snapshot. A UUID takes 36 bytes.
 const MAX_ID_BYTES: usize = 64;
 
-/// A record of the stream `documents`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Record {
-    /// A document or a change of one.
-    Publication(Publication),
-    /// State of the fold, as the start of later folds.
-    Snapshot(Snapshot),
-}
-
-/// A proposal to put a document in force.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Publication {
-    /// Identifies the publication. A record appended again after a lost reply has the same id.
-    pub id: PublicationId,
-    /// Version that it edits, or `None` when no document is in force.
-    pub base: Option<Offset>,
-    /// The new document.
-    pub change: Change,
-}
-
-/// How a publication states its document.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Change {
-    /// The whole document.
-    Document(Value),
-    /// A JSON merge patch on the base, as [`apply_patch`] takes it.
-    Patch(Value),
-}
-
-/// State of the fold after all records up to and including `upto`; also what a peer offers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Snapshot {
-    /// The last folded record.
-    pub upto: Offset,
-    /// Highest append time of the folded records.
-    pub upto_appended: Timestamp,
-    /// See [`FoldState::start_appended`].
-    pub start_appended: Timestamp,
-    /// Offset of the publication in force.
-    pub version: Option<Offset>,
-    /// The document in force; present exactly when `version` is.
-    pub document: Option<Value>,
-    /// The latest accepted publications, oldest first.
-    pub wins: Vec<Win>,
-}
-
-/// An accepted publication. Each base has one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Win {
-    /// Offset of the accepted record, which is the version it put in force.
-    pub version: Offset,
-    /// The version that it replaced.
-    pub base: Option<Offset>,
-    /// Its publication.
-    pub id: PublicationId,
-}
-
 /// A document in force.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Published {
@@ -180,29 +126,6 @@
     pub found: Offset,
 }
 
-/// Encodes a record as the payload of the log.
-#[must_use]
-pub fn encode_record(record: &Record) -> String {
-    let mut value = serde_json::to_value(record).unwrap_or_default();
-    value["schema"] = SCHEMA.into();
-    value.to_string()
-}
-
-/// Decodes the payload of a record, or gives `None` when it is no record of this schema.
-#[must_use]
-pub fn decode_record(payload: &str) -> Option<Record> {
-    let mut value: Value = serde_json::from_str(payload).ok()?;
-    // Without the schema, exactly the key of the variant remains.
-    let schema = value.as_object_mut()?.remove("schema")?;
-    if schema == SCHEMA { serde_json::from_value(value).ok() } else { None }
-}
-
-/// The state that a snapshot record describes. A snapshot at or before its own `upto` claims
-/// records that its writer cannot have read.
-fn state_of(snapshot: &Snapshot, offset: Offset) -> Option<FoldState> {
-    if snapshot.upto < offset { FoldState::from_snapshot(snapshot) } else { None }
-}
-
 impl FoldState {
     /// The state that a snapshot or a peer describes, or `None` when it contradicts itself.
     #[must_use]
@@ -354,79 +277,6 @@
     }
 }
 
-/// Where a fold starts.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Start {
-    /// Continue the present state with the record at its `next`.
-    Continue,
-    /// Replace the present state by this one and read from its `next`.
-    Replace(FoldState),
-    /// The readable records do not lead to a state. Keep the present document, ask peers for
-    /// a state with a higher `upto`, and wait for a snapshot.
-    Unavailable,
-}
-
-/// Chooses the start of a fold from all readable records, or from all snapshots among them, given the
-/// state so far. A node whose next record is still readable continues; snapshots are then ignored.
-///
-/// A new node first asks a peer for its state, because it cannot tell a log that lost its records from
-/// a new one; with a peer's state, [`is_faulty`] can.
-///
-/// The log's start may move after the choice. The fold then reports a [`Gap`], and the choice is
-/// made again.
-#[must_use]
-pub fn choose_start(current: Option<&FoldState>, page: &Page<'_>) -> Start {
-    if current.is_some_and(|state| page.first_offset <= state.next) {
-        return Start::Continue;
-    }
-    if current.is_none() && page.first_offset == Offset(0) {
-        return Start::Replace(FoldState::default());
-    }
-    page.records
-        .iter()
-        .filter_map(|record| match decode_record(record.payload)? {
-            Record::Snapshot(snapshot) => state_of(&snapshot, record.offset),
-            Record::Publication(_) => None,
-        })
-        // Records between an older snapshot and the log's start are missing.
-        .filter(|state| page.first_offset <= state.next)
-        .filter(|state| current.is_none_or(|current| state.next > current.next))
-        .max_by_key(FoldState::next)
-        .map_or(Start::Unavailable, Start::Replace)
-}
-
-/// What to do with a state that a peer offers.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Merge {
-    /// The offer is not ahead, or it contradicts the present state. Nothing changes.
-    Keep,
-    /// Take this state, then pass it to [`choose_start`] with the log's next reply. When the log no
-    /// longer has the record at its `next`, the document stays in force and the fold needs a snapshot
-    /// or another offer.
-    Take(FoldState),
-}
-
-/// Decides on a state that a peer offers. Only a higher `upto` replaces the present state, and
-/// never with an older version.
-#[must_use]
-pub fn merge(current: Option<&FoldState>, offered: &Snapshot) -> Merge {
-    if current.is_some_and(|state| offered.upto < state.next || offered.version < state.version()) {
-        return Merge::Keep;
-    }
-    FoldState::from_snapshot(offered).map_or(Merge::Keep, Merge::Take)
-}
-
-/// Whether a reply of the log contradicts what was seen: its end went back, or its offsets are out
-/// of order. Such a reply is not applied. `seen_end` is the highest end offset seen.
-#[must_use]
-pub fn is_faulty(current: Option<&FoldState>, seen_end: Offset, page: &Page<'_>) -> bool {
-    let known_end = current.map_or(seen_end, |state| seen_end.max(state.next));
-    let (first, end) = (page.first_offset, page.end_offset);
-    let contiguous = page.records.windows(2).all(|pair| pair[0].offset.next() == pair[1].offset);
-    let inside = page.records.iter().all(|record| first <= record.offset && record.offset < end);
-    end < known_end || first > end || !contiguous || !inside
-}
-
 /// What decides whether a snapshot is due.
 #[derive(Clone, Copy, Debug)]
 pub struct SnapshotView<'a> {
@@ -447,64 +297,3 @@
     let jitter_ms = view.jitter_ms.min(view.retention_ms / 6);
     view.state.upto().is_some() && age_ms >= view.retention_ms / 3 + jitter_ms
 }
-
-/// What a publisher knows of its publication.
-#[derive(Clone, Copy, Debug)]
-pub struct PublisherView<'a> {
-    /// Its id.
-    pub id: &'a PublicationId,
-    /// Its base.
-    pub base: Option<Offset>,
-    /// What a record with its id did, when the publisher folded one itself.
-    pub folded: Option<&'a Folded>,
-}
-
-/// What became of a publication.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is or was in force as this version.
-    Accepted {
-        /// Offset of its accepted record.
-        version: Offset,
-    },
-    /// It is not in force and never will be, however often its record is appended.
-    Refused(RefusedBecause),
-    /// Its base is in force, or not folded yet. The record may be appended again under the same id.
-    NotYetKnown,
-    /// Its base was replaced before the oldest remembered publication. It has no effect any more,
-    /// but the state no longer tells whether it was accepted then.
-    Forgotten,
-}
-
-/// The verdict on a publication. It does not depend on how often its record was appended, because
-/// each base has one winner.
-#[must_use]
-pub fn verdict(state: &FoldState, publisher: &PublisherView<'_>) -> Verdict {
-    if let Some(win) = state.wins.iter().find(|win| &win.id == publisher.id) {
-        return Verdict::Accepted { version: win.version };
-    }
-    if let Some(folded) = publisher.folded {
-        match folded {
-            Folded::Accepted(Win { version, .. })
-            | Folded::Refused { because: RefusedBecause::IdUsed(version), .. } => {
-                return Verdict::Accepted { version: *version };
-            }
-            Folded::Refused {
-                because: because @ (RefusedBecause::Lost(_) | RefusedBecause::Invalid(_)),
-                ..
-            } => return Verdict::Refused(because.clone()),
-            // An earlier record with the id may have been accepted on a base since forgotten.
-            _ => {}
-        }
-    }
-    let (base, version) = (publisher.base, state.version());
-    if let Some(win) = state.wins.iter().find(|win| win.base == base) {
-        Verdict::Refused(RefusedBecause::Lost(win.clone()))
-    } else if base == version || base.is_some_and(|base| base >= state.next) {
-        Verdict::NotYetKnown
-    } else if base > version || state.wins.first().is_some_and(|oldest| oldest.base < base) {
-        Verdict::Refused(RefusedBecause::Base)
-    } else {
-        Verdict::Forgotten
-    }
-}
