Keep a moved endpoint in routing when its old link ends

Cause: link events named the instance. When an instance came back under another address while its old link still carried an answer, the end of the old link took the instance out of the table, and nothing brought it back.

Ruled out: the list. It was right; the entry had a working connection.

Events now name the link, and only the link that brought a view changes it.

--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -19,7 +19,7 @@
 use crate::adapters::peer::documents;
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::document::DocumentController;
-use crate::controllers::load::{LinkEvent, LoadHandle};
+use crate::controllers::load::{LinkEvent, LinkEventKind, LoadHandle};
 use crate::controllers::quarantine::{QuarantineController, Warn};
 use crate::decisions::estimate::Estimate;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, Offset};
@@ -300,7 +300,7 @@
                 self.wait_to_reconnect(failures, &mut stop).await;
             }
         }
-        self.config.load.send(LinkEvent::Removed { instance: self.link.instance.clone() });
+        self.tell(LinkEventKind::Removed);
     }
 
     /// Lets requests that may repeat go elsewhere. The others keep waiting for their endpoint.
@@ -308,6 +308,10 @@
         self.routes.retain(|_, route| route.events.try_send(AttemptEvent::Unreachable).is_ok());
     }
 
+    fn tell(&self, kind: LinkEventKind) {
+        self.config.load.send(LinkEvent { link: Arc::clone(&self.link), kind });
+    }
+
     /// A closed channel counts as told to stop.
     fn may_end(&self, stop: &watch::Receiver<bool>) -> bool {
         (*stop.borrow() || stop.has_changed().is_err()) && self.routes.is_empty()
@@ -362,8 +366,7 @@
         stop: &mut watch::Receiver<bool>,
     ) -> ConnectionError {
         let endpoint = hello.incarnation;
-        let instance = self.link.instance.clone();
-        self.config.load.send(LinkEvent::Connected { link: Arc::clone(&self.link), hello });
+        self.tell(LinkEventKind::Connected(Box::new(hello)));
         if let Err(end) = self.greet(&mut connection, endpoint).await {
             return end;
         }
@@ -381,7 +384,7 @@
                             return end;
                         }
                     }
-                    Ok(frame) => self.dispatch_frame(frame, &instance),
+                    Ok(frame) => self.dispatch_frame(frame),
                     Err(end) => return end,
                 },
                 command = self.commands.recv() => {
@@ -393,7 +396,7 @@
                 // The sender is dropped when the instance has left the list.
                 _ = stop.changed(), if !stopping => {
                     stopping = true;
-                    self.config.load.send(LinkEvent::Removed { instance: instance.clone() });
+                    self.tell(LinkEventKind::Removed);
                 }
             }
         }
@@ -529,7 +532,7 @@
         }
     }
 
-    fn dispatch_frame(&mut self, frame: Frame, instance: &InstanceId) {
+    fn dispatch_frame(&mut self, frame: Frame) {
         match frame {
             Frame::Accepted(attempt) => self.forward(attempt, AttemptEvent::Accepted),
             Frame::Head(head) => {
@@ -555,10 +558,10 @@
                 self.finish(refused.attempt, AttemptEvent::Refused(vouch, refused.reason));
             }
             Frame::Load(load) => {
-                self.config.load.send(LinkEvent::Load { instance: instance.clone(), load });
+                self.tell(LinkEventKind::Load(load));
             }
             Frame::Draining => {
-                self.config.load.send(LinkEvent::Draining { instance: instance.clone() });
+                self.tell(LinkEventKind::Draining);
             }
             Frame::Suspects(suspects) => {
                 let _ = self.config.quarantine.tell(Warn(suspects.into())).try_send();
@@ -602,7 +605,6 @@
 
     fn disconnected(&self, end: &ConnectionError) {
         let silent = matches!(end, ConnectionError::Silent { .. });
-        let instance = self.link.instance.clone();
-        self.config.load.send(LinkEvent::Disconnected { instance, silent });
+        self.tell(LinkEventKind::Disconnected { silent });
     }
 }
--- a/crates/lycheewood/src/controllers/load.rs
+++ b/crates/lycheewood/src/controllers/load.rs
@@ -20,12 +20,19 @@
 
 /// What a link tells the controllers.
 #[derive(Debug)]
-pub(crate) enum LinkEvent {
-    Connected { link: Arc<Link>, hello: Hello },
-    Disconnected { instance: InstanceId, silent: bool },
-    Removed { instance: InstanceId },
-    Load { instance: InstanceId, load: Load },
-    Draining { instance: InstanceId },
+pub(crate) struct LinkEvent {
+    pub(crate) link: Arc<Link>,
+    pub(crate) kind: LinkEventKind,
+}
+
+/// What has happened on a link.
+#[derive(Debug)]
+pub(crate) enum LinkEventKind {
+    Connected(Box<Hello>),
+    Disconnected { silent: bool },
+    Removed,
+    Load(Load),
+    Draining,
 }
 
 /// A connected endpoint.
@@ -110,12 +117,22 @@
         self.endpoints.insert(instance, view);
     }
 
-    fn disconnected(&mut self, instance: &InstanceId, silent: bool) {
+    /// The view that a link has brought. An instance that comes back under another address has a new
+    /// link, and what the old one still tells is not about it.
+    fn view_of(&mut self, link: &Arc<Link>) -> Option<&mut EndpointView> {
+        self.endpoints.get_mut(&link.instance).filter(|view| Arc::ptr_eq(&view.link, link))
+    }
+
+    fn remove(&mut self, link: &Arc<Link>) -> bool {
+        self.view_of(link).is_some() && self.endpoints.remove(&link.instance).is_some()
+    }
+
+    fn disconnected(&mut self, link: &Arc<Link>, silent: bool) {
         if silent {
             self.metrics.connections_silent.inc();
         }
-        if self.endpoints.remove(instance).is_some() {
-            log::info!("endpoint disconnected instance={instance} silent={silent}");
+        if self.remove(link) {
+            log::info!("endpoint disconnected instance={} silent={silent}", link.instance);
         }
     }
 }
@@ -124,21 +141,22 @@
     type Reply = ();
 
     async fn handle(&mut self, event: LinkEvent, _: &mut Context<Self, ()>) {
-        match event {
-            LinkEvent::Connected { link, hello } => self.connected(link, hello),
-            LinkEvent::Disconnected { instance, silent } => self.disconnected(&instance, silent),
-            LinkEvent::Removed { instance } => {
-                self.endpoints.remove(&instance);
+        let LinkEvent { link, kind } = event;
+        match kind {
+            LinkEventKind::Connected(hello) => self.connected(link, *hello),
+            LinkEventKind::Disconnected { silent } => self.disconnected(&link, silent),
+            LinkEventKind::Removed => {
+                self.remove(&link);
             }
-            LinkEvent::Load { instance, load } => {
-                if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+            LinkEventKind::Load(load) => {
+                if let Some(endpoint) = self.view_of(&link) {
                     endpoint.load = load;
                 }
             }
-            LinkEvent::Draining { instance } => {
-                if let Some(endpoint) = self.endpoints.get_mut(&instance) {
+            LinkEventKind::Draining => {
+                if let Some(endpoint) = self.view_of(&link) {
                     endpoint.draining = true;
-                    log::info!("endpoint draining instance={instance}");
+                    log::info!("endpoint draining instance={}", link.instance);
                 }
             }
         }
