Show that a daemon that wakes up late had an order to run

Cause: the test of the frozen daemon held for the wrong reason. Its deadline of 1500 ms was below the first estimate of a call, and the entry refused with deadline_unreachable before it sent anything. A trial without the deadline check in decide_start passed.

Ruled out: the longer deadline alone. The connection is silent for longer than silence_ms by then, and the daemon closes it before it reads the order; the same trial still passed, also without the second check in call_service.

Conclusion: the test waits for the claim, and runs with connections that are silent and with connections that are still open. The trial without both checks now fails with 'the old order ran'; the product passes.

Waits for the fakes have a deadline, so that a failing test ends.

--- a/crates/lycheewood-daemon/tests/failures.rs
+++ b/crates/lycheewood-daemon/tests/failures.rs
@@ -10,13 +10,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use caller::{Call, Reply, StreamEnd, new_key, whole_answer};
+use caller::{Call, DEADLINE, Reply, StreamEnd, new_key, whole_answer};
 use lycheewood::RetryPolicy;
 use processes::Deployment;
 use stand_ins::faults::Outage;
 use stand_ins::log::LogFaults;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 const JOB: &str = r#"{"job": 17}"#;
 /// Tokens of the streams that a fault interrupts.
@@ -39,12 +40,18 @@
         self.runtime.block_on(call.send_until_run(self.entry(entry))).expect("the entry replies")
     }
 
+    /// Waits for an event at the fakes.
+    fn wait<T>(&self, event: impl Future<Output = T>) -> T {
+        let event = self.runtime.block_on(async { timeout(DEADLINE, event).await });
+        event.expect("the event comes within the deadline of the test")
+    }
+
     /// Sends a call whose reply the service holds back, and waits until the service has run it.
     fn spawn_held(&self, call: &Call, entry: usize) -> Pending {
         self.services[0].backend.set_faults(|faults| faults.hold_replies = true);
         let pending = self.spawn(call, entry);
         let service = &self.services[0].backend;
-        self.runtime.block_on(service.wait_for_executions_of(call.body.as_bytes(), 1));
+        self.wait(service.wait_for_executions_of(call.body.as_bytes(), 1));
         pending
     }
 
@@ -95,7 +102,7 @@
         deployment.services[0].backend.set_faults(|faults| faults.hold_replies = true);
         let first = deployment.spawn(&call, 0);
         let [one, other] = [0, 1].map(|i| &deployment.services[i].backend);
-        let ran = deployment.runtime.block_on(async {
+        let ran = deployment.wait(async {
             tokio::select! {
                 () = one.wait_for_executions_of(JOB.as_bytes(), 1) => 0,
                 () = other.wait_for_executions_of(JOB.as_bytes(), 1) => 1,
@@ -123,13 +130,22 @@
 }
 
 /// Invariants 3 and 4. The endpoint daemon is frozen before the call is sent to it and wakes up after
-/// the deadline: it does not run the old order.
+/// the deadline, with its connection closed as silent or still open: it does not run the old order.
 #[test]
 fn a_daemon_that_wakes_up_after_the_deadline_runs_no_old_order() {
-    let deployment = Deployment::start(2, 0, 1);
-    let call = Call::job(new_key(), JOB).deadline_ms(1_500);
+    for silence_ms in [1_000, 20_000] {
+        wake_up_after_the_deadline(&Deployment::start_with_silence(silence_ms));
+    }
+}
+
+fn wake_up_after_the_deadline(deployment: &Deployment) {
+    // Longer than the first estimate of a call, so that the entry does not refuse it early.
+    let call = Call::job(new_key(), JOB).deadline_ms(4_000);
     deployment.services[0].daemon.freeze();
-    let first = deployment.reply(&call, 0);
+    let first = deployment.spawn(&call, 0);
+    // Without its claim the order would never have been sent, and the test would show nothing.
+    deployment.wait(deployment.log.wait_for_records("claims", 1));
+    let first = deployment.finish(first).expect("the entry replies");
     assert!(first.is_unknown() || first.is_not_run(), "{first:?}");
     deployment.services[0].daemon.resume();
     deployment.wait_until_ready();
@@ -164,7 +180,7 @@
     deployment.log.set_faults(move |faults| faults.report_end = Some(hidden));
     let call = Call::job(new_key(), JOB);
     let first = deployment.spawn(&call, 0);
-    deployment.runtime.block_on(deployment.log.wait_for_records("claims", hidden + 1));
+    deployment.wait(deployment.log.wait_for_records("claims", hidden + 1));
     deployment.entries[0].freeze();
     deployment.log.set_faults(|faults| faults.report_end = None);
     let second = deployment.reply_once_run(&call, 1);
@@ -406,7 +422,7 @@
     let mut deployment = Deployment::start(1, 2, 2);
     deployment.set_engine_faults(|faults| faults.token_interval_ms = 10);
     let load = Load::start(&deployment, 4);
-    deployment.runtime.block_on(load.rounds(8));
+    deployment.wait(load.rounds(8));
     for index in 0..2 {
         let (instance, backend) =
             (format!("new-engine-{index}"), deployment.engines[index].backend.address());
@@ -418,7 +434,7 @@
         let daemon = deployment.start_service_daemon(&instance, backend);
         let old = std::mem::replace(&mut deployment.services[index].daemon, daemon);
         deployment.leave(old);
-        deployment.runtime.block_on(load.rounds(8));
+        deployment.wait(load.rounds(8));
     }
     deployment.add_entry();
     deployment.announce();
@@ -426,7 +442,7 @@
     *load.entry.lock().expect("no caller panics with the lock") = deployment.entry(1);
     let old = deployment.entries.remove(0);
     deployment.leave(old);
-    deployment.runtime.block_on(load.rounds(8));
+    deployment.wait(load.rounds(8));
     load.stop.store(true, Ordering::Relaxed);
     for caller in load.callers {
         let jobs = deployment.runtime.block_on(caller).expect("a caller got what it asked for");
--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -46,12 +46,15 @@
 placement: {objective: skew}
 ";
 
-/// Shorter than the defaults, so that tests wait less. The silence is long enough for a process that
-/// waits for a processor.
+/// Long enough for a process that waits for a processor, and shorter than the default.
+const SILENCE_MS: u64 = 1_000;
+
+/// Shorter than the defaults, so that tests wait less.
 const SETTINGS: &str = "
+bounds:
+  max_body_bytes: 65536
 timing:
   heartbeat_ms: 100
-  silence_ms: 1000
   reconnect_max_ms: 200
   load_report_ms: 100
   entries_valid_ms: 300
@@ -59,8 +62,6 @@
   entry_refuse_ms: 300
   drain_notice_ms: 400
   claim_wait_ms: 3000
-bounds:
-  max_body_bytes: 65536
 ";
 
 /// One process of ours. Dropping it kills it.
@@ -183,6 +184,7 @@
     pub(crate) runtime: Runtime,
     directory: PathBuf,
     started: u64,
+    silence_ms: u64,
 }
 
 impl Drop for Deployment {
@@ -201,8 +203,21 @@
         deployment
     }
 
+    /// Like [`Deployment::start`], with two entries, one service, and connections
+    /// that count as silent after `silence_ms`.
+    pub(crate) fn start_with_silence(silence_ms: u64) -> Self {
+        let deployment = Self::start_processes(2, 0, 1, silence_ms);
+        deployment.publish();
+        deployment.wait_until_ready();
+        deployment
+    }
+
     /// Starts the platform and the daemons, and publishes nothing.
     pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
+        Self::start_processes(entries, engines, services, SILENCE_MS)
+    }
+
+    fn start_processes(entries: usize, engines: usize, services: usize, silence_ms: u64) -> Self {
         static DEPLOYMENTS: AtomicU64 = AtomicU64::new(0);
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let name = format!("lycheewood-{}-{number}", std::process::id());
@@ -225,6 +240,7 @@
             runtime,
             directory,
             started: 0,
+            silence_ms,
         };
         for _ in 0..engines {
             deployment.add_engine(EngineFaults::default());
@@ -260,7 +276,8 @@
         };
         let (log, list) = (self.log.address(), self.list.address());
         let settings = format!(
-            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}"
+            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}  silence_ms: {}\n",
+            self.silence_ms
         );
         let file = self.directory.join(format!("{instance}.yaml"));
         fs::write(&file, settings).expect("write the settings");
