Pass on the pieces of a continued answer as they come

Cause: the link expected piece 0 of every attempt that it opened. An attempt that continues an answer starts at the next token of that answer, so each of its pieces was dropped until the end of the answer, and the relay asked for them then. The caller's stream stood still for all that time.

A trial in which an endpoint answers no questions showed it: the stream whose daemon died then ended as an error. The test now has the second engine stall after ten more tokens.

an_interrupted_stream_goes_on_from_the_next_token, after 20 s: panicked at caller.rs:201: the stream has more tokens

Ruled out: a lost or late reply to the question; the question was sent only when the end did not match the pieces.

Conclusion: the route starts at the first piece that the work asks for.

--- a/crates/lycheewood-daemon/tests/failures.rs
+++ b/crates/lycheewood-daemon/tests/failures.rs
@@ -259,7 +259,13 @@
                 .backend
                 .set_faults(|faults| faults.cut_after_tokens = Some(10));
         }
-        deployment.set_engine_faults(|faults| faults.stall_after_tokens = None);
+        // The tokens come as they are produced, not with the end of the answer.
+        deployment.set_engine_faults(|faults| faults.stall_after_tokens = Some(20));
+        tokens.extend(deployment.runtime.block_on(events.tokens(10)));
+        deployment.set_engine_faults(|faults| {
+            faults.stall_after_tokens = None;
+            faults.cut_after_tokens = None;
+        });
         let (rest, end) = deployment.runtime.block_on(events.rest());
         tokens.extend(rest);
         let whole = (whole_answer(prompt, TOKENS), StreamEnd::Done);
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -472,7 +472,7 @@
                         return Ok(());
                     }
                 };
-                self.add_route(attempt.id(), events, endpoint, 0, false);
+                self.add_route(attempt.id(), events, endpoint, start.work.first_piece(), false);
                 let _ = sent.send(Ok(attempt));
                 connection.feed(&Frame::Start(start)).await
             }
--- a/crates/lycheewood/src/roles/endpoint/execution.rs
+++ b/crates/lycheewood/src/roles/endpoint/execution.rs
@@ -93,7 +93,7 @@
             Ok(()) => return ExecutionEnd::Answered,
             Err(error) => error,
         };
-        let untouched = buffer.next_index() == first_token(start) && resumes == 0;
+        let untouched = buffer.next_index() == start.work.first_piece() && resumes == 0;
         if error.is_not_sent() && untouched {
             return ExecutionEnd::NotStarted;
         }
@@ -109,13 +109,6 @@
     }
 }
 
-fn first_token(start: &Start) -> u64 {
-    match &start.work {
-        Work::Model { resume_from_token, .. } => *resume_from_token,
-        Work::Service { .. } => 0,
-    }
-}
-
 async fn stream_tokens(
     state: &EndpointState,
     start: &Start,
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -80,6 +80,16 @@
     },
 }
 
+impl Work {
+    /// Index of the first piece that the answer starts with.
+    pub(crate) fn first_piece(&self) -> u64 {
+        match self {
+            Self::Model { resume_from_token, .. } => *resume_from_token,
+            Self::Service { .. } => 0,
+        }
+    }
+}
+
 /// Asks the endpoint daemon to run an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
