Look at the present state before each attempt

An endpoint that had left or come back meanwhile was judged by its former state.

Each attempt now loads its own view; the order of the filters stays in filters.rs. Found by reading the chain; no test shows a wrong choice.

--- a/crates/lycheewood/src/filters.rs
+++ b/crates/lycheewood/src/filters.rs
@@ -40,34 +40,53 @@
     let authenticated = authenticate::apply(traced)?;
     let classified = classify::apply(authenticated)?;
     let admitted = admit::apply(state, classified).await?;
-    attempt(state, admitted).await
+    attempt(state, request, admitted.stage).await
 }
 
 /// Makes attempts until one gives an answer or no other may be made.
 pub(crate) async fn attempt(
     state: &Arc<EntryState>,
-    mut admitted: Exchange<'_, Admitted>,
+    request: &Arc<Request>,
+    mut admitted: Admitted,
 ) -> Result<Answer, Refusal> {
     loop {
-        let new = match deduplicate::apply(state, admitted).await? {
-            Deduplicated::New(new) => new,
-            Deduplicated::Known(answer) => return Ok(*answer),
-        };
-        let routed = trial::apply(state, route::apply(state, new)?).await?;
-        let claimed = match claim::apply(state, routed).await? {
-            Claiming::Claimed(claimed) => claimed,
-            Claiming::Held(held) => {
-                admitted = held;
-                continue;
-            }
-        };
-        let failed = match dispatch::apply(state, claimed).await? {
-            Dispatch::Sent(sent) => match relay::first_piece(state, *sent).await? {
-                FirstPiece::Answer(answer) => return Ok(*answer),
-                FirstPiece::Again(again) => again,
-            },
-            Dispatch::NotSent(again) => again,
-        };
-        admitted = retry::apply(state, failed).await?;
+        // Each attempt looks at the present state, which shows the failure of the one before.
+        let view = View::load(state);
+        let exchange = Exchange::attempt(request, &view, state.clock.now(), admitted)?;
+        match attempt_once(state, exchange).await? {
+            Next::Answer(answer) => return Ok(*answer),
+            Next::Again(again) => admitted = again,
+        }
     }
 }
+
+/// What follows an attempt.
+enum Next {
+    /// The answer starts.
+    Answer(Box<Answer>),
+    /// Another attempt.
+    Again(Admitted),
+}
+
+async fn attempt_once(
+    state: &Arc<EntryState>,
+    admitted: Exchange<'_, Admitted>,
+) -> Result<Next, Refusal> {
+    let new = match deduplicate::apply(state, admitted).await? {
+        Deduplicated::New(new) => new,
+        Deduplicated::Known(answer) => return Ok(Next::Answer(answer)),
+    };
+    let routed = trial::apply(state, route::apply(state, new)?).await?;
+    let claimed = match claim::apply(state, routed).await? {
+        Claiming::Claimed(claimed) => claimed,
+        Claiming::Held(held) => return Ok(Next::Again(held.stage)),
+    };
+    let failed = match dispatch::apply(state, claimed).await? {
+        Dispatch::Sent(sent) => match relay::first_piece(state, *sent).await? {
+            FirstPiece::Answer(answer) => return Ok(Next::Answer(answer)),
+            FirstPiece::Again(again) => again,
+        },
+        Dispatch::NotSent(again) => again,
+    };
+    Ok(Next::Again(retry::apply(state, failed).await?.stage))
+}
--- a/crates/lycheewood/src/filters/exchange.rs
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -171,7 +171,20 @@
     }
 }
 
-impl Exchange<'_, Admitted> {
+impl<'r> Exchange<'r, Admitted> {
+    /// An admitted request before its next attempt.
+    pub(crate) fn attempt(
+        request: &'r Arc<Request>,
+        view: &'r View,
+        now: Timestamp,
+        admitted: Admitted,
+    ) -> Result<Self, Refusal> {
+        let not_run = NotRun { code: NotRunCode::NoDocument, retry_after_ms: NO_DOCUMENT_RETRY_MS };
+        let document =
+            view.document.as_deref().ok_or_else(|| admitted.refuse(not_run, request.key))?;
+        Ok(Self { request, view, document, now, stage: admitted })
+    }
+
     /// The refusal when no further attempt is made.
     pub(crate) fn refuse(&self, code: NotRunCode, retry_after_ms: u64) -> Refusal {
         self.stage.refuse(NotRun { code, retry_after_ms }, self.request.key)
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -379,28 +379,21 @@
         if admitted.terms.non_idempotent || admitted.version.is_none() {
             return false;
         }
-        let view = View::load(&self.state);
-        let Some(document) = view.document.as_deref() else { return false };
         let mut admitted = admitted.clone();
         admitted.may_have_run = Some(UnknownCode::EndpointLost);
         admitted.avoid.push(self.source.link.instance.clone());
-        let exchange = Exchange {
-            request: &self.request,
-            view: &view,
-            document,
-            now: self.state.clock.now(),
-            stage: admitted,
-        };
-        let exchange = if self.source.progressed {
-            exchange
-        } else {
-            match retry::apply(&self.state, exchange).await {
-                Ok(exchange) => exchange,
-                Err(_) => return false,
-            }
-        };
+        if !self.source.progressed {
+            let view = View::load(&self.state);
+            let now = self.state.clock.now();
+            let retried = match Exchange::attempt(&self.request, &view, now, admitted) {
+                Ok(exchange) => retry::apply(&self.state, exchange).await,
+                Err(refusal) => Err(refusal),
+            };
+            let Ok(exchange) = retried else { return false };
+            admitted = exchange.stage;
+        }
         // Boxed because the chain's future contains this one.
-        match Box::pin(crate::filters::attempt(&self.state, exchange)).await {
+        match Box::pin(crate::filters::attempt(&self.state, &self.request, admitted)).await {
             Ok(mut answer) => {
                 std::mem::swap(&mut self.source, &mut answer.relay.source);
                 true
