Bound what the kernel holds for a slow caller

Cause: tests/silence.rs failed once on a busy machine (load 19): the entry did not stop within 20 s. The kernel seems to take megabytes of an unread answer before the entry sees its caller stall, and a busy machine needs long to produce them; this was inferred, not traced.

Change: callers' sockets hold 128 KiB.

--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -26,6 +26,10 @@
 use crate::roles::entry::EntryState;
 use crate::runtime::stopped;
 
+/// What the kernel may hold of an answer that its caller reads slowly. By default it grows to megabytes,
+/// which hides a stalled caller until then.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Body of every reply to a caller.
 pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -89,7 +93,9 @@
     let _ = tcp.set_nodelay(true);
     // Finds callers that vanished while their connection was idle.
     let probes = TcpKeepalive::new().with_time(stall).with_interval(stall / 3).with_retries(3);
-    let _ = SockRef::from(&tcp).set_tcp_keepalive(&probes);
+    let socket = SockRef::from(&tcp);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     // Callers are told entries by their address, the same ones each time.
     let caller = tcp.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
     let service = service_fn(|request| {
