Mark an expired stream of claims when an entry starts

Cause: an entry that starts when all claims have expired cannot tell which keys it has missed. The first record that it reads was the claim of its first request, so that request and all for two clock skews after it were refused as expired.

Change: the entry appends an empty batch at its start, so the time runs from there.

Ruled out: trusting the stated retention for what was missed. A log that drops records earlier would let a key run twice.

--- a/crates/lycheewood/src/controllers/claims.rs
+++ b/crates/lycheewood/src/controllers/claims.rs
@@ -110,6 +110,7 @@
     log: LogClient,
     table: ClaimTable,
     read_to_end: bool,
+    marked: bool,
     seen_end: Offset,
     waiters: HashMap<AttemptId, Waiter>,
     abandoned: Vec<Abandoned>,
@@ -127,6 +128,7 @@
             log: log.clone(),
             table: ClaimTable::new(claim_settings(&timing)),
             read_to_end: false,
+            marked: false,
             seen_end: Offset(0),
             waiters: HashMap::new(),
             abandoned: Vec::new(),
@@ -260,9 +262,25 @@
         }
         let next = self.table.next_offset().max(page.first_offset);
         self.read_to_end = next >= page.end_offset;
+        self.mark_expired_stream();
         TailStep::Continue(next)
     }
 
+    /// Appends an empty batch when all records have expired before this process could read one.
+    ///
+    /// Claims that it missed could name any key up to twice the clock skew after the first record that
+    /// it reads. Without this record that would be the claim of its first request.
+    fn mark_expired_stream(&mut self) {
+        let nothing_read = self.table.next_offset() == Offset(0);
+        if self.marked || !nothing_read || self.seen_end == Offset(0) {
+            return;
+        }
+        self.marked = true;
+        let (log, payload) = (self.log.clone(), ClaimBatch::new(Vec::new()).to_json());
+        // Without it, the first claim serves as the mark and is refused as expired.
+        tokio::spawn(async move { log.append(CLAIMS, payload).await });
+    }
+
     fn find(&self, look: &Look) -> Found {
         if !self.read_to_end {
             return Found::NotRead;
