--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -126,6 +126,11 @@
         }
     }
 
+    /// The process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         kill_process(id.expect("a child has an id"), signal).expect("signal a child");
@@ -181,6 +186,8 @@
     pub(crate) list: InstanceList,
     pub(crate) runtime: Runtime,
     directory: PathBuf,
+    /// What every daemon's settings end with.
+    settings: &'static str,
     started: u64,
 }
 
@@ -202,6 +209,16 @@
 
     /// Starts the platform and the daemons, and publishes nothing.
     pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
+        Self::start_with_settings(SETTINGS, entries, engines, services)
+    }
+
+    /// Like [`Deployment::start_without_document`], with `settings` in place of the tests' own.
+    pub(crate) fn start_with_settings(
+        settings: &'static str,
+        entries: usize,
+        engines: usize,
+        services: usize,
+    ) -> Self {
         static DEPLOYMENTS: AtomicU64 = AtomicU64::new(0);
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let name = format!("lycheewood-{}-{number}", std::process::id());
@@ -223,6 +240,7 @@
             list,
             runtime,
             directory,
+            settings,
             started: 0,
         };
         for _ in 0..engines {
@@ -258,8 +276,9 @@
             Role::Endpoint => "endpoint",
         };
         let (log, list) = (self.log.address(), self.list.address());
+        let tail = self.settings;
         let settings = format!(
-            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}"
+            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{tail}"
         );
         let file = self.directory.join(format!("{instance}.yaml"));
         fs::write(&file, settings).expect("write the settings");
