Read connections between processes in pieces of 8 KiB

Cause: the WebSocket library allocates a read buffer of 128 KiB for each connection and clears it before each read.

Ruled out: the links' queues and routes as the cause of the memory, since the slope fell by the size of the buffer when only the buffer changed.

--- a/crates/lycheewood/src/adapters/peer/connection.rs
+++ b/crates/lycheewood/src/adapters/peer/connection.rs
@@ -7,12 +7,22 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::settings::Timing;
 use crate::wire::codec::{DecodeError, decode, encode};
 use crate::wire::message::{Frame, Hello};
 use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN, common_version};
 
+/// Bytes that a connection reads at once. The library's default of 128 KiB is allocated for each
+/// connection and cleared before each read, while most reads hold a few frames of some 30 bytes.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
+/// How both sides set up their WebSocket.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
+
 /// Why a connection ended.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ConnectionError {
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -13,9 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
-use tokio_tungstenite::client_async;
+use tokio_tungstenite::client_async_with_config;
 
-use crate::adapters::peer::connection::{Connection, ConnectionError};
+use crate::adapters::peer::connection::{Connection, ConnectionError, socket_config};
 use crate::adapters::peer::documents;
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::document::DocumentController;
@@ -338,7 +338,8 @@
                 TcpStream::connect(self.address).await.map_err(|e| transport(e.to_string()))?;
             tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
             let url = format!("ws://{}/", self.address);
-            let (socket, _) = client_async(url, tcp).await.map_err(|e| transport(e.to_string()))?;
+            let open = client_async_with_config(url, tcp, Some(socket_config()));
+            let (socket, _) = open.await.map_err(|e| transport(e.to_string()))?;
             Connection::establish(socket, &self.config.hello, &self.config.timing).await
         };
         match timeout(Duration::from_millis(self.config.timing.connect_ms), open).await {
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -9,9 +9,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
-use tokio_tungstenite::accept_async;
+use tokio_tungstenite::accept_async_with_config;
 
-use crate::adapters::peer::connection::{Connection, ConnectionError};
+use crate::adapters::peer::connection::{Connection, ConnectionError, socket_config};
 use crate::adapters::peer::documents;
 use crate::answer::{AnswerBuffer, is_final};
 use crate::controllers::attempts::{AskAfter, Attach, Begin, RecoverAfter, Verdict};
@@ -62,7 +62,9 @@
     tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
     let timing = state.settings.timing;
     let establish = async {
-        let socket = accept_async(tcp).await.map_err(|e| transport(e.to_string()))?;
+        let socket = accept_async_with_config(tcp, Some(socket_config()))
+            .await
+            .map_err(|e| transport(e.to_string()))?;
         Connection::establish(socket, &state.hello(), &timing).await
     };
     let (connection, entry) =
