--- a/crates/lycheewood-daemon/benches/entry/load.rs
+++ b/crates/lycheewood-daemon/benches/entry/load.rs
@@ -22,7 +22,8 @@
 
 use crate::caller::{DEADLINE, TOKEN};
 
-const TOKENS: u64 = 16;
+/// Tokens of an answer, unless a part varies them.
+pub(crate) const TOKENS: u64 = 16;
 /// The most requests of one run, whatever its length.
 const MAX_REQUESTS: u64 = 1_000_000;
 
@@ -34,9 +35,15 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-/// Where requests go.
+/// Where requests go, and how many tokens they ask for.
 #[derive(Clone)]
-pub(crate) enum Target {
+pub(crate) struct Target {
+    pub(crate) path: Path,
+    pub(crate) tokens: u64,
+}
+
+#[derive(Clone)]
+pub(crate) enum Path {
     Entry(SocketAddr),
     /// Straight to the engines, in turns.
     Engines(Vec<SocketAddr>),
@@ -79,22 +86,23 @@
 
 impl Target {
     fn address(&self, index: usize) -> SocketAddr {
-        match self {
-            Self::Entry(address) => *address,
-            Self::Engines(addresses) => addresses[index % addresses.len()],
+        match &self.path {
+            Path::Entry(address) => *address,
+            Path::Engines(addresses) => addresses[index % addresses.len()],
         }
     }
 
     fn request(&self) -> Request<Full<Bytes>> {
         let number = PROMPTS.fetch_add(1, Ordering::Relaxed);
         let prompt = format!("morning note {number}");
-        let body = match self {
-            Self::Entry(_) => serde_json::json!({
-                "model": "draft", "prompt": prompt, "max_tokens": TOKENS, "stream": true,
+        let tokens = self.tokens;
+        let body = match self.path {
+            Path::Entry(_) => serde_json::json!({
+                "model": "draft", "prompt": prompt, "max_tokens": tokens, "stream": true,
             }),
-            Self::Engines(_) => serde_json::json!({
+            Path::Engines(_) => serde_json::json!({
                 "request_id": format!("straight-{number}"), "model": "draft", "version": "v1",
-                "prompt": prompt, "max_tokens": TOKENS,
+                "prompt": prompt, "max_tokens": tokens,
             }),
         };
         Request::post("/v1/completions")
@@ -204,9 +212,9 @@
             }
         }
     });
-    let pools: Arc<[Mutex<Vec<Sender>>]> = match target {
-        Target::Entry(_) => Arc::new([Mutex::default()]),
-        Target::Engines(addresses) => addresses.iter().map(|_| Mutex::default()).collect(),
+    let pools: Arc<[Mutex<Vec<Sender>>]> = match &target.path {
+        Path::Entry(_) => Arc::new([Mutex::default()]),
+        Path::Engines(addresses) => addresses.iter().map(|_| Mutex::default()).collect(),
     };
     let next = AtomicUsize::new(0);
     let mut calls = JoinSet::new();
--- a/crates/lycheewood-daemon/benches/entry/main.rs
+++ b/crates/lycheewood-daemon/benches/entry/main.rs
@@ -1,7 +1,7 @@
 //! Measures what an entry costs, beside the same caller talking straight to the engines.
 //!
 //! `cargo bench --bench entry` prints a CSV table in under a minute. `cargo bench --bench entry -- NAME`
-//! runs one part: `memory`, `closed`, `open` or `idle`; `idle` is no part of the whole run.
+//! runs one part: `memory`, `closed`, `open`, `tokens` or `idle`; the last two are no part of the whole run.
 //! `-- --concurrency N` runs only `closed` at N streams, for longer, so that a profiler can watch.
 //!
 //! The entry and the endpoint daemons are processes of their own. The caller, the engines, the log and
@@ -22,7 +22,7 @@
 use hdrhistogram::Histogram;
 use tokio::runtime::{Builder, Runtime};
 
-use load::{Measured, Target, hold_open, run_closed, run_count, run_open};
+use load::{Measured, Path, TOKENS, Target, hold_open, run_closed, run_count, run_open};
 use processes::Deployment;
 use usage::{Usage, rss_kib, thread_usage};
 
@@ -56,6 +56,7 @@
             let bench = Bench::start();
             bench.closed_at(streams, 1, Duration::from_secs(10));
         }
+        Some("tokens") => Bench::start().by_tokens(),
         part => {
             let bench = Bench::start();
             let wanted = |name| part.is_none_or(|part| part == name);
@@ -103,11 +104,11 @@
 
     fn straight(&self) -> Target {
         let addresses = self.deployment.engines.iter().map(|slot| slot.backend.address());
-        Target::Engines(addresses.collect::<Vec<SocketAddr>>())
+        Target { path: Path::Engines(addresses.collect::<Vec<SocketAddr>>()), tokens: TOKENS }
     }
 
     fn through_entry(&self) -> Target {
-        Target::Entry(self.deployment.entry(0))
+        Target { path: Path::Entry(self.deployment.entry(0)), tokens: TOKENS }
     }
 
     /// Requests and memory of the entry.
@@ -153,6 +154,25 @@
         best
     }
 
+    /// Processor time of the entry for a request, by the tokens of its answer.
+    fn by_tokens(&self) {
+        const STREAMS: usize = 64;
+        println!("part,tokens,repeat,requests,failed,entry_cpu_us_per_request");
+        for repeat in 1..=REPEATS {
+            for tokens in [4, 16, 64, 256] {
+                let through = Target { tokens, ..self.through_entry() };
+                let usage = Usage::read(self.entry_id());
+                let run = run_closed(&through, STREAMS, Duration::from_secs(2));
+                let measured = self.runtime.block_on(run);
+                let used = Usage::read(self.entry_id()).since(&usage);
+                let whole = measured.latency_us.len();
+                let requests = f64::from(u32::try_from(whole).unwrap_or(u32::MAX));
+                let cost_us = used.as_secs_f64() * 1e6 / requests;
+                println!("tokens,{tokens},{repeat},{whole},{},{cost_us:.0}", measured.failed);
+            }
+        }
+    }
+
     /// Open loop at a fixed rate, straight and through the entry in turns.
     fn open_at(&self, per_s: f64) {
         let (straight, through) = (self.straight(), self.through_entry());
--- a/crates/lycheewood/benches/capacity/watching.rs
+++ b/crates/lycheewood/benches/capacity/watching.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 
 use lycheewood::{
-    AttemptId, Chunk, FailureDomain, Frame, Incarnation, InstanceCandidate, InstanceId, Load,
-    Timestamp, decode, encode, watched_endpoints,
+    AttemptId, Chunk, FailureDomain, Frame, Incarnation, InstanceCandidate, InstanceId, ListPage,
+    ListedInstance, ListedState, Load, Role, Timestamp, decode, encode, watched_endpoints,
 };
 
 use crate::{row, time, to_f64};
@@ -25,11 +25,29 @@
         time(&format!("{name}_encode"), encoded.len(), 1_000, |_| encode(&frame));
         time(&format!("{name}_decode"), encoded.len(), 1_000, |_| decode(&encoded));
     }
+    for count in [30, 400, 4_020] {
+        list(count);
+    }
     for max in [16, 64, 128] {
         watch(max);
     }
 }
 
+/// Bytes of the whole instance list, which the platform sends on each read.
+fn list(count: usize) {
+    let instances = (0..count).map(|index| ListedInstance {
+        id: InstanceId::new(&format!("endpoint-{index:04}")),
+        role: Role::Endpoint,
+        address: "10.0.0.1:7000".parse().expect("the address is valid"),
+        failure_domain: FailureDomain::new(&format!("fd-{}", index % DOMAINS)),
+        state: ListedState::Live,
+    });
+    let page = ListPage { version: 1, instances: instances.collect() };
+    let text = serde_json::to_string(&page).expect("a list is JSON");
+    row("instance_list_bytes", count, 1, to_f64(text.len()), "bytes");
+    time("instance_list_decode", count, 3, |_| serde_json::from_str::<ListPage>(&text));
+}
+
 /// How many daemons watch each endpoint, and the time that one daemon needs to choose.
 fn watch(max: usize) {
     let domains: Vec<FailureDomain> =
