--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -1,10 +1,11 @@
 //! Relays the answer of an attempt to its caller, piece by piece.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Sleep, sleep};
 
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::claims::Vouched;
@@ -65,7 +66,8 @@
     events: AttemptEvents,
     link: Arc<Link>,
     endpoint: Incarnation,
-    deadline: Instant,
+    /// One timer for the whole answer; one for each piece cost two locks of the timers a token.
+    deadline: Pin<Box<Sleep>>,
     asks: u32,
     /// `None` for the answer of an earlier attempt, which another request has counted.
     flight: Option<Flight>,
@@ -74,6 +76,9 @@
     run_alone: bool,
 }
 
+/// No event came within the deadline of the request.
+struct DeadlinePassed;
+
 /// What an attempt has come to.
 enum Step {
     Head(Head),
@@ -94,7 +99,7 @@
             events: sent.events,
             link: sent.link,
             endpoint: sent.endpoint,
-            deadline: Instant::now() + Duration::from_millis(left_ms),
+            deadline: Box::pin(sleep(Duration::from_millis(left_ms))),
             asks: 0,
             flight: Some(sent.flight),
             span: Some(sent.span),
@@ -102,11 +107,21 @@
         }
     }
 
+    /// The next event, or `None` when the channel has closed, within the deadline. An event that is
+    /// there counts even when the deadline has passed.
+    async fn next_event(&mut self) -> Result<Option<AttemptEvent>, DeadlinePassed> {
+        tokio::select! {
+            biased;
+            event = self.events.recv() => Ok(event),
+            () = self.deadline.as_mut() => Err(DeadlinePassed),
+        }
+    }
+
     /// Waits for what comes next, within the deadline.
     async fn step(&mut self) -> Step {
         loop {
-            match timeout_at(self.deadline, self.events.recv()).await {
-                Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
+            match self.next_event().await {
+                Err(DeadlinePassed) => return Step::Broken(UnknownCode::DeadlinePassed),
                 Ok(Some(AttemptEvent::Accepted)) => {}
                 Ok(Some(AttemptEvent::Head(head))) => {
                     if let Some(flight) = &mut self.flight {
@@ -268,14 +283,14 @@
         events,
         link: Arc::clone(&endpoint.link),
         endpoint: endpoint.incarnation,
-        deadline: Instant::now() + Duration::from_millis(left_ms),
+        deadline: Box::pin(sleep(Duration::from_millis(left_ms))),
         asks: 0,
         flight: None,
         span: None,
         run_alone: false,
     };
     loop {
-        match timeout_at(source.deadline, source.events.recv()).await {
+        match source.next_event().await {
             Ok(Some(AttemptEvent::Accepted)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
                 let request = Arc::clone(request);
