--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -194,39 +194,36 @@
 
 /// State of a stream of events.
 enum Stream {
-    Open(Box<OpenStream>),
+    Open(Box<Relay>),
     Closed,
 }
 
-/// A stream that has not ended.
-struct OpenStream {
-    state: Arc<EntryState>,
-    relay: Relay,
-    /// The part of each event before its text; the same for the whole answer.
-    opening: String,
-}
-
 fn events(state: &Arc<EntryState>, model: &str, relay: Relay) -> Response<ReplyBody> {
+    let state = Arc::clone(state);
+    // The part of each event before its text is the same for the whole answer.
     let opening = format!(
         "data: {{\"object\":\"text_completion\",\"model\":{},\"choices\":[{{\"index\":0,\"text\":",
         Value::from(model)
     );
-    let open = OpenStream { state: Arc::clone(state), relay, opening };
-    let stream = unfold(Stream::Open(Box::new(open)), |stream| async move {
-        let Stream::Open(mut open) = stream else { return None };
-        let (bytes, stream) = match open.relay.next().await {
-            Piece::Bytes(token) => (token_event(&open.opening, &token), Stream::Open(open)),
-            Piece::End => {
-                done(&open.state);
-                (Bytes::from_static(b"data: [DONE]\n\n"), Stream::Closed)
-            }
-            Piece::Cut(refusal) => {
-                cut(&open.state);
-                let event = format!("event: error\ndata: {}\n\n", error_object(&refusal));
-                (Bytes::from(event), Stream::Closed)
-            }
-        };
-        Some((Ok::<_, Infallible>(Frame::data(bytes)), stream))
+    let stream = unfold(Stream::Open(Box::new(relay)), move |stream| {
+        let (state, opening) = (Arc::clone(&state), opening.clone());
+        async move {
+            let Stream::Open(mut relay) = stream else { return None };
+            let piece = relay.next().await;
+            let (bytes, stream) = match piece {
+                Piece::Bytes(token) => (token_event(&opening, &token), Stream::Open(relay)),
+                Piece::End => {
+                    done(&state);
+                    (Bytes::from_static(b"data: [DONE]\n\n"), Stream::Closed)
+                }
+                Piece::Cut(refusal) => {
+                    cut(&state);
+                    let event = format!("event: error\ndata: {}\n\n", error_object(&refusal));
+                    (Bytes::from(event), Stream::Closed)
+                }
+            };
+            Some((Ok::<_, Infallible>(Frame::data(bytes)), stream))
+        }
     });
     let mut response = Response::new(StreamBody::new(stream).boxed_unsync());
     let headers = response.headers_mut();
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -1,11 +1,10 @@
 //! Relays the answer of an attempt to its caller, piece by piece.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, timeout_at};
 
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::claims::Vouched;
@@ -66,8 +65,7 @@
     events: AttemptEvents,
     link: Arc<Link>,
     endpoint: Incarnation,
-    /// One timer for the whole answer; one for each piece cost two locks of the timers a token.
-    deadline: Pin<Box<Sleep>>,
+    deadline: Instant,
     asks: u32,
     /// `None` for the answer of an earlier attempt, which another request has counted.
     flight: Option<Flight>,
@@ -76,9 +74,6 @@
     run_alone: bool,
 }
 
-/// No event came within the deadline of the request.
-struct DeadlinePassed;
-
 /// What an attempt has come to.
 enum Step {
     Head(Head),
@@ -99,7 +94,7 @@
             events: sent.events,
             link: sent.link,
             endpoint: sent.endpoint,
-            deadline: Box::pin(sleep(Duration::from_millis(left_ms))),
+            deadline: Instant::now() + Duration::from_millis(left_ms),
             asks: 0,
             flight: Some(sent.flight),
             span: Some(sent.span),
@@ -107,21 +102,11 @@
         }
     }
 
-    /// The next event, or `None` when the channel has closed, within the deadline. An event that is
-    /// there counts even when the deadline has passed.
-    async fn next_event(&mut self) -> Result<Option<AttemptEvent>, DeadlinePassed> {
-        tokio::select! {
-            biased;
-            event = self.events.recv() => Ok(event),
-            () = self.deadline.as_mut() => Err(DeadlinePassed),
-        }
-    }
-
     /// Waits for what comes next, within the deadline.
     async fn step(&mut self) -> Step {
         loop {
-            match self.next_event().await {
-                Err(DeadlinePassed) => return Step::Broken(UnknownCode::DeadlinePassed),
+            match timeout_at(self.deadline, self.events.recv()).await {
+                Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
                 Ok(Some(AttemptEvent::Accepted)) => {}
                 Ok(Some(AttemptEvent::Head(head))) => {
                     if let Some(flight) = &mut self.flight {
@@ -283,14 +268,14 @@
         events,
         link: Arc::clone(&endpoint.link),
         endpoint: endpoint.incarnation,
-        deadline: Box::pin(sleep(Duration::from_millis(left_ms))),
+        deadline: Instant::now() + Duration::from_millis(left_ms),
         asks: 0,
         flight: None,
         span: None,
         run_alone: false,
     };
     loop {
-        match source.next_event().await {
+        match timeout_at(source.deadline, source.events.recv()).await {
             Ok(Some(AttemptEvent::Accepted)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
                 let request = Arc::clone(request);
