--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// The process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         kill_process(id.expect("a child has an id"), signal).expect("signal a child");
@@ -184,7 +189,8 @@
     pub(crate) runtime: Runtime,
     directory: PathBuf,
     started: u64,
-    silence_ms: u64,
+    /// What every daemon's settings end with.
+    settings: String,
 }
 
 impl Drop for Deployment {
@@ -206,7 +212,8 @@
     /// Like [`Deployment::start`], with two entries, one service, and connections
     /// that count as silent after `silence_ms`.
     pub(crate) fn start_with_silence(silence_ms: u64) -> Self {
-        let deployment = Self::start_processes(2, 0, 1, silence_ms);
+        let settings = format!("{SETTINGS}  silence_ms: {silence_ms}\n");
+        let deployment = Self::start_with_settings(&settings, 2, 0, 1);
         deployment.publish();
         deployment.wait_until_ready();
         deployment
@@ -214,10 +221,17 @@
 
     /// Starts the platform and the daemons, and publishes nothing.
     pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
-        Self::start_processes(entries, engines, services, SILENCE_MS)
+        let settings = format!("{SETTINGS}  silence_ms: {SILENCE_MS}\n");
+        Self::start_with_settings(&settings, entries, engines, services)
     }
 
-    fn start_processes(entries: usize, engines: usize, services: usize, silence_ms: u64) -> Self {
+    /// Like [`Deployment::start_without_document`], with `settings` in place of the tests' own.
+    pub(crate) fn start_with_settings(
+        settings: &str,
+        entries: usize,
+        engines: usize,
+        services: usize,
+    ) -> Self {
         static DEPLOYMENTS: AtomicU64 = AtomicU64::new(0);
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let name = format!("lycheewood-{}-{number}", std::process::id());
@@ -240,7 +254,7 @@
             runtime,
             directory,
             started: 0,
-            silence_ms,
+            settings: settings.to_owned(),
         };
         for _ in 0..engines {
             deployment.add_engine(EngineFaults::default());
@@ -276,8 +290,8 @@
         };
         let (log, list) = (self.log.address(), self.list.address());
         let settings = format!(
-            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}  silence_ms: {}\n",
-            self.silence_ms
+            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{}",
+            self.settings
         );
         let file = self.directory.join(format!("{instance}.yaml"));
         fs::write(&file, settings).expect("write the settings");
