--- a/crates/lycheewood-daemon/tests/support/caller.rs
+++ b/crates/lycheewood-daemon/tests/support/caller.rs
@@ -52,6 +52,12 @@
         Self::new("POST", "/v1/completions", &body.to_string())
     }
 
+    /// A completion as one reply.
+    pub(crate) fn whole(prompt: &str, tokens: u64) -> Self {
+        let body = serde_json::json!({"model": "draft", "prompt": prompt, "max_tokens": tokens});
+        Self::new("POST", "/v1/completions", &body.to_string())
+    }
+
     /// The question what became of a key.
     pub(crate) fn question(key: RequestKey) -> Self {
         Self::new("GET", &format!("/v1/requests/{key}"), "")
@@ -89,19 +95,7 @@
 
     /// Sends the request and reads the whole reply. The error says how the connection broke.
     pub(crate) async fn send(&self, address: SocketAddr) -> Result<Reply, String> {
-        let (head, body) = self.open(address).await?.into_parts();
-        let body = timeout(DEADLINE, body.collect()).await.map_err(|_| "the body stalls")?;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
-        let header = |name| {
-            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
-            value.unwrap_or_default().to_owned()
-        };
-        Ok(Reply {
-            status: head.status.as_u16(),
-            content_type: header(header::CONTENT_TYPE),
-            retry_after: header(header::RETRY_AFTER),
-            body: String::from_utf8_lossy(&body).into_owned(),
-        })
+        Reply::read(self.open(address).await?).await
     }
 
     /// Sends the request and sends it again after each refusal as not run, when the refusal says.
@@ -119,12 +113,20 @@
 
     /// Opens a stream of events.
     pub(crate) async fn events(&self, address: SocketAddr) -> Result<Events, String> {
+        let opened = self.events_or_reply(address).await?;
+        opened.map_err(|reply| format!("status {}", reply.status))
+    }
+
+    /// Opens a stream of events, or gives the reply of an entry that opens none.
+    pub(crate) async fn events_or_reply(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Result<Events, Reply>, String> {
         let response = self.open(address).await?;
-        let status = response.status();
-        if !status.is_success() {
-            return Err(format!("status {status}"));
+        if !response.status().is_success() {
+            return Reply::read(response).await.map(Err);
         }
-        Ok(Events { body: response.into_body(), received: String::new() })
+        Ok(Ok(Events { body: response.into_body(), received: String::new() }))
     }
 }
 
@@ -138,11 +140,27 @@
 }
 
 impl Reply {
+    async fn read(response: Response<Incoming>) -> Result<Self, String> {
+        let (head, body) = response.into_parts();
+        let body = timeout(DEADLINE, body.collect()).await.map_err(|_| "the body stalls")?;
+        let body = body.map_err(|e| e.to_string())?.to_bytes();
+        let header = |name| {
+            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        Ok(Self {
+            status: head.status.as_u16(),
+            content_type: header(header::CONTENT_TYPE),
+            retry_after: header(header::RETRY_AFTER),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
     pub(crate) fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 
-    fn error_type(&self) -> String {
+    pub(crate) fn error_type(&self) -> String {
         self.json()["error"]["type"].as_str().unwrap_or_default().to_owned()
     }
 
--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -2,15 +2,16 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::fs;
-use std::io::{BufRead, BufReader};
+use std::fs::{self, File, OpenOptions};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use lycheewood::publication::{Change, Publication, Record, encode_record};
 use lycheewood::{LogClient, PublicationId, RawDocument};
@@ -68,7 +69,7 @@
     child: Child,
     lines: Receiver<String>,
     pub(crate) instance: String,
-    role: Role,
+    pub(crate) role: Role,
     /// Where an entry serves callers, or an endpoint daemon serves entries.
     pub(crate) address: SocketAddr,
     pub(crate) admin_address: SocketAddr,
@@ -82,22 +83,27 @@
 }
 
 impl Process {
-    fn start(instance: &str, role: Role, settings: &Path) -> Self {
+    /// With `log`, appends both outputs to that file; otherwise errors go to the test's own.
+    fn start(instance: &str, role: Role, settings: &Path, log: Option<&Path>) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_lycheewoodd"))
             .arg("run")
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
+            .stderr(if log.is_some() { Stdio::piped() } else { Stdio::inherit() })
             .spawn()
             .expect("start lycheewoodd");
         let output = child.stdout.take().expect("the output is piped");
         let (sender, lines) = channel();
-        // Reads to the end, so that the process never waits for a reader of its output.
-        thread::spawn(move || {
-            for line in BufReader::new(output).lines().map_while(Result::ok) {
-                let _ = sender.send(line);
-            }
-        });
+        let open = |path: &Path| {
+            let file = OpenOptions::new().create(true).append(true).open(path);
+            Arc::new(file.expect("open the log file of a process"))
+        };
+        let log = log.map(open);
+        if let Some(errors) = child.stderr.take() {
+            read_lines(errors, sender.clone(), log.clone());
+        }
+        read_lines(output, sender, log);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let instance = instance.to_owned();
         let mut process = Self { child, lines, instance, role, address: any, admin_address: any };
@@ -167,6 +173,22 @@
     }
 }
 
+/// Reads to the end in a thread, so that the process never waits for a reader of its output. Lines in
+/// the log file start with the time of their reading in milliseconds since the Unix epoch.
+fn read_lines(output: impl Read + Send + 'static, lines: Sender<String>, log: Option<Arc<File>>) {
+    thread::spawn(move || {
+        for line in BufReader::new(output).lines().map_while(Result::ok) {
+            if let Some(mut file) = log.as_deref() {
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                // One write a line: both outputs share the file.
+                let line = format!("{} {line}\n", now.as_millis());
+                file.write_all(line.as_bytes()).expect("write the log of a process");
+            }
+            let _ = lines.send(line);
+        }
+    });
+}
+
 /// An engine or service and the daemon beside it.
 pub(crate) struct Slot<Backend> {
     pub(crate) backend: Backend,
@@ -177,17 +199,27 @@
 pub(crate) struct Deployment {
     pub(crate) entries: Vec<Process>,
     pub(crate) engines: Vec<Slot<Engine>>,
-    pub(crate) services: Vec<Slot<Service>>,
+    pub(crate) services: Vec<Slot<Arc<Service>>>,
     pub(crate) log: Log,
     pub(crate) list: InstanceList,
     pub(crate) runtime: Runtime,
-    directory: PathBuf,
+    /// Settings of each daemon beside its role and addresses.
+    pub(crate) settings: String,
+    /// Addresses that daemons use in place of the fakes' own.
+    pub(crate) log_address: SocketAddr,
+    pub(crate) list_address: SocketAddr,
+    /// Holds the settings of the processes.
+    pub(crate) directory: PathBuf,
+    /// Whether the processes write log files into the directory, which then stays.
+    pub(crate) keeps_logs: bool,
     started: u64,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.directory);
+        if !self.keeps_logs {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
     }
 }
 
@@ -201,8 +233,8 @@
         deployment
     }
 
-    /// Starts the platform and the daemons, and publishes nothing.
-    pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
+    /// Starts the platform only.
+    pub(crate) fn platform() -> Self {
         static DEPLOYMENTS: AtomicU64 = AtomicU64::new(0);
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let name = format!("lycheewood-{}-{number}", std::process::id());
@@ -216,16 +248,26 @@
         let (log, list) = runtime.block_on(async {
             (Log::start().expect("start the log"), InstanceList::start().expect("start the list"))
         });
-        let mut deployment = Self {
+        let (log_address, list_address) = (log.address(), list.address());
+        Self {
             entries: Vec::new(),
             engines: Vec::new(),
             services: Vec::new(),
             log,
             list,
             runtime,
+            settings: SETTINGS.to_owned(),
+            log_address,
+            list_address,
             directory,
+            keeps_logs: false,
             started: 0,
-        };
+        }
+    }
+
+    /// Starts the platform and the daemons, and publishes nothing.
+    pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
+        let mut deployment = Self::platform();
         for _ in 0..engines {
             deployment.add_engine(EngineFaults::default());
         }
@@ -241,7 +283,12 @@
 
     /// Publishes [`DOCUMENT`].
     pub(crate) fn publish(&self) {
-        let (raw, _) = RawDocument::from_yaml(DOCUMENT).expect("the document is valid");
+        self.publish_first(DOCUMENT);
+    }
+
+    /// Publishes the first document.
+    pub(crate) fn publish_first(&self, document: &str) {
+        let (raw, _) = RawDocument::from_yaml(document).expect("the document is valid");
         let record = Record::Publication(Publication {
             id: PublicationId::new("first"),
             base: None,
@@ -258,24 +305,36 @@
             Role::Entry => "entry",
             Role::Endpoint => "endpoint",
         };
-        let (log, list) = (self.log.address(), self.list.address());
+        let (log, list) = (self.log_address, self.list_address);
         let settings = format!(
-            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{SETTINGS}"
+            "role: {name}\ninstance: {instance}\nfailure_domain: fd-1\nadmin_address: 127.0.0.1:0\nlog_address: {log}\ninstance_list_address: {list}\n{more}{}",
+            self.settings
         );
         let file = self.directory.join(format!("{instance}.yaml"));
         fs::write(&file, settings).expect("write the settings");
-        Process::start(instance, role, &file)
+        let log = self.directory.join(format!("{instance}.log"));
+        Process::start(instance, role, &file, self.keeps_logs.then_some(&*log))
     }
 
-    fn next_instance(&mut self, kind: &str) -> String {
+    pub(crate) fn next_instance(&mut self, kind: &str) -> String {
         self.started += 1;
         format!("{kind}-{}", self.started)
     }
 
     /// Starts a daemon beside an engine.
     pub(crate) fn start_engine_daemon(&mut self, instance: &str, backend: SocketAddr) -> Process {
+        self.start_engine_daemon_of("v1", instance, backend)
+    }
+
+    /// Starts a daemon beside an engine of a version.
+    pub(crate) fn start_engine_daemon_of(
+        &mut self,
+        version: &str,
+        instance: &str,
+        backend: SocketAddr,
+    ) -> Process {
         let more = format!(
-            "peer_address: 127.0.0.1:0\nbackend_address: {backend}\nendpoint_kind: engines\nversion: v1\n"
+            "peer_address: 127.0.0.1:0\nbackend_address: {backend}\nendpoint_kind: engines\nversion: {version}\n"
         );
         self.start_process(Role::Endpoint, instance, &more)
     }
@@ -289,13 +348,19 @@
 
     /// Adds an engine and its daemon.
     pub(crate) fn add_engine(&mut self, faults: EngineFaults) {
-        let settings = EngineSettings { faults, ..EngineSettings::default() };
+        self.add_engine_of("v1", faults);
+    }
+
+    /// Adds an engine of a version and its daemon.
+    pub(crate) fn add_engine_of(&mut self, version: &str, faults: EngineFaults) {
+        let settings =
+            EngineSettings { version: version.to_owned(), faults, ..EngineSettings::default() };
         let backend = {
             let _runtime = self.runtime.enter();
             Engine::start(settings).expect("start an engine")
         };
         let instance = self.next_instance("engine");
-        let daemon = self.start_engine_daemon(&instance, backend.address());
+        let daemon = self.start_engine_daemon_of(version, &instance, backend.address());
         self.engines.push(Slot { backend, daemon });
     }
 
@@ -303,7 +368,7 @@
     pub(crate) fn add_service(&mut self) {
         let backend = {
             let _runtime = self.runtime.enter();
-            Service::start().expect("start a service")
+            Arc::new(Service::start().expect("start a service"))
         };
         let instance = self.next_instance("service");
         let daemon = self.start_service_daemon(&instance, backend.address());
@@ -313,10 +378,15 @@
     /// Adds an entry.
     pub(crate) fn add_entry(&mut self) {
         let instance = self.next_instance("entry");
-        let entry = self.start_process(Role::Entry, &instance, "caller_address: 127.0.0.1:0\n");
+        let entry = self.start_entry(&instance);
         self.entries.push(entry);
     }
 
+    /// Starts an entry.
+    pub(crate) fn start_entry(&mut self, instance: &str) -> Process {
+        self.start_process(Role::Entry, instance, "caller_address: 127.0.0.1:0\n")
+    }
+
     /// Lets a process that has been replaced leave: the entries know its replacement, then it stops.
     /// The list is late and shows both until then.
     pub(crate) fn leave(&self, mut old: Process) {
