Give each caller of the soak an address of its own

Entries spread callers by their addresses. With one address for all, most requests went to one entry, and faults of the others met no traffic.

--- a/crates/lycheewood-daemon/benches/soak/callers.rs
+++ b/crates/lycheewood-daemon/benches/soak/callers.rs
@@ -1,7 +1,7 @@
 //! Callers as the guide describes them, and what each request came to.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -158,11 +158,20 @@
     advice: Vec<SocketAddr>,
     valid_until: Instant,
     asked: usize,
+    /// Entries spread callers by their addresses, so each caller has its own.
+    source: IpAddr,
 }
 
 impl Caller {
-    pub(crate) fn new(world: World, name: String, first_entry: usize) -> Self {
-        Self { world, name, advice: Vec::new(), valid_until: Instant::now(), asked: first_entry }
+    pub(crate) fn new(world: World, name: String, number: u8) -> Self {
+        Self {
+            world,
+            name,
+            advice: Vec::new(),
+            valid_until: Instant::now(),
+            asked: usize::from(number),
+            source: Ipv4Addr::new(127, 0, 1, number).into(),
+        }
     }
 
     /// Sends requests until the world stops.
@@ -185,8 +194,8 @@
             Kind::Stream => Call::stream(&text, tokens).key(key),
             Kind::Whole | Kind::Crashing => Call::whole(&text, tokens).key(key),
         };
-        let call = call.deadline_ms(DEADLINE_MS);
-        let question = Call::question(key).deadline_ms(DEADLINE_MS);
+        let call = call.deadline_ms(DEADLINE_MS).source(self.source);
+        let question = Call::question(key).deadline_ms(DEADLINE_MS).source(self.source);
         let mut request = Request::new(kind, key.to_string(), text);
         let give_up = Instant::now() + PATIENCE;
         let mut avoid = None;
@@ -247,7 +256,7 @@
             let entries = self.world.entries.borrow().clone();
             let asked = entries[self.asked % entries.len()];
             self.asked += 1;
-            let question = Call::new("GET", "/v1/entries", "");
+            let question = Call::new("GET", "/v1/entries", "").source(self.source);
             let advice = question.send(asked);
             let asked_at = Instant::now();
             let Ok(Ok(reply)) = tokio::time::timeout(Duration::from_secs(1), advice).await else {
@@ -317,13 +326,13 @@
     fn reply(&mut self, request: &mut Request, reply: &Reply, entry: SocketAddr) -> Next {
         let error = reply.json()["error"].clone();
         let code = error["code"].as_str().unwrap_or_default();
-        request.note(entry, &format!("status {} {code}", reply.status));
+        let retry_after_ms = error["retry_after_ms"].as_u64().unwrap_or(0);
+        request.note(entry, &format!("status {} {code} {retry_after_ms}", reply.status));
         if reply.is_not_run() {
             request.quarantined += u64::from(code == "quarantined");
             if !request.uncertain {
                 self.check_not_run(request, entry);
             }
-            let retry_after_ms = error["retry_after_ms"].as_u64().unwrap_or(0);
             // A caller does not spin when it may send again at once.
             return Next::After(Duration::from_millis(retry_after_ms).max(PAUSE));
         }
--- a/crates/lycheewood-daemon/benches/soak/faults.rs
+++ b/crates/lycheewood-daemon/benches/soak/faults.rs
@@ -63,12 +63,12 @@
   max_body_bytes: 65536
 ";
 
-const ENGINE_FAULTS: EngineSpeed = EngineSpeed { token_interval_ms: 4, restart_after_ms: 300 };
+/// Other callers have lower numbers.
+const CRASHING_CALLER: u8 = 100;
 
-struct EngineSpeed {
-    token_interval_ms: u64,
-    restart_after_ms: u64,
-}
+const TOKEN_INTERVAL_MS: u64 = 4;
+/// An engine that a request crashed is back after this time.
+const ENGINE_RESTART_MS: u64 = 300;
 
 /// A node as those see it who watch its document.
 #[derive(Clone, Debug)]
@@ -111,10 +111,10 @@
         deployment.publish_first(DOCUMENT);
         for engine in 0..ENGINES {
             let faults = EngineFaults {
-                token_interval_ms: ENGINE_FAULTS.token_interval_ms,
+                token_interval_ms: TOKEN_INTERVAL_MS,
                 crash_on: CRASH_MARK.to_owned(),
                 crash_after_tokens: 2,
-                restart_after_ms: ENGINE_FAULTS.restart_after_ms,
+                restart_after_ms: ENGINE_RESTART_MS,
                 ..EngineFaults::default()
             };
             deployment.add_engine_of(version_of(engine), faults);
@@ -362,7 +362,7 @@
     fn send_crashing_request(&mut self, world: &World) {
         self.crashing_requests += 1;
         let text = format!("{CRASH_MARK}-{}", self.crashing_requests);
-        let mut caller = Caller::new(world.clone(), text.clone(), 0);
+        let mut caller = Caller::new(world.clone(), text.clone(), CRASHING_CALLER);
         self.deployment.runtime.spawn(async move { caller.send(Kind::Crashing, text).await });
     }
 
--- a/crates/lycheewood-daemon/benches/soak/main.rs
+++ b/crates/lycheewood-daemon/benches/soak/main.rs
@@ -28,7 +28,7 @@
 use faults::Faults;
 use report::Report;
 
-const CALLERS: usize = 16;
+const CALLERS: u8 = 16;
 /// A longer run fills the memory with requests.
 const MAX_SECONDS: u64 = 900;
 
--- a/crates/lycheewood-daemon/benches/soak/report.rs
+++ b/crates/lycheewood-daemon/benches/soak/report.rs
@@ -116,11 +116,8 @@
 /// One line for a request and one for each of its steps.
 fn describe(request: &Request) -> String {
     let Request { kind, key, text, outcome, faults, .. } = request;
-    let mut lines = format!("{kind:?} key={key} text={text} {outcome:?} {faults:?}\n");
-    for step in &request.steps {
-        lines += &format!("  {step}\n");
-    }
-    lines
+    let steps = request.steps.join("\n  ");
+    format!("{kind:?} key={key} text={text} {outcome:?} {faults:?}\n  {steps}\n")
 }
 
 fn print_request(request: &Request, directory: &Path) {
--- a/crates/lycheewood-daemon/tests/support/caller.rs
+++ b/crates/lycheewood-daemon/tests/support/caller.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, header};
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use lycheewood::{Clock, RequestKey};
 use serde_json::Value;
@@ -30,13 +31,15 @@
     pub(crate) path: String,
     pub(crate) headers: Vec<(&'static str, String)>,
     pub(crate) body: String,
+    /// The address that it comes from, if not any.
+    pub(crate) source: Option<IpAddr>,
 }
 
 impl Call {
     pub(crate) fn new(method: &'static str, path: &str, body: &str) -> Self {
         let authorization = ("authorization", format!("Bearer {TOKEN}"));
         let (path, body) = (path.to_owned(), body.to_owned());
-        Self { method, path, headers: vec![authorization], body }
+        Self { method, path, headers: vec![authorization], body, source: None }
     }
 
     /// A call that may not repeat.
@@ -67,6 +70,10 @@
         self.header("idempotency-key", key.to_string())
     }
 
+    pub(crate) fn source(self, source: IpAddr) -> Self {
+        Self { source: Some(source), ..self }
+    }
+
     pub(crate) fn deadline_ms(self, deadline_ms: u64) -> Self {
         self.header("x-deadline-ms", deadline_ms.to_string())
     }
@@ -86,7 +93,9 @@
         let body = Full::new(Bytes::from(self.body.clone()));
         let request = request.body(body).map_err(|e| e.to_string())?;
         // A client each, so that no request shares a connection with another one.
-        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(self.source);
+        let client = Client::builder(TokioExecutor::new()).build::<_, Full<Bytes>>(connector);
         match timeout(DEADLINE, client.request(request)).await {
             Ok(result) => result.map_err(|e| format!("{e:?}")),
             Err(_) => Err("no reply within the deadline of the test".to_owned()),
