Answer the first request on a connection open at a planned stop

Cause: at the end of a planned stop the entry shuts each connection down, and hyper closes at once a connection on which it has read nothing yet. A caller that had just connected got an end of stream without an outcome. The connection now waits for its first request, which is refused as draining; the header timeout bounds the wait.

Ruled out: a kill (the entry was told to stop); a reset of the accept queue (the caller saw an end of stream, not a reset).

Connections that the kernel holds when the listener closes are still reset; the process has not accepted them.

--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_io_timeout::TimeoutStream;
 
 use crate::filters;
@@ -92,7 +92,9 @@
     let _ = SockRef::from(&tcp).set_tcp_keepalive(&probes);
     // Callers are told entries by their address, the same ones each time.
     let caller = tcp.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
+    let requested = Notify::new();
     let service = service_fn(|request| {
+        requested.notify_one();
         let (state, caller) = (Arc::clone(&state), caller.as_str());
         async move { Ok::<_, Infallible>(handle(state, caller, request).await) }
     });
@@ -109,6 +111,12 @@
     tokio::select! {
         _ = connection.as_mut() => {}
         () = stopped(&mut stop) => {
+            // hyper closes a connection on which it has read nothing, although the first request may be
+            // on its way. The header timeout bounds this wait.
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = requested.notified() => {}
+            }
             // Ends after the answer in flight.
             connection.as_mut().graceful_shutdown();
             let _ = connection.await;
