--- a/crates/lycheewood-daemon/tests/support/caller.rs
+++ b/crates/lycheewood-daemon/tests/support/caller.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, header};
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use lycheewood::{Clock, RequestKey};
 use serde_json::Value;
@@ -30,13 +31,15 @@
     pub(crate) path: String,
     pub(crate) headers: Vec<(&'static str, String)>,
     pub(crate) body: String,
+    /// The address that it comes from, if not any.
+    pub(crate) source: Option<IpAddr>,
 }
 
 impl Call {
     pub(crate) fn new(method: &'static str, path: &str, body: &str) -> Self {
         let authorization = ("authorization", format!("Bearer {TOKEN}"));
         let (path, body) = (path.to_owned(), body.to_owned());
-        Self { method, path, headers: vec![authorization], body }
+        Self { method, path, headers: vec![authorization], body, source: None }
     }
 
     /// A call that may not repeat.
@@ -52,6 +55,12 @@
         Self::new("POST", "/v1/completions", &body.to_string())
     }
 
+    /// A completion as one reply.
+    pub(crate) fn whole(prompt: &str, tokens: u64) -> Self {
+        let body = serde_json::json!({"model": "draft", "prompt": prompt, "max_tokens": tokens});
+        Self::new("POST", "/v1/completions", &body.to_string())
+    }
+
     /// The question what became of a key.
     pub(crate) fn question(key: RequestKey) -> Self {
         Self::new("GET", &format!("/v1/requests/{key}"), "")
@@ -61,6 +70,10 @@
         self.header("idempotency-key", key.to_string())
     }
 
+    pub(crate) fn source(self, source: IpAddr) -> Self {
+        Self { source: Some(source), ..self }
+    }
+
     pub(crate) fn deadline_ms(self, deadline_ms: u64) -> Self {
         self.header("x-deadline-ms", deadline_ms.to_string())
     }
@@ -80,7 +93,9 @@
         let body = Full::new(Bytes::from(self.body.clone()));
         let request = request.body(body).map_err(|e| e.to_string())?;
         // A client each, so that no request shares a connection with another one.
-        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(self.source);
+        let client = Client::builder(TokioExecutor::new()).build::<_, Full<Bytes>>(connector);
         match timeout(DEADLINE, client.request(request)).await {
             Ok(result) => result.map_err(|e| format!("{e:?}")),
             Err(_) => Err("no reply within the deadline of the test".to_owned()),
@@ -89,19 +104,7 @@
 
     /// Sends the request and reads the whole reply. The error says how the connection broke.
     pub(crate) async fn send(&self, address: SocketAddr) -> Result<Reply, String> {
-        let (head, body) = self.open(address).await?.into_parts();
-        let body = timeout(DEADLINE, body.collect()).await.map_err(|_| "the body stalls")?;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
-        let header = |name| {
-            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
-            value.unwrap_or_default().to_owned()
-        };
-        Ok(Reply {
-            status: head.status.as_u16(),
-            content_type: header(header::CONTENT_TYPE),
-            retry_after: header(header::RETRY_AFTER),
-            body: String::from_utf8_lossy(&body).into_owned(),
-        })
+        Reply::read(self.open(address).await?).await
     }
 
     /// Sends the request and sends it again after each refusal as not run, when the refusal says.
@@ -119,12 +122,20 @@
 
     /// Opens a stream of events.
     pub(crate) async fn events(&self, address: SocketAddr) -> Result<Events, String> {
+        let opened = self.events_or_reply(address).await?;
+        opened.map_err(|reply| format!("status {}", reply.status))
+    }
+
+    /// Opens a stream of events, or gives the reply of an entry that opens none.
+    pub(crate) async fn events_or_reply(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Result<Events, Reply>, String> {
         let response = self.open(address).await?;
-        let status = response.status();
-        if !status.is_success() {
-            return Err(format!("status {status}"));
+        if !response.status().is_success() {
+            return Reply::read(response).await.map(Err);
         }
-        Ok(Events { body: response.into_body(), received: String::new() })
+        Ok(Ok(Events { body: response.into_body(), received: String::new() }))
     }
 }
 
@@ -138,11 +149,27 @@
 }
 
 impl Reply {
+    async fn read(response: Response<Incoming>) -> Result<Self, String> {
+        let (head, body) = response.into_parts();
+        let body = timeout(DEADLINE, body.collect()).await.map_err(|_| "the body stalls")?;
+        let body = body.map_err(|e| e.to_string())?.to_bytes();
+        let header = |name| {
+            let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        Ok(Self {
+            status: head.status.as_u16(),
+            content_type: header(header::CONTENT_TYPE),
+            retry_after: header(header::RETRY_AFTER),
+            body: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
     pub(crate) fn json(&self) -> Value {
         serde_json::from_str(&self.body).unwrap_or(Value::Null)
     }
 
-    fn error_type(&self) -> String {
+    pub(crate) fn error_type(&self) -> String {
         self.json()["error"]["type"].as_str().unwrap_or_default().to_owned()
     }
 
