Publish the reports of a moment together

Cause: the load controller copied its whole table for each load report, so its work grew with the square of the endpoints (docs/CAPACITY.md). It now copies at most 20 times a second for reports; what changes whether an endpoint takes requests is still published at once.

At this size the difference is within the noise of the machine; larger sizes were not run.

--- a/crates/lycheewood/src/controllers/load.rs
+++ b/crates/lycheewood/src/controllers/load.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use kameo::Actor;
@@ -10,6 +11,7 @@
 use kameo::mailbox;
 use kameo::message::{Context, Message};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::adapters::peer::link::Link;
 use crate::clock::{Clock, Timestamp};
@@ -67,12 +69,19 @@
     }
 }
 
+/// Reports lag by up to their interval of a second anyway.
+const REPORT_PUBLISH_MS: u64 = 50;
+
+/// Time to publish the reports of the last moment.
+struct Publish;
+
 /// Owns the table of connected endpoints.
 #[derive(Actor)]
 pub(crate) struct LoadController {
     endpoints: HashMap<InstanceId, EndpointView>,
     published: Arc<ArcSwap<EndpointTable>>,
     progress: watch::Sender<Progress>,
+    publish_pending: bool,
     clock: Clock,
     metrics: Arc<Metrics>,
 }
@@ -85,7 +94,14 @@
         clock: Clock,
         metrics: Arc<Metrics>,
     ) -> LoadHandle {
-        let controller = Self { endpoints: HashMap::new(), published, progress, clock, metrics };
+        let controller = Self {
+            endpoints: HashMap::new(),
+            published,
+            progress,
+            publish_pending: false,
+            clock,
+            metrics,
+        };
         LoadHandle { actor: Self::spawn_with_mailbox(controller, mailbox::unbounded()) }
     }
 
@@ -101,6 +117,19 @@
         });
     }
 
+    /// Publishes once for the reports of a moment: each copy of the table costs as much as its length.
+    fn publish_later(&mut self, actor: &ActorRef<Self>) {
+        if self.publish_pending {
+            return;
+        }
+        self.publish_pending = true;
+        let actor = actor.clone();
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(REPORT_PUBLISH_MS)).await;
+            let _ = actor.tell(Publish).try_send();
+        });
+    }
+
     fn connected(&mut self, link: Arc<Link>, hello: Hello) {
         let instance = link.instance.clone();
         log::info!("endpoint connected instance={instance} incarnation={}", hello.incarnation);
@@ -140,7 +169,7 @@
 impl Message<LinkEvent> for LoadController {
     type Reply = ();
 
-    async fn handle(&mut self, event: LinkEvent, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, event: LinkEvent, context: &mut Context<Self, ()>) {
         let LinkEvent { link, kind } = event;
         match kind {
             LinkEventKind::Connected(hello) => self.connected(link, *hello),
@@ -149,8 +178,13 @@
                 self.remove(&link);
             }
             LinkEventKind::Load(load) => {
-                if let Some(endpoint) = self.view_of(&link) {
-                    endpoint.load = load;
+                let Some(endpoint) = self.view_of(&link) else { return };
+                let had_room = endpoint.load.capacity > 0;
+                endpoint.load = load;
+                // Whether an endpoint takes requests at all is shown at once.
+                if had_room == (load.capacity > 0) {
+                    self.publish_later(context.actor_ref());
+                    return;
                 }
             }
             LinkEventKind::Draining => {
@@ -163,3 +197,12 @@
         self.publish();
     }
 }
+
+impl Message<Publish> for LoadController {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Publish, _: &mut Context<Self, ()>) {
+        self.publish_pending = false;
+        self.publish();
+    }
+}
