Let the stand-in engine report expert tokens and wait for steps

Placement needs tokens by layer and expert and times and speeds of ranks, late and noisy; GET /ranks/load gives them, with noise that depends on step, layer and expert only. A rank's daemon must learn that steps have run without asking again and again, so GET /ranks takes min_next_step and wait_ms. Step events pushed over a stream were ruled out: the rest of the engine's interface is request and reply.

--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -74,6 +74,12 @@
     pub straggler_percent: u64,
     /// The rank that runs no step and so holds back the group, if any.
     pub stalled_rank: Option<usize>,
+    /// Tokens of one step by layer and expert. The age of what is reported is `load_lag_ms`.
+    pub expert_tokens: Vec<Vec<u64>>,
+    /// Reported tokens are off by up to this share, in percent.
+    pub expert_noise_percent: u64,
+    /// Experts that one rank holds in one layer.
+    pub expert_slots: usize,
 }
 
 impl Default for EngineFaults {
@@ -96,6 +102,9 @@
             straggler_rank: None,
             straggler_percent: 100,
             stalled_rank: None,
+            expert_tokens: Vec::new(),
+            expert_noise_percent: 0,
+            expert_slots: 0,
         }
     }
 }
@@ -106,6 +115,13 @@
         self.step_ms * if straggles { self.straggler_percent } else { 100 } / 100
     }
 
+    /// Speed of a rank; 1 is that of all but the straggler.
+    #[allow(clippy::cast_precision_loss, reason = "percentages are small")]
+    fn speed(&self, rank: usize) -> f64 {
+        let straggles = self.straggler_rank == Some(rank);
+        if straggles { 100.0 / self.straggler_percent.max(1) as f64 } else { 1.0 }
+    }
+
     fn stalls(&self, index: u64) -> bool {
         self.stall_after_tokens.is_some_and(|tokens| index >= tokens)
     }
@@ -384,7 +400,8 @@
             ("GET", ["cache-events"]) => cache_events::read(self, call).await,
             ("POST", ["orders"]) => orders::take(self, call).await,
             ("GET", ["orders"]) => orders::list(self).await,
-            ("GET", ["ranks"]) => ranks::list(self).await,
+            ("GET", ["ranks"]) => ranks::list(self, call).await,
+            ("GET", ["ranks", "load"]) => ranks::load(self).await,
             ("GET", ["steps"]) => ranks::steps(self, call).await,
             ("POST", ["ranks", rank, action]) => ranks::order(self, rank, action, call).await,
             _ => http::not_found(),
--- a/crates/stand-ins/src/engine/ranks.rs
+++ b/crates/stand-ins/src/engine/ranks.rs
@@ -8,9 +8,11 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::time::timeout;
 
 use super::fence::{Fence, Refusal};
 use super::{EngineFake, EngineFaults, EngineState};
+use crate::clock::unix_ms;
 use crate::control::Controller;
 use crate::http::{self, Call, Reply};
 
@@ -255,13 +257,52 @@
     }
 }
 
-/// Handles `GET /ranks`.
-pub(super) async fn list(fake: &EngineFake) -> Reply {
+/// Handles `GET /ranks`. Waits up to `wait_ms` until the next step is at least `min_next_step`.
+pub(super) async fn list(fake: &EngineFake, call: &Call) -> Reply {
+    let (min_next_step, wait_ms) = (call.number("min_next_step", 0), call.number("wait_ms", 0));
+    let has_come =
+        move |state: &EngineState| (state.ranks.next_step >= min_next_step).then_some(());
+    // When the wait is over, the ranks are shown as they are.
+    let _ = timeout(Duration::from_millis(wait_ms), fake.control.wait(has_come)).await;
     let view = |state: &EngineState| (state.ranks.next_step, state.ranks.members.clone());
     let (next_step, ranks) = fake.control.read(view).await;
     http::ok(&json!({ "next_step": next_step, "ranks": ranks }))
 }
 
+/// Handles `GET /ranks/load`: tokens by layer and expert, and time and speed of each rank.
+pub(super) async fn load(fake: &EngineFake) -> Reply {
+    let view = |state: &EngineState| {
+        let (ranks, faults) = (&state.ranks, &state.faults);
+        let step_ms: Vec<u64> =
+            (0..ranks.members.len()).map(|rank| faults.step_duration_ms(rank)).collect();
+        let speeds: Vec<f64> = (0..ranks.members.len()).map(|rank| faults.speed(rank)).collect();
+        json!({
+            "tokens": noisy_tokens(faults, ranks.next_step),
+            "step_ms": step_ms,
+            "speeds": speeds,
+            "slots": faults.expert_slots,
+            "ended_unix_ms": unix_ms().saturating_sub(faults.load_lag_ms),
+        })
+    };
+    http::ok(&fake.control.read(view).await)
+}
+
+/// The tokens with an error that depends on step, layer and expert only.
+fn noisy_tokens(faults: &EngineFaults, step: u64) -> Vec<Vec<u64>> {
+    let width = 2 * faults.expert_noise_percent + 1;
+    let noisy = |layer: usize, expert: usize, tokens: u64| {
+        let seed = step.wrapping_mul(31).wrapping_add((layer * 1_009 + expert * 97) as u64);
+        // A multiplicative hash; its high bits are well mixed.
+        let draw = (seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 32) % width;
+        tokens * (100 + draw).saturating_sub(faults.expert_noise_percent) / 100
+    };
+    let layers = faults.expert_tokens.iter().enumerate();
+    let of_layer = |(layer, experts): (usize, &Vec<u64>)| {
+        experts.iter().enumerate().map(|(expert, &tokens)| noisy(layer, expert, tokens)).collect()
+    };
+    layers.map(of_layer).collect()
+}
+
 /// Handles `GET /steps`: the events of step `from` and later ones.
 pub(super) async fn steps(fake: &EngineFake, call: &Call) -> Reply {
     let from = call.number("from", 0);
