Bring leases and map changes into the real path

Leases, RankMaps and RankGate were decided and tested but nothing ran them. Every node now folds stream leases (controllers/leases.rs); a daemon with a rank joins, stages and grants (controllers/rank.rs); entries take a group's lease and drive changes (controllers/placement.rs).

The number of ranks is part of a group's scope, because the fold needs it before the first record and all nodes must fold alike; a field in Join was ruled out, since the first Join read would then decide it.

An engine holds one map beside the one in use, so a rank stages a change only when the newest map is in use. The order to the engine is a decision (decisions/map_change/engine.rs) over what the engine shows, which also covers a restarted engine.

--- a/crates/lycheewood/src/adapters.rs
+++ b/crates/lycheewood/src/adapters.rs
@@ -7,3 +7,4 @@
 pub(crate) mod instance_list;
 pub(crate) mod log;
 pub(crate) mod peer;
+pub(crate) mod ranks;
--- a/crates/lycheewood/src/adapters/admin.rs
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -18,6 +18,7 @@
 
 use crate::controllers::document::DocumentInForce;
 use crate::controllers::{Progress, wait_for_progress};
+use crate::decisions::groups::GroupLog;
 use crate::ids::Offset;
 use crate::roles::endpoint::EndpointState;
 use crate::roles::entry::EntryState;
@@ -75,6 +76,30 @@
     document.map_or(Value::Null, |d| json!({"version": d.version, "upto": d.upto}))
 }
 
+/// Groups with their leases and maps; `stopped` tells why this node reads no further.
+fn groups_state(fold: &GroupLog) -> Value {
+    let groups: Vec<Value> = fold
+        .groups()
+        .iter()
+        .map(|(scope, maps)| {
+            let lease = fold.leases().current(scope);
+            json!({
+                "scope": scope,
+                "lease": lease.map(|lease| json!({
+                    "holder": lease.holder.to_string(),
+                    "fencing": lease.fencing,
+                    "ends_unix_ms": lease.ends,
+                })),
+                "ranks": maps.processes().map(|p| p.iter().map(ToString::to_string).collect::<Vec<_>>()),
+                "map": maps.newest().map(|m| json!({"change": m.change, "step": m.step, "map": m.map})),
+                "pending": maps.pending().map(|p| json!({"change": p.change, "step": p.step})),
+            })
+        })
+        .collect();
+    let stopped = fold.stopped().map(|reason| reason.to_string());
+    json!({"next_offset": fold.next_offset(), "stopped": stopped, "groups": groups})
+}
+
 fn entry_state(state: &EntryState) -> Value {
     let document = state.document.load();
     let endpoints: Vec<Value> = state
@@ -105,6 +130,7 @@
         "incarnation": state.incarnation.to_string(),
         "document": document_state(document.as_deref()),
         "endpoints": endpoints,
+        "groups": groups_state(&state.groups.load()),
         "instances": state.members.load().list.instances,
     })
 }
@@ -119,6 +145,7 @@
         .collect();
     json!({
         "entries": entries,
+        "groups": groups_state(&state.groups.load()),
         "role": "endpoint",
         "instance": state.settings.instance,
         "failure_domain": state.settings.failure_domain,
--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -20,13 +20,14 @@
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::document::DocumentController;
 use crate::controllers::load::{LinkEvent, LoadHandle};
+use crate::controllers::placement::{PlacementController, RankNews};
 use crate::controllers::quarantine::{QuarantineController, Warn};
 use crate::decisions::estimate::Estimate;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, Offset};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned, Vouch};
 use crate::lifecycle::claim::{Claim, Granted};
 use crate::settings::Timing;
-use crate::wire::message::{Ask, End, Frame, Head, Hello, Recover, RefusedReason, Start};
+use crate::wire::message::{Ask, End, Frame, Head, Hello, Recover, RefusedReason, StageAsk, Start};
 
 /// Pieces of an answer that wait for a slow caller before the rest is left at the endpoint.
 const EVENT_QUEUE: usize = 256;
@@ -113,6 +114,7 @@
         events: mpsc::Sender<AttemptEvent>,
     },
     Cancel(AttemptId),
+    Stage(StageAsk),
 }
 
 /// A handle on the link to one endpoint daemon.
@@ -232,6 +234,14 @@
     }
 }
 
+/// Orders of the holder of a group's lease.
+impl Link {
+    /// Asks the rank to stage a change. What is lost is asked again.
+    pub(crate) fn stage(&self, ask: StageAsk) {
+        let _ = self.commands.try_send(Command::Stage(ask));
+    }
+}
+
 /// What a link needs to run.
 #[derive(Clone)]
 pub(crate) struct LinkConfig {
@@ -240,6 +250,7 @@
     pub(crate) load: LoadHandle,
     pub(crate) documents: ActorRef<DocumentController>,
     pub(crate) quarantine: ActorRef<QuarantineController>,
+    pub(crate) placement: Option<ActorRef<PlacementController>>,
 }
 
 /// Starts a link on the present runtime; it ends when `stop` closes.
@@ -496,6 +507,7 @@
                 self.routes.remove(&attempt);
                 connection.feed(&Frame::Cancel(attempt)).await
             }
+            Command::Stage(ask) => connection.feed(&Frame::Stage(ask)).await,
         }
     }
 
@@ -526,6 +538,7 @@
             Command::Cancel(attempt) => {
                 self.routes.remove(&attempt);
             }
+            Command::Stage(_) => {}
         }
     }
 
@@ -564,6 +577,9 @@
                 let _ = self.config.quarantine.tell(Warn(suspects.into())).try_send();
             }
             Frame::DocumentState(state) => documents::accept(&self.config.documents, &state),
+            Frame::Staged(staged) => self.tell_placement(RankNews::Staged(staged)),
+            Frame::StageRefused(refused) => self.tell_placement(RankNews::Refused(refused)),
+            Frame::RankReport(report) => self.tell_placement(RankNews::Report(report)),
             // Frames that only endpoints receive, or that are handled before.
             Frame::DocumentAsk(_)
             | Frame::Hello(_)
@@ -572,10 +588,17 @@
             | Frame::Cancel(_)
             | Frame::Ask(_)
             | Frame::Recover(_)
+            | Frame::Stage(_)
             | Frame::Unknown(_) => {}
         }
     }
 
+    fn tell_placement(&self, news: RankNews) {
+        if let Some(placement) = &self.config.placement {
+            let _ = placement.tell(news).try_send();
+        }
+    }
+
     /// Passes an event on. A full queue ends the route; the reader asks for the rest when it is ready.
     fn forward(&mut self, attempt: AttemptId, event: AttemptEvent) {
         let Some(route) = self.routes.get(&attempt) else { return };
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -15,6 +15,7 @@
 use crate::adapters::peer::documents;
 use crate::answer::{AnswerBuffer, is_final};
 use crate::controllers::attempts::{AskAfter, Attach, Begin, RecoverAfter, Verdict};
+use crate::controllers::rank::{AttachPeer, StageOn};
 use crate::ids::AttemptId;
 use crate::roles::endpoint::EndpointState;
 use crate::roles::endpoint::execution;
@@ -70,6 +71,10 @@
             .await
             .map_err(|_| transport("no hello within the connect timeout".into()))??;
     let (out, frames) = mpsc::channel(OUT_QUEUE);
+    if let Some(rank) = &state.rank {
+        let peer = AttachPeer { entry: entry.incarnation, frames: out.clone() };
+        let _ = rank.tell(peer).try_send();
+    }
     let _ = state.attempts.tell(Attach { entry, frames: out.clone() }).try_send();
     if let Some(question) = documents::question(&state.documents).await {
         let _ = out.try_send(question);
@@ -153,6 +158,11 @@
                 }
             }
             Frame::DocumentState(state) => documents::accept(&self.state.documents, &state),
+            Frame::Stage(ask) => {
+                if let Some(rank) = &self.state.rank {
+                    let _ = rank.tell(StageOn { ask, frames: self.out.clone() }).try_send();
+                }
+            }
             // Frames that only entries receive.
             _ => {}
         }
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -7,9 +7,12 @@
 pub(crate) mod attempts;
 pub(crate) mod claims;
 pub(crate) mod document;
+pub(crate) mod leases;
 pub(crate) mod load;
 pub(crate) mod membership;
+pub(crate) mod placement;
 pub(crate) mod quarantine;
+pub(crate) mod rank;
 pub(crate) mod tail;
 
 use std::time::Duration;
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -8,6 +8,7 @@
 pub(crate) mod digest;
 pub(crate) mod entries;
 pub(crate) mod estimate;
+pub(crate) mod groups;
 pub(crate) mod leases;
 pub(crate) mod limits;
 pub(crate) mod map_change;
--- /dev/null
+++ b/crates/lycheewood/src/decisions/groups.rs
@@ -0,0 +1,148 @@
+//! The fold of stream `leases`: every lease, and the maps of every group of ranks.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Timestamp;
+use crate::decisions::leases::{LeaseEffect, LeaseRecord, Leases, RecordError, decode_record};
+use crate::decisions::map_change::{MapEffect, MapRecord, RankMaps};
+use crate::ids::{Offset, ScopeName};
+
+/// The most ranks of a group. It bounds what one record can make every node allocate.
+pub const MAX_RANKS: usize = 4_096;
+
+/// The scope of a group. It contains the number of ranks, so that every node folds a group alike and
+/// daemons with contradictory settings do not share one.
+#[must_use]
+pub fn group_scope(group: &str, ranks: usize) -> ScopeName {
+    ScopeName::new(&format!("{group}/{ranks}"))
+}
+
+/// The number of ranks of the group with this scope, or `None` if it is no scope of a group.
+#[must_use]
+pub fn ranks_of(scope: &ScopeName) -> Option<usize> {
+    let (_, ranks) = scope.as_str().rsplit_once('/')?;
+    ranks.parse().ok().filter(|ranks| (1..=MAX_RANKS).contains(ranks))
+}
+
+/// What a record did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GroupEffect {
+    /// To a lease.
+    Lease(LeaseEffect),
+    /// To the map of a group.
+    Map(MapEffect),
+}
+
+/// Why the fold has stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FoldStop {
+    /// A newer build wrote a record.
+    #[error("a record has schema {0}, newer than this build reads; replace this instance first")]
+    NewerSchema(u16),
+    /// Records that were not read have expired.
+    #[error("records expired before they were read; restart this process")]
+    Gap,
+}
+
+/// The fold of the stream up to an offset.
+#[derive(Clone, Debug, Default)]
+pub struct GroupLog {
+    leases: Leases,
+    groups: BTreeMap<ScopeName, RankMaps>,
+    next: Offset,
+    end: Offset,
+    stopped: Option<FoldStop>,
+}
+
+impl GroupLog {
+    /// The leases.
+    #[must_use]
+    pub const fn leases(&self) -> &Leases {
+        &self.leases
+    }
+
+    /// The maps of a group.
+    #[must_use]
+    pub fn maps(&self, scope: &ScopeName) -> Option<&RankMaps> {
+        self.groups.get(scope)
+    }
+
+    /// All groups.
+    #[must_use]
+    pub const fn groups(&self) -> &BTreeMap<ScopeName, RankMaps> {
+        &self.groups
+    }
+
+    /// The first offset that has not been folded.
+    #[must_use]
+    pub const fn next_offset(&self) -> Offset {
+        self.next
+    }
+
+    /// The end of the stream that the log stated last.
+    #[must_use]
+    pub const fn end_offset(&self) -> Offset {
+        self.end
+    }
+
+    /// Why the fold has stopped, if it has. Nothing may be granted or decided on it then.
+    #[must_use]
+    pub const fn stopped(&self) -> Option<FoldStop> {
+        self.stopped
+    }
+
+    /// Notes the bounds of a page before its records are folded.
+    pub fn read_bounds(&mut self, first: Offset, end: Offset) {
+        if self.next == Offset(0) {
+            self.next = first;
+        } else if first > self.next && self.stopped.is_none() {
+            self.stopped = Some(FoldStop::Gap);
+        }
+        self.end = self.end.max(end);
+    }
+
+    /// Folds one record. Records must come in log order; one that was folded before is skipped.
+    pub fn fold(
+        &mut self,
+        offset: Offset,
+        appended: Timestamp,
+        payload: &[u8],
+    ) -> Option<GroupEffect> {
+        if self.stopped.is_some() || offset < self.next {
+            return None;
+        }
+        let effect = match decode_record::<LeaseRecord>(payload) {
+            Ok(record) => Some(GroupEffect::Lease(self.leases.apply(offset, appended, &record))),
+            Err(RecordError::NewerSchema(schema)) => {
+                self.stopped = Some(FoldStop::NewerSchema(schema));
+                return None;
+            }
+            Err(RecordError::OtherKind) => self.fold_map(offset, payload),
+        };
+        self.next = offset.next();
+        effect
+    }
+
+    /// The experts that ranks loaded for a change that has just been made.
+    #[must_use]
+    pub fn weights_moved(&self, change: Offset) -> u64 {
+        let made = |maps: &RankMaps| {
+            let newest = maps.newest().filter(|newest| newest.change == change)?;
+            let former = maps.map_of_step(newest.step.checked_sub(1)?)?;
+            Some(former.map.moves_to(&newest.map).len() as u64)
+        };
+        self.groups.values().find_map(made).unwrap_or(0)
+    }
+
+    fn fold_map(&mut self, offset: Offset, payload: &[u8]) -> Option<GroupEffect> {
+        let record = decode_record::<MapRecord>(payload).ok()?;
+        let (MapRecord::Join { scope, .. }
+        | MapRecord::Propose { scope, .. }
+        | MapRecord::Commit { scope, .. }
+        | MapRecord::Abort { scope, .. }) = &record;
+        let ranks = ranks_of(scope)?;
+        let maps =
+            self.groups.entry(scope.clone()).or_insert_with(|| RankMaps::new(scope.clone(), ranks));
+        Some(GroupEffect::Map(maps.apply(offset, &record, &self.leases)))
+    }
+}
--- a/crates/lycheewood/src/decisions/map_change.rs
+++ b/crates/lycheewood/src/decisions/map_change.rs
@@ -12,8 +12,10 @@
 use crate::decisions::placement::ExpertMap;
 use crate::ids::{FencingNumber, Incarnation, Offset, ScopeName};
 
+mod engine;
 mod rank;
 
+pub use engine::{EngineOrder, EngineRank, EngineStaged, can_stage, map_version, next_order};
 pub use rank::{RankGate, StageOrder, StageRefusal};
 
 /// A record about the map of a group.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -54,14 +54,16 @@
 };
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::estimate::{Estimate, InFlight};
+pub use decisions::groups::{FoldStop, GroupEffect, GroupLog, MAX_RANKS, group_scope, ranks_of};
 pub use decisions::leases::{
     CurrentLease, FencingGate, LeaseEffect, LeaseRecord, LeaseVersion, Leases, OrderRefusal,
     RecordError, ReleaseRecord, decode_record, encode_record,
 };
 pub use decisions::limits::{Grant, Rate, TokenBucket, entry_rate};
 pub use decisions::map_change::{
-    CommittedMap, MapEffect, MapRecord, PendingChange, RankEvidence, RankGate, RankMaps,
-    Resolution, StageOrder, StageRefusal, resolve_change,
+    CommittedMap, EngineOrder, EngineRank, EngineStaged, MapEffect, MapRecord, PendingChange,
+    RankEvidence, RankGate, RankMaps, Resolution, StageOrder, StageRefusal, can_stage, map_version,
+    next_order, resolve_change,
 };
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
@@ -110,10 +112,13 @@
 pub use roles::StartError;
 pub use roles::endpoint::Endpoint;
 pub use roles::entry::Entry;
-pub use settings::{Bounds, RawSettings, RoleSettings, Settings, SettingsError, Timing};
+pub use settings::{
+    Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
+};
 pub use wire::codec::{DecodeError, decode, encode};
 pub use wire::message::{
-    Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, Recover,
-    Refused, RefusedReason, Role, Start, Suspects, Work,
+    Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, RankReport,
+    Recover, Refused, RefusedReason, Role, StageAsk, StageDone, StageRefused, Start, Suspects,
+    Work,
 };
 pub use wire::{PROTOCOL_MAX, PROTOCOL_MIN, common_version};
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -1,7 +1,11 @@
 //! Counters and gauges of a process, in the Prometheus text format.
 
+mod groups;
+
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
+use groups::GroupMetrics;
+
 /// All metrics of a process. Labels have few values; none names a workspace.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -24,6 +28,7 @@
     pub(crate) suspects: IntGauge,
     pub(crate) snapshots_written: IntCounter,
     pub(crate) brownout: IntGauge,
+    pub(crate) groups: GroupMetrics,
 }
 
 impl Metrics {
@@ -116,6 +121,7 @@
                 "lycheewood_brownout_step",
                 "Brownout step: 0 off, 1 no retries, 2 and 3 shed low priorities.",
             )?,
+            groups: GroupMetrics::new(&registry)?,
             registry,
         })
     }
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -20,6 +20,7 @@
 use crate::adapters::backend::{EngineClient, ServiceClient};
 use crate::adapters::log::LogClient;
 use crate::adapters::peer::server;
+use crate::adapters::ranks::RankClient;
 use crate::clock::Clock;
 use crate::controllers::Progress;
 use crate::controllers::attempts::{
@@ -28,13 +29,15 @@
 use crate::controllers::document::{
     DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
 };
+use crate::controllers::leases::{LeaseController, LeaseFeed};
+use crate::controllers::rank::{RankConfig, RankController};
 use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
 use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
 use crate::roles::StartError;
 use crate::roles::endpoint::execution::Execution;
 use crate::runtime::{ControlThread, traffic_runtime};
-use crate::settings::{RoleSettings, Settings};
+use crate::settings::{RankSettings, RoleSettings, Settings, Timing};
 use crate::telemetry::Telemetry;
 use crate::wire::message::{Hello, Load, Role};
 use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
@@ -55,6 +58,8 @@
     pub(crate) documents: ActorRef<DocumentController>,
     pub(crate) progress: watch::Sender<Progress>,
     pub(crate) peers: Arc<ArcSwap<Vec<Hello>>>,
+    pub(crate) groups: LeaseFeed,
+    pub(crate) rank: Option<ActorRef<RankController>>,
     admin_address: SocketAddr,
     kind: EndpointKindName,
     version: Option<VersionName>,
@@ -107,7 +112,7 @@
     ///
     /// When the settings are for another role, or a listener or thread cannot be started.
     pub fn start(settings: &Settings) -> Result<Self, StartError> {
-        let RoleSettings::Endpoint { peer_address, backend_address, kind, version } =
+        let RoleSettings::Endpoint { peer_address, backend_address, kind, version, rank } =
             settings.role.clone()
         else {
             return Err(StartError::Role { wanted: "endpoint" });
@@ -143,6 +148,11 @@
             metrics: Arc::clone(&metrics),
             duty: SnapshotDuty::Reads,
         });
+        let groups = LeaseController::start(log.clone(), timing, Arc::clone(&metrics));
+        let rank = rank.map(|rank| {
+            let feed = groups.clone();
+            start_rank(rank, incarnation, backend_address, log.clone(), feed, timing, clock)
+        });
         let (attempts, status) = AttemptsController::start(AttemptsConfig {
             incarnation,
             version: version.clone(),
@@ -171,6 +181,8 @@
             document,
             documents,
             progress,
+            groups,
+            rank,
             kind,
             version,
             executions: Mutex::default(),
@@ -226,6 +238,21 @@
     }
 }
 
+/// Starts the controller of the rank beside this process, on the present runtime.
+fn start_rank(
+    rank: RankSettings,
+    incarnation: Incarnation,
+    engine: SocketAddr,
+    log: LogClient,
+    feed: LeaseFeed,
+    timing: Timing,
+    clock: Clock,
+) -> ActorRef<RankController> {
+    let (connect_ms, reply_ms) = (timing.connect_ms, timing.platform_reply_ms);
+    let engine = RankClient::new(engine, rank.index, connect_ms, reply_ms);
+    RankController::start(RankConfig { rank, incarnation, log, engine, feed, timing, clock })
+}
+
 /// Goes through the life cycle of a planned stop.
 async fn leave(state: &EndpointState) {
     let min_refusing_ms = state.settings.timing.drain_notice_ms;
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -23,8 +23,10 @@
 use crate::controllers::document::{
     DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
 };
+use crate::controllers::leases::{LeaseController, LeaseFeed};
 use crate::controllers::load::{EndpointTable, LoadController};
 use crate::controllers::membership::{Members, MembershipController};
+use crate::controllers::placement::{PlacementConfig, PlacementController};
 use crate::controllers::quarantine::QuarantineController;
 use crate::controllers::{Progress, wait_for_progress};
 use crate::decisions::quarantine::QuarantineTable;
@@ -78,6 +80,7 @@
     pub(crate) admission: ActorRef<AdmissionController>,
     pub(crate) quarantine: ActorRef<QuarantineController>,
     pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
+    pub(crate) groups: LeaseFeed,
     phase: ArcSwap<Phase>,
     in_flight: watch::Sender<usize>,
     sequence: AtomicU64,
@@ -142,7 +145,7 @@
     ///
     /// When the settings are for another role, or a listener or thread cannot be started.
     pub fn start(settings: &Settings) -> Result<Self, StartError> {
-        let RoleSettings::Entry { caller_address } = settings.role else {
+        let RoleSettings::Entry { caller_address, .. } = settings.role else {
             return Err(StartError::Role { wanted: "entry" });
         };
         let runtime = |source| StartError::Runtime { source };
@@ -281,6 +284,7 @@
         members: Arc::clone(&views.members),
         progress: watch::Sender::default(),
         claims: ClaimsController::start(log.clone(), timing, Arc::clone(&metrics)),
+        groups: LeaseController::start(log.clone(), timing, Arc::clone(&metrics)),
         quarantine: QuarantineController::start(
             log,
             Arc::clone(&quarantined),
@@ -342,9 +346,25 @@
             load,
             documents,
             quarantine: state.quarantine.clone(),
+            placement: start_placement(state),
         },
         traffic.handle().clone(),
         state.clock,
         Arc::clone(&state.metrics),
     );
 }
+
+/// Starts the controller that takes part in the control of groups, if the settings allow it.
+fn start_placement(state: &Arc<EntryState>) -> Option<ActorRef<PlacementController>> {
+    let RoleSettings::Entry { control: true, .. } = state.settings.role else { return None };
+    Some(PlacementController::start(PlacementConfig {
+        incarnation: state.incarnation,
+        log: log_client(&state.settings),
+        feed: state.groups.clone(),
+        document: Arc::clone(&state.document),
+        endpoints: Arc::clone(&state.endpoints),
+        timing: state.settings.timing,
+        clock: state.clock,
+        metrics: Arc::clone(&state.metrics),
+    }))
+}
--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 
+use crate::decisions::groups::MAX_RANKS;
 use crate::ids::{EndpointKindName, FailureDomain, InstanceId, VersionName};
 use crate::wire::message::Role;
 
@@ -38,6 +39,12 @@
     /// The version that a model engine has loaded.
     #[serde(default)]
     pub version: Option<String>,
+    /// The rank beside an endpoint daemon, if its engine is one rank of a group.
+    #[serde(default)]
+    pub rank: Option<RankSettings>,
+    /// Whether an entry may hold the lease of a group; on by default.
+    #[serde(default)]
+    pub control: Option<bool>,
     /// Collector of trace spans (OTLP over HTTP, JSON).
     #[serde(default)]
     pub collector_address: Option<SocketAddr>,
@@ -52,6 +59,18 @@
     pub timing: Timing,
 }
 
+/// The rank that a daemon stands beside.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RankSettings {
+    /// Name of the group.
+    pub group: String,
+    /// Index of the rank, from 0.
+    pub index: usize,
+    /// Number of ranks in the group.
+    pub ranks: usize,
+}
+
 /// Bounds on what callers send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -126,6 +145,14 @@
     pub claim_wait_ms: u64,
     /// How long the platform's log keeps records.
     pub log_retention_ms: u64,
+    /// How long the lease of a group lasts without renewal.
+    pub lease_ms: u64,
+    /// Between reports of a rank to the holder of its group's lease.
+    pub rank_report_ms: u64,
+    /// How long ranks have to stage a change of the map before it is dropped.
+    pub stage_wait_ms: u64,
+    /// How far ahead, in time, a change of the map is proposed.
+    pub map_lead_ms: u64,
 }
 
 impl Default for Timing {
@@ -149,6 +176,10 @@
             clock_skew_ms: 60_000,
             claim_wait_ms: 2_000,
             log_retention_ms: 24 * 3_600_000,
+            lease_ms: 10_000,
+            rank_report_ms: 10_000,
+            stage_wait_ms: 10_000,
+            map_lead_ms: 3_000,
         }
     }
 }
@@ -193,6 +224,8 @@
     Entry {
         /// Where it listens for callers.
         caller_address: SocketAddr,
+        /// Whether it may hold the lease of a group.
+        control: bool,
     },
     /// An endpoint daemon.
     Endpoint {
@@ -204,6 +237,8 @@
         kind: EndpointKindName,
         /// The version that the engine has loaded.
         version: Option<VersionName>,
+        /// The rank that the engine is.
+        rank: Option<RankSettings>,
     },
 }
 
@@ -277,9 +312,16 @@
         Role::Entry => {
             let missing = |field| SettingsError::Missing { field, role: "entry" };
             let caller_address = raw.caller_address.ok_or_else(|| missing("caller_address"))?;
-            Ok(RoleSettings::Entry { caller_address })
+            if raw.rank.is_some() {
+                return contradiction("rank", "belongs to endpoint daemons; remove it here");
+            }
+            Ok(RoleSettings::Entry { caller_address, control: raw.control.unwrap_or(true) })
         }
         Role::Endpoint => {
+            if raw.control.is_some() {
+                return contradiction("control", "belongs to entries; remove it here");
+            }
+            check_rank(raw)?;
             let missing = |field| SettingsError::Missing { field, role: "endpoint" };
             let kind = raw.endpoint_kind.as_deref().ok_or_else(|| missing("endpoint_kind"))?;
             Ok(RoleSettings::Endpoint {
@@ -287,13 +329,40 @@
                 backend_address: raw.backend_address.ok_or_else(|| missing("backend_address"))?,
                 kind: EndpointKindName::new(kind),
                 version: raw.version.as_deref().map(VersionName::new),
+                rank: raw.rank.clone(),
             })
         }
     }
 }
 
+fn contradiction<T>(field: &'static str, remedy: &'static str) -> Result<T, SettingsError> {
+    Err(SettingsError::Contradiction { field, remedy })
+}
+
+fn check_rank(raw: &RawSettings) -> Result<(), SettingsError> {
+    let Some(rank) = &raw.rank else { return Ok(()) };
+    if raw.version.is_none() {
+        return contradiction("rank", "needs `version`, because plain services have no ranks");
+    }
+    if rank.group.is_empty() || rank.group.contains('/') {
+        return contradiction("rank.group", "must be a name without `/`");
+    }
+    if rank.ranks == 0 || rank.ranks > MAX_RANKS {
+        return contradiction("rank.ranks", "must be between 1 and 4096");
+    }
+    if rank.index >= rank.ranks {
+        return contradiction("rank.index", "must be below `rank.ranks`; the first rank is 0");
+    }
+    Ok(())
+}
+
 fn check_timing(timing: &Timing) -> Result<(), SettingsError> {
-    let contradiction = |field, remedy| Err(SettingsError::Contradiction { field, remedy });
+    if timing.lease_ms < 20 || timing.rank_report_ms == 0 {
+        return contradiction(
+            "timing.lease_ms",
+            "must be at least 20, and `timing.rank_report_ms` at least 1",
+        );
+    }
     if timing.silence_ms < 2 * timing.heartbeat_ms {
         return contradiction(
             "timing.silence_ms",
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -9,8 +9,8 @@
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::quarantine::record::{ReportId, SuspectReport};
 use crate::ids::{
-    AttemptId, EndpointKindName, Incarnation, InstanceId, Offset, RequestKey, TargetName,
-    VersionName,
+    AttemptId, EndpointKindName, FencingNumber, Incarnation, InstanceId, Offset, RequestKey,
+    ScopeName, TargetName, VersionName,
 };
 
 /// The role of a process.
@@ -270,8 +270,70 @@
     pub snapshot: String,
 }
 
+/// Asks a rank to stage a change of its group's map.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageAsk {
+    /// The group.
+    pub scope: ScopeName,
+    /// The change.
+    pub change: Offset,
+    /// The first step that would run with the new map.
+    pub step: u64,
+    /// Number of the lease that signs the order.
+    pub fencing: FencingNumber,
+}
+
+/// A rank has staged a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageDone {
+    /// The group.
+    pub scope: ScopeName,
+    /// Index of the rank.
+    pub rank: usize,
+    /// The process that has staged it.
+    pub incarnation: Incarnation,
+    /// The change.
+    pub change: Offset,
+}
+
+/// A rank cannot stage a change any more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StageRefused {
+    /// The group.
+    pub scope: ScopeName,
+    /// Index of the rank.
+    pub rank: usize,
+    /// The process that refuses.
+    pub incarnation: Incarnation,
+    /// The change.
+    pub change: Offset,
+}
+
+/// What a rank's engine measured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RankReport {
+    /// The group.
+    pub scope: ScopeName,
+    /// Index of the rank.
+    pub rank: usize,
+    /// The process that reports.
+    pub incarnation: Incarnation,
+    /// The step that the group runs next.
+    pub next_step: u64,
+    /// Time of the rank in a step, in milliseconds.
+    pub step_ms: f64,
+    /// Speed of the rank; 1 is nominal.
+    pub speed: f64,
+    /// Experts that one rank holds in one layer.
+    pub slots: usize,
+    /// Tokens of the group by layer and expert. Only rank 0 reports them.
+    pub tokens: Vec<Vec<f64>>,
+    /// When the engine measured this.
+    pub ended: Timestamp,
+}
+
 /// One frame on a connection between two processes of the system.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     /// First frame.
     Hello(Hello),
@@ -307,6 +369,14 @@
     DocumentAsk(DocumentAsk),
     /// Either way: the document, for a peer that cannot read the log.
     DocumentState(DocumentState),
+    /// Entry to endpoint: stage a change of the map.
+    Stage(StageAsk),
+    /// Endpoint to entry: staged.
+    Staged(StageDone),
+    /// Endpoint to entry: cannot be staged any more.
+    StageRefused(StageRefused),
+    /// Endpoint to entry: what the rank's engine measured.
+    RankReport(Box<RankReport>),
     /// A kind that this build does not know; ignored.
     Unknown(u8),
 }
--- a/crates/lycheewood/src/wire/visitors.rs
+++ b/crates/lycheewood/src/wire/visitors.rs
@@ -28,6 +28,10 @@
 const SUSPECTS: u8 = 14;
 const DOCUMENT_ASK: u8 = 15;
 const DOCUMENT_STATE: u8 = 16;
+const STAGE: u8 = 17;
+const STAGED: u8 = 18;
+const STAGE_REFUSED: u8 = 19;
+const RANK_REPORT: u8 = 20;
 
 impl Serialize for Frame {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -55,6 +59,10 @@
             Self::Suspects(body) => pair(serializer, SUSPECTS, body),
             Self::DocumentAsk(body) => pair(serializer, DOCUMENT_ASK, body),
             Self::DocumentState(body) => pair(serializer, DOCUMENT_STATE, body),
+            Self::Stage(body) => pair(serializer, STAGE, body),
+            Self::Staged(body) => pair(serializer, STAGED, body),
+            Self::StageRefused(body) => pair(serializer, STAGE_REFUSED, body),
+            Self::RankReport(body) => pair(serializer, RANK_REPORT, body),
             Self::Unknown(kind) => pair(serializer, *kind, &()),
         }
     }
@@ -103,6 +111,10 @@
             SUSPECTS => Frame::Suspects(element(&mut seq, "suspects")?),
             DOCUMENT_ASK => Frame::DocumentAsk(element(&mut seq, "document_ask")?),
             DOCUMENT_STATE => Frame::DocumentState(element(&mut seq, "document_state")?),
+            STAGE => Frame::Stage(element(&mut seq, "stage")?),
+            STAGED => Frame::Staged(element(&mut seq, "staged")?),
+            STAGE_REFUSED => Frame::StageRefused(element(&mut seq, "stage_refused")?),
+            RANK_REPORT => Frame::RankReport(element(&mut seq, "rank_report")?),
             other => Frame::Unknown(other),
         };
         skip_rest(&mut seq)?;
--- /dev/null
+++ b/crates/lycheewood/tests/map_change_path.rs
@@ -0,0 +1,305 @@
+//! Changes of a group's expert map over the real path: log, entries, ranks' daemons and an engine.
+
+#[path = "support/deployment.rs"]
+mod deployment;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use deployment::{DOCUMENT, Deployment, send};
+use http_body_util::Full;
+use hyper::Request;
+use lycheewood::{Endpoint, Entry, GroupLog, LogClient, Offset, RankMaps, ScopeName, group_scope};
+use stand_ins::engine::{Engine, EngineFaults};
+use stand_ins::faults::Outage;
+use stand_ins::forwarder::Forwarder;
+use stand_ins::instance_list::{Instance, InstanceState, Role};
+use tokio::time::timeout;
+
+const RANKS: usize = 4;
+const EXPERTS: usize = 8;
+const SLOTS: usize = 4;
+const LAYERS: usize = 2;
+/// The bound of every wait. A group that makes no progress fails the test after it.
+const WAIT_MS: u64 = 30_000;
+
+/// Short timings, so that leases change hands and changes are decided within a second.
+const TIMING: &str = "\
+timing: {heartbeat_ms: 50, silence_ms: 300, long_poll_ms: 200, platform_reply_ms: 500, \
+reconnect_max_ms: 50, load_report_ms: 20, lease_ms: 600, rank_report_ms: 20, stage_wait_ms: 600, \
+map_lead_ms: 150}
+";
+
+/// Tokens with one popular expert in each layer.
+fn popular(expert: usize) -> Vec<Vec<u64>> {
+    let tokens = |index| if index == expert % EXPERTS { 4_000 } else { 100 };
+    vec![(0..EXPERTS).map(tokens).collect(); LAYERS]
+}
+
+/// A group behind one engine, a daemon for each rank behind a forwarder, and entries.
+struct World {
+    deployment: Deployment,
+    engine: Engine,
+    daemons: Vec<Option<Endpoint>>,
+    forwarders: Vec<Forwarder>,
+    scope: ScopeName,
+}
+
+impl World {
+    fn start(entries: usize, checks_fencing_numbers: bool) -> Self {
+        let mut deployment = Deployment::platform(TIMING);
+        deployment.publish(
+            &DOCUMENT.replace("objective: skew", "objective: skew, min_interval_ms: 1"),
+            None,
+        );
+        let faults = EngineFaults {
+            step_ms: 2,
+            load_lag_ms: 5,
+            expert_tokens: popular(0),
+            expert_noise_percent: 5,
+            expert_slots: SLOTS,
+            ..EngineFaults::default()
+        };
+        let engine = deployment.rank_engine(RANKS, checks_fencing_numbers, faults);
+        let daemons: Vec<_> = (0..RANKS)
+            .map(|rank| Some(deployment.rank_daemon(engine.address(), "g", rank, RANKS)))
+            .collect();
+        let forwarders = daemons
+            .iter()
+            .flatten()
+            .map(|daemon: &Endpoint| deployment.forwarder(daemon.peer_address()))
+            .collect();
+        for _ in 0..entries {
+            deployment.add_entry();
+        }
+        let scope = group_scope("g", RANKS);
+        let world = Self { deployment, engine, daemons, forwarders, scope };
+        world.announce();
+        world
+    }
+
+    fn announce(&self) {
+        let instance = |id: String, role, address: SocketAddr| Instance {
+            id,
+            role,
+            address: address.to_string(),
+            failure_domain: "fd-1".into(),
+            state: InstanceState::Live,
+        };
+        let ranks = self.forwarders.iter().enumerate().map(|(rank, forwarder)| {
+            instance(format!("g-{rank}"), Role::Endpoint, forwarder.address())
+        });
+        let entries = self.deployment.entries.iter().enumerate().map(|(index, entry)| {
+            instance(format!("entry-{index}"), Role::Entry, entry.caller_address())
+        });
+        let all = ranks.chain(entries).collect();
+        self.deployment.runtime.block_on(self.deployment.list.set(all));
+    }
+
+    /// Ends the daemon of a rank without notice and starts another in its place.
+    fn replace_daemon(&mut self, rank: usize) {
+        self.daemons[rank] = None;
+        let daemon = self.deployment.rank_daemon(self.engine.address(), "g", rank, RANKS);
+        self.forwarders[rank] = self.deployment.forwarder(daemon.peer_address());
+        self.daemons[rank] = Some(daemon);
+        self.announce();
+    }
+
+    /// Ends the entry that holds the lease without notice.
+    fn drop_holder(&mut self) {
+        let holder = self.holder();
+        let is_holder = |entry: &Entry| self.incarnation_of(entry) == holder;
+        let index = self.deployment.entries.iter().position(is_holder).expect("the holder runs");
+        drop(self.deployment.entries.remove(index));
+        self.announce();
+    }
+
+    /// The process that holds the lease, by the whole stream.
+    fn holder(&self) -> String {
+        let log = self.log();
+        let page = self.deployment.runtime.block_on(log.read("leases", Offset(0), 0));
+        let page = page.expect("the log answers");
+        let mut fold = GroupLog::default();
+        fold.read_bounds(page.first_offset, page.end_offset);
+        for record in &page.records {
+            fold.fold(record.offset, record.appended, record.payload.as_bytes());
+        }
+        fold.leases().current(&self.scope).expect("a lease").holder.to_string()
+    }
+
+    fn incarnation_of(&self, entry: &Entry) -> String {
+        let uri = format!("http://{}/state", entry.admin_address());
+        let request = Request::get(uri).body(Full::new(Bytes::new())).expect("a valid request");
+        let (_, state) = self.deployment.runtime.block_on(send(request));
+        let state: serde_json::Value = serde_json::from_str(&state).expect("a JSON state");
+        state["incarnation"].as_str().unwrap_or_default().to_owned()
+    }
+
+    fn log(&self) -> LogClient {
+        self.deployment.log_client()
+    }
+
+    /// Folds the stream until `holds` of the group's maps, and gives the fold.
+    fn wait_for(&self, what: &str, holds: impl Fn(&RankMaps) -> bool) -> GroupLog {
+        let follow = async {
+            let (log, mut fold, mut from) = (self.log(), GroupLog::default(), Offset(0));
+            loop {
+                let Ok(page) = log.read("leases", from, 200).await else {
+                    // The log is down; a refused read returns at once.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                };
+                fold.read_bounds(page.first_offset, page.end_offset);
+                for record in &page.records {
+                    fold.fold(record.offset, record.appended, record.payload.as_bytes());
+                    if fold.maps(&self.scope).is_some_and(&holds) {
+                        return fold;
+                    }
+                }
+                from = fold.next_offset();
+            }
+        };
+        let fold = self
+            .deployment
+            .runtime
+            .block_on(async { timeout(Duration::from_millis(WAIT_MS), follow).await });
+        fold.unwrap_or_else(|_| panic!("waited in vain for {what}: {}", self.describe()))
+    }
+
+    /// Waits for a committed map later than `change`.
+    fn wait_for_commit_after(&self, change: Option<Offset>) -> Offset {
+        let is_later = |maps: &RankMaps| maps.newest().map(|map| map.change) > change;
+        let fold = self.wait_for("a commit", is_later);
+        fold.maps(&self.scope).and_then(RankMaps::newest).expect("a map").change
+    }
+
+    /// Waits for a proposal after `change` that is not decided, and gives its step.
+    fn wait_for_proposal_after(&self, change: Offset) -> u64 {
+        let is_later = |maps: &RankMaps| maps.pending().is_some_and(|p| p.change > change);
+        let fold = self.wait_for("a proposal", is_later);
+        fold.maps(&self.scope).and_then(RankMaps::pending).expect("a proposal").step
+    }
+
+    /// The end of the stream and the engine's ranks, for the message of a failure.
+    fn describe(&self) -> String {
+        let records = self.deployment.log.records("leases");
+        let tail = records.iter().rev().take(12).map(|r| r.payload.chars().take(140).collect());
+        let tail: Vec<String> = tail.collect();
+        let uri = format!("http://{}/ranks", self.engine.address());
+        let request = Request::get(uri).body(Full::new(Bytes::new())).expect("a valid request");
+        let (_, ranks) = self.deployment.runtime.block_on(send(request));
+        format!("{ranks}; newest records first: {tail:#?}")
+    }
+
+    /// Makes another expert popular, so that the map has to change.
+    fn shift(&self, expert: usize) {
+        self.engine.set_faults(move |faults| faults.expert_tokens = popular(expert));
+    }
+
+    fn wait_for_step(&self, step: u64) {
+        let run = async {
+            timeout(Duration::from_millis(WAIT_MS), self.engine.wait_for_step(step)).await
+        };
+        let run = self.deployment.runtime.block_on(run);
+        assert!(run.is_ok(), "the group has not run step {step}: {}", self.describe());
+    }
+
+    /// Checks that the ranks of each step ran it with one map, and gives the number of maps used.
+    fn check_steps(&self) -> usize {
+        let mut by_step: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+        for event in self.engine.steps() {
+            by_step.entry(event.step).or_default().push(event.map_version);
+        }
+        let mut versions: Vec<u64> = Vec::new();
+        for (step, maps) in &by_step {
+            assert!(maps.iter().all(|map| *map == maps[0]), "step {step} ran with maps {maps:?}");
+            assert_ne!(maps[0], 0, "step {step} ran without a map");
+            versions.push(maps[0]);
+        }
+        versions.dedup();
+        versions.len()
+    }
+
+    /// Waits until the group has run steps with the map of `change`.
+    fn run_past(&self, change: Offset) {
+        let step = self
+            .wait_for("the commit", |maps| maps.newest().is_some_and(|map| map.change >= change))
+            .maps(&self.scope)
+            .and_then(RankMaps::newest)
+            .expect("a map")
+            .step;
+        self.wait_for_step(step + 5);
+    }
+}
+
+/// Guards against ranks that use different maps in one step while maps change under load.
+#[test]
+fn maps_change_while_steps_run() {
+    let world = World::start(2, true);
+    let mut change = world.wait_for_commit_after(None);
+    for expert in 1..4 {
+        world.shift(expert);
+        change = world.wait_for_commit_after(Some(change));
+    }
+    world.run_past(change);
+    assert!(world.check_steps() >= 4, "fewer maps were used than were committed");
+}
+
+/// What goes wrong while a change is pending.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    DaemonReplaced,
+    ConnectionSilent,
+    LogDown,
+    HolderDropped,
+    EngineIgnoresFencing,
+}
+
+const FAULTS: [Fault; 5] = [
+    Fault::DaemonReplaced,
+    Fault::ConnectionSilent,
+    Fault::LogDown,
+    Fault::HolderDropped,
+    Fault::EngineIgnoresFencing,
+];
+
+impl Fault {
+    /// Strikes while a change for `step` is proposed and not decided, as far as the test has read.
+    fn strike(self, world: &mut World, step: u64) {
+        match self {
+            Self::DaemonReplaced => world.replace_daemon(2),
+            Self::ConnectionSilent => world.forwarders[1].silence(),
+            Self::LogDown => {
+                world.deployment.log.set_faults(|f| f.common.outage = Outage::Unavailable);
+                // Ranks that have staged wait at the step; the others come at least that far.
+                world.wait_for_step(step - 1);
+                world.deployment.log.set_faults(|f| f.common.outage = Outage::None);
+            }
+            Self::HolderDropped | Self::EngineIgnoresFencing => world.drop_holder(),
+        }
+    }
+}
+
+/// Guards against two maps in one step, and against a group that stays stuck, when a process, a
+/// connection or the log fails between the proposal of a change and its decision.
+#[test]
+fn a_fault_between_proposal_and_decision_never_splits_a_step() {
+    for fault in FAULTS {
+        let mut world = World::start(2, !matches!(fault, Fault::EngineIgnoresFencing));
+        let first = world.wait_for_commit_after(None);
+        world.run_past(first);
+        // Slow appends keep a change pending long enough for the fault to come in between.
+        world.deployment.log.set_faults(|faults| faults.common.delay_ms = 40);
+        world.shift(1);
+        let step = world.wait_for_proposal_after(first);
+        fault.strike(&mut world, step);
+        world.deployment.log.set_faults(|faults| faults.common.delay_ms = 0);
+        let change = world.wait_for_commit_after(Some(first));
+        world.shift(2);
+        let change = world.wait_for_commit_after(Some(change));
+        world.run_past(change);
+        assert!(world.check_steps() >= 2, "{fault:?}: the map did not change");
+    }
+}
--- a/crates/lycheewood/tests/support/deployment.rs
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -178,6 +178,34 @@
         self.add_slot("engines", "version: v1\n", address, Backend::Engine(engine));
     }
 
+    /// Starts an engine with `ranks` ranks, without daemons.
+    pub(crate) fn rank_engine(
+        &self,
+        ranks: usize,
+        checks_fencing_numbers: bool,
+        faults: EngineFaults,
+    ) -> Engine {
+        let settings =
+            EngineSettings { ranks, checks_fencing_numbers, faults, ..EngineSettings::default() };
+        let _runtime = self.runtime.enter();
+        Engine::start(settings).expect("start an engine")
+    }
+
+    /// Starts the daemon of one rank of a group. Each call gives another process.
+    pub(crate) fn rank_daemon(
+        &self,
+        engine: SocketAddr,
+        group: &str,
+        index: usize,
+        ranks: usize,
+    ) -> Endpoint {
+        let id = format!("{group}-{index}");
+        let more = format!(
+            "peer_address: 127.0.0.1:0\nbackend_address: {engine}\nendpoint_kind: engines\nversion: v1\nrank: {{group: {group}, index: {index}, ranks: {ranks}}}\n"
+        );
+        Endpoint::start(&self.settings("endpoint", &id, &more)).expect("start a rank's daemon")
+    }
+
     /// Adds a service and its daemon.
     pub(crate) fn add_service(&mut self) {
         let service = {
