Test map changes over the real path with faults

The test folds the stream and checks that every rank ran every step with the map that the stream gives it. A holder repeats a renewal that did not show after a tenth of the lease: one lost during a short outage of the log cost it the lease.

--- a/crates/lycheewood/src/controllers/placement/held.rs
+++ b/crates/lycheewood/src/controllers/placement/held.rs
@@ -127,7 +127,10 @@
     }
 
     fn renew(&mut self, config: &PlacementConfig, now: Timestamp) -> Result<(), LeaseExpired> {
-        if now.ms_since(self.renewed) < config.timing.lease_ms / 3 {
+        // Renewed after a third; an append that was lost is repeated well before the end.
+        let duration_ms = config.timing.lease_ms;
+        let is_fresh = self.lease.deadline().ms_since(now) > duration_ms * 2 / 3;
+        if is_fresh || now.ms_since(self.renewed) < duration_ms / 10 {
             return Ok(());
         }
         self.renewed = now;
--- a/crates/lycheewood/tests/map_change_path.rs
+++ b/crates/lycheewood/tests/map_change_path.rs
@@ -11,8 +11,11 @@
 use deployment::{DOCUMENT, Deployment, send};
 use http_body_util::Full;
 use hyper::Request;
-use lycheewood::{Endpoint, Entry, GroupLog, LogClient, Offset, RankMaps, ScopeName, group_scope};
-use stand_ins::engine::{Engine, EngineFaults};
+use lycheewood::{
+    Endpoint, Entry, GroupLog, LogClient, Offset, RankMaps, ScopeName, Timestamp, group_scope,
+    map_version,
+};
+use stand_ins::engine::{Engine, EngineFaults, Rank};
 use stand_ins::faults::Outage;
 use stand_ins::forwarder::Forwarder;
 use stand_ins::instance_list::{Instance, InstanceState, Role};
@@ -25,11 +28,12 @@
 /// The bound of every wait. A group that makes no progress fails the test after it.
 const WAIT_MS: u64 = 30_000;
 
-/// Short timings, so that leases change hands and changes are decided within a second.
+/// Short timings, so that leases change hands and changes are decided within seconds. A change is
+/// proposed further ahead than a silent connection takes to be replaced.
 const TIMING: &str = "\
-timing: {heartbeat_ms: 50, silence_ms: 300, long_poll_ms: 200, platform_reply_ms: 500, \
-reconnect_max_ms: 50, load_report_ms: 20, lease_ms: 600, rank_report_ms: 20, stage_wait_ms: 600, \
-map_lead_ms: 150}
+timing: {heartbeat_ms: 50, silence_ms: 200, long_poll_ms: 200, platform_reply_ms: 500, \
+reconnect_max_ms: 50, load_report_ms: 20, lease_ms: 3000, rank_report_ms: 20, stage_wait_ms: 2000, \
+map_lead_ms: 1000}
 ";
 
 /// Tokens with one popular expert in each layer.
@@ -206,22 +210,53 @@
         assert!(run.is_ok(), "the group has not run step {step}: {}", self.describe());
     }
 
-    /// Checks that the ranks of each step ran it with one map, and gives the number of maps used.
-    fn check_steps(&self) -> usize {
+    /// The committed changes by the step from which their map counts, by the whole stream.
+    fn committed(&self) -> BTreeMap<u64, u64> {
+        let (mut fold, mut committed) = (GroupLog::default(), BTreeMap::new());
+        for record in self.deployment.log.records("leases") {
+            let appended = Timestamp::from_unix_ms(record.appended_unix_ms);
+            fold.fold(Offset(record.offset), appended, record.payload.as_bytes());
+            if let Some(newest) = fold.maps(&self.scope).and_then(RankMaps::newest) {
+                committed.insert(newest.step, map_version(newest.change));
+            }
+        }
+        committed
+    }
+
+    /// Checks that all ranks ran each step with the map that the stream gives it, and gives the number
+    /// of maps used.
+    fn check_steps(&self, case: &str) -> usize {
+        let committed = self.committed();
         let mut by_step: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
         for event in self.engine.steps() {
             by_step.entry(event.step).or_default().push(event.map_version);
         }
         let mut versions: Vec<u64> = Vec::new();
         for (step, maps) in &by_step {
-            assert!(maps.iter().all(|map| *map == maps[0]), "step {step} ran with maps {maps:?}");
-            assert_ne!(maps[0], 0, "step {step} ran without a map");
+            assert!(
+                maps.iter().all(|map| *map == maps[0]),
+                "{case}: step {step} ran with {maps:?}"
+            );
+            let wanted = committed.range(..=step).next_back().map(|(_, version)| *version);
+            assert_eq!(Some(maps[0]), wanted, "{case}: step {step} ran with another map");
             versions.push(maps[0]);
         }
         versions.dedup();
         versions.len()
     }
 
+    /// Waits until `count` ranks of the engine have staged a map.
+    fn wait_until_staged(&self, count: usize) {
+        let staged = move |ranks: &[Rank]| {
+            ranks.iter().filter(|rank| rank.staged.is_some()).count() >= count
+        };
+        let wait = async {
+            timeout(Duration::from_millis(WAIT_MS), self.engine.wait_for_ranks(staged)).await
+        };
+        let wait = self.deployment.runtime.block_on(wait);
+        assert!(wait.is_ok(), "{count} ranks have not staged a map: {}", self.describe());
+    }
+
     /// Waits until the group has run steps with the map of `change`.
     fn run_past(&self, change: Offset) {
         let step = self
@@ -244,7 +279,7 @@
         change = world.wait_for_commit_after(Some(change));
     }
     world.run_past(change);
-    assert!(world.check_steps() >= 4, "fewer maps were used than were committed");
+    assert!(world.check_steps("no fault") >= 4, "fewer maps were used than were committed");
 }
 
 /// What goes wrong while a change is pending.
@@ -266,14 +301,25 @@
 ];
 
 impl Fault {
+    /// What has to be so before the change is proposed.
+    fn prepare(self, world: &World) {
+        if matches!(self, Self::LogDown) {
+            world.forwarders[RANKS - 1].silence();
+        }
+    }
+
     /// Strikes while a change for `step` is proposed and not decided, as far as the test has read.
     fn strike(self, world: &mut World, step: u64) {
         match self {
             Self::DaemonReplaced => world.replace_daemon(2),
             Self::ConnectionSilent => world.forwarders[1].silence(),
             Self::LogDown => {
+                // The last rank's connection is silent, so nothing can be decided before the outage.
+                world.wait_until_staged(RANKS - 1);
                 world.deployment.log.set_faults(|f| f.common.outage = Outage::Unavailable);
-                // Ranks that have staged wait at the step; the others come at least that far.
+                // Staging needs no log: the last rank stages on its new connection, and the holder
+                // would commit. All ranks have to wait at the step.
+                world.wait_until_staged(RANKS);
                 world.wait_for_step(step - 1);
                 world.deployment.log.set_faults(|f| f.common.outage = Outage::None);
             }
@@ -292,6 +338,7 @@
         world.run_past(first);
         // Slow appends keep a change pending long enough for the fault to come in between.
         world.deployment.log.set_faults(|faults| faults.common.delay_ms = 40);
+        fault.prepare(&world);
         world.shift(1);
         let step = world.wait_for_proposal_after(first);
         fault.strike(&mut world, step);
@@ -300,6 +347,7 @@
         world.shift(2);
         let change = world.wait_for_commit_after(Some(change));
         world.run_past(change);
-        assert!(world.check_steps() >= 2, "{fault:?}: the map did not change");
+        let case = format!("{fault:?}");
+        assert!(world.check_steps(&case) >= 2, "{case}: the map did not change");
     }
 }
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -233,6 +233,15 @@
         self.control.wait(run).await;
     }
 
+    /// Waits until the ranks satisfy `condition`.
+    pub async fn wait_for_ranks(
+        &self,
+        condition: impl Fn(&[Rank]) -> bool + Clone + Send + 'static,
+    ) {
+        let holds = move |state: &EngineState| condition(state.ranks.members()).then_some(());
+        self.control.wait(holds).await;
+    }
+
     /// Puts a rank without any state in a rank's place.
     pub fn replace_rank(&self, rank: usize) {
         self.control.post(move |state| state.ranks.replace(rank));
--- a/crates/stand-ins/src/engine/ranks.rs
+++ b/crates/stand-ins/src/engine/ranks.rs
@@ -99,6 +99,10 @@
         self.fences[rank] = Fence::default();
     }
 
+    pub(super) fn members(&self) -> &[Rank] {
+        &self.members
+    }
+
     pub(super) fn has_run(&self, step: u64) -> bool {
         self.next_step > step
     }
