Test that a daemon refuses orders of a superseded lease

An engine that ignores fencing numbers depends on its daemon for that. A connection of its own sends the order, as an entry that was paused would; pausing a real entry was ruled out, since a process in the test cannot stop one of its threads.

--- a/crates/lycheewood/tests/map_change_path.rs
+++ b/crates/lycheewood/tests/map_change_path.rs
@@ -9,17 +9,22 @@
 
 use bytes::Bytes;
 use deployment::{DOCUMENT, Deployment, send};
+use futures_util::{SinkExt, StreamExt};
 use http_body_util::Full;
 use hyper::Request;
 use lycheewood::{
-    Endpoint, Entry, GroupLog, LogClient, Offset, RankMaps, ScopeName, Timestamp, group_scope,
-    map_version,
+    CurrentLease, Endpoint, Entry, Frame, GroupLog, Hello, Incarnation, InstanceId, LogClient,
+    Offset, PROTOCOL_MAX, PROTOCOL_MIN, RankMaps, ScopeName, StageAsk, Timestamp, decode, encode,
+    group_scope, map_version,
 };
 use stand_ins::engine::{Engine, EngineFaults, Rank};
 use stand_ins::faults::Outage;
 use stand_ins::forwarder::Forwarder;
 use stand_ins::instance_list::{Instance, InstanceState, Role};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
 
 const RANKS: usize = 4;
 const EXPERTS: usize = 8;
@@ -113,15 +118,15 @@
 
     /// Ends the entry that holds the lease without notice.
     fn drop_holder(&mut self) {
-        let holder = self.holder();
+        let holder = self.lease().holder.to_string();
         let is_holder = |entry: &Entry| self.incarnation_of(entry) == holder;
         let index = self.deployment.entries.iter().position(is_holder).expect("the holder runs");
         drop(self.deployment.entries.remove(index));
         self.announce();
     }
 
-    /// The process that holds the lease, by the whole stream.
-    fn holder(&self) -> String {
+    /// The lease in force, by the whole stream.
+    fn lease(&self) -> CurrentLease {
         let log = self.log();
         let page = self.deployment.runtime.block_on(log.read("leases", Offset(0), 0));
         let page = page.expect("the log answers");
@@ -130,7 +135,7 @@
         for record in &page.records {
             fold.fold(record.offset, record.appended, record.payload.as_bytes());
         }
-        fold.leases().current(&self.scope).expect("a lease").holder.to_string()
+        fold.leases().current(&self.scope).expect("a lease")
     }
 
     fn incarnation_of(&self, entry: &Entry) -> String {
@@ -351,3 +356,57 @@
         assert!(world.check_steps(&case) >= 2, "{case}: the map did not change");
     }
 }
+
+/// Sends an order over a connection of its own, as an entry that was paused would, and gives the
+/// rank's answer.
+async fn order_as_entry(address: SocketAddr, ask: StageAsk) -> Frame {
+    let hello = Hello {
+        protocol_min: PROTOCOL_MIN,
+        protocol_max: PROTOCOL_MAX,
+        incarnation: Incarnation::random(),
+        instance: InstanceId::new("paused-entry"),
+        role: lycheewood::Role::Entry,
+        endpoint_kind: None,
+        version: None,
+        admin_address: None,
+    };
+    let tcp = TcpStream::connect(address).await.expect("connect to the daemon");
+    let (mut socket, _) =
+        client_async(format!("ws://{address}/"), tcp).await.expect("open a connection");
+    for frame in [Frame::Hello(hello), Frame::Stage(ask)] {
+        socket.send(Message::Binary(encode(&frame))).await.expect("send a frame");
+    }
+    loop {
+        let message = socket.next().await.expect("the connection stays").expect("a message");
+        let Message::Binary(bytes) = message else { continue };
+        match decode(&bytes).expect("a frame") {
+            frame @ (Frame::Staged(_) | Frame::StageRefused(_)) => return frame,
+            _ => socket
+                .send(Message::Binary(encode(&Frame::Heartbeat(1))))
+                .await
+                .expect("send a heartbeat"),
+        }
+    }
+}
+
+/// Guards against an order of a holder that was paused while its lease passed on, at an engine that
+/// ignores fencing numbers.
+#[test]
+fn an_order_of_a_superseded_lease_is_refused_by_the_daemon() {
+    let mut world = World::start(2, false);
+    let first = world.wait_for_commit_after(None);
+    let former = world.lease();
+    world.drop_holder();
+    world.shift(1);
+    let change = world.wait_for_commit_after(Some(first));
+    world.run_past(change);
+    assert!(world.lease().fencing > former.fencing, "the lease did not pass on");
+    let ask =
+        StageAsk { scope: world.scope.clone(), change, step: u64::MAX, fencing: former.fencing };
+    let daemon = world.daemons[0].as_ref().expect("rank 0 runs").peer_address();
+    let reply =
+        async { timeout(Duration::from_millis(WAIT_MS), order_as_entry(daemon, ask)).await };
+    let reply = world.deployment.runtime.block_on(reply).expect("the daemon answers");
+    assert!(matches!(reply, Frame::StageRefused(_)), "an old order was obeyed: {reply:?}");
+    world.check_steps("superseded lease");
+}
