Test the fold of groups and what operators see of it

The state and metrics of a rank's daemon are read after its rank has run the last map, so the daemon has read that commit and no wait is needed.

--- a/crates/lycheewood/tests/map_change_path.rs
+++ b/crates/lycheewood/tests/map_change_path.rs
@@ -138,10 +138,15 @@
         fold.leases().current(&self.scope).expect("a lease")
     }
 
-    fn incarnation_of(&self, entry: &Entry) -> String {
-        let uri = format!("http://{}/state", entry.admin_address());
+    /// What a node shows to operators.
+    fn shown(&self, admin: SocketAddr, path: &str) -> String {
+        let uri = format!("http://{admin}{path}");
         let request = Request::get(uri).body(Full::new(Bytes::new())).expect("a valid request");
-        let (_, state) = self.deployment.runtime.block_on(send(request));
+        self.deployment.runtime.block_on(send(request)).1
+    }
+
+    fn incarnation_of(&self, entry: &Entry) -> String {
+        let state = self.shown(entry.admin_address(), "/state");
         let state: serde_json::Value = serde_json::from_str(&state).expect("a JSON state");
         state["incarnation"].as_str().unwrap_or_default().to_owned()
     }
@@ -285,6 +290,22 @@
     }
     world.run_past(change);
     assert!(world.check_steps("no fault") >= 4, "fewer maps were used than were committed");
+    // A rank has run the last map, so its daemon has read that commit.
+    let admin = world.daemons[0].as_ref().expect("rank 0 runs").admin_address();
+    let state: serde_json::Value =
+        serde_json::from_str(&world.shown(admin, "/state")).expect("a JSON state");
+    let group = &state["groups"]["groups"][0];
+    assert_eq!(group["scope"], world.scope.as_str());
+    assert!(group["map"]["change"].as_u64() >= Some(change.0), "an old map is shown: {group}");
+    let metrics = world.shown(admin, "/metrics");
+    for name in [
+        "map_changes_total{decision=\"committed\"}",
+        "weights_moved_total",
+        "lease_changes_total{change=\"granted\"}",
+    ] {
+        let value = metrics.lines().find_map(|l| l.strip_prefix("lycheewood_")?.strip_prefix(name));
+        assert!(value.is_some_and(|v| v.trim() != "0"), "{name} does not count: {value:?}");
+    }
 }
 
 /// What goes wrong while a change is pending.
