--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -9,6 +9,7 @@
 pub(crate) mod digest;
 pub(crate) mod entries;
 pub(crate) mod estimate;
+pub(crate) mod groups;
 pub(crate) mod leases;
 pub(crate) mod limits;
 pub(crate) mod map_change;
