Report a crash that the load report showed first

Cause: the daemon reported a crash only while it held its engine to be up. When a load report found the engine down before the attempt failed, as with a silent connection to an engine that dies, the crash was never reported. When the engine was up again before the last attempt failed, one crash could be reported twice. A report now names each attempt once.

Ruled out: a lost append; the log had no record and the entries no warning.

--- a/crates/lycheewood/src/controllers/attempts.rs
+++ b/crates/lycheewood/src/controllers/attempts.rs
@@ -39,6 +39,8 @@
     fingerprint: [u8; 16],
     alone: bool,
     running: bool,
+    /// A report of a crash has named it.
+    reported: bool,
     /// When the answer may be dropped; not while the attempt runs.
     drop_at: Timestamp,
 }
@@ -197,6 +199,7 @@
             fingerprint: start.fingerprint,
             alone: start.run_alone,
             running: true,
+            reported: false,
             drop_at: start.deadline.plus_ms(self.config.timing.result_keep_ms),
         };
         self.entries.insert(start.attempt, entry);
@@ -229,7 +232,7 @@
 
     fn ended(&mut self, attempt: AttemptId, end: ExecutionEnd) {
         if end == ExecutionEnd::EngineDied {
-            self.report_crash();
+            self.report_crash(attempt);
         }
         let drop_at = self.now().plus_ms(self.config.timing.result_keep_ms);
         let Some(entry) = self.entries.get_mut(&attempt).filter(|entry| entry.running) else {
@@ -245,19 +248,24 @@
     }
 
     /// Tells all entries and the log which requests were in flight, once for each death of the engine.
-    fn report_crash(&mut self) {
-        if !self.engine_up {
+    /// The load report may have shown the engine down before, or up again since.
+    fn report_crash(&mut self, attempt: AttemptId) {
+        if self.entries.get(&attempt).is_none_or(|entry| !entry.running || entry.reported) {
             return;
         }
         self.engine_up = false;
         self.crashes += 1;
         log::warn!("engine died attempts_in_flight={}", self.running);
-        let running: Vec<&Entry> = self.entries.values().filter(|entry| entry.running).collect();
+        let mut in_flight: Vec<&mut Entry> =
+            self.entries.values_mut().filter(|entry| entry.running && !entry.reported).collect();
+        for entry in &mut in_flight {
+            entry.reported = true;
+        }
         let document = self.config.document.load();
         let report = SuspectReport {
             report: ReportId { incarnation: self.config.incarnation, sequence: self.crashes },
-            ran_alone: running.len() == 1 && running[0].alone,
-            fingerprints: running.iter().map(|entry| entry.fingerprint.into()).collect(),
+            ran_alone: in_flight.len() == 1 && in_flight[0].alone,
+            fingerprints: in_flight.iter().map(|entry| entry.fingerprint.into()).collect(),
             version: self.config.version.clone(),
             quarantine_ms: document
                 .as_ref()
