Look at the newest reports before each attempt

Cause: a retry chose its endpoint by the quarantine table of the pass's start, which is older than a crash by its first attempt, and the link handed reports over without waiting until they counted. The route now reads the newest table, and a link passes a failed answer on only after the report before it counts.

Ruled out: the order at the endpoint, which queues the report first.

--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -381,6 +381,11 @@
                             return end;
                         }
                     }
+                    // A failed answer may follow. The table holds its request before a retry
+                    // looks there, so the link waits until the report counts.
+                    Ok(Frame::Suspects(suspects)) => {
+                        let _ = self.config.quarantine.ask(Warn(suspects.into())).await;
+                    }
                     Ok(frame) => self.dispatch_frame(frame, &instance),
                     Err(end) => return end,
                 },
@@ -560,12 +565,10 @@
             Frame::Draining => {
                 self.config.load.send(LinkEvent::Draining { instance: instance.clone() });
             }
-            Frame::Suspects(suspects) => {
-                let _ = self.config.quarantine.tell(Warn(suspects.into())).try_send();
-            }
             Frame::DocumentState(state) => documents::accept(&self.config.documents, &state),
             // Frames that only endpoints receive, or that are handled before.
             Frame::DocumentAsk(_)
+            | Frame::Suspects(_)
             | Frame::Hello(_)
             | Frame::Heartbeat(_)
             | Frame::Start(_)
--- a/crates/lycheewood/src/filters/exchange.rs
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -7,7 +7,6 @@
 use crate::controllers::document::DocumentInForce;
 use crate::controllers::load::{EndpointTable, EndpointView};
 use crate::controllers::membership::Members;
-use crate::decisions::quarantine::QuarantineTable;
 use crate::document::checked::Workspace;
 use crate::filters::admit::AdmissionGuard;
 use crate::filters::request::Request;
@@ -27,7 +26,6 @@
     pub(crate) document: Option<Arc<DocumentInForce>>,
     pub(crate) endpoints: Arc<EndpointTable>,
     pub(crate) members: Arc<Members>,
-    pub(crate) quarantine: Arc<QuarantineTable>,
 }
 
 impl View {
@@ -36,7 +34,6 @@
             document: state.document.load_full(),
             endpoints: state.endpoints.load_full(),
             members: state.members.load_full(),
-            quarantine: state.quarantined.load_full(),
         }
     }
 }
--- a/crates/lycheewood/src/filters/route.rs
+++ b/crates/lycheewood/src/filters/route.rs
@@ -25,18 +25,24 @@
 ) -> Result<Exchange<'r, Routed<'r>>, Refusal> {
     fix_version(&mut exchange)?;
     let attempt = Attempt::plan(state.next_attempt());
-    let run_alone = must_run_alone(&exchange, attempt.id())?;
+    let run_alone = must_run_alone(state, &exchange, attempt.id())?;
     let endpoint = choose(state, &exchange, run_alone)
         .ok_or_else(|| exchange.refuse(NotRunCode::NoEndpoint, NO_ENDPOINT_RETRY_MS))?;
     Ok(exchange.advance(|admitted| Routed { admitted, endpoint, attempt, run_alone }))
 }
 
 /// Whether the request is suspected of crashing endpoints. Refuses it while it is quarantined.
-fn must_run_alone(exchange: &Exchange<'_, Admitted>, attempt: AttemptId) -> Result<bool, Refusal> {
+///
+/// Reads the newest table, because the exchange's view is older than a crash by the former attempt.
+fn must_run_alone(
+    state: &EntryState,
+    exchange: &Exchange<'_, Admitted>,
+    attempt: AttemptId,
+) -> Result<bool, Refusal> {
     let admitted = &exchange.stage;
     let fingerprint = admitted.terms.fingerprint.into();
     let (version, now) = (admitted.version.as_ref(), exchange.now);
-    match exchange.view.quarantine.verdict(&fingerprint, version, attempt, now) {
+    match state.quarantined.load().verdict(&fingerprint, version, attempt, now) {
         QuarantineVerdict::Run => Ok(false),
         QuarantineVerdict::NeedsTrial | QuarantineVerdict::RunAlone { .. } => Ok(true),
         QuarantineVerdict::RefuseUntil(until) => {
