End the trial of a suspect that never ran

Cause: a trial counted until its time ended, also when its endpoint was busy and vouched that the attempt never ran. The entry now appends a Withdrawn record, and the fold ends that trial. Older builds ignore the record and refuse longer.

Ruled out: the suspicion itself; the refusals named the end of the trial.

--- a/crates/lycheewood/src/controllers/quarantine.rs
+++ b/crates/lycheewood/src/controllers/quarantine.rs
@@ -61,6 +61,12 @@
     pub(crate) attempt: AttemptId,
 }
 
+/// The attempt of a trial never ran and never will.
+pub(crate) struct Withdraw {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) attempt: AttemptId,
+}
+
 /// An endpoint has told of a crash.
 pub(crate) struct Warn(pub(crate) SuspectReport);
 
@@ -208,6 +214,15 @@
     }
 }
 
+impl Message<Withdraw> for QuarantineController {
+    type Reply = ();
+
+    async fn handle(&mut self, withdraw: Withdraw, _: &mut Context<Self, ()>) {
+        let Withdraw { fingerprint, attempt } = withdraw;
+        self.append(QuarantineEntry::Withdrawn { fingerprint, attempt });
+    }
+}
+
 impl Message<Warn> for QuarantineController {
     type Reply = ();
 
--- a/crates/lycheewood/src/decisions/quarantine.rs
+++ b/crates/lycheewood/src/decisions/quarantine.rs
@@ -7,6 +7,9 @@
 //!
 //! - After its reports are seen, a request starts nowhere if it was in flight at two crashes, and only
 //!   alone if at one. It takes down at most two endpoints.
+//!   The endpoint queues its report for every entry before the failed answer, and an entry counts the
+//!   report before it passes the failure on. Another entry may still start a copy until its own copy of
+//!   the report arrives.
 //! - Once a quarantine ends by time, or on a version that it does not name, the request runs as a
 //!   trial first. Each further period or version thus costs one endpoint at most.
 //! - A suspect that completes its trial is cleared. Quarantine, trial and suspicion all end by time, so
@@ -182,6 +185,9 @@
                 self.start_trial(&fingerprint, trial)
             }
             QuarantineEntry::Cleared { fingerprint, attempt } => self.clear(fingerprint, attempt),
+            QuarantineEntry::Withdrawn { fingerprint, attempt } => {
+                self.withdraw(&fingerprint, attempt)
+            }
             QuarantineEntry::Unknown => false,
         }
     }
@@ -231,6 +237,13 @@
         true
     }
 
+    /// Ends a trial that never ran. Otherwise a suspect whose endpoint was busy waits for the trial's
+    /// whole duration before the next one.
+    fn withdraw(&mut self, fingerprint: &Fingerprint, attempt: AttemptId) -> bool {
+        let case = self.cases.get_mut(fingerprint);
+        case.is_some_and(|case| case.trial.take_if(|t| t.attempt == attempt).is_some())
+    }
+
     fn quarantine_ms(&self, report: &SuspectReport) -> u64 {
         report.quarantine_ms.min(self.settings.max_quarantine_ms)
     }
--- a/crates/lycheewood/src/decisions/quarantine/record.rs
+++ b/crates/lycheewood/src/decisions/quarantine/record.rs
@@ -59,6 +59,13 @@
         /// The attempt that ran it.
         attempt: AttemptId,
     },
+    /// The trial's attempt never ran and never will.
+    Withdrawn {
+        /// The suspect.
+        fingerprint: Fingerprint,
+        /// The attempt that was to run it.
+        attempt: AttemptId,
+    },
     /// A type that this build does not know; ignored.
     #[serde(other)]
     Unknown,
--- a/crates/lycheewood/src/filters/dispatch.rs
+++ b/crates/lycheewood/src/filters/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::adapters::peer::link::{AttemptEvents, Flight, Link, Ticket};
 use crate::controllers::claims::Release;
 use crate::controllers::load::EndpointView;
+use crate::controllers::quarantine::Withdraw;
 use crate::filters::exchange::{Admitted, Claimed, Exchange};
 use crate::filters::request::Call;
 use crate::filters::route::NO_ENDPOINT_RETRY_MS;
@@ -57,6 +58,11 @@
         }
         Err(Some(unsent)) => {
             state.metrics.attempts.with_label_values(&["not_sent"]).inc();
+            if run_alone {
+                let fingerprint = admitted.terms.fingerprint.into();
+                let withdraw = Withdraw { fingerprint, attempt: unsent.attempt() };
+                let _ = state.quarantine.tell(withdraw).try_send();
+            }
             if let Ticket::Claimed(claim, _) = unsent {
                 let _ = state.claims.tell(Release(claim.abandon())).try_send();
             }
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -9,7 +9,7 @@
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::claims::Vouched;
 use crate::controllers::load::EndpointView;
-use crate::controllers::quarantine::Clear;
+use crate::controllers::quarantine::{Clear, Withdraw};
 use crate::decisions::claims::record::ClaimKey;
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
@@ -148,7 +148,7 @@
                 }
                 Ok(Some(AttemptEvent::Refused(vouch, reason))) => {
                     log::debug!("attempt refused reason={reason:?}");
-                    if let Some(step) = self.refused(vouch) {
+                    if let Some(step) = self.refused(state, vouch) {
                         return step;
                     }
                 }
@@ -180,9 +180,22 @@
         self.events = self.link.ask(ask, self.endpoint).await;
     }
 
-    fn refused(&mut self, vouch: crate::lifecycle::attempt::Vouch) -> Option<Step> {
-        match self.attempt.take()?.not_run_on_evidence(vouch, NotRunCode::EndpointRefused) {
-            Ok(not_run) => Some(Step::NotRun(not_run)),
+    fn refused(
+        &mut self,
+        state: &EntryState,
+        vouch: crate::lifecycle::attempt::Vouch,
+    ) -> Option<Step> {
+        let attempt = self.attempt.take()?;
+        let id = attempt.id();
+        match attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused) {
+            Ok(not_run) => {
+                if self.run_alone {
+                    let fingerprint = self.admitted.terms.fingerprint.into();
+                    let withdraw = Withdraw { fingerprint, attempt: id };
+                    let _ = state.quarantine.tell(withdraw).try_send();
+                }
+                Some(Step::NotRun(not_run))
+            }
             Err(attempt) => {
                 self.attempt = Some(attempt);
                 None
