--- a/crates/lycheewood/tests/silence.rs
+++ b/crates/lycheewood/tests/silence.rs
@@ -10,7 +10,9 @@
 use std::thread;
 use std::time::Duration;
 
-use deployment::{Backend, DOCUMENT, Deployment, TOKEN, completion, expected_text, request, send};
+use deployment::{
+    Backend, DOCUMENT, Deployment, TOKEN, completion, expected_text, request, send, text_of,
+};
 use lycheewood::{Clock, Offset, RequestKey};
 use stand_ins::engine::EngineFaults;
 use stand_ins::service::Service;
@@ -38,11 +40,6 @@
     deployment
 }
 
-fn text_of(body: &str) -> String {
-    let body: serde_json::Value = serde_json::from_str(body).expect("a JSON answer");
-    body["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
-}
-
 /// Guards against an answer that hangs, loses a token or runs twice when the connection between entry
 /// and endpoint daemon goes silent.
 #[test]
--- a/crates/lycheewood/tests/support/deployment.rs
+++ b/crates/lycheewood/tests/support/deployment.rs
@@ -195,6 +195,35 @@
         self.entries.push(Entry::start(&settings).expect("start an entry"));
     }
 
+    /// Adds `count` engines and their daemons.
+    pub(crate) fn add_engines(&mut self, count: usize, faults: &EngineFaults) {
+        for _ in 0..count {
+            self.add_engine(faults.clone());
+        }
+    }
+
+    /// Adds `count` entries, announces all daemons and waits until the entries are ready.
+    pub(crate) fn serve_with(&mut self, count: usize) {
+        for _ in 0..count {
+            self.add_entry();
+        }
+        self.announce();
+        self.wait_until_ready();
+    }
+
+    /// The engines, in the order of their slots.
+    pub(crate) fn engines(&self) -> impl Iterator<Item = &Engine> {
+        self.slots.iter().filter_map(|slot| match &slot.backend {
+            Backend::Engine(engine) => Some(engine),
+            Backend::Service(_) => None,
+        })
+    }
+
+    /// How often any engine has started to run a request.
+    pub(crate) fn engine_runs(&self) -> u64 {
+        self.engines().map(Engine::runs).sum()
+    }
+
     /// Puts all daemons on the instance list as live.
     pub(crate) fn announce(&self) {
         self.announce_at(|_, address| address);
@@ -264,3 +293,21 @@
 pub(crate) fn expected_text(prompt: &str, tokens: u64) -> String {
     (0..tokens).map(|index| stand_ins::engine::token("v1", prompt, index)).collect()
 }
+
+/// The code of a refusal, or an empty text.
+pub(crate) fn code_of(body: &str) -> String {
+    let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    body["error"]["code"].as_str().unwrap_or_default().to_owned()
+}
+
+/// When a refused caller may come back.
+pub(crate) fn retry_after_ms(body: &str) -> u64 {
+    let body: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    body["error"]["retry_after_ms"].as_u64().unwrap_or_default()
+}
+
+/// The text of a whole completion.
+pub(crate) fn text_of(body: &str) -> String {
+    let body: serde_json::Value = serde_json::from_str(body).expect("a JSON answer");
+    body["choices"][0]["text"].as_str().unwrap_or_default().to_owned()
+}
