--- a/crates/lycheewood/src/adapters/peer/link.rs
+++ b/crates/lycheewood/src/adapters/peer/link.rs
@@ -396,6 +396,11 @@
                             return end;
                         }
                     }
+                    // A failed answer may follow. The table holds its request before a retry
+                    // looks there, so the link waits until the report counts.
+                    Ok(Frame::Suspects(suspects)) => {
+                        let _ = self.config.quarantine.ask(Warn(suspects.into())).await;
+                    }
                     Ok(frame) => self.dispatch_frame(frame),
                     Err(end) => return end,
                 },
@@ -577,15 +582,13 @@
             Frame::Draining => {
                 self.tell(LinkEventKind::Draining);
             }
-            Frame::Suspects(suspects) => {
-                let _ = self.config.quarantine.tell(Warn(suspects.into())).try_send();
-            }
             Frame::DocumentState(state) => documents::accept(&self.config.documents, &state),
             Frame::Staged(staged) => self.tell_placement(RankNews::Staged(staged)),
             Frame::StageRefused(refused) => self.tell_placement(RankNews::Refused(refused)),
             Frame::RankReport(report) => self.tell_placement(RankNews::Report(report)),
             // Frames that only endpoints receive, or that are handled before.
             Frame::DocumentAsk(_)
+            | Frame::Suspects(_)
             | Frame::Hello(_)
             | Frame::Heartbeat(_)
             | Frame::Start(_)
