--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -1,29 +1,27 @@
 //! Relays the answer of an attempt to its caller, piece by piece.
 
+mod recovered;
+mod source;
+
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, timeout_at};
 
-use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::claims::Vouched;
-use crate::controllers::load::EndpointView;
-use crate::controllers::quarantine::{Clear, Withdraw};
+use crate::controllers::quarantine::Clear;
 use crate::decisions::claims::record::ClaimKey;
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
 use crate::filters::request::Request;
-use crate::filters::{retry, route};
-use crate::ids::{AttemptId, Incarnation};
-use crate::lifecycle::attempt::{Attempt, Dispatched};
-use crate::outcome::{NotRun, NotRunCode, Refusal, UnknownCode};
+use crate::filters::retry;
+use crate::ids::AttemptId;
+use crate::outcome::{Refusal, Unknown, UnknownCode};
 use crate::roles::entry::EntryState;
-use crate::telemetry::HopSpan;
-use crate::wire::message::{Ask, Head};
+use crate::wire::message::Head;
+
+pub(crate) use recovered::{Recovered, recovered};
+use source::{Source, Step};
 
-/// Questions after the same piece before the attempt counts as lost.
-const MAX_ASKS: u32 = 8;
 /// An endpoint that fails fast must not look fast; this is the target for the first token.
 const FAILURE_PENALTY_MS: u64 = 1_900;
 
@@ -59,172 +57,6 @@
     source: Source,
 }
 
-/// The attempt that an answer comes from.
-struct Source {
-    admitted: Admitted,
-    attempt: Option<Attempt<Dispatched>>,
-    events: AttemptEvents,
-    link: Arc<Link>,
-    endpoint: Incarnation,
-    deadline: Instant,
-    asks: u32,
-    /// `None` for the answer of an earlier attempt, which another request has counted.
-    flight: Option<Flight>,
-    span: Option<HopSpan>,
-    /// The attempt is the trial of a suspect.
-    run_alone: bool,
-    /// The attempt has given a piece.
-    progressed: bool,
-}
-
-/// What an attempt has come to.
-enum Step {
-    Head(Head),
-    Bytes(Bytes),
-    End,
-    /// The endpoint vouches that it never ran.
-    NotRun(NotRun),
-    /// It may have run, and its answer cannot be had from its endpoint.
-    Broken(UnknownCode),
-}
-
-impl Source {
-    fn new(state: &EntryState, sent: Sent) -> Self {
-        let left_ms = sent.admitted.terms.deadline.ms_since(state.clock.now());
-        Self {
-            admitted: sent.admitted,
-            attempt: Some(sent.attempt),
-            events: sent.events,
-            link: sent.link,
-            endpoint: sent.endpoint,
-            deadline: Instant::now() + Duration::from_millis(left_ms),
-            asks: 0,
-            flight: Some(sent.flight),
-            span: Some(sent.span),
-            run_alone: sent.run_alone,
-            progressed: false,
-        }
-    }
-
-    /// Waits for what comes next, within the deadline.
-    async fn step(&mut self, state: &EntryState) -> Step {
-        loop {
-            match timeout_at(self.deadline, self.events.recv()).await {
-                Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
-                Ok(Some(AttemptEvent::Accepted)) => {}
-                Ok(Some(AttemptEvent::Head(head))) => {
-                    if let Some(flight) = &mut self.flight {
-                        flight.answered();
-                    }
-                    return Step::Head(head);
-                }
-                Ok(Some(AttemptEvent::Chunk(index, bytes))) => {
-                    if index == self.admitted.next_piece {
-                        self.admitted.next_piece += 1;
-                        self.admitted.attempts = 0;
-                        self.asks = 0;
-                        self.progressed = true;
-                        return Step::Bytes(bytes);
-                    }
-                }
-                Ok(Some(AttemptEvent::End(pieces))) if pieces == self.admitted.next_piece => {
-                    if let Some(admission) = &self.admitted.admission {
-                        admission.completed();
-                    }
-                    if let Some(flight) = &mut self.flight {
-                        flight.completed();
-                    }
-                    if let Some(span) = &self.span {
-                        span.set_outcome("done");
-                    }
-                    self.admitted.terms.span.set_outcome("done");
-                    return Step::End;
-                }
-                Ok(Some(AttemptEvent::End(_)) | None) => {
-                    if self.asks == MAX_ASKS {
-                        return Step::Broken(UnknownCode::EndpointLost);
-                    }
-                    self.ask().await;
-                }
-                Ok(Some(AttemptEvent::Refused(vouch, reason))) => {
-                    log::debug!("attempt refused reason={reason:?}");
-                    if let Some(step) = self.refused(state, vouch) {
-                        return step;
-                    }
-                }
-                Ok(Some(AttemptEvent::Failed | AttemptEvent::Lost)) => {
-                    return Step::Broken(UnknownCode::EndpointLost);
-                }
-                Ok(Some(AttemptEvent::Unreachable)) => {
-                    if self.can_move(state) {
-                        return Step::Broken(UnknownCode::EndpointLost);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Whether another endpoint can take over. Otherwise it is better to wait for this one, which may
-    /// still hold the answer.
-    fn can_move(&self, state: &EntryState) -> bool {
-        let (view, now) = (View::load(state), state.clock.now());
-        !self.admitted.terms.non_idempotent
-            && route::others_can_take(&view, &self.admitted, now, &self.link.instance)
-    }
-
-    /// Asks for the pieces from the next one on.
-    async fn ask(&mut self) {
-        let Some(attempt) = self.attempt.as_ref() else { return };
-        self.asks += 1;
-        let ask = Ask { attempt: attempt.id(), from_chunk: self.admitted.next_piece };
-        self.events = self.link.ask(ask, self.endpoint).await;
-    }
-
-    fn refused(
-        &mut self,
-        state: &EntryState,
-        vouch: crate::lifecycle::attempt::Vouch,
-    ) -> Option<Step> {
-        let attempt = self.attempt.take()?;
-        let id = attempt.id();
-        match attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused) {
-            Ok(not_run) => {
-                if self.run_alone {
-                    let fingerprint = self.admitted.terms.fingerprint.into();
-                    let withdraw = Withdraw { fingerprint, attempt: id };
-                    let _ = state.quarantine.tell(withdraw).try_send();
-                }
-                Some(Step::NotRun(not_run))
-            }
-            Err(attempt) => {
-                self.attempt = Some(attempt);
-                None
-            }
-        }
-    }
-
-    /// Counts the attempt as failed. Errors weigh at least as much as a missed deadline.
-    fn count_failure(&mut self, penalty_ms: u64) {
-        if let Some(flight) = &mut self.flight {
-            flight.failed(penalty_ms);
-        }
-        if let Some(span) = &self.span {
-            span.set_outcome("failed");
-        }
-    }
-
-    /// Gives up the attempt for another one on another endpoint.
-    fn give_up(mut self, may_have_run: Option<UnknownCode>) -> Admitted {
-        if let Some(attempt) = self.attempt.take() {
-            self.link.cancel(attempt.id());
-        }
-        let mut admitted = self.admitted.clone();
-        admitted.avoid.push(self.link.instance.clone());
-        admitted.may_have_run = admitted.may_have_run.or(may_have_run);
-        admitted
-    }
-}
-
 /// Waits for the head of the answer.
 pub(crate) async fn first_piece<'r>(
     state: &Arc<EntryState>,
@@ -271,67 +103,13 @@
     }
 }
 
-/// What an endpoint says of an earlier attempt.
-pub(crate) enum Recovered {
-    /// It has the answer.
-    Answer(Box<Answer>),
-    /// The attempt has never run and never will.
-    Promised,
-    /// It may have run and has no answer.
-    Failed,
-    /// Another process has taken the endpoint's place.
-    IncarnationGone,
-    /// No reply within the deadline.
-    NoAnswer,
-}
-
-/// Waits for what an endpoint says of an earlier attempt.
-pub(crate) async fn recovered(
-    state: &Arc<EntryState>,
-    request: &Arc<Request>,
-    admitted: &Admitted,
-    endpoint: &EndpointView,
-    events: AttemptEvents,
-) -> Recovered {
-    let left_ms = admitted.terms.deadline.ms_since(state.clock.now());
-    let mut source = Source {
-        admitted: admitted.clone(),
-        attempt: None,
-        events,
-        link: Arc::clone(&endpoint.link),
-        endpoint: endpoint.incarnation,
-        deadline: Instant::now() + Duration::from_millis(left_ms),
-        asks: 0,
-        flight: None,
-        span: None,
-        run_alone: false,
-        progressed: false,
-    };
-    loop {
-        match timeout_at(source.deadline, source.events.recv()).await {
-            Ok(Some(AttemptEvent::Accepted | AttemptEvent::Unreachable)) => {}
-            Ok(Some(AttemptEvent::Head(head))) => {
-                let request = Arc::clone(request);
-                let relay = Relay { state: Arc::clone(state), request, source };
-                return Recovered::Answer(Box::new(Answer { head, relay }));
-            }
-            Ok(Some(AttemptEvent::Refused(..))) => return Recovered::Promised,
-            Ok(Some(AttemptEvent::Failed)) => return Recovered::Failed,
-            Ok(Some(AttemptEvent::Lost)) => return Recovered::IncarnationGone,
-            Ok(Some(AttemptEvent::Chunk(..) | AttemptEvent::End(_)) | None) | Err(_) => {
-                return Recovered::NoAnswer;
-            }
-        }
-    }
-}
-
 fn unknown(source: &mut Source, request: &Request, code: UnknownCode) -> Refusal {
     match source.attempt.take() {
         Some(attempt) => {
             source.link.cancel(attempt.id());
             Refusal::Unknown(attempt.unknown(code, request.key))
         }
-        None => Refusal::Unknown(crate::outcome::Unknown { code, key: request.key }),
+        None => Refusal::Unknown(Unknown { code, key: request.key }),
     }
 }
 
@@ -415,11 +193,3 @@
         }
     }
 }
-
-impl Drop for Source {
-    fn drop(&mut self) {
-        if let Some(attempt) = &self.attempt {
-            self.link.cancel(attempt.id());
-        }
-    }
-}
--- /dev/null
+++ b/crates/lycheewood/src/filters/relay/recovered.rs
@@ -0,0 +1,54 @@
+//! What an endpoint says of an earlier attempt.
+
+use std::sync::Arc;
+
+use tokio::time::timeout_at;
+
+use crate::adapters::peer::link::{AttemptEvent, AttemptEvents};
+use crate::controllers::load::EndpointView;
+use crate::filters::exchange::Admitted;
+use crate::filters::relay::source::Source;
+use crate::filters::relay::{Answer, Relay};
+use crate::filters::request::Request;
+use crate::roles::entry::EntryState;
+
+/// What an endpoint says of an earlier attempt.
+pub(crate) enum Recovered {
+    /// It has the answer.
+    Answer(Box<Answer>),
+    /// The attempt has never run and never will.
+    Promised,
+    /// It may have run and has no answer.
+    Failed,
+    /// Another process has taken the endpoint's place.
+    IncarnationGone,
+    /// No reply within the deadline.
+    NoAnswer,
+}
+
+/// Waits for what an endpoint says of an earlier attempt.
+pub(crate) async fn recovered(
+    state: &Arc<EntryState>,
+    request: &Arc<Request>,
+    admitted: &Admitted,
+    endpoint: &EndpointView,
+    events: AttemptEvents,
+) -> Recovered {
+    let mut source = Source::of_earlier(state, admitted, endpoint, events);
+    loop {
+        match timeout_at(source.deadline, source.events.recv()).await {
+            Ok(Some(AttemptEvent::Accepted | AttemptEvent::Unreachable)) => {}
+            Ok(Some(AttemptEvent::Head(head))) => {
+                let request = Arc::clone(request);
+                let relay = Relay { state: Arc::clone(state), request, source };
+                return Recovered::Answer(Box::new(Answer { head, relay }));
+            }
+            Ok(Some(AttemptEvent::Refused(..))) => return Recovered::Promised,
+            Ok(Some(AttemptEvent::Failed)) => return Recovered::Failed,
+            Ok(Some(AttemptEvent::Lost)) => return Recovered::IncarnationGone,
+            Ok(Some(AttemptEvent::Chunk(..) | AttemptEvent::End(_)) | None) | Err(_) => {
+                return Recovered::NoAnswer;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/relay/source.rs
@@ -0,0 +1,216 @@
+//! The attempt that an answer comes from.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::{Instant, timeout_at};
+
+use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
+use crate::controllers::load::EndpointView;
+use crate::controllers::quarantine::Withdraw;
+use crate::filters::dispatch::Sent;
+use crate::filters::exchange::{Admitted, View};
+use crate::filters::route;
+use crate::ids::Incarnation;
+use crate::lifecycle::attempt::{Attempt, Dispatched, Vouch};
+use crate::outcome::{NotRun, NotRunCode, UnknownCode};
+use crate::roles::entry::EntryState;
+use crate::telemetry::HopSpan;
+use crate::wire::message::{Ask, Head};
+
+/// Questions after the same piece before the attempt counts as lost.
+const MAX_ASKS: u32 = 8;
+
+/// The attempt that an answer comes from.
+pub(super) struct Source {
+    pub(super) admitted: Admitted,
+    pub(super) attempt: Option<Attempt<Dispatched>>,
+    pub(super) events: AttemptEvents,
+    pub(super) link: Arc<Link>,
+    endpoint: Incarnation,
+    pub(super) deadline: Instant,
+    asks: u32,
+    /// `None` for the answer of an earlier attempt, which another request has counted.
+    flight: Option<Flight>,
+    span: Option<HopSpan>,
+    /// The attempt is the trial of a suspect.
+    pub(super) run_alone: bool,
+    /// The attempt has given a piece.
+    pub(super) progressed: bool,
+}
+
+/// What an attempt has come to.
+pub(super) enum Step {
+    Head(Head),
+    Bytes(Bytes),
+    End,
+    /// The endpoint vouches that it never ran.
+    NotRun(NotRun),
+    /// It may have run, and its answer cannot be had from its endpoint.
+    Broken(UnknownCode),
+}
+
+impl Source {
+    pub(super) fn new(state: &EntryState, sent: Sent) -> Self {
+        let left_ms = sent.admitted.terms.deadline.ms_since(state.clock.now());
+        Self {
+            admitted: sent.admitted,
+            attempt: Some(sent.attempt),
+            events: sent.events,
+            link: sent.link,
+            endpoint: sent.endpoint,
+            deadline: Instant::now() + Duration::from_millis(left_ms),
+            asks: 0,
+            flight: Some(sent.flight),
+            span: Some(sent.span),
+            run_alone: sent.run_alone,
+            progressed: false,
+        }
+    }
+
+    /// The answer of an earlier attempt, of which `endpoint` was asked.
+    pub(super) fn of_earlier(
+        state: &EntryState,
+        admitted: &Admitted,
+        endpoint: &EndpointView,
+        events: AttemptEvents,
+    ) -> Self {
+        let left_ms = admitted.terms.deadline.ms_since(state.clock.now());
+        Self {
+            admitted: admitted.clone(),
+            attempt: None,
+            events,
+            link: Arc::clone(&endpoint.link),
+            endpoint: endpoint.incarnation,
+            deadline: Instant::now() + Duration::from_millis(left_ms),
+            asks: 0,
+            flight: None,
+            span: None,
+            run_alone: false,
+            progressed: false,
+        }
+    }
+
+    /// Waits for what comes next, within the deadline.
+    pub(super) async fn step(&mut self, state: &EntryState) -> Step {
+        loop {
+            match timeout_at(self.deadline, self.events.recv()).await {
+                Err(_) => return Step::Broken(UnknownCode::DeadlinePassed),
+                Ok(Some(AttemptEvent::Accepted)) => {}
+                Ok(Some(AttemptEvent::Head(head))) => {
+                    if let Some(flight) = &mut self.flight {
+                        flight.answered();
+                    }
+                    return Step::Head(head);
+                }
+                Ok(Some(AttemptEvent::Chunk(index, bytes))) => {
+                    if index == self.admitted.next_piece {
+                        self.admitted.next_piece += 1;
+                        self.admitted.attempts = 0;
+                        self.asks = 0;
+                        self.progressed = true;
+                        return Step::Bytes(bytes);
+                    }
+                }
+                Ok(Some(AttemptEvent::End(pieces))) if pieces == self.admitted.next_piece => {
+                    if let Some(admission) = &self.admitted.admission {
+                        admission.completed();
+                    }
+                    if let Some(flight) = &mut self.flight {
+                        flight.completed();
+                    }
+                    if let Some(span) = &self.span {
+                        span.set_outcome("done");
+                    }
+                    self.admitted.terms.span.set_outcome("done");
+                    return Step::End;
+                }
+                Ok(Some(AttemptEvent::End(_)) | None) => {
+                    if self.asks == MAX_ASKS {
+                        return Step::Broken(UnknownCode::EndpointLost);
+                    }
+                    self.ask().await;
+                }
+                Ok(Some(AttemptEvent::Refused(vouch, reason))) => {
+                    log::debug!("attempt refused reason={reason:?}");
+                    if let Some(step) = self.refused(state, vouch) {
+                        return step;
+                    }
+                }
+                Ok(Some(AttemptEvent::Failed | AttemptEvent::Lost)) => {
+                    return Step::Broken(UnknownCode::EndpointLost);
+                }
+                Ok(Some(AttemptEvent::Unreachable)) => {
+                    if self.can_move(state) {
+                        return Step::Broken(UnknownCode::EndpointLost);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether another endpoint can take over. Otherwise it is better to wait for this one, which may
+    /// still hold the answer.
+    fn can_move(&self, state: &EntryState) -> bool {
+        let (view, now) = (View::load(state), state.clock.now());
+        !self.admitted.terms.non_idempotent
+            && route::others_can_take(&view, &self.admitted, now, &self.link.instance)
+    }
+
+    /// Asks for the pieces from the next one on.
+    async fn ask(&mut self) {
+        let Some(attempt) = self.attempt.as_ref() else { return };
+        self.asks += 1;
+        let ask = Ask { attempt: attempt.id(), from_chunk: self.admitted.next_piece };
+        self.events = self.link.ask(ask, self.endpoint).await;
+    }
+
+    fn refused(&mut self, state: &EntryState, vouch: Vouch) -> Option<Step> {
+        let attempt = self.attempt.take()?;
+        let id = attempt.id();
+        match attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused) {
+            Ok(not_run) => {
+                if self.run_alone {
+                    let fingerprint = self.admitted.terms.fingerprint.into();
+                    let withdraw = Withdraw { fingerprint, attempt: id };
+                    let _ = state.quarantine.tell(withdraw).try_send();
+                }
+                Some(Step::NotRun(not_run))
+            }
+            Err(attempt) => {
+                self.attempt = Some(attempt);
+                None
+            }
+        }
+    }
+
+    /// Counts the attempt as failed. Errors weigh at least as much as a missed deadline.
+    pub(super) fn count_failure(&mut self, penalty_ms: u64) {
+        if let Some(flight) = &mut self.flight {
+            flight.failed(penalty_ms);
+        }
+        if let Some(span) = &self.span {
+            span.set_outcome("failed");
+        }
+    }
+
+    /// Gives up the attempt for another one on another endpoint.
+    pub(super) fn give_up(mut self, may_have_run: Option<UnknownCode>) -> Admitted {
+        if let Some(attempt) = self.attempt.take() {
+            self.link.cancel(attempt.id());
+        }
+        let mut admitted = self.admitted.clone();
+        admitted.avoid.push(self.link.instance.clone());
+        admitted.may_have_run = admitted.may_have_run.or(may_have_run);
+        admitted
+    }
+}
+
+impl Drop for Source {
+    fn drop(&mut self) {
+        if let Some(attempt) = &self.attempt {
+            self.link.cancel(attempt.id());
+        }
+    }
+}
