--- a/crates/lycheewood/src/controllers/admission.rs
+++ b/crates/lycheewood/src/controllers/admission.rs
@@ -16,13 +16,12 @@
 use crate::controllers::document::DocumentInForce;
 use crate::controllers::load::EndpointTable;
 use crate::controllers::membership::Members;
-use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::controllers::tail::{TailRead, TailStep, contradicts, tail};
 use crate::decisions::admission::{
     Admission, AdmissionPolicy, AdmissionRequest, Admitted, TargetLoad, admit,
 };
 use crate::decisions::demand::{DemandReport, DemandTable};
 use crate::decisions::limits::{Rate, TokenBucket, entry_rate};
-use crate::decisions::publication::{Page, is_faulty};
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::shares::{DemandMeter, SharePolicy};
 use crate::document::checked::{Document, Workspace};
@@ -148,10 +147,7 @@
     }
 
     fn fold_demand(&mut self, page: &LogPage) -> TailStep {
-        let views = record_views(&page.records);
-        let view =
-            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
-        if is_faulty(None, self.seen_end.max(self.next_report), &view) {
+        if contradicts(page, self.seen_end, self.next_report) {
             self.config.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.next_report);
         }
--- a/crates/lycheewood/src/controllers/claims.rs
+++ b/crates/lycheewood/src/controllers/claims.rs
@@ -15,11 +15,10 @@
 
 use crate::adapters::http::HttpError;
 use crate::adapters::log::{LogClient, LogPage};
-use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::controllers::tail::{TailRead, TailStep, contradicts, tail};
 use crate::decisions::claims::record::{ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition};
 use crate::decisions::claims::{ClaimSettings, ClaimTable, Holder, Standing};
 use crate::decisions::digest::Fingerprint;
-use crate::decisions::publication::{Page, is_faulty};
 use crate::ids::{AttemptId, Offset};
 use crate::lifecycle::claim::{Abandoned, Claim, Granted, Judged, LostReason, Needed, Sent};
 use crate::metrics::Metrics;
@@ -248,11 +247,7 @@
     }
 
     fn apply(&mut self, page: &LogPage) -> TailStep {
-        let views = record_views(&page.records);
-        let view =
-            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
-        let seen = self.seen_end.max(self.table.next_offset());
-        if is_faulty(None, seen, &view) {
+        if contradicts(page, self.seen_end, self.table.next_offset()) {
             self.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.table.next_offset());
         }
--- a/crates/lycheewood/src/controllers/leases.rs
+++ b/crates/lycheewood/src/controllers/leases.rs
@@ -10,11 +10,10 @@
 use tokio::sync::watch;
 
 use crate::adapters::log::{LogClient, LogPage};
-use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::controllers::tail::{TailRead, TailStep, contradicts, tail};
 use crate::decisions::groups::{GroupEffect, GroupLog};
 use crate::decisions::leases::LeaseEffect;
 use crate::decisions::map_change::MapEffect;
-use crate::decisions::publication::{Page, is_faulty};
 use crate::metrics::Metrics;
 use crate::settings::Timing;
 
@@ -64,11 +63,7 @@
     }
 
     fn apply(&mut self, page: &LogPage) -> TailStep {
-        let views = record_views(&page.records);
-        let view =
-            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
-        let seen = self.fold.end_offset().max(self.fold.next_offset());
-        if is_faulty(None, seen, &view) {
+        if contradicts(page, self.fold.end_offset(), self.fold.next_offset()) {
             self.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.fold.next_offset());
         }
--- a/crates/lycheewood/src/controllers/quarantine.rs
+++ b/crates/lycheewood/src/controllers/quarantine.rs
@@ -14,9 +14,8 @@
 
 use crate::adapters::log::{LogClient, LogPage};
 use crate::clock::{Clock, Timestamp};
-use crate::controllers::tail::{TailRead, TailStep, record_views, tail};
+use crate::controllers::tail::{TailRead, TailStep, contradicts, tail};
 use crate::decisions::digest::Fingerprint;
-use crate::decisions::publication::{Page, is_faulty};
 use crate::decisions::quarantine::record::{QuarantineEntry, QuarantineRecord, SuspectReport};
 use crate::decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
 use crate::ids::{AttemptId, Offset, VersionName};
@@ -122,11 +121,7 @@
     }
 
     fn apply(&mut self, page: &LogPage) -> TailStep {
-        let views = record_views(&page.records);
-        let view =
-            Page { first_offset: page.first_offset, end_offset: page.end_offset, records: &views };
-        let seen = self.seen_end.max(self.table.next_offset());
-        if is_faulty(None, seen, &view) {
+        if contradicts(page, self.seen_end, self.table.next_offset()) {
             self.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.table.next_offset());
         }
