--- a/crates/lycheewood/src/controllers/leases.rs
+++ b/crates/lycheewood/src/controllers/leases.rs
@@ -1,6 +1,7 @@
 //! The lease controller of every node: leases and map decisions from stream `leases`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use kameo::Actor;
@@ -8,11 +9,14 @@
 use kameo::mailbox;
 use kameo::message::{Context, Message};
 use tokio::sync::watch;
+use tokio::time::interval;
 
 use crate::adapters::log::{LogClient, LogPage};
+use crate::clock::Clock;
+use crate::controllers::document::SnapshotDuty;
 use crate::controllers::tail::{TailRead, TailStep, contradicts, tail};
-use crate::decisions::groups::{GroupEffect, GroupLog};
-use crate::decisions::leases::LeaseEffect;
+use crate::decisions::groups::{GroupEffect, GroupLog, GroupSnapshotView, group_snapshot_due};
+use crate::decisions::leases::{LeaseEffect, encode_record};
 use crate::decisions::map_change::MapEffect;
 use crate::metrics::Metrics;
 use crate::settings::Timing;
@@ -44,27 +48,65 @@
     }
 }
 
+/// What the controller is started with.
+pub(crate) struct LeaseConfig {
+    pub(crate) log: LogClient,
+    pub(crate) timing: Timing,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) duty: SnapshotDuty,
+}
+
+/// Time to see whether a snapshot is due.
+struct SnapshotTick;
+
 /// Owns the fold of the stream.
 #[derive(Actor)]
 pub(crate) struct LeaseController {
     fold: GroupLog,
     feed: LeaseFeed,
-    metrics: Arc<Metrics>,
+    jitter_ms: u64,
+    config: LeaseConfig,
 }
 
 impl LeaseController {
     /// Starts the controller and its reader on the present runtime.
-    pub(crate) fn start(log: LogClient, timing: Timing, metrics: Arc<Metrics>) -> LeaseFeed {
+    pub(crate) fn start(config: LeaseConfig) -> LeaseFeed {
         let feed = LeaseFeed::default();
-        let controller = Self { fold: GroupLog::default(), feed: feed.clone(), metrics };
+        let (log, timing, duty) = (config.log.clone(), config.timing, config.duty);
+        let controller = Self {
+            fold: GroupLog::default(),
+            feed: feed.clone(),
+            jitter_ms: rand::random_range(0..=timing.log_retention_ms / 6),
+            config,
+        };
         let actor: ActorRef<Self> = Self::spawn_with_mailbox(controller, mailbox::unbounded());
+        if duty == SnapshotDuty::Writes {
+            tokio::spawn(tick(actor.clone(), timing.log_retention_ms));
+        }
         tokio::spawn(tail(log, LEASES, actor, timing));
         feed
     }
 
+    /// Appends a snapshot when the newest one is old. Failures are made good at the next tick.
+    fn write_snapshot_if_due(&self) {
+        let view = GroupSnapshotView {
+            fold: &self.fold,
+            retention_ms: self.config.timing.log_retention_ms,
+            jitter_ms: self.jitter_ms,
+        };
+        if !group_snapshot_due(&view, self.config.clock.now()) {
+            return;
+        }
+        let payload = self.fold.snapshot().and_then(|snapshot| encode_record(&snapshot).ok());
+        let Some(payload) = payload.and_then(|bytes| String::from_utf8(bytes).ok()) else { return };
+        let log = self.config.log.clone();
+        tokio::spawn(async move { log.append(LEASES, payload).await });
+    }
+
     fn apply(&mut self, page: &LogPage) -> TailStep {
         if contradicts(page, self.fold.end_offset(), self.fold.next_offset()) {
-            self.metrics.log_end_reversals.inc();
+            self.config.metrics.log_end_reversals.inc();
             return TailStep::Retry(self.fold.next_offset());
         }
         let stopped = self.fold.stopped();
@@ -93,17 +135,17 @@
     fn count(&self, effect: GroupEffect) {
         let (counters, label) = match effect {
             GroupEffect::Lease(LeaseEffect::Granted(_)) => {
-                (&self.metrics.groups.lease_changes, "granted")
+                (&self.config.metrics.groups.lease_changes, "granted")
             }
             GroupEffect::Lease(LeaseEffect::Released(_)) => {
-                (&self.metrics.groups.lease_changes, "released")
+                (&self.config.metrics.groups.lease_changes, "released")
             }
             GroupEffect::Map(MapEffect::Committed(change)) => {
-                self.metrics.groups.weights_moved.inc_by(self.fold.weights_moved(change));
-                (&self.metrics.groups.map_changes, "committed")
+                self.config.metrics.groups.weights_moved.inc_by(self.fold.weights_moved(change));
+                (&self.config.metrics.groups.map_changes, "committed")
             }
             GroupEffect::Map(MapEffect::Aborted(_)) => {
-                (&self.metrics.groups.map_changes, "aborted")
+                (&self.config.metrics.groups.map_changes, "aborted")
             }
             GroupEffect::Lease(_) | GroupEffect::Map(_) => return,
         };
@@ -118,7 +160,26 @@
         if let Some(page) = read.page {
             return self.apply(&page);
         }
-        self.metrics.log_errors.inc();
+        self.config.metrics.log_errors.inc();
         TailStep::Retry(self.fold.next_offset())
     }
 }
+
+impl Message<SnapshotTick> for LeaseController {
+    type Reply = ();
+
+    async fn handle(&mut self, _: SnapshotTick, _: &mut Context<Self, ()>) {
+        self.write_snapshot_if_due();
+    }
+}
+
+/// Looks sixty times within the retention whether a snapshot is due.
+async fn tick(actor: ActorRef<LeaseController>, retention_ms: u64) {
+    let mut ticks = interval(Duration::from_millis((retention_ms / 60).max(10)));
+    loop {
+        ticks.tick().await;
+        if actor.tell(SnapshotTick).try_send().is_err() {
+            return;
+        }
+    }
+}
--- a/crates/lycheewood/src/decisions/groups.rs
+++ b/crates/lycheewood/src/decisions/groups.rs
@@ -1,7 +1,13 @@
 //! The fold of stream `leases`: every lease, and the maps of every group of ranks.
 
+mod snapshot;
+
+pub use snapshot::{GroupSnapshot, GroupSnapshotView, group_snapshot_due};
+
 use std::collections::BTreeMap;
 
+use snapshot::ReadRecord;
+
 use crate::clock::Timestamp;
 use crate::decisions::leases::{LeaseEffect, LeaseRecord, Leases, RecordError, decode_record};
 use crate::decisions::map_change::{MapEffect, MapRecord, RankMaps};
@@ -42,6 +48,21 @@
     /// Records that were not read have expired.
     #[error("records expired before they were read; restart this process")]
     Gap,
+    /// Older records have expired, and no snapshot says what they did.
+    #[error("older records have expired; wait for an entry to write a snapshot")]
+    NoStart,
+}
+
+/// How far the fold is on its way to a start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Start {
+    /// Nothing has been read.
+    #[default]
+    Unread,
+    /// Looks for a snapshot, and keeps what it has read from `first` on.
+    Searching { first: Offset, records: Vec<ReadRecord> },
+    /// Folds record by record.
+    Found,
 }
 
 /// The fold of the stream up to an offset.
@@ -49,8 +70,11 @@
 pub struct GroupLog {
     leases: Leases,
     groups: BTreeMap<ScopeName, RankMaps>,
+    start: Start,
     next: Offset,
     end: Offset,
+    upto_appended: Timestamp,
+    start_appended: Timestamp,
     stopped: Option<FoldStop>,
 }
 
@@ -88,16 +112,47 @@
     /// Why the fold has stopped, if it has. Nothing may be granted or decided on it then.
     #[must_use]
     pub const fn stopped(&self) -> Option<FoldStop> {
-        self.stopped
+        match self.start {
+            Start::Searching { .. } if self.stopped.is_none() => Some(FoldStop::NoStart),
+            _ => self.stopped,
+        }
+    }
+
+    /// A lower bound for the append time of the oldest record that a new node needs.
+    #[must_use]
+    pub const fn start_appended(&self) -> Timestamp {
+        self.start_appended
+    }
+
+    /// The fold as a record, or `None` while there is nothing to keep.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<GroupSnapshot> {
+        if self.start != Start::Found || self.stopped.is_some() {
+            return None;
+        }
+        Some(GroupSnapshot {
+            upto: Offset(self.next.0.checked_sub(1)?),
+            upto_appended: self.upto_appended,
+            start_appended: self.start_appended,
+            leases: self.leases.clone(),
+            groups: self.groups.clone(),
+        })
     }
 
     /// Notes the bounds of a page before its records are folded.
+    ///
+    /// A stream without any record is one that no entry has kept alive for two thirds of its retention, so
+    /// its leases have ended long ago, and the fold starts afresh.
     pub fn read_bounds(&mut self, first: Offset, end: Offset) {
-        if self.next == Offset(0) {
-            self.next = first;
-        } else if first > self.next && self.stopped.is_none() {
-            self.stopped = Some(FoldStop::Gap);
+        match self.start {
+            Start::Unread if first == Offset(0) || first == end => self.start = Start::Found,
+            Start::Unread => self.start = Start::Searching { first, records: Vec::new() },
+            Start::Searching { .. } | Start::Found if first > self.next => {
+                self.stopped = self.stopped.or(Some(FoldStop::Gap));
+            }
+            Start::Searching { .. } | Start::Found => {}
         }
+        self.next = self.next.max(first);
         self.end = self.end.max(end);
     }
 
@@ -111,6 +166,55 @@
         if self.stopped.is_some() || offset < self.next {
             return None;
         }
+        if let Start::Searching { first, records } = &mut self.start {
+            let first = *first;
+            records.push(ReadRecord { offset, appended, payload: payload.to_vec() });
+            self.next = offset.next();
+            self.try_start(first, payload);
+            return None;
+        }
+        self.fold_record(offset, appended, payload)
+    }
+
+    /// Starts from a snapshot, if `payload` is one and every record after its `upto` has been read.
+    fn try_start(&mut self, first: Offset, payload: &[u8]) {
+        let Ok(snapshot) = decode_record::<GroupSnapshot>(payload) else { return };
+        // A snapshot that speaks of records which come after itself cannot be true.
+        if snapshot.upto.next() < first || snapshot.upto.next() >= self.next {
+            return;
+        }
+        let Start::Searching { records, .. } = std::mem::replace(&mut self.start, Start::Found)
+        else {
+            return;
+        };
+        self.next = snapshot.upto.next();
+        self.leases = snapshot.leases;
+        self.groups = snapshot.groups;
+        self.upto_appended = snapshot.upto_appended;
+        self.start_appended = snapshot.start_appended;
+        for record in records.iter().filter(|record| record.offset > snapshot.upto) {
+            if self.stopped.is_none() {
+                self.fold_record(record.offset, record.appended, &record.payload);
+            }
+        }
+    }
+
+    fn fold_record(
+        &mut self,
+        offset: Offset,
+        appended: Timestamp,
+        payload: &[u8],
+    ) -> Option<GroupEffect> {
+        if self.start_appended == Timestamp::default() {
+            self.start_appended = appended;
+        }
+        self.upto_appended = self.upto_appended.max(appended);
+        if let Ok(snapshot) = decode_record::<GroupSnapshot>(payload) {
+            // New nodes can start from it; this one goes on with its own state.
+            self.start_appended = self.start_appended.max(snapshot.upto_appended.min(appended));
+            self.next = offset.next();
+            return None;
+        }
         let effect = match decode_record::<LeaseRecord>(payload) {
             Ok(record) => Some(GroupEffect::Lease(self.leases.apply(offset, appended, &record))),
             Err(RecordError::NewerSchema(schema)) => {
--- a/crates/lycheewood/src/decisions/leases.rs
+++ b/crates/lycheewood/src/decisions/leases.rs
@@ -112,7 +112,7 @@
 }
 
 /// A lease in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CurrentLease {
     /// The process that holds it.
     pub holder: Incarnation,
@@ -150,7 +150,7 @@
 }
 
 /// The fold of lease records.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leases {
     time: Timestamp,
     scopes: BTreeMap<ScopeName, CurrentLease>,
--- a/crates/lycheewood/src/decisions/map_change.rs
+++ b/crates/lycheewood/src/decisions/map_change.rs
@@ -67,7 +67,7 @@
 }
 
 /// A change that is proposed and not decided.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PendingChange {
     /// Its name.
     pub change: Offset,
@@ -78,7 +78,7 @@
 }
 
 /// A map in force from a step on.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommittedMap {
     /// The change that brought it.
     pub change: Offset,
@@ -104,7 +104,7 @@
 }
 
 /// The fold of the map records of one group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankMaps {
     scope: ScopeName,
     ranks: usize,
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -55,7 +55,10 @@
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::estimate::{Estimate, InFlight};
-pub use decisions::groups::{FoldStop, GroupEffect, GroupLog, MAX_RANKS, group_scope, ranks_of};
+pub use decisions::groups::{
+    FoldStop, GroupEffect, GroupLog, GroupSnapshot, GroupSnapshotView, MAX_RANKS, group_scope,
+    group_snapshot_due, ranks_of,
+};
 pub use decisions::leases::{
     CurrentLease, FencingGate, LeaseEffect, LeaseRecord, LeaseVersion, Leases, OrderRefusal,
     RecordError, ReleaseRecord, decode_record, encode_record,
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -29,7 +29,7 @@
 use crate::controllers::document::{
     DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
 };
-use crate::controllers::leases::{LeaseController, LeaseFeed};
+use crate::controllers::leases::{LeaseConfig, LeaseController, LeaseFeed};
 use crate::controllers::rank::{RankConfig, RankController};
 use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
 use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
@@ -148,7 +148,13 @@
             metrics: Arc::clone(&metrics),
             duty: SnapshotDuty::Reads,
         });
-        let groups = LeaseController::start(log.clone(), timing, Arc::clone(&metrics));
+        let groups = LeaseController::start(LeaseConfig {
+            log: log.clone(),
+            timing,
+            clock,
+            metrics: Arc::clone(&metrics),
+            duty: SnapshotDuty::Reads,
+        });
         let rank = rank.map(|rank| {
             let feed = groups.clone();
             start_rank(rank, incarnation, backend_address, log.clone(), feed, timing, clock)
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -23,7 +23,7 @@
 use crate::controllers::document::{
     DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
 };
-use crate::controllers::leases::{LeaseController, LeaseFeed};
+use crate::controllers::leases::{LeaseConfig, LeaseController, LeaseFeed};
 use crate::controllers::load::{EndpointTable, LoadController};
 use crate::controllers::membership::{Members, MembershipController};
 use crate::controllers::placement::{PlacementConfig, PlacementController};
@@ -285,7 +285,13 @@
         members: Arc::clone(&views.members),
         progress: watch::Sender::default(),
         claims: ClaimsController::start(log.clone(), timing, Arc::clone(&metrics)),
-        groups: LeaseController::start(log.clone(), timing, Arc::clone(&metrics)),
+        groups: LeaseController::start(LeaseConfig {
+            log: log.clone(),
+            timing,
+            clock,
+            metrics: Arc::clone(&metrics),
+            duty: SnapshotDuty::Writes,
+        }),
         quarantine: QuarantineController::start(
             log.clone(),
             Arc::clone(&quarantined),
