Make the policies of an entry settings

Cause: the guide told operators to tune routing, admission and retries, but the daemon ran with the defaults of the code. The policies are now sections of its settings, checked at start, and a histogram shows the time to the first piece.

--- a/crates/lycheewood/src/controllers/admission.rs
+++ b/crates/lycheewood/src/controllers/admission.rs
@@ -92,6 +92,8 @@
     pub(crate) views: AdmissionViews,
     pub(crate) log: LogClient,
     pub(crate) timing: Timing,
+    pub(crate) admission: AdmissionPolicy,
+    pub(crate) retries: RetryPolicy,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
@@ -103,12 +105,12 @@
 impl AdmissionController {
     /// Starts the controller, its reader and its reports on the present runtime.
     pub(crate) fn start(config: AdmissionConfig) -> ActorRef<Self> {
-        let retry_policy = RetryPolicy::default();
+        let retry_policy = config.retries;
         let (log, timing) = (config.log.clone(), config.timing);
         // A share outlasts one lost report.
         let grant_ms = 3 * timing.demand_report_ms;
         let controller = Self {
-            policy: AdmissionPolicy::default(),
+            policy: config.admission,
             budget: RetryBudget::full(&retry_policy),
             retry_policy,
             share_policy: SharePolicy { grant_ms, ..SharePolicy::default() },
--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -7,6 +7,8 @@
 
 use std::collections::HashMap;
 
+use serde::Deserialize;
+
 use crate::clock::Timestamp;
 use crate::decisions::estimate::InFlight;
 use crate::decisions::shares::DemandMeter;
@@ -16,7 +18,8 @@
 use crate::outcome::{NotRun, NotRunCode};
 
 /// Settings of admission.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct AdmissionPolicy {
     /// Longest predicted wait that is let in, in milliseconds. Longer evens out bursts; shorter keeps
     /// the time to first token low under overload.
--- a/crates/lycheewood/src/decisions/retries.rs
+++ b/crates/lycheewood/src/decisions/retries.rs
@@ -1,10 +1,13 @@
 //! Whether and when a failed attempt is made again. Only the entry retries; endpoint daemons do not,
 //! so one failure never multiplies across layers.
 
+use serde::Deserialize;
+
 use crate::decisions::units::{float_ms, unit, whole_ms};
 
 /// Settings of retries.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct RetryPolicy {
     /// Retries allowed for each first attempt, as a share.
     pub share: f64,
--- a/crates/lycheewood/src/decisions/routing.rs
+++ b/crates/lycheewood/src/decisions/routing.rs
@@ -4,6 +4,8 @@
 //! other entries cause is taken from the last report and drawn towards the mean of all candidates as
 //! the report ages, so that entries do not all follow the same old report.
 
+use serde::Deserialize;
+
 use crate::clock::Timestamp;
 use crate::decisions::estimate::Estimate;
 use crate::decisions::units::{decay, float_ms, index_below, mix};
@@ -23,7 +25,8 @@
 const ERROR_COST: f64 = 4.0;
 
 /// Settings of the choice.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct RoutingPolicy {
     /// A cached prefix is followed while the endpoint's load is below this multiple of the mean.
     pub load_bound: f64,
--- a/crates/lycheewood/src/filters/admit.rs
+++ b/crates/lycheewood/src/filters/admit.rs
@@ -30,6 +30,11 @@
 }
 
 impl AdmissionGuard {
+    /// Time since the request came, in milliseconds.
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        self.clock.now().ms_since(self.started)
+    }
+
     /// Notes that the answer was whole, so that its duration counts as a sample.
     pub(crate) fn completed(&self) {
         self.completed.store(true, Ordering::Relaxed);
@@ -42,7 +47,7 @@
             workspace: self.workspace.clone(),
             target: self.target.clone(),
             admitted: self.admitted,
-            elapsed_ms: self.clock.now().ms_since(self.started),
+            elapsed_ms: self.elapsed_ms(),
             completed: self.completed.load(Ordering::Relaxed),
         };
         // The mailbox is unbounded, so this fails only when the control thread has stopped.
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -4,6 +4,7 @@
 mod source;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -125,6 +126,7 @@
                 Step::Head(_) => {}
                 Step::Bytes(bytes) => {
                     self.state.metrics.answer_pieces.inc();
+                    self.observe_first_piece();
                     return Piece::Bytes(bytes);
                 }
                 Step::End => {
@@ -149,6 +151,14 @@
         }
     }
 
+    fn observe_first_piece(&self) {
+        let admitted = &self.source.admitted;
+        if let (1, Some(admission)) = (admitted.next_piece, &admitted.admission) {
+            let elapsed = Duration::from_millis(admission.elapsed_ms());
+            self.state.metrics.first_piece_seconds.observe(elapsed.as_secs_f64());
+        }
+    }
+
     /// A trial that has ended with a whole answer clears its request.
     fn clear_suspect(&mut self) {
         if let (true, Some(attempt)) = (self.source.run_alone, &self.source.attempt) {
--- a/crates/lycheewood/src/filters/route.rs
+++ b/crates/lycheewood/src/filters/route.rs
@@ -5,7 +5,7 @@
 use crate::decisions::estimate::Estimate;
 use crate::decisions::membership::{Connection, Eligibility, InstanceView, eligibility};
 use crate::decisions::quarantine::QuarantineVerdict;
-use crate::decisions::routing::{Candidate, RouteRequest, RoutingPolicy, choose_endpoint};
+use crate::decisions::routing::{Candidate, RouteRequest, choose_endpoint};
 use crate::decisions::versions::choose_version;
 use crate::filters::exchange::{Admitted, Exchange, Routed, View};
 use crate::filters::request::Call;
@@ -106,9 +106,10 @@
         .collect();
     let tried: Vec<&InstanceId> = admitted.avoid.iter().collect();
     let request = RouteRequest { prefix: prefix(&exchange.request.call), run_alone, tried: &tried };
-    let policy = RoutingPolicy::default();
     let now = state.clock.now();
-    let index = choose_endpoint(&policy, &candidates, &request, now, rand::random()).ok()?;
+    let index =
+        choose_endpoint(&state.settings.routing, &candidates, &request, now, rand::random())
+            .ok()?;
     Some(usable[index].0)
 }
 
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -2,7 +2,10 @@
 
 mod groups;
 
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 
 use groups::GroupMetrics;
 
@@ -14,6 +17,7 @@
     pub(crate) requests_in_flight: IntGauge,
     pub(crate) attempts: IntCounterVec,
     pub(crate) answer_pieces: IntCounter,
+    pub(crate) first_piece_seconds: Histogram,
     pub(crate) endpoints_connected: IntGauge,
     pub(crate) connections_silent: IntCounter,
     pub(crate) list_errors: IntCounter,
@@ -52,7 +56,13 @@
             registry.register(Box::new(counters.clone()))?;
             Ok(counters)
         };
+        let first_piece_seconds = Histogram::with_opts(HistogramOpts::new(
+            "lycheewood_first_piece_seconds",
+            "Time from a request to the first piece of its answer; the first token for models.",
+        ))?;
+        registry.register(Box::new(first_piece_seconds.clone()))?;
         Ok(Self {
+            first_piece_seconds,
             requests: counters(
                 "lycheewood_requests_total",
                 "Requests by outcome: done, invalid, unknown, cut, or the code of a refusal as not run.",
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -306,6 +306,8 @@
             views,
             log,
             timing,
+            admission: settings.admission,
+            retries: settings.retries,
             incarnation,
             clock,
             metrics: Arc::clone(&metrics),
--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -4,7 +4,10 @@
 
 use serde::Deserialize;
 
+use crate::decisions::admission::AdmissionPolicy;
 use crate::decisions::groups::MAX_RANKS;
+use crate::decisions::retries::RetryPolicy;
+use crate::decisions::routing::RoutingPolicy;
 use crate::ids::{EndpointKindName, FailureDomain, InstanceId, VersionName};
 use crate::wire::message::Role;
 
@@ -57,6 +60,15 @@
     /// Intervals and timeouts.
     #[serde(default)]
     pub timing: Timing,
+    /// How an entry chooses endpoints.
+    #[serde(default)]
+    pub routing: RoutingPolicy,
+    /// What an entry admits.
+    #[serde(default)]
+    pub admission: AdmissionPolicy,
+    /// When an entry makes a failed attempt again.
+    #[serde(default)]
+    pub retries: RetryPolicy,
 }
 
 /// The rank that a daemon stands beside.
@@ -268,6 +280,12 @@
     pub bounds: Bounds,
     /// Intervals and timeouts.
     pub timing: Timing,
+    /// How an entry chooses endpoints.
+    pub routing: RoutingPolicy,
+    /// What an entry admits.
+    pub admission: AdmissionPolicy,
+    /// When an entry makes a failed attempt again.
+    pub retries: RetryPolicy,
 }
 
 impl Settings {
@@ -288,6 +306,7 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
         check_timing(&raw.timing)?;
+        check_policies(&raw)?;
         if raw.traffic_threads == 0 {
             return Err(SettingsError::Contradiction {
                 field: "traffic_threads",
@@ -306,6 +325,9 @@
             traffic_threads: raw.traffic_threads,
             bounds: raw.bounds,
             timing: raw.timing,
+            routing: raw.routing,
+            admission: raw.admission,
+            retries: raw.retries,
         })
     }
 }
@@ -359,6 +381,29 @@
     Ok(())
 }
 
+fn check_policies(raw: &RawSettings) -> Result<(), SettingsError> {
+    let contradiction = |field, remedy| Err(SettingsError::Contradiction { field, remedy });
+    if raw.routing.load_bound.is_nan() || raw.routing.load_bound < 1.0 {
+        return contradiction(
+            "routing.load_bound",
+            "must be at least 1, because no endpoint stays below a smaller multiple of the mean",
+        );
+    }
+    if !(0.0..=1.0).contains(&raw.routing.max_error_share) {
+        return contradiction("routing.max_error_share", "must be from 0 to 1");
+    }
+    if !(0.0..=1.0).contains(&raw.retries.share) || raw.retries.max_attempts == 0 {
+        return contradiction(
+            "retries",
+            "must have a `share` from 0 to 1 and a `max_attempts` of at least 1",
+        );
+    }
+    if !raw.admission.brownout_at.is_sorted() {
+        return contradiction("admission.brownout_at", "must rise from step to step");
+    }
+    Ok(())
+}
+
 fn check_timing(timing: &Timing) -> Result<(), SettingsError> {
     if timing.lease_ms < 20 || timing.rank_report_ms == 0 {
         return contradiction(
--- a/crates/lycheewood/tests/settings.rs
+++ b/crates/lycheewood/tests/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of ranks and of control.
+//! Settings that are refused, and the role that they give to a process.
 
 use lycheewood::{RoleSettings, Settings};
 
@@ -26,6 +26,15 @@
         (ENGINE, "rank: {group: g, index: 0}", "ranks"),
         (ENGINE, "control: true", "`control`"),
         (ENTRY, "timing: {lease_ms: 5}", "`timing.lease_ms`"),
+        (ENTRY, "timing: {silence_ms: 500}", "`timing.silence_ms`"),
+        (ENTRY, "timing: {entry_linger_ms: 500}", "`timing.entry_linger_ms`"),
+        (ENTRY, "timing: {key_window_ms: 86400000}", "`timing.key_window_ms`"),
+        (ENTRY, "routing: {load_bound: 0.5}", "`routing.load_bound`"),
+        (ENTRY, "routing: {load_bound: .nan}", "`routing.load_bound`"),
+        (ENTRY, "routing: {max_error_share: 2}", "`routing.max_error_share`"),
+        (ENTRY, "retries: {share: 2}", "`retries`"),
+        (ENTRY, "admission: {brownout_at: [2, 1, 3]}", "`admission.brownout_at`"),
+        (ENTRY, "admission: {queue: 1}", "queue"),
     ];
     for (role, line, named) in cases {
         let error = Settings::from_yaml(&format!("{role}{COMMON}{line}\n")).expect_err(line);
