Never answer a question by key as not run

Cause: an entry that could not look a key up refused the question as not run. A caller would read that its earlier request had not run, send it under a new key, and it could run twice. Found by reading.

Change: such a question ends as outcome unknown with code lookup_unavailable.

Before (tests/inquiry.rs): left: 503 (no_document, not_run) right: 504. After: passes.

--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -86,7 +86,7 @@
         Refusal::NotRun(NotRun { code, retry_after_ms }) => json!({"error": {
             "type": "not_run",
             "code": code.as_str(),
-            "message": "The request did not run. It is safe to send it again.",
+            "message": "The request did not run this time. It is safe to send it again, with the same key.",
             "retry_after_ms": retry_after_ms,
             "entries": "/v1/entries",
         }}),
--- a/crates/lycheewood/src/filters/inquire.rs
+++ b/crates/lycheewood/src/filters/inquire.rs
@@ -11,7 +11,7 @@
 use crate::filters::request::Request;
 use crate::filters::{authenticate, trace};
 use crate::ids::{RequestKey, TargetName};
-use crate::outcome::{NotRunCode, Refusal};
+use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
 use crate::roles::entry::EntryState;
 
 /// What is known of a key.
@@ -28,6 +28,20 @@
     state: &Arc<EntryState>,
     request: &Arc<Request>,
     key: RequestKey,
+) -> Result<Inquiry, Refusal> {
+    inquire(state, request, key).await.map_err(|refusal| match refusal {
+        // That the question was not answered must not read as if the request had not run.
+        Refusal::NotRun(_) => {
+            Refusal::Unknown(Unknown { code: UnknownCode::LookupUnavailable, key: Some(key) })
+        }
+        other => other,
+    })
+}
+
+async fn inquire(
+    state: &Arc<EntryState>,
+    request: &Arc<Request>,
+    key: RequestKey,
 ) -> Result<Inquiry, Refusal> {
     let view = View::load(state);
     let received = Exchange::receive(request, &view, state.phase(), state.clock.now())?;
--- a/crates/lycheewood/src/outcome.rs
+++ b/crates/lycheewood/src/outcome.rs
@@ -43,7 +43,9 @@
     }
 }
 
-/// The request did not run and never will under this attempt; sending it again is safe.
+/// This sending of the request did not run and never will; sending it again with the same key is safe.
+///
+/// It says nothing of earlier sendings with the same key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotRun {
     /// Why it did not run.
@@ -65,6 +67,8 @@
     HolderLost,
     /// An earlier attempt with the same key is still running.
     StillRunning,
+    /// This instance cannot look the key up now; another one may.
+    LookupUnavailable,
 }
 
 impl UnknownCode {
@@ -77,6 +81,7 @@
             Self::KeyExpired => "key_expired",
             Self::HolderLost => "holder_lost",
             Self::StillRunning => "still_running",
+            Self::LookupUnavailable => "lookup_unavailable",
         }
     }
 }
