--- a/crates/lycheewood-daemon/benches/entry/main.rs
+++ b/crates/lycheewood-daemon/benches/entry/main.rs
@@ -1,7 +1,8 @@
 //! Measures what an entry costs, beside the same caller talking straight to the engines.
 //!
 //! `cargo bench --bench entry` prints a CSV table in under a minute. `cargo bench --bench entry -- NAME`
-//! runs one part: `memory`, `closed`, `open`, `tokens` or `idle`; the last two are no part of the whole run.
+//! runs one part: `memory`, `closed`, `open`, `tokens`, `growth` or `idle`; the last three are no part of
+//! the whole run.
 //! `-- --concurrency N` runs only `closed` at N streams, for longer, so that a profiler can watch.
 //!
 //! The entry and the endpoint daemons are processes of their own. The caller, the engines, the log and
@@ -57,6 +58,7 @@
             bench.closed_at(streams, 1, Duration::from_secs(10));
         }
         Some("tokens") => Bench::start().by_tokens(),
+        Some("growth") => Bench::start().growth(),
         part => {
             let bench = Bench::start();
             let wanted = |name| part.is_none_or(|part| part == name);
@@ -111,6 +113,23 @@
         Target { path: Path::Entry(self.deployment.entry(0)), tokens: TOKENS }
     }
 
+    /// Memory of the entry by finished requests, up to where growth levels off if it does.
+    fn growth(&self) {
+        self.finish_requests(&[1, 4, 16, 32, 64].map(|factor| factor * MEMORY_REQUESTS));
+    }
+
+    /// Makes requests up to each total and shows the memory of the entry there.
+    fn finish_requests(&self, totals: &[u64]) {
+        let (id, through) = (self.entry_id(), self.through_entry());
+        let mut finished = 0;
+        for total in totals {
+            let done = self.runtime.block_on(run_count(&through, 64, total - finished));
+            assert_eq!(done.failed, 0, "a request failed while memory was measured");
+            finished = *total;
+            println!("memory,finished,{finished},VmRSS_KiB,{}", rss_kib(id));
+        }
+    }
+
     /// Requests and memory of the entry.
     fn memory(&self) {
         let id = self.entry_id();
@@ -118,14 +137,8 @@
             println!("memory,{name},{count},VmRSS_KiB,{kib}");
         };
         row("started", 0, rss_kib(id));
+        self.finish_requests(&[MEMORY_REQUESTS, 4 * MEMORY_REQUESTS]);
         let through = self.through_entry();
-        let mut finished = 0;
-        for total in [MEMORY_REQUESTS, 4 * MEMORY_REQUESTS] {
-            let done = self.runtime.block_on(run_count(&through, 64, total - finished));
-            assert_eq!(done.failed, 0, "a request failed while memory was measured");
-            finished = total;
-            row("finished", finished, rss_kib(id));
-        }
         self.deployment.set_engine_faults(|faults| faults.stall_after_tokens = Some(1));
         let open = self.runtime.block_on(hold_open(&through, OPEN_STREAMS));
         row("open", open.len() as u64, rss_kib(id));
