--- a/crates/lycheewood-cli/src/adapters/node.rs
+++ b/crates/lycheewood-cli/src/adapters/node.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use lycheewood::{
-    EndpointKindName, FailureDomain, HttpError, InstanceId, Offset, Role, VersionName,
+    EndpointKindName, FailureDomain, FencingNumber, HttpError, InstanceId, Offset, Role, ScopeName,
+    Timestamp, VersionName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +27,48 @@
     /// Entries that an endpoint daemon is connected to.
     #[serde(default)]
     entries: Vec<Peer>,
+    /// Groups of ranks, as far as the node has read the stream of leases.
+    #[serde(default)]
+    pub(crate) groups: GroupsState,
+}
+
+/// Groups of ranks with their leases and maps.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct GroupsState {
+    /// Why the node reads the stream no further.
+    #[serde(default)]
+    pub(crate) stopped: Option<String>,
+    #[serde(default)]
+    pub(crate) groups: Vec<GroupRow>,
+}
+
+/// One group of ranks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct GroupRow {
+    pub(crate) scope: ScopeName,
+    pub(crate) lease: Option<LeaseState>,
+    /// The process at each rank, once every rank has one.
+    pub(crate) ranks: Option<Vec<String>>,
+    pub(crate) map: Option<MapState>,
+    pub(crate) pending: Option<MapState>,
+}
+
+/// The lease of a group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct LeaseState {
+    /// The process that holds it.
+    pub(crate) holder: String,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) ends_unix_ms: Timestamp,
+}
+
+/// A map, in force or proposed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct MapState {
+    /// The change that brought it.
+    pub(crate) change: Offset,
+    /// The first step that runs with it.
+    pub(crate) step: u64,
 }
 
 /// The document in force on a node.
--- a/crates/lycheewood-cli/src/cmd.rs
+++ b/crates/lycheewood-cli/src/cmd.rs
@@ -5,6 +5,7 @@
 pub(crate) mod diff;
 pub(crate) mod endpoints;
 pub(crate) mod follow;
+pub(crate) mod groups;
 pub(crate) mod metrics;
 pub(crate) mod nodes;
 pub(crate) mod publish;
@@ -41,6 +42,7 @@
         .subcommand(follow::make_subcommand())
         .subcommand(nodes::make_subcommand())
         .subcommand(endpoints::make_subcommand())
+        .subcommand(groups::make_subcommand())
         .subcommand(metrics::make_subcommand())
         .subcommand(send::make_subcommand())
         .subcommand(completions::make_subcommand())
--- a/crates/lycheewood-cli/src/main.rs
+++ b/crates/lycheewood-cli/src/main.rs
@@ -31,6 +31,7 @@
         Some(("follow", matches)) => cmd::follow::execute(matches),
         Some(("nodes", matches)) => cmd::nodes::execute(matches),
         Some(("endpoints", matches)) => cmd::endpoints::execute(matches),
+        Some(("groups", matches)) => cmd::groups::execute(matches),
         Some(("metrics", matches)) => cmd::metrics::execute(matches),
         Some(("send", matches)) => cmd::send::execute(matches),
         Some(("completions", matches)) => cmd::completions::execute(matches),
--- a/crates/lycheewood-cli/tests/nodes.rs
+++ b/crates/lycheewood-cli/tests/nodes.rs
@@ -6,10 +6,14 @@
 mod tool;
 
 use deployment::{DOCUMENT, Deployment, TOKEN};
+use lycheewood::{Incarnation, LeaseRecord, MapRecord, encode_record, group_scope};
 use stand_ins::engine::EngineFaults;
 use stand_ins::instance_list::{Instance, InstanceState, Role};
 use tool::{file, run, run_each};
 
+/// Questions after which a node should have read two records.
+const MAX_QUESTIONS: usize = 200;
+
 /// Guards against nodes that are missed, whichever node is asked first, and versions reported early.
 #[test]
 fn follow_finds_every_node_from_any_node() {
@@ -77,6 +81,35 @@
     assert!(json.as_array().is_some_and(|samples| samples.len() > 5), "{json}");
 }
 
+/// Guards against a tool that cannot read what nodes say of groups, leases and maps.
+#[test]
+fn groups_are_listed_with_their_leases() {
+    let deployment = Deployment::start(DOCUMENT, 1, 1);
+    let scope = || group_scope("g", 2);
+    let grant = LeaseRecord::Grant {
+        scope: scope(),
+        holder: Incarnation(1),
+        request: 1,
+        supersedes: None,
+        duration_ms: 600_000,
+    };
+    let join =
+        MapRecord::Join { scope: scope(), rank: 0, incarnation: Incarnation(2), replaces: None };
+    let records = [encode_record(&grant), encode_record(&join)];
+    for record in records.map(|record| String::from_utf8(record.expect("encode")).expect("text")) {
+        deployment.runtime.block_on(deployment.log.append("leases", &record));
+    }
+    let node = deployment.entries[0].admin_address();
+    // A node answers with what it has read so far, so the question is asked until both records are in.
+    let listed = (0..MAX_QUESTIONS)
+        .map(|_| run(&format!("groups --node {node} --output json")).json())
+        .find(|json| json["groups"][0]["lease"]["fencing"] == 0);
+    let listed = listed.expect("the lease is listed");
+    assert_eq!(listed["groups"][0]["scope"], "g/2", "{listed}");
+    let text = run(&format!("groups --node {node}")).stdout;
+    assert!(text.lines().any(|line| line.starts_with("g/2")), "{text}");
+}
+
 /// Guards against outcomes that scripts cannot tell apart, and a job that runs twice under one key.
 #[test]
 fn test_requests_report_their_outcome() {
