--- a/crates/lycheewood/src/roles.rs
+++ b/crates/lycheewood/src/roles.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use tokio::net::TcpListener;
+
 /// Why a node does not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -40,3 +42,14 @@
         wanted: &'static str,
     },
 }
+
+/// Opens the listener of a setting and gives the address that it got.
+async fn listen(
+    field: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { field, address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
--- a/crates/lycheewood/src/roles/endpoint.rs
+++ b/crates/lycheewood/src/roles/endpoint.rs
@@ -10,7 +10,6 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::actor::ActorRef;
-use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -34,8 +33,8 @@
 use crate::ids::{AttemptId, EndpointKindName, Incarnation, VersionName};
 use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
-use crate::roles::StartError;
 use crate::roles::endpoint::execution::Execution;
+use crate::roles::{StartError, listen};
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RankSettings, RoleSettings, Settings, Timing};
 use crate::telemetry::Telemetry;
@@ -120,17 +119,10 @@
         let runtime = |source| StartError::Runtime { source };
         let control = ControlThread::start().map_err(runtime)?;
         let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
-        let listen = |field, address| async move {
-            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
-                field,
-                address,
-                source,
-            })
-        };
-        let peer_listener = traffic.block_on(listen("peer_address", peer_address))?;
-        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
-        let peer_address = peer_listener.local_addr().map_err(runtime)?;
-        let admin_address = admin.local_addr().map_err(runtime)?;
+        let (peer_listener, peer_address) =
+            traffic.block_on(listen("peer_address", peer_address))?;
+        let (admin, admin_address) =
+            traffic.block_on(listen("admin_address", settings.admin_address))?;
         let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
         let metrics = Arc::new(metrics);
         let (clock, incarnation) = (Clock::system(), Incarnation::random());
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -7,7 +7,6 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::actor::ActorRef;
-use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -33,7 +32,7 @@
 use crate::ids::{AttemptId, Incarnation, Offset};
 use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
-use crate::roles::StartError;
+use crate::roles::{StartError, listen};
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RoleSettings, Settings};
 use crate::telemetry::Telemetry;
@@ -151,17 +150,10 @@
         let runtime = |source| StartError::Runtime { source };
         let control = ControlThread::start().map_err(runtime)?;
         let traffic = traffic_runtime(settings.traffic_threads).map_err(runtime)?;
-        let listen = |field, address| async move {
-            TcpListener::bind(address).await.map_err(|source| StartError::Listen {
-                field,
-                address,
-                source,
-            })
-        };
-        let callers = traffic.block_on(listen("caller_address", caller_address))?;
-        let admin = traffic.block_on(listen("admin_address", settings.admin_address))?;
-        let caller_address = callers.local_addr().map_err(runtime)?;
-        let admin_address = admin.local_addr().map_err(runtime)?;
+        let (callers, caller_address) =
+            traffic.block_on(listen("caller_address", caller_address))?;
+        let (admin, admin_address) =
+            traffic.block_on(listen("admin_address", settings.admin_address))?;
         let metrics = Metrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
         let state = start_state(settings, metrics, &control, &traffic);
         start_readers(&state, admin_address, &control, &traffic);
--- a/crates/lycheewood/tests/silence.rs
+++ b/crates/lycheewood/tests/silence.rs
@@ -15,6 +15,7 @@
 };
 use lycheewood::{Clock, Offset, RequestKey};
 use stand_ins::engine::EngineFaults;
+use stand_ins::forwarder::Forwarder;
 use stand_ins::service::Service;
 use tokio::time::timeout;
 
@@ -40,6 +41,22 @@
     deployment
 }
 
+/// Asks for an answer, makes the connections of `silenced` silent in the middle of it, and checks that the
+/// caller still gets all of it.
+fn assert_whole_answer(deployment: &Deployment, silenced: &Forwarder, prompt: &str) {
+    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
+    let entry = deployment.entries[0].caller_address();
+    let ask = request(entry, "/v1/completions", None, &completion(prompt, TOKENS));
+    let answer = deployment.runtime.block_on(async {
+        let answer = tokio::spawn(send(ask));
+        engine.wait_for_load(|load| load.running == 1).await;
+        silenced.silence();
+        answer.await.expect("the caller")
+    });
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    assert_eq!(text_of(&answer.1), expected_text(prompt, u64::from(TOKENS)));
+}
+
 /// Guards against an answer that hangs, loses a token or runs twice when the connection between entry
 /// and endpoint daemon goes silent.
 #[test]
@@ -50,21 +67,7 @@
     let daemon = deployment.forwarder(deployment.slots[0].daemon.peer_address());
     deployment.announce_at(|_, _| daemon.address());
     deployment.wait_until_ready();
-    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
-    let ask = request(
-        deployment.entries[0].caller_address(),
-        "/v1/completions",
-        None,
-        &completion("silent endpoint", TOKENS),
-    );
-    let answer = deployment.runtime.block_on(async {
-        let answer = tokio::spawn(send(ask));
-        engine.wait_for_load(|load| load.running == 1).await;
-        daemon.silence();
-        answer.await.expect("the caller")
-    });
-    assert_eq!(answer.0, 200, "{}", answer.1);
-    assert_eq!(text_of(&answer.1), expected_text("silent endpoint", u64::from(TOKENS)));
+    assert_whole_answer(&deployment, &daemon, "silent endpoint");
     assert!(daemon.opened() >= 2, "the entry has opened another connection");
 }
 
@@ -119,21 +122,7 @@
     deployment.add_entry();
     deployment.announce();
     deployment.wait_until_ready();
-    let Backend::Engine(engine) = &deployment.slots[0].backend else { unreachable!() };
-    let ask = request(
-        deployment.entries[0].caller_address(),
-        "/v1/completions",
-        None,
-        &completion("silent engine", TOKENS),
-    );
-    let answer = deployment.runtime.block_on(async {
-        let answer = tokio::spawn(send(ask));
-        engine.wait_for_load(|load| load.running == 1).await;
-        near.silence();
-        answer.await.expect("the caller")
-    });
-    assert_eq!(answer.0, 200, "{}", answer.1);
-    assert_eq!(text_of(&answer.1), expected_text("silent engine", u64::from(TOKENS)));
+    assert_whole_answer(&deployment, &near, "silent engine");
 }
 
 /// Guards against a node that waits for good on a silent connection to the log or the instance list.
