--- a/crates/lycheewood/src/adapters.rs
+++ b/crates/lycheewood/src/adapters.rs
@@ -3,8 +3,11 @@
 pub(crate) mod admin;
 pub(crate) mod backend;
 pub(crate) mod caller;
+pub(crate) mod forward;
+pub(crate) mod gossip;
 pub(crate) mod http;
 pub(crate) mod instance_list;
 pub(crate) mod log;
+pub(crate) mod metrics;
 pub(crate) mod peer;
 pub(crate) mod ranks;
--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -105,6 +105,8 @@
         | InvalidRequest::Forbidden { field, .. }
         | InvalidRequest::UnknownTarget { field, .. } => field,
         InvalidRequest::Unauthorized => "authorization",
+        InvalidRequest::NoRoute => "path",
+        InvalidRequest::BodyTooLarge { .. } => "body",
     }
 }
 
@@ -113,7 +115,10 @@
         Refusal::Invalid(InvalidRequest::Field { .. }) => StatusCode::BAD_REQUEST,
         Refusal::Invalid(InvalidRequest::Unauthorized) => StatusCode::UNAUTHORIZED,
         Refusal::Invalid(InvalidRequest::Forbidden { .. }) => StatusCode::FORBIDDEN,
-        Refusal::Invalid(InvalidRequest::UnknownTarget { .. }) => StatusCode::NOT_FOUND,
+        Refusal::Invalid(InvalidRequest::UnknownTarget { .. } | InvalidRequest::NoRoute) => {
+            StatusCode::NOT_FOUND
+        }
+        Refusal::Invalid(InvalidRequest::BodyTooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
         Refusal::NotRun(NotRun { code: NotRunCode::OverLimit, .. }) => {
             StatusCode::TOO_MANY_REQUESTS
         }
--- /dev/null
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -0,0 +1,171 @@
+//! Callers of forwarded requests: connections, decoding, and answers.
+
+mod encode;
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::http::uri::{Authority, PathAndQuery};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::timeout;
+use tokio_io_timeout::TimeoutStream;
+
+use crate::adapters::forward::caller::encode::{ReplyBody, RequestRecord};
+use crate::filters::forward;
+use crate::filters::forward::exchange::Head;
+use crate::gateway::GatewayState;
+use crate::outcome::Refusal;
+use crate::roles::entry::Phase;
+use crate::routes::raw::CallerLimits;
+
+/// What the kernel may hold of an answer that its caller reads slowly.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// A caller that takes no byte of its answer for this long is gone, in milliseconds.
+const STALL_MS: u64 = 10_000;
+/// Time between probes of an idle connection, in seconds.
+const KEEPALIVE_S: u64 = 3;
+/// On a planned stop, a new connection has this long to send the request that it was opened for, in
+/// milliseconds.
+const FIRST_REQUEST_MS: u64 = 500;
+/// hyper refuses smaller buffers.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+
+/// Accepts callers until new requests are refused, then ends idle connections and waits for busy ones.
+pub(crate) async fn serve(listener: TcpListener, state: Arc<GatewayState>) -> io::Result<()> {
+    let max_callers = state.settings.max_callers;
+    let slots = Arc::new(Semaphore::new(max_callers));
+    let mut phases = state.phases();
+    loop {
+        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else { return Ok(()) };
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((tcp, _)) = accepted else { continue };
+                let state = Arc::clone(&state);
+                tokio::spawn(async move {
+                    state.metrics.callers_connected.inc();
+                    connection(tcp, &state).await;
+                    state.metrics.callers_connected.dec();
+                    drop(slot);
+                });
+            }
+            _ = phases.wait_for(|phase| *phase == Phase::Refusing) => {
+                drop(slot);
+                break;
+            }
+        }
+    }
+    drop(listener);
+    // Every connection holds a slot until it has ended.
+    let all = u32::try_from(max_callers).unwrap_or(u32::MAX);
+    let _all_ended = slots.acquire_many(all).await;
+    Ok(())
+}
+
+async fn connection(tcp: TcpStream, state: &Arc<GatewayState>) {
+    let limits = state.routes.load().as_ref().map(|routes| routes.table.caller_limits);
+    let limits = limits.unwrap_or_default();
+    let _ = tcp.set_nodelay(true);
+    let probes = TcpKeepalive::new()
+        .with_time(Duration::from_secs(KEEPALIVE_S))
+        .with_interval(Duration::from_secs(KEEPALIVE_S))
+        .with_retries(2);
+    let socket = SockRef::from(&tcp);
+    let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let requested = Notify::new();
+    let service = service_fn(|request| {
+        requested.notify_one();
+        let state = Arc::clone(state);
+        async move { Ok::<_, Infallible>(handle(&state, request).await) }
+    });
+    let mut io = TimeoutStream::new(tcp);
+    io.set_write_timeout(Some(Duration::from_millis(STALL_MS)));
+    let CallerLimits { max_header_bytes, idle_timeout_ms, .. } = limits;
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // hyper counts the time without a request into the time for its head, so the longer bound
+        // holds for both.
+        .header_read_timeout(Duration::from_millis(idle_timeout_ms))
+        .max_buf_size(max_header_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(Box::pin(io)), service);
+    tokio::pin!(connection);
+    let mut phases = state.phases();
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = phases.wait_for(|phase| *phase == Phase::Refusing) => {}
+    }
+    // hyper closes a connection on which it has read nothing, although the first request may be on its
+    // way.
+    let first = timeout(Duration::from_millis(FIRST_REQUEST_MS), requested.notified());
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = first => {}
+    }
+    // Ends after the answer in flight.
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn handle(state: &Arc<GatewayState>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let (head, body) = match decode(state, request) {
+        Ok(decoded) => decoded,
+        Err(refusal) => {
+            let record = RequestRecord::start(state, None);
+            return encode::refusal(record, &refusal);
+        }
+    };
+    let head = Arc::new(head);
+    let record = RequestRecord::start(state, Some(Arc::clone(&head)));
+    match forward::run(state, &head, body).await {
+        Ok(answer) => encode::answer(record, answer),
+        Err(refusal) => encode::refusal(record, &refusal),
+    }
+}
+
+fn decode(state: &GatewayState, request: Request<Incoming>) -> Result<(Head, Incoming), Refusal> {
+    let names = &state.settings.headers;
+    let (parts, body) = request.into_parts();
+    let text = |name: &hyper::header::HeaderName| {
+        parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
+    };
+    let host = parts.uri.authority().map(Authority::as_str).or_else(|| text(&HOST));
+    let host = host.ok_or_else(|| Refusal::field("host", "name the host"))?.to_owned();
+    let request_id = text(&names.request_id)
+        .filter(|id| !id.is_empty())
+        .ok_or_else(|| Refusal::field("request id", "give the request an id"))?
+        .to_owned();
+    let deadline_ms = text(&names.deadline_ms).and_then(|value| value.parse().ok());
+    let last_event = text(&hyper::header::HeaderName::from_static("last-event-id"))
+        .and_then(|value| value.parse().ok());
+    let key = text(&AUTHORIZATION).and_then(bearer).map(str::to_owned);
+    let target = parts.uri.path_and_query().cloned();
+    let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let head = Head {
+        method: parts.method,
+        target,
+        host,
+        request_id,
+        key,
+        deadline_ms,
+        last_event,
+        received: state.clock.now(),
+        headers: parts.headers,
+    };
+    Ok((head, body))
+}
+
+/// The key in an `Authorization` header.
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
--- /dev/null
+++ b/crates/lycheewood/src/adapters/forward/caller/encode.rs
@@ -0,0 +1,188 @@
+//! Answers to callers, and the line and metrics of each request.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::adapters::forward::headers::end_to_end;
+use crate::filters::forward::Answer;
+use crate::filters::forward::exchange::Head;
+use crate::filters::forward::relay::{CutReason, Relay};
+use crate::gateway::GatewayState;
+use crate::outcome::{InvalidRequest, NotRunCode, Refusal, UnknownCode};
+use crate::roles::entry::Phase;
+
+/// Body of every reply to a caller.
+pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, CutReason>;
+
+/// Counts and logs one request when it ends. A request whose record is dropped before that was left by
+/// its caller.
+pub(crate) struct RequestRecord {
+    state: Arc<GatewayState>,
+    head: Option<Arc<Head>>,
+    status: u16,
+    outcome: &'static str,
+    server: Option<String>,
+    events: u64,
+}
+
+impl RequestRecord {
+    pub(crate) fn start(state: &Arc<GatewayState>, head: Option<Arc<Head>>) -> Self {
+        state.in_flight.send_modify(|count| *count += 1);
+        state.metrics.requests_in_flight.inc();
+        Self { state: Arc::clone(state), head, status: 0, outcome: "left", server: None, events: 0 }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        let received = self.head.as_ref().map(|head| head.received);
+        received.map_or(0, |received| self.state.clock.now().ms_since(received))
+    }
+
+    fn observe_first_byte(&self) {
+        let seconds = std::time::Duration::from_millis(self.elapsed_ms()).as_secs_f64();
+        self.state.metrics.first_byte_seconds.observe(seconds);
+    }
+}
+
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
+        self.state.in_flight.send_modify(|count| *count -= 1);
+        let metrics = &self.state.metrics;
+        metrics.requests_in_flight.dec();
+        metrics.requests.with_label_values(&[self.outcome]).inc();
+        let elapsed_ms = self.elapsed_ms();
+        let seconds = std::time::Duration::from_millis(elapsed_ms).as_secs_f64();
+        metrics.request_seconds.observe(seconds);
+        let routes = self.state.routes.load();
+        let version = routes.as_ref().map_or(0, |routes| routes.table.version);
+        let (id, host, path) = self.head.as_ref().map_or(("-", "-", "-"), |head| {
+            (head.request_id.as_str(), head.host.as_str(), head.target.path())
+        });
+        log::info!(
+            "request ended id={id} host={host} path={path} outcome={} status={} server={} events={} elapsed_ms={elapsed_ms} route_version={version}",
+            self.outcome,
+            self.status,
+            self.server.as_deref().unwrap_or("-"),
+            self.events,
+        );
+    }
+}
+
+/// Passes a server's answer on.
+pub(crate) fn answer(mut record: RequestRecord, answer: Answer) -> Response<ReplyBody> {
+    record.observe_first_byte();
+    let is_leaving = record.state.phase() != Phase::Serving;
+    let (status, headers, body) = match answer {
+        Answer::Whole(whole) => {
+            record.status = whole.status.as_u16();
+            record.outcome = "answered";
+            record.server = Some(whole.server.to_string());
+            let body = Full::new(whole.body).map_err(never).boxed_unsync();
+            (whole.status, whole.headers, body)
+        }
+        Answer::Stream(stream) => {
+            record.status = stream.status.as_u16();
+            (stream.status, stream.headers, events(record, stream.relay))
+        }
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = end_to_end(&headers);
+    if is_leaving {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn never(error: Infallible) -> CutReason {
+    match error {}
+}
+
+/// The body that passes events on as they come.
+fn events(record: RequestRecord, relay: Relay) -> ReplyBody {
+    let frames = stream::unfold(Some((record, relay)), |state| async move {
+        let (mut record, mut relay) = state?;
+        let next = relay.next().await;
+        record.events = relay.events();
+        record.server = Some(relay.server().to_string());
+        match next {
+            Some(Ok(event)) => Some((Ok(Frame::data(event)), Some((record, relay)))),
+            Some(Err(reason)) => {
+                record.outcome = "cut";
+                Some((Err(reason), None))
+            }
+            None => {
+                record.outcome = "answered";
+                None
+            }
+        }
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// Answers a request without a server's answer.
+pub(crate) fn refusal(mut record: RequestRecord, refusal: &Refusal) -> Response<ReplyBody> {
+    let (status, outcome, retry_after_ms) = describe(refusal);
+    record.status = status.as_u16();
+    record.outcome = outcome;
+    let text = match refusal {
+        Refusal::Invalid(invalid) => invalid.to_string(),
+        Refusal::NotRun(_) => format!("{outcome}: the request has not run; send it again"),
+        Refusal::Unknown(_) => format!("{outcome}: the request may have run"),
+    };
+    let body = Full::new(Bytes::from(text + "\n")).map_err(never).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    if let (Some(head), names) = (&record.head, &record.state.settings.headers)
+        && let Ok(id) = HeaderValue::from_str(&head.request_id)
+    {
+        headers.insert(names.request_id.clone(), id);
+    }
+    if let Some(ms) = retry_after_ms {
+        let seconds = std::time::Duration::from_millis(ms).as_secs_f64();
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds}")) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    if record.state.phase() != Phase::Serving {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Status, name and time to come back of a refusal.
+const fn describe(refusal: &Refusal) -> (StatusCode, &'static str, Option<u64>) {
+    match refusal {
+        Refusal::Invalid(invalid) => match invalid {
+            InvalidRequest::Unauthorized => (StatusCode::UNAUTHORIZED, "unauthorized", None),
+            InvalidRequest::Forbidden { .. } => (StatusCode::FORBIDDEN, "forbidden", None),
+            InvalidRequest::NoRoute | InvalidRequest::UnknownTarget { .. } => {
+                (StatusCode::NOT_FOUND, "no_route", None)
+            }
+            InvalidRequest::BodyTooLarge { .. } => {
+                (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", None)
+            }
+            InvalidRequest::Field { .. } => (StatusCode::BAD_REQUEST, "invalid", None),
+        },
+        Refusal::NotRun(not_run) => match not_run.code {
+            NotRunCode::OverLimit => {
+                (StatusCode::TOO_MANY_REQUESTS, "over_limit", Some(not_run.retry_after_ms))
+            }
+            NotRunCode::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body_late", None),
+            code => (StatusCode::SERVICE_UNAVAILABLE, code.as_str(), Some(not_run.retry_after_ms)),
+        },
+        Refusal::Unknown(unknown) => match unknown.code {
+            UnknownCode::DeadlinePassed => (StatusCode::GATEWAY_TIMEOUT, "deadline_passed", None),
+            code => (StatusCode::BAD_GATEWAY, code.as_str(), None),
+        },
+    }
+}
--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -68,18 +68,27 @@
     }
 }
 
+/// Time between probes of a connection on which nothing arrives, in seconds. They find a connection
+/// that went silent while a long reply is awaited, after three of them.
+const KEEPALIVE_S: u64 = 1;
+
 /// A client of one HTTP server.
 #[derive(Clone, Debug)]
-pub(crate) struct HttpClient {
+pub struct HttpClient {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
-    pub(crate) fn new(address: SocketAddr, connect_ms: u64) -> Self {
+    /// A client of the server at `address`, to which connecting takes at most `connect_ms`.
+    #[must_use]
+    pub fn new(address: SocketAddr, connect_ms: u64) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
+        connector.set_keepalive(Some(Duration::from_secs(KEEPALIVE_S)));
+        connector.set_keepalive_interval(Some(Duration::from_secs(KEEPALIVE_S)));
+        connector.set_keepalive_retries(Some(2));
         // No connection is kept for later: one that went silent while idle would swallow the next
         // request, and nobody could tell whether it arrived. A request that failed after it was sent
         // must not be sent again by the library.
@@ -123,7 +132,11 @@
     }
 
     /// Sends a request and reads the whole reply, which must have a 2xx status.
-    pub(crate) async fn call(
+    ///
+    /// # Errors
+    ///
+    /// When no such reply arrives within `timeout_ms`.
+    pub async fn call(
         &self,
         method: Method,
         path: &str,
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -10,9 +10,12 @@
 pub(crate) mod leases;
 pub(crate) mod load;
 pub(crate) mod membership;
+pub(crate) mod peers;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
 pub(crate) mod rank;
+pub(crate) mod routes;
+pub(crate) mod servers;
 pub(crate) mod tail;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/lycheewood/src/controllers/routes.rs
@@ -0,0 +1,69 @@
+//! The routes controller: the route table in force.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+
+use crate::gateway::RoutesInForce;
+use crate::metrics::gateway::GatewayMetrics;
+use crate::routes::checked::RouteTable;
+use crate::routes::raw::RawRouteTable;
+
+/// A published route table, and where it came from.
+pub(crate) struct Adopt {
+    pub(crate) raw: RawRouteTable,
+    pub(crate) source: &'static str,
+}
+
+/// Owns the route table in force.
+#[derive(Actor)]
+pub(crate) struct RoutesController {
+    published: Arc<ArcSwapOption<RoutesInForce>>,
+    metrics: Arc<GatewayMetrics>,
+}
+
+impl RoutesController {
+    /// Starts the controller on the present runtime.
+    pub(crate) fn start(
+        published: Arc<ArcSwapOption<RoutesInForce>>,
+        metrics: Arc<GatewayMetrics>,
+    ) -> ActorRef<Self> {
+        metrics.route_version.set(-1);
+        let controller = Self { published, metrics };
+        Self::spawn_with_mailbox(controller, mailbox::unbounded())
+    }
+}
+
+impl Message<Adopt> for RoutesController {
+    type Reply = ();
+
+    async fn handle(&mut self, Adopt { raw, source }: Adopt, _: &mut Context<Self, ()>) {
+        let version = raw.version;
+        let in_force = self.published.load().as_ref().map(|routes| routes.table.version);
+        // Versions only rise in one process, whatever the platform or another instance says later.
+        if in_force.is_some_and(|in_force| version <= in_force) {
+            return;
+        }
+        match RouteTable::try_from(raw.clone()) {
+            Ok(table) => {
+                log::info!(
+                    "route table in force version={version} former={} routes={} source={source}",
+                    in_force.map_or_else(|| "-".into(), |version| version.to_string()),
+                    table.len()
+                );
+                self.metrics.route_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+                self.published.store(Some(Arc::new(RoutesInForce { table, raw })));
+            }
+            Err(error) => {
+                self.metrics.records_unreadable.inc();
+                log::error!(
+                    "route table refused version={version} source={source} reason=\"{error}\""
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/controllers/servers.rs
@@ -0,0 +1,155 @@
+//! The servers controller: which servers take requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use kameo::Actor;
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use kameo::message::{Context, Message};
+use tokio::time::sleep;
+
+use crate::clock::{Clock, Timestamp};
+use crate::decisions::servers::{ServerChange, ServerFold, ServerRecord};
+use crate::gateway::ServersInForce;
+use crate::ids::Offset;
+use crate::load_book::LoadBook;
+use crate::metrics::gateway::GatewayMetrics;
+
+/// How often servers whose time after an outage is over are looked for, in milliseconds.
+const EXPIRE_MS: u64 = 250;
+
+/// What has been read of the platform's list.
+pub(crate) enum ServerNews {
+    /// Records in the order of the log, up to `next`.
+    Records { changes: Vec<ServerChange>, next: Offset },
+    /// The newest record of each server.
+    Newest { changes: Vec<ServerChange>, end: Offset, source: &'static str },
+    /// The list answers again after an outage.
+    ListIsBack,
+}
+
+/// Time has passed.
+struct Expire;
+
+/// Asks for the newest record of each server.
+pub(crate) struct Export;
+
+/// Owns the fold of the server list.
+#[derive(Actor)]
+pub(crate) struct ServersController {
+    fold: ServerFold,
+    published: Arc<ArcSwap<ServersInForce>>,
+    loads: Arc<LoadBook>,
+    clock: Clock,
+    metrics: Arc<GatewayMetrics>,
+}
+
+impl ServersController {
+    /// Starts the controller and its timer on the present runtime.
+    pub(crate) fn start(
+        published: Arc<ArcSwap<ServersInForce>>,
+        loads: Arc<LoadBook>,
+        clock: Clock,
+        metrics: Arc<GatewayMetrics>,
+    ) -> ActorRef<Self> {
+        let controller = Self { fold: ServerFold::default(), published, loads, clock, metrics };
+        let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
+        tokio::spawn(expire(actor.clone()));
+        actor
+    }
+
+    fn publish(&self, read: Option<Timestamp>) {
+        let table = self.fold.table();
+        self.metrics.servers_listed.set(i64::try_from(table.len()).unwrap_or(i64::MAX));
+        self.loads.retain(|server| table.all().any(|entry| entry.id == *server));
+        self.published.store(Arc::new(ServersInForce { table, read }));
+    }
+
+    fn apply(&mut self, change: ServerChange, now: Timestamp) {
+        let (id, offset) = (change.id.clone(), change.offset);
+        let text = describe(&change.record);
+        if let ServerRecord::Unreadable = change.record {
+            self.metrics.records_unreadable.inc();
+        }
+        if self.fold.apply(change, now) {
+            log::info!("server changed server={id} offset={offset} {text}");
+        }
+    }
+}
+
+fn describe(record: &ServerRecord) -> String {
+    match record {
+        ServerRecord::Entry(entry) => format!(
+            "state={:?} service={} address={} group={}",
+            entry.state,
+            entry.service,
+            entry.address,
+            entry.group.as_ref().map_or_else(
+                || "-".to_owned(),
+                |group| format!("{}/{}/{}", group.name, group.epoch, group.rank)
+            )
+        ),
+        ServerRecord::Unreadable => "state=unreadable".to_owned(),
+        ServerRecord::Removed => "state=removed".to_owned(),
+    }
+}
+
+impl Message<ServerNews> for ServersController {
+    type Reply = ();
+
+    async fn handle(&mut self, news: ServerNews, _: &mut Context<Self, ()>) {
+        let now = self.clock.now();
+        match news {
+            ServerNews::Records { changes, next } => {
+                for change in changes {
+                    self.apply(change, now);
+                }
+                self.fold.advance(next);
+            }
+            ServerNews::Newest { changes, end, source } => {
+                let count = changes.len();
+                let is_taken = self.fold.replace(changes, end, now);
+                log::info!(
+                    "server list read source={source} records={count} end={end} taken={is_taken}"
+                );
+                if !is_taken {
+                    return;
+                }
+            }
+            ServerNews::ListIsBack => {
+                self.fold.note_list_is_back(now);
+                return;
+            }
+        }
+        self.publish(Some(now));
+    }
+}
+
+impl Message<Expire> for ServersController {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Expire, _: &mut Context<Self, ()>) {
+        if self.fold.expire(self.clock.now()) {
+            self.publish(self.published.load().read);
+        }
+    }
+}
+
+impl Message<Export> for ServersController {
+    type Reply = Vec<ServerChange>;
+
+    async fn handle(&mut self, _: Export, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.fold.changes()
+    }
+}
+
+async fn expire(actor: ActorRef<ServersController>) {
+    loop {
+        sleep(Duration::from_millis(EXPIRE_MS)).await;
+        if actor.tell(Expire).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -4,21 +4,25 @@
 
 pub(crate) mod admission;
 pub(crate) mod attempts;
+pub(crate) mod balance;
 pub(crate) mod claims;
 pub(crate) mod demand;
 pub(crate) mod digest;
 pub(crate) mod entries;
 pub(crate) mod estimate;
+pub(crate) mod events;
 pub(crate) mod groups;
 pub(crate) mod leases;
 pub(crate) mod limits;
 pub(crate) mod map_change;
 pub(crate) mod membership;
+pub(crate) mod peers;
 pub(crate) mod placement;
 pub mod publication;
 pub(crate) mod quarantine;
 pub(crate) mod retries;
 pub(crate) mod routing;
+pub(crate) mod servers;
 pub(crate) mod shares;
-mod units;
+pub(crate) mod units;
 pub(crate) mod versions;
--- /dev/null
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -0,0 +1,60 @@
+//! Choice of the server for one forwarded request.
+//!
+//! Requests in flight are known exactly for this instance and within a heartbeat for the others. The
+//! server with the fewest of them for its size is chosen. Instances that decide within one heartbeat of
+//! each other must not all choose the same server, so each looks at a random half of the servers only.
+
+use crate::decisions::units::{index_below, mix};
+use crate::ids::{FailureDomain, InstanceId};
+
+/// Added to the load of a server for each recent failure, in requests per slot. One failure outweighs
+/// a full queue of an average server; a few keep it for when all others fail as well.
+const FAILURE_LOAD: f64 = 2.0;
+/// Added to the load of a server in another failure domain. Breaks ties only: traffic between domains
+/// has a price, but waiting costs more.
+const REMOTE_LOAD: f64 = 0.02;
+
+/// A server that may get the request.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerView<'a> {
+    /// The server.
+    pub id: &'a InstanceId,
+    /// Where it stands.
+    pub failure_domain: &'a FailureDomain,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Requests in flight from all instances.
+    pub in_flight: u32,
+    /// Weight of its recent failures, 0 when there are none.
+    pub failures: f64,
+}
+
+/// Index of the server that gets the request, or `None` when each one is in `avoid`.
+#[must_use]
+pub fn choose_server(
+    servers: &[ServerView<'_>],
+    own_domain: &FailureDomain,
+    avoid: &[InstanceId],
+    random: u64,
+) -> Option<usize> {
+    let mut indices: Vec<usize> =
+        (0..servers.len()).filter(|i| !avoid.contains(servers[*i].id)).collect();
+    let looked_at = indices.len().div_ceil(2).max(2).min(indices.len());
+    let mut word = random;
+    for place in 0..looked_at {
+        word = mix(word);
+        let other = place + index_below(word, indices.len() - place);
+        indices.swap(place, other);
+    }
+    indices.truncate(looked_at);
+    indices
+        .into_iter()
+        .min_by(|a, b| load(&servers[*a], own_domain).total_cmp(&load(&servers[*b], own_domain)))
+}
+
+fn load(server: &ServerView<'_>, own_domain: &FailureDomain) -> f64 {
+    let remote = if server.failure_domain == own_domain { 0.0 } else { REMOTE_LOAD };
+    f64::from(server.in_flight) / f64::from(server.slots.max(1))
+        + FAILURE_LOAD * server.failures
+        + remote
+}
--- /dev/null
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -0,0 +1,182 @@
+//! What is known of the other entry instances: who is ready, who leaves, and what each has in flight.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use crate::clock::Timestamp;
+use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
+use crate::wire::heartbeat::Heartbeat;
+
+/// An instance that has not been heard for this long is not told to callers, in milliseconds. Six
+/// heartbeats: datagrams are lost now and then, and a caller that is sent to a dead instance loses the
+/// second that it waits for the connection.
+pub(crate) const FRESH_MS: u64 = 1_500;
+/// An instance that has not been heard for this long is forgotten, in milliseconds. The platform's list
+/// of instances brings it back if it lives.
+const FORGET_MS: u64 = 60_000;
+
+/// One other instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Its last heartbeat.
+    pub heartbeat: Heartbeat,
+    /// When it arrived.
+    pub heard: Timestamp,
+}
+
+impl Peer {
+    /// Whether callers may be told its address.
+    #[must_use]
+    pub fn may_be_told(&self, now: Timestamp) -> bool {
+        self.heartbeat.is_ready && now.ms_since(self.heard) < FRESH_MS
+    }
+}
+
+/// Other instances as they were last heard.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    /// Those that have been heard, by peer address.
+    pub peers: BTreeMap<SocketAddr, Peer>,
+    /// Requests in flight from all of them, by server.
+    pub in_flight: HashMap<InstanceId, u32>,
+}
+
+/// The fold of heartbeats.
+#[derive(Clone, Debug, Default)]
+pub struct PeerFold {
+    peers: BTreeMap<SocketAddr, Peer>,
+    /// Addresses that were named but not heard, with the time of the last naming.
+    named: BTreeMap<SocketAddr, Timestamp>,
+    /// Runs that ended, so that a late datagram does not bring one back.
+    ended: HashMap<SocketAddr, Incarnation>,
+}
+
+impl PeerFold {
+    /// Notes an address to which heartbeats go.
+    pub fn name(&mut self, address: SocketAddr, now: Timestamp) {
+        self.named.insert(address, now);
+    }
+
+    /// Takes a heartbeat in. Tells whether it was news.
+    pub fn apply(&mut self, address: SocketAddr, heartbeat: Heartbeat, now: Timestamp) -> bool {
+        if self.ended.get(&address) == Some(&heartbeat.incarnation) {
+            return false;
+        }
+        if let Some(peer) = self.peers.get(&address) {
+            let former = &peer.heartbeat;
+            if former.incarnation != heartbeat.incarnation {
+                self.ended.insert(address, former.incarnation);
+            } else if former.sequence >= heartbeat.sequence {
+                return false;
+            }
+        }
+        self.named.remove(&address);
+        self.peers.insert(address, Peer { heartbeat, heard: now });
+        true
+    }
+
+    /// Forgets instances that have been silent for long.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.peers.retain(|_, peer| now.ms_since(peer.heard) < FORGET_MS);
+        self.named.retain(|_, named| now.ms_since(*named) < FORGET_MS);
+    }
+
+    /// Where heartbeats go.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.peers.keys().chain(self.named.keys()).copied()
+    }
+
+    /// What others read.
+    #[must_use]
+    pub fn table(&self, now: Timestamp) -> PeerTable {
+        let mut in_flight: HashMap<InstanceId, u32> = HashMap::new();
+        let fresh = self.peers.values().filter(|peer| now.ms_since(peer.heard) < FRESH_MS);
+        for (server, count) in fresh.flat_map(|peer| &peer.heartbeat.in_flight) {
+            *in_flight.entry(server.clone()).or_default() += count;
+        }
+        PeerTable { peers: self.peers.clone(), in_flight }
+    }
+}
+
+/// What an instance has itself, to compare with what others say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnState {
+    /// Version of the route table in force.
+    pub route_version: Option<u64>,
+    /// The first offset of the server list that it has not read.
+    pub servers_next: Offset,
+    /// When the server list was last read.
+    pub servers_read: Option<Timestamp>,
+}
+
+/// A route table that others have must be missing for this long before it is fetched from one of them,
+/// in milliseconds. Where the platform answers, it brings the table sooner.
+const ROUTES_LAG_MS: u64 = 300;
+/// A server list that has not been read for this long is fetched from another instance, in
+/// milliseconds; well above the time between two reads.
+const SERVERS_LAG_MS: u64 = 2_500;
+
+/// Watches whether this instance lacks what others have.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LagWatch {
+    behind_since: Option<Timestamp>,
+}
+
+impl LagWatch {
+    /// The peer to fetch state from, if this instance lacks something that the peer has.
+    pub fn source(
+        &mut self,
+        own: &OwnState,
+        peers: &PeerTable,
+        now: Timestamp,
+    ) -> Option<SocketAddr> {
+        let fresh = peers.peers.iter().filter(|(_, peer)| now.ms_since(peer.heard) < FRESH_MS);
+        let (address, best) = fresh
+            .max_by_key(|(_, peer)| (peer.heartbeat.route_version, peer.heartbeat.servers_next))?;
+        if best.heartbeat.route_version <= own.route_version {
+            self.behind_since = None;
+            let is_stale = own.servers_read.is_none_or(|at| now.ms_since(at) >= SERVERS_LAG_MS);
+            let has_more = best.heartbeat.servers_next > own.servers_next;
+            return (is_stale && has_more).then_some(*address);
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let is_due = own.route_version.is_none() || now.ms_since(since) >= ROUTES_LAG_MS;
+        is_due.then_some(*address)
+    }
+}
+
+/// An instance that callers may be told of.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryView<'a> {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: &'a FailureDomain,
+}
+
+/// Fewer ready instances than this in the caller's own failure domain, and those of the other domains
+/// are told as well, so that the loss of one leaves the caller others.
+const MIN_NEAR: usize = 2;
+
+/// The addresses that a caller in `domain` is told, the nearest first. `rotation` spreads callers when
+/// there are more than `max`.
+#[must_use]
+pub fn near_entries(
+    entries: &[EntryView<'_>],
+    domain: &FailureDomain,
+    rotation: u64,
+    max: usize,
+) -> Vec<SocketAddr> {
+    let (mut near, far): (Vec<&EntryView<'_>>, Vec<&EntryView<'_>>) =
+        entries.iter().partition(|entry| entry.failure_domain == domain);
+    if near.len() < MIN_NEAR {
+        near.extend(far);
+    }
+    let mut addresses: Vec<SocketAddr> = near.iter().map(|entry| entry.caller_address).collect();
+    if addresses.len() > max {
+        let len = addresses.len();
+        addresses.rotate_left(crate::decisions::units::index_below(rotation, len));
+        addresses.truncate(max);
+    }
+    addresses
+}
--- /dev/null
+++ b/crates/lycheewood/src/decisions/servers.rs
@@ -0,0 +1,236 @@
+//! The servers of the platform's list: which ones may get requests.
+//!
+//! Records arrive in the order of their offsets from a log, or at once as the newest record of each
+//! server. An older record never replaces a newer one, whatever order reads end in.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Timestamp;
+use crate::ids::{FailureDomain, InstanceId, Offset, TargetName};
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ServerState {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has, and leaves.
+    Draining,
+}
+
+/// A server's place in a group whose ranks run in lock-step.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupPlace {
+    /// The group.
+    pub name: String,
+    /// Rises each time that the group forms.
+    pub epoch: u64,
+    /// Index of the rank.
+    pub rank: usize,
+    /// Ranks in the group.
+    pub size: usize,
+    /// Whether all ranks are there.
+    pub is_open: bool,
+}
+
+/// One server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEntry {
+    /// Name of this run of the server.
+    pub id: InstanceId,
+    /// The service that it belongs to.
+    pub service: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Whether it takes requests.
+    pub state: ServerState,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Its place in a group, if it has one.
+    pub group: Option<GroupPlace>,
+}
+
+/// What a record says of a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerRecord {
+    /// The server's own entry.
+    Entry(ServerEntry),
+    /// Nothing that can be read. It names no server to use.
+    Unreadable,
+    /// The entry is gone.
+    Removed,
+}
+
+/// A record and where it stands in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerChange {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// The server.
+    pub id: InstanceId,
+    /// What the record says.
+    pub record: ServerRecord,
+}
+
+/// Servers that may get requests, by service.
+#[derive(Clone, Debug, Default)]
+pub struct ServerTable {
+    /// The first offset that is not folded in.
+    pub next: Offset,
+    by_service: HashMap<TargetName, Vec<Arc<ServerEntry>>>,
+}
+
+impl ServerTable {
+    /// Servers of a service that take requests.
+    #[must_use]
+    pub fn servers(&self, service: &TargetName) -> &[Arc<ServerEntry>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All servers that take requests.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<ServerEntry>> {
+        self.by_service.values().flatten()
+    }
+
+    /// How many servers take requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.all().count()
+    }
+
+    /// Whether no server takes requests.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// What is known of one server.
+#[derive(Clone, Debug)]
+struct Known {
+    offset: Offset,
+    entry: Option<Arc<ServerEntry>>,
+    /// When a removed entry stops counting.
+    until: Option<Timestamp>,
+}
+
+/// How long a server whose entry lapsed while the list was away may still be used after the list is
+/// back, in milliseconds. Living servers are listed again within 2,000 ms; shorter than any draining
+/// time, which is 2,000 ms where it is shortest.
+const LAPSE_GRACE_MS: u64 = 1_500;
+
+/// The fold of all records about servers.
+#[derive(Clone, Debug, Default)]
+pub struct ServerFold {
+    known: BTreeMap<InstanceId, Known>,
+    next: Offset,
+    lapse_until: Option<Timestamp>,
+}
+
+impl ServerFold {
+    /// The first offset that is not folded in.
+    #[must_use]
+    pub const fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Notes that all records below `next` have been read.
+    pub fn advance(&mut self, next: Offset) {
+        self.next = self.next.max(next);
+    }
+
+    /// Notes that the list answers again after an outage. Entries that it lost meanwhile are kept for a
+    /// short time, because living servers come back to it only then.
+    pub fn note_list_is_back(&mut self, now: Timestamp) {
+        self.lapse_until = Some(now.plus_ms(LAPSE_GRACE_MS));
+    }
+
+    /// Folds a record in. Tells whether it changes which servers get requests.
+    pub fn apply(&mut self, change: ServerChange, now: Timestamp) -> bool {
+        let ServerChange { offset, id, record } = change;
+        self.next = self.next.max(offset.next());
+        let known = self.known.get(&id);
+        if known.is_some_and(|known| known.offset >= offset) {
+            return false;
+        }
+        let former = known.and_then(|known| known.entry.clone());
+        let (entry, until) = match record {
+            ServerRecord::Entry(entry) => (Some(Arc::new(entry)), None),
+            ServerRecord::Unreadable => (None, None),
+            ServerRecord::Removed => match self.lapse_until.filter(|until| now < *until) {
+                Some(until) => (former.clone(), Some(until)),
+                None => (None, None),
+            },
+        };
+        let is_changed = former != entry;
+        self.known.insert(id, Known { offset, entry, until });
+        is_changed
+    }
+
+    /// Replaces everything by the newest record of each server, as read when the log ended at `end`. An
+    /// older read than what is known is ignored. Tells whether it was taken.
+    pub fn replace(&mut self, newest: Vec<ServerChange>, end: Offset, now: Timestamp) -> bool {
+        if end < self.next {
+            return false;
+        }
+        let absent: Vec<InstanceId> = {
+            let present: std::collections::HashSet<&InstanceId> =
+                newest.iter().map(|change| &change.id).collect();
+            self.known.keys().filter(|id| !present.contains(id)).cloned().collect()
+        };
+        // What is absent was removed at some offset below the end.
+        let last = Offset(end.0.saturating_sub(1));
+        for id in absent {
+            self.apply(ServerChange { offset: last, id, record: ServerRecord::Removed }, now);
+        }
+        for change in newest {
+            self.apply(change, now);
+        }
+        self.next = self.next.max(end);
+        true
+    }
+
+    /// Drops servers whose short time after an outage is over. Tells whether any was dropped.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let mut is_changed = false;
+        for known in self.known.values_mut() {
+            if known.until.is_some_and(|until| now >= until) {
+                known.until = None;
+                is_changed |= known.entry.take().is_some();
+            }
+        }
+        is_changed
+    }
+
+    /// The newest record of each server that is listed, for instances that cannot reach the list.
+    #[must_use]
+    pub fn changes(&self) -> Vec<ServerChange> {
+        let known = self.known.iter();
+        let listed = known.map(|(id, known)| ServerChange {
+            offset: known.offset,
+            id: id.clone(),
+            record: match &known.entry {
+                Some(entry) if known.until.is_none() => ServerRecord::Entry((**entry).clone()),
+                _ => ServerRecord::Removed,
+            },
+        });
+        listed.collect()
+    }
+
+    /// The servers that may get requests.
+    #[must_use]
+    pub fn table(&self) -> ServerTable {
+        let mut by_service: HashMap<TargetName, Vec<Arc<ServerEntry>>> = HashMap::new();
+        for entry in self.known.values().filter_map(|known| known.entry.as_ref()) {
+            if entry.state == ServerState::Ready {
+                by_service.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
+            }
+        }
+        ServerTable { next: self.next, by_service }
+    }
+}
--- a/crates/lycheewood/src/filters.rs
+++ b/crates/lycheewood/src/filters.rs
@@ -10,6 +10,7 @@
 pub(crate) mod deduplicate;
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
+pub(crate) mod forward;
 pub(crate) mod inquire;
 pub(crate) mod relay;
 pub(crate) mod request;
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -0,0 +1,131 @@
+//! Checks a server's answer before any of it is passed on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::header::CONTENT_ENCODING;
+use tokio::time::timeout;
+
+use crate::filters::forward::Answer;
+use crate::filters::forward::exchange::{Admitted, Answered, Exchange, Head, WholeAnswer};
+use crate::filters::forward::relay::StreamAnswer;
+use crate::filters::forward::send::fail;
+use crate::gateway::GatewayState;
+use crate::lifecycle::attempt::Vouch;
+use crate::outcome::{NotRunCode, UnknownCode};
+use crate::routes::raw::RequestKind;
+
+/// The largest answer that is read to its end before it is passed on, in bytes.
+const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// What the check has come to.
+pub(crate) enum Checked {
+    /// The answer of the request.
+    Answer(Answer),
+    /// The request may be attempted again as far as it allows.
+    Again(Box<Admitted>),
+}
+
+/// An answer counts only if it names the request; a success also needs the server's signature and an
+/// unencoded body. Streams are passed on from here; other answers are read to their end first.
+pub(crate) async fn apply(state: &Arc<GatewayState>, exchange: Exchange<'_, Answered>) -> Checked {
+    let Exchange { head, stage, .. } = exchange;
+    if let Err(fault) = check_head(state, head, &stage) {
+        return again_after_fault(state, head, stage, fault);
+    }
+    let is_stream = stage.admitted.route.kind == RequestKind::Streaming;
+    if is_stream && stage.answer.status().is_success() {
+        state.metrics.attempts.with_label_values(&["answered"]).inc();
+        return Checked::Answer(Answer::Stream(Box::new(StreamAnswer::start(state, head, stage))));
+    }
+    let left = Duration::from_millis(stage.admitted.deadline.ms_since(state.clock.now()));
+    let Answered { mut admitted, server, attempt, in_flight, answer } = stage;
+    let not_run = answer.headers().contains_key(&state.settings.headers.not_run)
+        || answer.status() == StatusCode::MISDIRECTED_REQUEST;
+    let (status, headers) = (answer.status(), answer.headers().clone());
+    let body = match timeout(left, answer.read_whole(MAX_WHOLE_BYTES)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => {
+            log::info!(
+                "answer broken id={} server={} reason=\"{error}\"",
+                head.request_id,
+                server.id
+            );
+            fail(state, &mut admitted, &server.id, UnknownCode::EndpointLost);
+            return Checked::Again(Box::new(admitted));
+        }
+        Err(_) => {
+            fail(state, &mut admitted, &server.id, UnknownCode::DeadlinePassed);
+            return Checked::Again(Box::new(admitted));
+        }
+    };
+    drop(in_flight);
+    let answer = WholeAnswer { status, headers, body, server: server.id.clone() };
+    if not_run && !status.is_success() {
+        state.metrics.attempts.with_label_values(&["not_run"]).inc();
+        // The server's own word is the evidence that the attempt has not run.
+        let vouch = Vouch::from_endpoint(attempt.id());
+        let _ = attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused);
+        log::info!("attempt not run id={} server={} status={status}", head.request_id, server.id);
+        state.loads.note_failure(&server.id, state.clock.now());
+        admitted.avoid.push(server.id.clone());
+        admitted.last_answer = Some((answer, true));
+        return Checked::Again(Box::new(admitted));
+    }
+    if status.is_server_error() && admitted.may_run_again() {
+        state.metrics.attempts.with_label_values(&["server_error"]).inc();
+        log::info!("server error id={} server={} status={status}", head.request_id, server.id);
+        admitted.avoid.push(server.id.clone());
+        admitted.may_have_run = Some(UnknownCode::EndpointLost);
+        admitted.last_answer = Some((answer, false));
+        return Checked::Again(Box::new(admitted));
+    }
+    state.loads.note_success(&server.id);
+    state.metrics.attempts.with_label_values(&["answered"]).inc();
+    Checked::Answer(Answer::Whole(answer))
+}
+
+/// What is wrong with the head of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum HeadFault {
+    #[error("the answer names another request or none")]
+    OtherRequest,
+    #[error("a success without the server's signature")]
+    Unsigned,
+    #[error("the body is encoded, so it is not the server's")]
+    Encoded,
+}
+
+fn check_head(state: &GatewayState, head: &Head, answered: &Answered) -> Result<(), HeadFault> {
+    let names = &state.settings.headers;
+    let headers = answered.answer.headers();
+    let echo = headers.get(&names.request_id);
+    if echo.is_none_or(|echo| echo.as_bytes() != head.request_id.as_bytes()) {
+        return Err(HeadFault::OtherRequest);
+    }
+    if answered.answer.status().is_success() && !headers.contains_key(&names.seal) {
+        return Err(HeadFault::Unsigned);
+    }
+    if headers.contains_key(CONTENT_ENCODING) {
+        return Err(HeadFault::Encoded);
+    }
+    Ok(())
+}
+
+fn again_after_fault(
+    state: &GatewayState,
+    head: &Head,
+    answered: Answered,
+    fault: HeadFault,
+) -> Checked {
+    let Answered { mut admitted, server, answer, .. } = answered;
+    log::warn!(
+        "answer refused id={} server={} status={} reason=\"{fault}\"",
+        head.request_id,
+        server.id,
+        answer.status()
+    );
+    fail(state, &mut admitted, &server.id, UnknownCode::EndpointLost);
+    Checked::Again(Box::new(admitted))
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -0,0 +1,183 @@
+//! A forwarded request on its way through the chain, typed by the stage that it has reached.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method, StatusCode};
+
+use crate::adapters::forward::upstream::UpstreamAnswer;
+use crate::clock::Timestamp;
+use crate::decisions::peers::PeerTable;
+use crate::decisions::servers::ServerEntry;
+use crate::gateway::{GatewayState, RoutesInForce, ServersInForce};
+use crate::ids::{InstanceId, TargetName, WorkspaceName};
+use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
+use crate::load_book::InFlightGuard;
+use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
+use crate::roles::entry::Phase;
+use crate::routes::checked::{KeyHolder, Route};
+
+/// How soon a caller may come back when this instance has no route table yet.
+const NO_ROUTES_RETRY_MS: u64 = 500;
+/// How soon a caller may come back when no server can take its request. Most reasons, such as a server
+/// that has just failed, are gone or known by then.
+const NO_SERVER_RETRY_MS: u64 = 200;
+
+/// The head of a caller's request.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) method: Method,
+    pub(crate) target: PathAndQuery,
+    pub(crate) host: String,
+    pub(crate) headers: HeaderMap,
+    /// Identifies the request; the server's answer repeats it.
+    pub(crate) request_id: String,
+    /// The caller's key, if it sent one.
+    pub(crate) key: Option<String>,
+    /// How long the caller waits, in milliseconds.
+    pub(crate) deadline_ms: Option<u64>,
+    /// The last event of an earlier answer that the caller has.
+    pub(crate) last_event: Option<u64>,
+    pub(crate) received: Timestamp,
+}
+
+/// Immutable snapshots of control state, taken once for each pass through the chain.
+pub(crate) struct View {
+    pub(crate) routes: Option<Arc<RoutesInForce>>,
+    pub(crate) servers: Arc<ServersInForce>,
+    pub(crate) peers: Arc<PeerTable>,
+}
+
+impl View {
+    pub(crate) fn load(state: &GatewayState) -> Self {
+        Self {
+            routes: state.routes.load_full(),
+            servers: state.servers.load_full(),
+            peers: state.peers.load_full(),
+        }
+    }
+}
+
+/// A request in stage `S`, with borrowed views of its head and of control state.
+pub(crate) struct Exchange<'r, S> {
+    pub(crate) head: &'r Arc<Head>,
+    pub(crate) view: &'r View,
+    pub(crate) now: Timestamp,
+    pub(crate) stage: S,
+}
+
+impl<'r, S> Exchange<'r, S> {
+    /// The exchange in its next stage.
+    pub(crate) fn advance<T>(self, next: impl FnOnce(S) -> T) -> Exchange<'r, T> {
+        let Self { head, view, now, stage } = self;
+        Exchange { head, view, now, stage: next(stage) }
+    }
+}
+
+/// A route table is in force.
+pub(crate) struct Received<'r> {
+    pub(crate) routes: &'r RoutesInForce,
+}
+
+/// A route takes the request.
+pub(crate) struct Identified<'r> {
+    pub(crate) routes: &'r RoutesInForce,
+    pub(crate) route: &'r Route,
+}
+
+/// The caller may use the route.
+pub(crate) struct Authenticated<'r> {
+    pub(crate) routes: &'r RoutesInForce,
+    pub(crate) route: &'r Route,
+    pub(crate) workspace: Option<&'r KeyHolder>,
+}
+
+/// A server's answer that has been read to its end.
+#[derive(Clone, Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// The server that gave it.
+    pub(crate) server: InstanceId,
+}
+
+/// The whole request is here and within its bounds; nothing has been sent for its next attempt.
+pub(crate) struct Admitted {
+    pub(crate) route: Route,
+    pub(crate) service: TargetName,
+    pub(crate) workspace: Option<WorkspaceName>,
+    /// The key names a workspace, so servers must not see it.
+    pub(crate) hides_key: bool,
+    pub(crate) body: Bytes,
+    /// When the caller must have its final answer.
+    pub(crate) deadline: Timestamp,
+    /// Attempts that were sent to a server.
+    pub(crate) attempts: u32,
+    /// Servers that failed or refused this request, or could not be reached.
+    pub(crate) avoid: Vec<InstanceId>,
+    /// The last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// Set once an attempt may have run. The request can then no longer end as not run.
+    pub(crate) may_have_run: Option<UnknownCode>,
+    /// The last answer of a server that is no success, and whether the server says that it has not run
+    /// the request.
+    pub(crate) last_answer: Option<(WholeAnswer, bool)>,
+}
+
+impl Admitted {
+    /// Ends a request for which no further attempt is made: with what a server said, or with the truth
+    /// about whether it may have run.
+    pub(crate) fn conclude(self, state: &GatewayState) -> Result<WholeAnswer, Refusal> {
+        match (self.last_answer, self.may_have_run) {
+            // A server's own failure is its answer, whatever came before.
+            (Some((answer, false)), _) | (Some((answer, true)), None) => Ok(answer),
+            (_, Some(code)) => Err(Refusal::Unknown(Unknown { code, key: None })),
+            (None, None) if state.clock.now() >= self.deadline => {
+                Err(Refusal::not_run(NotRunCode::DeadlineUnreachable, NO_SERVER_RETRY_MS))
+            }
+            (None, None) => Err(Refusal::not_run(NotRunCode::NoEndpoint, NO_SERVER_RETRY_MS)),
+        }
+    }
+
+    /// Whether another server may get the request after one that may have run it.
+    pub(crate) fn may_run_again(&self) -> bool {
+        self.route.may_repeat()
+    }
+}
+
+/// A server is chosen; nothing has been sent.
+pub(crate) struct Selected {
+    pub(crate) admitted: Admitted,
+    pub(crate) server: Arc<ServerEntry>,
+    pub(crate) attempt: Attempt<Planned>,
+    pub(crate) in_flight: InFlightGuard,
+}
+
+/// The head of a server's answer has arrived.
+pub(crate) struct Answered {
+    pub(crate) admitted: Admitted,
+    pub(crate) server: Arc<ServerEntry>,
+    pub(crate) attempt: Attempt<Dispatched>,
+    pub(crate) in_flight: InFlightGuard,
+    pub(crate) answer: Box<UpstreamAnswer>,
+}
+
+impl<'r> Exchange<'r, Received<'r>> {
+    pub(crate) fn receive(
+        head: &'r Arc<Head>,
+        view: &'r View,
+        phase: Phase,
+        now: Timestamp,
+    ) -> Result<Self, Refusal> {
+        if phase == Phase::Refusing {
+            return Err(Refusal::not_run(NotRunCode::Draining, 0));
+        }
+        let routes = view
+            .routes
+            .as_deref()
+            .ok_or_else(|| Refusal::not_run(NotRunCode::NoDocument, NO_ROUTES_RETRY_MS))?;
+        Ok(Self { head, view, now, stage: Received { routes } })
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -0,0 +1,163 @@
+//! Passes a server's stream of events on, event by event, and continues a broken one elsewhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+use tokio::time::timeout;
+
+use crate::adapters::forward::upstream::UpstreamAnswer;
+use crate::decisions::events::{EventSplitter, event_id};
+use crate::filters::forward::exchange::{Admitted, Answered, Head};
+use crate::filters::forward::{Answer, attempt};
+use crate::gateway::GatewayState;
+use crate::ids::InstanceId;
+use crate::load_book::InFlightGuard;
+use crate::outcome::UnknownCode;
+
+/// Why a stream ends before its last event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum CutReason {
+    #[error("the deadline has passed")]
+    Deadline,
+    #[error("the server broke the stream off and no other could continue it")]
+    Broken,
+}
+
+/// An event stream whose head has arrived.
+pub(crate) struct StreamAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) relay: Relay,
+}
+
+impl StreamAnswer {
+    pub(crate) fn start(state: &Arc<GatewayState>, head: &Arc<Head>, answered: Answered) -> Self {
+        let (status, headers) = (answered.answer.status(), answered.answer.headers().clone());
+        let relay = Relay {
+            state: Arc::clone(state),
+            head: Arc::clone(head),
+            source: Source::new(answered),
+            events: 0,
+        };
+        Self { status, headers, relay }
+    }
+}
+
+/// The server that a stream comes from at present.
+struct Source {
+    admitted: Admitted,
+    server: InstanceId,
+    answer: Box<UpstreamAnswer>,
+    splitter: EventSplitter,
+    _in_flight: InFlightGuard,
+}
+
+impl Source {
+    fn new(answered: Answered) -> Self {
+        let Answered { admitted, server, in_flight, answer, .. } = answered;
+        Self {
+            admitted,
+            server: server.id.clone(),
+            answer,
+            splitter: EventSplitter::default(),
+            _in_flight: in_flight,
+        }
+    }
+}
+
+/// The rest of an event stream. Dropping it closes the connection to the server.
+pub(crate) struct Relay {
+    state: Arc<GatewayState>,
+    head: Arc<Head>,
+    source: Source,
+    events: u64,
+}
+
+impl Relay {
+    /// Events passed on so far.
+    pub(crate) const fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// The server that the stream comes from.
+    pub(crate) const fn server(&self) -> &InstanceId {
+        &self.source.server
+    }
+
+    /// The next event, or `None` after the last one.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, CutReason>> {
+        loop {
+            while let Some(event) = self.source.splitter.next_event() {
+                if self.is_next(&event) {
+                    self.events += 1;
+                    return Some(Ok(event));
+                }
+            }
+            let deadline = self.source.admitted.deadline;
+            let left = Duration::from_millis(deadline.ms_since(self.state.clock.now()));
+            let reason = match timeout(left, self.source.answer.next()).await {
+                Err(_) => return Some(Err(CutReason::Deadline)),
+                Ok(Some(Ok(bytes))) => match self.source.splitter.push(&bytes) {
+                    Ok(()) => continue,
+                    Err(error) => error.to_string(),
+                },
+                Ok(Some(Err(error))) => error.to_string(),
+                Ok(None) if !self.source.splitter.has_partial() => {
+                    self.state.loads.note_success(&self.source.server);
+                    return None;
+                }
+                Ok(None) => "the stream ends within an event".to_owned(),
+            };
+            log::info!(
+                "stream broken id={} server={} events={} reason=\"{reason}\"",
+                self.head.request_id,
+                self.source.server,
+                self.events
+            );
+            if !self.resume().await {
+                return Some(Err(CutReason::Broken));
+            }
+        }
+    }
+
+    /// Notes the id of an event. An event that the caller has already is not passed on again.
+    fn is_next(&mut self, event: &[u8]) -> bool {
+        let Some(id) = event_id(event) else { return true };
+        if self.source.admitted.last_event.is_some_and(|last| id <= last) {
+            return false;
+        }
+        self.source.admitted.last_event = Some(id);
+        true
+    }
+
+    /// Continues the stream at another server after the last event, if the route allows it.
+    async fn resume(&mut self) -> bool {
+        let admitted = &mut self.source.admitted;
+        self.state.loads.note_failure(&self.source.server, self.state.clock.now());
+        if !admitted.may_run_again() {
+            return false;
+        }
+        let mut again = Admitted {
+            route: admitted.route.clone(),
+            service: admitted.service.clone(),
+            workspace: admitted.workspace.clone(),
+            body: admitted.body.clone(),
+            avoid: std::mem::take(&mut admitted.avoid),
+            may_have_run: Some(UnknownCode::EndpointLost),
+            last_answer: None,
+            ..*admitted
+        };
+        again.avoid.push(self.source.server.clone());
+        // Boxed because the chain's future contains this one.
+        match Box::pin(attempt(&self.state, &self.head, again)).await {
+            Ok(Answer::Stream(stream)) => {
+                self.source = stream.relay.source;
+                self.state.metrics.resumed.inc();
+                true
+            }
+            Ok(Answer::Whole(_)) | Err(_) => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -0,0 +1,95 @@
+//! Sends a request to the chosen server and waits for the head of the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::adapters::forward::upstream::{self, Outbound};
+use crate::filters::forward::exchange::{Admitted, Answered, Exchange, Selected};
+use crate::gateway::GatewayState;
+use crate::outcome::UnknownCode;
+
+/// The longest wait for a connection to a server, in milliseconds. Servers are at most a few
+/// milliseconds away; one that does not answer is gone, or its queue of connections is full.
+const CONNECT_MS: u64 = 300;
+
+/// What an attempt has come to.
+pub(crate) enum Sent<'r> {
+    /// The head of the answer has arrived.
+    Answered(Exchange<'r, Answered>),
+    /// No answer; the request may be attempted again as far as it allows.
+    Again(Admitted),
+}
+
+/// Connects, sends, and waits for the head of the answer until the caller's deadline.
+pub(crate) async fn apply<'r>(
+    state: &Arc<GatewayState>,
+    exchange: Exchange<'r, Selected>,
+) -> Sent<'r> {
+    let Exchange { head, view, stage, .. } = exchange;
+    let Selected { mut admitted, server, attempt, in_flight } = stage;
+    let left_ms = admitted.deadline.ms_since(state.clock.now());
+    let connected = upstream::connect(server.address, left_ms.min(CONNECT_MS)).await;
+    let connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => {
+            state.loads.note_failure(&server.id, state.clock.now());
+            state.metrics.attempts.with_label_values(&["not_sent"]).inc();
+            log::info!(
+                "attempt not sent id={} server={} address={} reason=\"{error}\"",
+                head.request_id,
+                server.id,
+                server.address
+            );
+            admitted.avoid.push(server.id.clone());
+            return Sent::Again(admitted);
+        }
+    };
+    let left_ms = admitted.deadline.ms_since(state.clock.now());
+    let outbound = Outbound {
+        head,
+        names: &state.settings.headers,
+        server: &server.id,
+        workspace: admitted.workspace.as_ref(),
+        hides_key: admitted.hides_key,
+        body: &admitted.body,
+        left_ms,
+        last_event: admitted.last_event,
+    };
+    admitted.attempts += 1;
+    let attempt = attempt.dispatch();
+    let answer = timeout(Duration::from_millis(left_ms), connection.send(&outbound)).await;
+    let (code, reason) = match answer {
+        Ok(Ok(answer)) => {
+            let answer = Box::new(answer);
+            let answered = Answered { admitted, server, attempt, in_flight, answer };
+            let now = state.clock.now();
+            return Sent::Answered(Exchange { head, view, now, stage: answered });
+        }
+        Ok(Err(error)) => (UnknownCode::EndpointLost, error.to_string()),
+        Err(_) => (UnknownCode::DeadlinePassed, "no answer before the deadline".to_owned()),
+    };
+    fail(state, &mut admitted, &server.id, code);
+    log::info!(
+        "attempt failed id={} attempt={} server={} waited_ms={} reason=\"{reason}\"",
+        head.request_id,
+        attempt.id(),
+        server.id,
+        state.clock.now().ms_since(head.received)
+    );
+    Sent::Again(admitted)
+}
+
+/// Notes that an attempt may have run and brought no answer.
+pub(crate) fn fail(
+    state: &GatewayState,
+    admitted: &mut Admitted,
+    server: &crate::ids::InstanceId,
+    code: UnknownCode,
+) {
+    state.loads.note_failure(server, state.clock.now());
+    state.metrics.attempts.with_label_values(&["failed"]).inc();
+    admitted.avoid.push(server.clone());
+    admitted.may_have_run = Some(code);
+}
--- /dev/null
+++ b/crates/lycheewood/src/gateway.rs
@@ -0,0 +1,202 @@
+//! What the traffic threads of a gateway share: settings, counters and snapshots of control state.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use hyper::header::HeaderName;
+use tokio::sync::watch;
+
+use crate::clock::{Clock, Timestamp};
+use crate::decisions::peers::PeerTable;
+use crate::decisions::retries::{RetryBudget, RetryPolicy};
+use crate::decisions::servers::ServerTable;
+use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
+use crate::lifecycle::shutdown::ShutdownSettings;
+use crate::load_book::LoadBook;
+use crate::metrics::gateway::GatewayMetrics;
+use crate::roles::entry::Phase;
+use crate::routes::checked::RouteTable;
+use crate::routes::raw::RawRouteTable;
+
+/// Names of the headers that callers, gateways and servers use among themselves. A platform sets them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeaderNames {
+    /// Identifies one request; a server's answer repeats it.
+    pub request_id: HeaderName,
+    /// How long the sender waits, in milliseconds.
+    pub deadline_ms: HeaderName,
+    /// The workspace of the caller, for the server.
+    pub workspace: HeaderName,
+    /// The server that a request is meant for.
+    pub expected_server: HeaderName,
+    /// A server's signature under its answer.
+    pub seal: HeaderName,
+    /// A server's statement that it has not run the request.
+    pub not_run: HeaderName,
+    /// The server whose failure is the reason of an answer.
+    pub failed_server: HeaderName,
+}
+
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other instances send heartbeats (UDP) and ask for state (TCP).
+    pub peer_address: SocketAddr,
+    /// Peer addresses of instances to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served, if they are.
+    pub metrics_address: Option<SocketAddr>,
+    /// Names of headers.
+    pub headers: HeaderNames,
+    /// Bounds that all instances share.
+    pub retry_limits: RetryLimits,
+    /// How a planned stop goes.
+    pub shutdown: ShutdownSettings,
+    /// The longest time that a planned stop takes, in milliseconds.
+    pub stop_within_ms: u64,
+    /// Time between two heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Callers that may be connected at once.
+    pub max_callers: usize,
+}
+
+/// Retries that all instances together may make for one service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Retries for each request, as a share.
+    pub share: f64,
+    /// Retries beyond the share in one window.
+    pub slack: f64,
+}
+
+/// The route table in force.
+#[derive(Debug)]
+pub(crate) struct RoutesInForce {
+    pub(crate) table: RouteTable,
+    /// As it was published, for instances that ask.
+    pub(crate) raw: RawRouteTable,
+}
+
+/// The server list as last read.
+#[derive(Debug, Default)]
+pub(crate) struct ServersInForce {
+    pub(crate) table: ServerTable,
+    /// When the list was last read, from the platform or another instance.
+    pub(crate) read: Option<Timestamp>,
+}
+
+/// What the traffic threads of a gateway share.
+pub(crate) struct GatewayState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<GatewayMetrics>,
+    pub(crate) routes: Arc<ArcSwapOption<RoutesInForce>>,
+    pub(crate) servers: Arc<ArcSwap<ServersInForce>>,
+    pub(crate) peers: Arc<ArcSwap<PeerTable>>,
+    pub(crate) loads: Arc<LoadBook>,
+    pub(crate) in_flight: watch::Sender<usize>,
+    phase: watch::Sender<Phase>,
+    budgets: Mutex<HashMap<TargetName, RetryBudget>>,
+    sequence: AtomicU64,
+}
+
+/// Each instance uses this part of its share of the retries. The rest covers instances that others have
+/// not heard of and processes that start again with a full budget.
+const BUDGET_PART: f64 = 0.5;
+
+impl GatewayState {
+    pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
+        Self {
+            settings,
+            incarnation: Incarnation::random(),
+            clock: Clock::system(),
+            metrics,
+            routes: Arc::default(),
+            servers: Arc::default(),
+            peers: Arc::default(),
+            loads: Arc::default(),
+            in_flight: watch::Sender::new(0),
+            phase: watch::Sender::new(Phase::Serving),
+            budgets: Mutex::default(),
+            sequence: AtomicU64::new(1),
+        }
+    }
+
+    /// An attempt identifier that has never been used.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        AttemptId { incarnation: self.incarnation, sequence }
+    }
+
+    /// How far this instance is on its way to a planned stop.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Changes of the phase.
+    pub(crate) fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    pub(crate) fn enter(&self, phase: Phase) {
+        log::info!("phase changed instance={} phase={phase:?}", self.settings.instance);
+        self.phase.send_replace(phase);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving
+            && self.routes.load().is_some()
+            && !self.servers.load().table.is_empty()
+    }
+
+    /// Counts a request of a caller for a service.
+    pub(crate) fn note_request(&self, service: &TargetName) {
+        let policy = self.retry_policy();
+        self.with_budget(service, &policy, |budget| budget.on_request(&policy, false));
+    }
+
+    /// Takes one retry for a service from the budget.
+    pub(crate) fn take_retry(&self, service: &TargetName) -> bool {
+        let policy = self.retry_policy();
+        self.with_budget(service, &policy, |budget| {
+            budget.take_retry(&policy, 0, u64::MAX, 0).is_some()
+        })
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &TargetName,
+        policy: &RetryPolicy,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::full(policy)))
+    }
+
+    /// This instance's part of the retries that all share.
+    fn retry_policy(&self) -> RetryPolicy {
+        let instances = self.peers.load().peers.len() + 1;
+        let instances = f64::from(u32::try_from(instances).unwrap_or(u32::MAX));
+        let RetryLimits { share, slack } = self.settings.retry_limits;
+        RetryPolicy {
+            share: share * BUDGET_PART,
+            reserve: (slack * BUDGET_PART / instances).max(1.0),
+            max_attempts: u32::MAX,
+            // A request that is sent to another server is not delayed: the first one did not run it,
+            // or has failed, and the budget bounds the load.
+            base_ms: 0,
+            max_ms: 0,
+        }
+    }
+}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -23,17 +23,21 @@
 mod decisions;
 mod document;
 mod filters;
+mod gateway;
 mod ids;
 mod lifecycle;
+mod load_book;
+mod logging;
 mod metrics;
 mod outcome;
 mod roles;
+mod routes;
 mod runtime;
 mod settings;
 mod telemetry;
 mod wire;
 
-pub use adapters::http::HttpError;
+pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
 pub use clock::{Clock, Timestamp};
@@ -74,12 +78,17 @@
     PlacementChange, PlacementVerdict, PlacementView, decide_placement,
 };
 // Under its own name: other log streams have records, pages and states as well.
+pub use decisions::balance::{ServerView, choose_server};
 pub use decisions::entries::{
     AdviceSettings, EntryAdvice, InstanceCandidate, entry_advice, watched_endpoints,
 };
+pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::membership::{
     Connection, Eligibility, InstanceView, Listed, MembershipSettings, eligibility, may_be_told,
 };
+pub use decisions::peers::{
+    EntryView, LagWatch, OwnState, Peer, PeerFold, PeerTable, near_entries,
+};
 pub use decisions::publication;
 pub use decisions::quarantine::record::{
     QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport,
@@ -87,6 +96,9 @@
 pub use decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
 pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
 pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
+pub use decisions::servers::{
+    GroupPlace, ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerTable,
+};
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
 pub use decisions::versions::choose_version;
 pub use document::checked::{
@@ -99,6 +111,7 @@
     RawCallPattern, RawDeadlines, RawDocument, RawEndpointKind, RawModel, RawModelVersion,
     RawPlacement, RawWorkspace,
 };
+pub use gateway::{GatewaySettings, HeaderNames, RetryLimits};
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
     PublicationId, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName, WorkspaceName,
@@ -112,14 +125,22 @@
 };
 pub use lifecycle::map_change::{Aborted, Committed, Decided, MapChange, Proposed, Staged};
 pub use lifecycle::shutdown::{Lingering, Refusing, Serving, Shutdown, ShutdownSettings, Stopped};
+pub use logging::start_logging;
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
 pub use roles::StartError;
 pub use roles::endpoint::Endpoint;
 pub use roles::entry::Entry;
+pub use roles::gateway::{Advice, Gateway, GatewayHandle};
+pub use routes::checked::{KeyHolder, Route, RouteTable, RouteTableError};
+pub use routes::raw::{
+    CallerLimits, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawService, RawShare,
+    RequestKind,
+};
 pub use settings::{
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
 };
 pub use wire::codec::{DecodeError, decode, encode};
+pub use wire::heartbeat::{Heartbeat, SharedState};
 pub use wire::message::{
     Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, RankReport,
     Recover, Refused, RefusedReason, Role, StageAsk, StageDone, StageRefused, Start, Suspects,
--- /dev/null
+++ b/crates/lycheewood/src/load_book.rs
@@ -0,0 +1,88 @@
+//! Requests in flight from this instance and recent failures, by server.
+//!
+//! Traffic threads write here, because the next choice must see the last one. The lock is held for a
+//! map operation only.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::clock::Timestamp;
+use crate::decisions::units::decay;
+use crate::ids::InstanceId;
+
+/// A failure counts half after about two thirds of this, in milliseconds.
+const FAILURE_DECAY_MS: u64 = 3_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    in_flight: u32,
+    failures: f64,
+    failed: Timestamp,
+}
+
+/// Loads of all servers that this instance has sent requests to.
+#[derive(Debug, Default)]
+pub(crate) struct LoadBook {
+    loads: Mutex<HashMap<InstanceId, Load>>,
+}
+
+impl LoadBook {
+    fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Load>> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub(crate) fn start(self: &Arc<Self>, server: &InstanceId) -> InFlightGuard {
+        self.lock().entry(server.clone()).or_default().in_flight += 1;
+        InFlightGuard { book: Arc::clone(self), server: server.clone() }
+    }
+
+    /// Notes that a server failed a request.
+    pub(crate) fn note_failure(&self, server: &InstanceId, now: Timestamp) {
+        let mut loads = self.lock();
+        let load = loads.entry(server.clone()).or_default();
+        load.failures = load.failures * decay(now.ms_since(load.failed), FAILURE_DECAY_MS) + 1.0;
+        load.failed = now;
+    }
+
+    /// Notes that a server answered well.
+    pub(crate) fn note_success(&self, server: &InstanceId) {
+        if let Some(load) = self.lock().get_mut(server) {
+            load.failures *= 0.5;
+        }
+    }
+
+    /// Own requests in flight and the weight of recent failures of a server.
+    pub(crate) fn load(&self, server: &InstanceId, now: Timestamp) -> (u32, f64) {
+        self.lock().get(server).map_or((0, 0.0), |load| {
+            (load.in_flight, load.failures * decay(now.ms_since(load.failed), FAILURE_DECAY_MS))
+        })
+    }
+
+    /// Own requests in flight, by server.
+    pub(crate) fn in_flight(&self) -> Vec<(InstanceId, u32)> {
+        let loads = self.lock();
+        let busy = loads.iter().filter(|(_, load)| load.in_flight > 0);
+        busy.map(|(server, load)| (server.clone(), load.in_flight)).collect()
+    }
+
+    /// Forgets servers without requests in flight for which `keep` is false.
+    pub(crate) fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
+        self.lock().retain(|server, load| load.in_flight > 0 || keep(server));
+    }
+}
+
+/// Counts one request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
+    book: Arc<LoadBook>,
+    server: InstanceId,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        if let Some(load) = self.book.lock().get_mut(&self.server) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+    }
+}
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of a process, in the Prometheus text format.
 
+pub(crate) mod gateway;
 mod groups;
 
 use prometheus::{
--- /dev/null
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -0,0 +1,130 @@
+//! Metrics of a gateway.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+/// All metrics of a gateway. Labels have few values; none names a workspace or a server.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) attempts: IntCounterVec,
+    pub(crate) retries: IntCounter,
+    pub(crate) retries_denied: IntCounter,
+    pub(crate) resumed: IntCounter,
+    pub(crate) first_byte_seconds: Histogram,
+    pub(crate) request_seconds: Histogram,
+    pub(crate) requests_in_flight: IntGauge,
+    pub(crate) callers_connected: IntGauge,
+    pub(crate) route_version: IntGauge,
+    pub(crate) servers_listed: IntGauge,
+    pub(crate) peers_heard: IntGauge,
+    pub(crate) state_fetches: IntCounterVec,
+    pub(crate) records_unreadable: IntCounter,
+}
+
+impl GatewayMetrics {
+    /// # Errors
+    ///
+    /// When two metrics have the same name.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok(counter)
+        };
+        let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok(gauge)
+        };
+        let histogram = |name: &str, help: &str| -> Result<Histogram, prometheus::Error> {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok(histogram)
+        };
+        Ok(Self {
+            requests: counters(
+                "lycheewood_gateway_requests_total",
+                "Requests by outcome: answered, cut, left, or the code of a refusal.",
+                "outcome",
+            )?,
+            attempts: counters(
+                "lycheewood_gateway_attempts_total",
+                "Attempts by end: answered, not_sent, not_run, failed, server_error.",
+                "end",
+            )?,
+            retries: counter(
+                "lycheewood_gateway_retries_total",
+                "Attempts made again at another server.",
+            )?,
+            retries_denied: counter(
+                "lycheewood_gateway_retries_denied_total",
+                "Attempts not made again because the retry budget was used up.",
+            )?,
+            resumed: counter(
+                "lycheewood_gateway_streams_resumed_total",
+                "Broken streams continued at another server.",
+            )?,
+            first_byte_seconds: histogram(
+                "lycheewood_gateway_first_byte_seconds",
+                "Time from a request to the head of its answer.",
+            )?,
+            request_seconds: histogram(
+                "lycheewood_gateway_request_seconds",
+                "Time from a request to the end of its answer.",
+            )?,
+            requests_in_flight: gauge(
+                "lycheewood_gateway_requests_in_flight",
+                "Requests being served.",
+            )?,
+            callers_connected: gauge(
+                "lycheewood_gateway_callers_connected",
+                "Open connections of callers.",
+            )?,
+            route_version: gauge(
+                "lycheewood_gateway_route_version",
+                "Version of the route table in force, -1 when there is none.",
+            )?,
+            servers_listed: gauge(
+                "lycheewood_gateway_servers_listed",
+                "Servers that take requests.",
+            )?,
+            peers_heard: gauge(
+                "lycheewood_gateway_peers_heard",
+                "Other instances that are ready and were heard lately.",
+            )?,
+            state_fetches: counters(
+                "lycheewood_gateway_state_fetches_total",
+                "State fetched from another instance, by result: ok, failed.",
+                "result",
+            )?,
+            records_unreadable: counter(
+                "lycheewood_gateway_records_unreadable_total",
+                "Records of the platform that could not be read; they change nothing.",
+            )?,
+            registry,
+        })
+    }
+
+    /// All metrics as text.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Writing to a vector fails only for metric families without a name or a value.
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).unwrap_or_default();
+        text
+    }
+}
--- a/crates/lycheewood/src/outcome.rs
+++ b/crates/lycheewood/src/outcome.rs
@@ -23,6 +23,8 @@
     EndpointRefused,
     /// The request is quarantined because it crashed endpoints.
     Quarantined,
+    /// The body did not arrive in time.
+    BodyLate,
 }
 
 impl NotRunCode {
@@ -39,6 +41,7 @@
             Self::ClaimUnavailable => "claim_unavailable",
             Self::EndpointRefused => "endpoint_refused",
             Self::Quarantined => "quarantined",
+            Self::BodyLate => "body_late",
         }
     }
 }
@@ -125,6 +128,15 @@
         /// The unknown name.
         name: String,
     },
+    /// No route takes the request.
+    #[error("path: no route of this host begins the path; ask for a route or correct the path")]
+    NoRoute,
+    /// The body is larger than callers may send.
+    #[error("body: send at most {max_bytes} bytes")]
+    BodyTooLarge {
+        /// The bound.
+        max_bytes: usize,
+    },
 }
 
 /// How a request ends without an answer.
--- a/crates/lycheewood/src/roles.rs
+++ b/crates/lycheewood/src/roles.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod endpoint;
 pub(crate) mod entry;
+pub(crate) mod gateway;
 
 use std::io;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -0,0 +1,255 @@
+//! The gateway role: an entry that forwards plain HTTP requests to servers by host and path.
+//!
+//! It knows no platform. Route tables, servers and instances come in through [`GatewayHandle`]; what
+//! callers ask about the gateway is answered from there as well.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kameo::actor::ActorRef;
+use tokio::net::UdpSocket;
+use tokio::runtime::{Handle, Runtime};
+use tokio::task::JoinHandle;
+
+use crate::adapters::forward::caller;
+use crate::adapters::{gossip, metrics};
+use crate::clock::Timestamp;
+use crate::controllers::peers::{Name, PeersController, StateSource};
+use crate::controllers::routes::{Adopt, RoutesController};
+use crate::controllers::servers::{ServerNews, ServersController};
+use crate::decisions::peers::{EntryView, near_entries};
+use crate::decisions::servers::ServerChange;
+use crate::gateway::{GatewaySettings, GatewayState};
+use crate::ids::{FailureDomain, Offset};
+use crate::lifecycle::shutdown::Shutdown;
+use crate::metrics::gateway::GatewayMetrics;
+use crate::roles::entry::Phase;
+use crate::roles::{StartError, listen};
+use crate::routes::raw::RawRouteTable;
+use crate::runtime::{ControlThread, traffic_runtime};
+
+/// One thread carries the traffic: the instances have a fraction of one core.
+const TRAFFIC_THREADS: usize = 1;
+/// How long callers may keep an answer, in milliseconds. Short, because a caller that holds the address
+/// of a dead instance loses a second; not shorter, because every question costs processor time.
+const ADVICE_VALID_MS: u64 = 1_000;
+
+/// The addresses that a caller should use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Advice {
+    /// Addresses, the nearest first.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the caller may use them, in milliseconds.
+    pub valid_for_ms: u64,
+}
+
+/// Hands what a platform knows to a running gateway, and asks it about itself.
+#[derive(Clone)]
+pub struct GatewayHandle {
+    state: Arc<GatewayState>,
+    routes: ActorRef<RoutesController>,
+    servers: ActorRef<ServersController>,
+    peers: ActorRef<PeersController>,
+}
+
+impl GatewayHandle {
+    /// Offers a route table. It comes into force if its version is above the one in force.
+    pub fn offer_routes(&self, raw: RawRouteTable) {
+        // The mailbox is unbounded, and the controller lives as long as the process.
+        let _ = self.routes.tell(Adopt { raw, source: "platform" }).try_send();
+    }
+
+    /// Records of the server list that were read in order; all below `next` have been read now.
+    pub fn apply_servers(&self, changes: Vec<ServerChange>, next: Offset) {
+        let _ = self.servers.tell(ServerNews::Records { changes, next }).try_send();
+    }
+
+    /// The newest record of each server, read when the list's log ended at `end`.
+    pub fn replace_servers(&self, changes: Vec<ServerChange>, end: Offset) {
+        let news = ServerNews::Newest { changes, end, source: "platform" };
+        let _ = self.servers.tell(news).try_send();
+    }
+
+    /// The server list answers again after an outage.
+    pub fn note_server_list_is_back(&self) {
+        let _ = self.servers.tell(ServerNews::ListIsBack).try_send();
+    }
+
+    /// Peer addresses of instances.
+    pub fn name_peers(&self, addresses: Vec<SocketAddr>) {
+        let _ = self.peers.tell(Name { addresses }).try_send();
+    }
+
+    /// Notes a record of the platform that could not be read.
+    pub fn note_unreadable_record(&self) {
+        self.state.metrics.records_unreadable.inc();
+    }
+
+    /// Whether callers may be sent to this instance.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
+    /// The addresses that a caller in `domain` should use, at most `max`.
+    #[must_use]
+    pub fn advise(&self, domain: &FailureDomain, max: usize) -> Advice {
+        let now = self.state.clock.now();
+        let peers = self.state.peers.load();
+        let ready = peers.peers.values().filter(|peer| peer.may_be_told(now));
+        let others = ready.map(|peer| EntryView {
+            caller_address: peer.heartbeat.caller_address,
+            failure_domain: &peer.heartbeat.failure_domain,
+        });
+        let own = self.is_ready().then_some(EntryView {
+            caller_address: self.state.settings.caller_address,
+            failure_domain: &self.state.settings.failure_domain,
+        });
+        let entries: Vec<_> = others.chain(own).collect();
+        let addresses = near_entries(&entries, domain, rand::random(), max);
+        Advice { addresses, valid_for_ms: ADVICE_VALID_MS }
+    }
+}
+
+/// A running gateway.
+pub struct Gateway {
+    handle: GatewayHandle,
+    callers: JoinHandle<std::io::Result<()>>,
+    // Dropped before the control thread, since its tasks talk to controllers.
+    traffic: Runtime,
+    control: ControlThread,
+}
+
+impl Gateway {
+    /// Starts a gateway in this process, on threads of its own.
+    ///
+    /// Must not be called from async code, because it blocks.
+    ///
+    /// # Errors
+    ///
+    /// When a listener or thread cannot be started.
+    pub fn start(settings: GatewaySettings) -> Result<Self, StartError> {
+        let runtime = |source| StartError::Runtime { source };
+        let control = ControlThread::start().map_err(runtime)?;
+        let traffic = traffic_runtime(TRAFFIC_THREADS).map_err(runtime)?;
+        let metrics =
+            GatewayMetrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
+        let (callers, caller_address) =
+            traffic.block_on(listen("caller_address", settings.caller_address))?;
+        let peer_address = settings.peer_address;
+        let (peers_tcp, _) = control.handle().block_on(listen("peer_address", peer_address))?;
+        let peers_udp =
+            control.handle().block_on(UdpSocket::bind(peer_address)).map_err(|source| {
+                StartError::Listen { field: "peer_address", address: peer_address, source }
+            })?;
+        let settings = GatewaySettings { caller_address, ..settings };
+        let state = Arc::new(GatewayState::new(settings, Arc::new(metrics)));
+        let handle = start_controllers(&state, peers_udp, &control);
+        let source =
+            Arc::new(StateSource { state: Arc::clone(&state), servers: handle.servers.clone() });
+        control.handle().spawn(gossip::serve(peers_tcp, source));
+        if let Some(address) = state.settings.metrics_address {
+            let (listener, _) = control.handle().block_on(listen("metrics_address", address))?;
+            control.handle().spawn(metrics::serve(listener, Arc::clone(&state.metrics)));
+        }
+        let callers = traffic.spawn(caller::serve(callers, Arc::clone(&state)));
+        log::info!(
+            "gateway started instance={} incarnation={} caller_address={caller_address} peer_address={peer_address}",
+            state.settings.instance,
+            state.incarnation
+        );
+        Ok(Self { handle, callers, traffic, control })
+    }
+
+    /// A handle for the adapter to a platform.
+    #[must_use]
+    pub fn handle(&self) -> GatewayHandle {
+        self.handle.clone()
+    }
+
+    /// The runtime of the control thread, for tasks that follow the platform.
+    #[must_use]
+    pub fn control(&self) -> &Handle {
+        self.control.handle()
+    }
+
+    /// The runtime that carries traffic, for front ends beside the callers' one.
+    #[must_use]
+    pub fn traffic(&self) -> &Handle {
+        self.traffic.handle()
+    }
+
+    /// Stops gracefully: still serves callers that hold its address, then refuses new requests, and
+    /// ends after the last answer in flight or when the time for a planned stop is over.
+    ///
+    /// Blocks until then; must not be called from async code.
+    pub fn shutdown(self) {
+        let Self { handle, callers, traffic, .. } = self;
+        let state = handle.state;
+        let within = Duration::from_millis(state.settings.stop_within_ms);
+        traffic.block_on(async {
+            let leaving = async {
+                leave(&state).await;
+                let _ = callers.await;
+            };
+            if tokio::time::timeout(within, leaving).await.is_err() {
+                log::warn!(
+                    "gateway stops with requests in flight count={}",
+                    *state.in_flight.borrow()
+                );
+            }
+        });
+        log::info!("gateway stopped instance={}", state.settings.instance);
+        traffic.shutdown_background();
+    }
+}
+
+fn start_controllers(
+    state: &Arc<GatewayState>,
+    peers_udp: UdpSocket,
+    control: &ControlThread,
+) -> GatewayHandle {
+    let _control = control.handle().enter();
+    let metrics = &state.metrics;
+    let routes = RoutesController::start(Arc::clone(&state.routes), Arc::clone(metrics));
+    let servers = ServersController::start(
+        Arc::clone(&state.servers),
+        Arc::clone(&state.loads),
+        state.clock,
+        Arc::clone(metrics),
+    );
+    let peers =
+        PeersController::start(Arc::clone(state), peers_udp, routes.clone(), servers.clone());
+    GatewayHandle { state: Arc::clone(state), routes, servers, peers }
+}
+
+/// Goes through the life cycle of a planned stop.
+async fn leave(state: &GatewayState) {
+    state.enter(Phase::Lingering);
+    let shutdown = Shutdown::serving(state.settings.shutdown);
+    let mut lingering = shutdown.announce(state.clock.now());
+    let mut refusing = loop {
+        sleep_until(state, lingering.refuses_from()).await;
+        match lingering.refuse(state.clock.now()) {
+            Ok(refusing) => break refusing,
+            Err(early) => lingering = early,
+        }
+    };
+    state.enter(Phase::Refusing);
+    let mut in_flight = state.in_flight.subscribe();
+    loop {
+        sleep_until(state, refusing.stops_from()).await;
+        // The state holds the sender, so the channel stays open.
+        let _ = in_flight.wait_for(|count| *count == 0).await;
+        match refusing.stop(state.clock.now(), *state.in_flight.borrow()) {
+            Ok(_stopped) => return,
+            Err(busy) => refusing = busy,
+        }
+    }
+}
+
+async fn sleep_until(state: &GatewayState, until: Timestamp) {
+    let left_ms = until.ms_since(state.clock.now());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
--- a/crates/lycheewood/src/wire.rs
+++ b/crates/lycheewood/src/wire.rs
@@ -5,6 +5,7 @@
 //! kinds, fields and elements that it does not know.
 
 pub(crate) mod codec;
+pub(crate) mod heartbeat;
 pub(crate) mod message;
 mod visitors;
 
