Bound batches, shrink heartbeats, share the retry budget after restarts

Change: heartbeats without field names, identity in every eighth; at least 16 instances are assumed; a server found absent from its address gets no request for 5 s; refused requests come back after 1 s; a bound on requests in flight per engine, from its pace.

--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -92,7 +92,7 @@
 fn turn_ms(state: &GatewayState, now: Timestamp) -> u64 {
     let peers = state.peers.load();
     let ready = peers.peers.values().filter(|peer| peer.may_be_told(now));
-    let before = ready.filter(|peer| peer.heartbeat.instance < state.settings.instance).count();
+    let before = ready.filter(|peer| peer.about.instance < state.settings.instance).count();
     TURN_MS * u64::try_from(before.min(MAX_TURNS)).unwrap_or(0)
 }
 
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -19,7 +19,11 @@
 use crate::decisions::peers::{LagWatch, OwnState, PeerFold};
 use crate::gateway::GatewayState;
 use crate::roles::entry::Phase;
-use crate::wire::heartbeat::{Heartbeat, SharedState};
+use crate::wire::heartbeat::{About, Heartbeat, SharedState, server_tag};
+
+/// The first heartbeats of a run say all, and so does each of this many later ones.
+const ABOUT_FIRST: u64 = 4;
+const ABOUT_EVERY: u64 = 8;
 
 /// A heartbeat of another instance.
 struct Heard {
@@ -102,17 +106,22 @@
     fn heartbeat(&mut self) -> Heartbeat {
         let state = &self.state;
         self.sequence += 1;
-        Heartbeat {
+        let says_all = self.sequence <= ABOUT_FIRST || self.sequence.is_multiple_of(ABOUT_EVERY);
+        let about = says_all.then(|| About {
             instance: state.settings.instance.clone(),
-            incarnation: state.incarnation,
-            sequence: self.sequence,
             failure_domain: state.settings.failure_domain.clone(),
             caller_address: state.settings.caller_address,
+        });
+        let in_flight = state.loads.in_flight();
+        Heartbeat {
+            about,
+            incarnation: state.incarnation,
+            sequence: self.sequence,
             is_ready: state.is_ready(),
             leads: state.leads.load(Ordering::Relaxed),
             route_version: state.routes.load().as_ref().map(|routes| routes.table.version),
             servers_next: state.servers.load().table.next,
-            in_flight: state.loads.in_flight(),
+            in_flight: in_flight.iter().map(|(id, count)| (server_tag(id), *count)).collect(),
         }
     }
 
@@ -122,6 +131,7 @@
         let ready = table.peers.values().filter(|peer| peer.may_be_told(now)).count();
         self.state.metrics.peers_heard.set(i64::try_from(ready).unwrap_or(i64::MAX));
         self.state.peers.store(Arc::new(table));
+        self.state.capacity.notify_waiters();
     }
 
     /// Fetches state from another instance if this one lacks what the other has.
@@ -179,13 +189,13 @@
     async fn handle(&mut self, heard: Heard, context: &mut Context<Self, ()>) {
         let Heard { from, heartbeat } = heard;
         let now = self.state.clock.now();
-        let (instance, is_ready) = (heartbeat.instance.clone(), heartbeat.is_ready);
+        let is_ready = heartbeat.is_ready;
         let former = self.state.peers.load().peers.get(&from).map(|peer| peer.may_be_told(now));
         if !self.fold.apply(from, heartbeat, now) {
             return;
         }
         if former != Some(is_ready) {
-            log::info!("peer changed instance={instance} address={from} ready={is_ready}");
+            log::info!("peer changed address={from} ready={is_ready} former={former:?}");
         }
         self.publish();
         self.catch_up(context.actor_ref().clone());
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -5,6 +5,7 @@
 pub(crate) mod admission;
 pub(crate) mod attempts;
 pub(crate) mod balance;
+pub(crate) mod batch;
 pub(crate) mod claims;
 pub(crate) mod demand;
 pub(crate) mod digest;
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
-use crate::wire::heartbeat::Heartbeat;
+use crate::wire::heartbeat::{About, Heartbeat, server_tag};
 
 /// An instance that has not been heard for this long is not told to callers, in milliseconds. Six
 /// heartbeats: datagrams are lost now and then, and a caller that is sent to a dead instance loses the
@@ -18,6 +18,8 @@
 /// One other instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
+    /// What does not change of it.
+    pub about: About,
     /// Its last heartbeat.
     pub heartbeat: Heartbeat,
     /// When it arrived.
@@ -37,8 +39,16 @@
 pub struct PeerTable {
     /// Those that have been heard, by peer address.
     pub peers: BTreeMap<SocketAddr, Peer>,
-    /// Requests in flight from all of them, by server.
-    pub in_flight: HashMap<InstanceId, u32>,
+    /// Requests in flight from all of them, by tag of the server.
+    in_flight: HashMap<u32, u32>,
+}
+
+impl PeerTable {
+    /// Requests in flight from all other instances at a server.
+    #[must_use]
+    pub fn in_flight(&self, server: &InstanceId) -> u32 {
+        self.in_flight.get(&server_tag(server)).copied().unwrap_or(0)
+    }
 }
 
 /// The fold of heartbeats.
@@ -57,21 +67,24 @@
         self.named.insert(address, now);
     }
 
-    /// Takes a heartbeat in. Tells whether it was news.
+    /// Takes a heartbeat in. Tells whether it was news. One from an instance of which nothing is known
+    /// waits for the next that says more.
     pub fn apply(&mut self, address: SocketAddr, heartbeat: Heartbeat, now: Timestamp) -> bool {
         if self.ended.get(&address) == Some(&heartbeat.incarnation) {
             return false;
         }
-        if let Some(peer) = self.peers.get(&address) {
-            let former = &peer.heartbeat;
-            if former.incarnation != heartbeat.incarnation {
-                self.ended.insert(address, former.incarnation);
-            } else if former.sequence >= heartbeat.sequence {
-                return false;
-            }
+        let former = self.peers.get(&address);
+        let same = former.filter(|peer| peer.heartbeat.incarnation == heartbeat.incarnation);
+        if same.is_some_and(|peer| peer.heartbeat.sequence >= heartbeat.sequence) {
+            return false;
+        }
+        let known = same.map(|peer| peer.about.clone());
+        let Some(about) = heartbeat.about.clone().or(known) else { return false };
+        if let Some(ended) = former.filter(|_| same.is_none()) {
+            self.ended.insert(address, ended.heartbeat.incarnation);
         }
         self.named.remove(&address);
-        self.peers.insert(address, Peer { heartbeat, heard: now });
+        self.peers.insert(address, Peer { about, heartbeat, heard: now });
         true
     }
 
@@ -89,10 +102,10 @@
     /// What others read.
     #[must_use]
     pub fn table(&self, now: Timestamp) -> PeerTable {
-        let mut in_flight: HashMap<InstanceId, u32> = HashMap::new();
+        let mut in_flight: HashMap<u32, u32> = HashMap::new();
         let fresh = self.peers.values().filter(|peer| now.ms_since(peer.heard) < FRESH_MS);
         for (server, count) in fresh.flat_map(|peer| &peer.heartbeat.in_flight) {
-            *in_flight.entry(server.clone()).or_default() += count;
+            *in_flight.entry(*server).or_default() += count;
         }
         PeerTable { peers: self.peers.clone(), in_flight }
     }
--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -74,7 +74,7 @@
     state: &Arc<GatewayState>,
     exchange: Exchange<'_, Admitted>,
 ) -> Result<Next, Refusal> {
-    let selected = match select::apply(state, exchange) {
+    let selected = match select::apply(state, exchange).await {
         select::Selection::Selected(selected) => selected,
         // The best that is left of earlier attempts.
         select::Selection::None(admitted) => {
--- a/crates/lycheewood/src/filters/forward/bound.rs
+++ b/crates/lycheewood/src/filters/forward/bound.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
+use crate::decisions::batch::steady_batch;
 use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange};
 use crate::gateway::GatewayState;
 use crate::outcome::{InvalidRequest, NotRunCode, Refusal};
@@ -37,9 +38,12 @@
         Ok(Err(_)) => return Err(Refusal::field("body", "send the whole body")),
         Err(_) => return Err(Refusal::not_run(NotRunCode::BodyLate, 0)),
     };
+    let service = route.service(rand::random()).clone();
+    let pace = routes.table.paces.get(&service).zip(route.target_gap_ms);
     let admitted = Admitted {
         route: route.clone(),
-        service: route.service(rand::random()).clone(),
+        batch: pace.map(|(pace, gap_ms)| steady_batch(pace, gap_ms)),
+        service,
         workspace: workspace.map(|holder| holder.name.clone()),
         hides_key: routes.table.has_keys(),
         body,
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -68,6 +68,9 @@
         let vouch = Vouch::from_endpoint(attempt.id());
         let _ = attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused);
         log::info!("attempt not run id={} server={} status={status}", head.request_id, server.id);
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            state.loads.note_absent(&server.id, state.clock.now());
+        }
         state.loads.note_failure(&server.id, state.clock.now());
         admitted.avoid.push(server.id.clone());
         admitted.last_answer = Some((answer, true));
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -1,8 +1,10 @@
 //! A forwarded request on its way through the chain, typed by the stage that it has reached.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode};
 
@@ -20,9 +22,9 @@
 
 /// How soon a caller may come back when this instance has no route table yet.
 const NO_ROUTES_RETRY_MS: u64 = 500;
-/// How soon a caller may come back when no server can take its request. Most reasons, such as a server
-/// that has just failed, are gone or known by then.
-const NO_SERVER_RETRY_MS: u64 = 200;
+/// How soon a caller may come back when no server can take its request. One that comes back while the
+/// servers are still full is refused again, and callers come back only once or twice.
+const NO_SERVER_RETRY_MS: u64 = 1_000;
 
 /// The head of a caller's request.
 #[derive(Debug)]
@@ -103,6 +105,17 @@
     pub(crate) server: InstanceId,
 }
 
+impl WholeAnswer {
+    /// The answer with a time to come back, if the server gave none.
+    fn with_retry_after(mut self, retry_after_ms: u64) -> Self {
+        let seconds = Duration::from_millis(retry_after_ms).as_secs_f64().to_string();
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            self.headers.entry(RETRY_AFTER).or_insert(value);
+        }
+        self
+    }
+}
+
 /// The whole request is here and within its bounds; nothing has been sent for its next attempt.
 pub(crate) struct Admitted {
     pub(crate) route: Route,
@@ -111,6 +124,8 @@
     /// The key names a workspace, so servers must not see it.
     pub(crate) hides_key: bool,
     pub(crate) body: Bytes,
+    /// Requests that one server should run at once, if streams must keep a pace.
+    pub(crate) batch: Option<u32>,
     /// When the caller must have its final answer.
     pub(crate) deadline: Timestamp,
     /// Attempts that were sent to a server.
@@ -132,7 +147,8 @@
     pub(crate) fn conclude(self, state: &GatewayState) -> Result<WholeAnswer, Refusal> {
         match (self.last_answer, self.may_have_run) {
             // A server's own failure is its answer, whatever came before.
-            (Some((answer, false)), _) | (Some((answer, true)), None) => Ok(answer),
+            (Some((answer, false)), _) => Ok(answer),
+            (Some((answer, true)), None) => Ok(answer.with_retry_after(NO_SERVER_RETRY_MS)),
             (_, Some(code)) => Err(Refusal::Unknown(Unknown { code, key: None })),
             (None, None) if state.clock.now() >= self.deadline => {
                 Err(Refusal::not_run(NotRunCode::DeadlineUnreachable, NO_SERVER_RETRY_MS))
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -1,12 +1,21 @@
-//! Chooses the server of the next attempt.
+//! Chooses the server of the next attempt, and waits for room where streams must keep a pace.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::time::timeout;
+
+use crate::clock::Timestamp;
 use crate::decisions::balance::{ServerView, choose_server};
-use crate::filters::forward::exchange::{Admitted, Exchange, Selected};
+use crate::decisions::servers::ServerEntry;
+use crate::filters::forward::exchange::{Admitted, Exchange, Selected, View};
 use crate::gateway::GatewayState;
 use crate::lifecycle::attempt::Attempt;
 
+/// The part of the target time, in percent, that a request waits for a server that keeps the pace. The
+/// rest is for reading the prompt and the first pass.
+const WAIT_PERCENT: u64 = 50;
+
 /// The choice.
 pub(crate) enum Selection<'r> {
     /// A server is chosen.
@@ -17,7 +26,7 @@
 
 /// Chooses among the servers of the request's service that have not failed it. The first attempt is
 /// free; a later one takes from the retry budget.
-pub(crate) fn apply<'r>(
+pub(crate) async fn apply<'r>(
     state: &Arc<GatewayState>,
     exchange: Exchange<'r, Admitted>,
 ) -> Selection<'r> {
@@ -27,35 +36,79 @@
     if is_over || barred {
         return Selection::None(admitted);
     }
-    let entries = view.servers.table.servers(&admitted.service);
-    let views: Vec<_> = entries
-        .iter()
-        .map(|entry| {
-            let (own, failures) = state.loads.load(&entry.id, now);
-            let others = view.peers.in_flight.get(&entry.id).copied().unwrap_or(0);
-            ServerView {
-                id: &entry.id,
-                failure_domain: &entry.failure_domain,
-                slots: entry.slots,
-                in_flight: own + others,
-                failures,
-            }
-        })
-        .collect();
-    let own_domain = &state.settings.failure_domain;
-    let Some(index) = choose_server(&views, own_domain, &admitted.avoid, rand::random()) else {
+    let Some(server) = wait_for_server(state, &admitted, head.received).await else {
         return Selection::None(admitted);
     };
-    if admitted.attempts > 0 && !state.take_retry(&admitted.service) {
-        state.metrics.retries_denied.inc();
-        return Selection::None(admitted);
-    }
     if admitted.attempts > 0 {
+        if !state.take_retry(&admitted.service) {
+            state.metrics.retries_denied.inc();
+            return Selection::None(admitted);
+        }
         state.metrics.retries.inc();
     }
-    let server = Arc::clone(&entries[index]);
     let in_flight = state.loads.start(&server.id);
     let attempt = Attempt::plan(state.next_attempt());
     let selected = Selected { admitted, server, attempt, in_flight };
-    Selection::Selected(Exchange { head, view, now, stage: selected })
+    Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
+}
+
+/// Waits for a server below its batch bound as long as the answer can still be on time, then takes the
+/// best one there is.
+async fn wait_for_server(
+    state: &GatewayState,
+    admitted: &Admitted,
+    received: Timestamp,
+) -> Option<Arc<ServerEntry>> {
+    let wait_ms = admitted.route.target_ms * WAIT_PERCENT / 100;
+    let until = received.plus_ms(wait_ms);
+    loop {
+        // Registered before the look, so that no change between the two is missed.
+        let changed = state.capacity.notified();
+        let now = state.clock.now();
+        let is_late = now >= until;
+        let bound = admitted.batch.filter(|_| !is_late);
+        if let Some(server) = choose(state, admitted, bound, now) {
+            return Some(server);
+        }
+        if is_late || bound.is_none() {
+            return None;
+        }
+        let left = Duration::from_millis(until.ms_since(now));
+        // A timeout ends the wait like a change does: with another look.
+        let _ = timeout(left, changed).await;
+    }
+}
+
+/// The best server with fewer than `bound` requests in flight.
+fn choose(
+    state: &GatewayState,
+    admitted: &Admitted,
+    bound: Option<u32>,
+    now: Timestamp,
+) -> Option<Arc<ServerEntry>> {
+    let view = View::load(state);
+    let entries = view.servers.table.servers(&admitted.service);
+    let loads: Vec<_> = entries
+        .iter()
+        .filter(|entry| !state.loads.is_absent(&entry.id, now))
+        .map(|entry| {
+            let (own, failures) = state.loads.load(&entry.id, now);
+            let others = view.peers.in_flight(&entry.id);
+            (entry, own + others, failures)
+        })
+        .filter(|(_, in_flight, _)| bound.is_none_or(|bound| *in_flight < bound))
+        .collect();
+    let views: Vec<_> = loads
+        .iter()
+        .map(|(entry, in_flight, failures)| ServerView {
+            id: &entry.id,
+            failure_domain: &entry.failure_domain,
+            slots: entry.slots,
+            in_flight: *in_flight,
+            failures: *failures,
+        })
+        .collect();
+    let own_domain = &state.settings.failure_domain;
+    let index = choose_server(&views, own_domain, &admitted.avoid, rand::random())?;
+    Some(Arc::clone(loads[index].0))
 }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hyper::header::HeaderName;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
 use crate::decisions::peers::PeerTable;
@@ -105,6 +105,8 @@
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadBook>,
     pub(crate) in_flight: watch::Sender<usize>,
+    /// Woken when a server may have room again.
+    pub(crate) capacity: Arc<Notify>,
     /// Whether this instance holds the lease over expert groups.
     pub(crate) leads: AtomicBool,
     phase: watch::Sender<Phase>,
@@ -116,8 +118,13 @@
 /// not heard of and processes that start again with a full budget.
 const BUDGET_PART: f64 = 0.5;
 
+/// Instances that are assumed while others have not been heard. A process that has just started must not
+/// take the whole budget for itself.
+const MIN_INSTANCES: usize = 16;
+
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
+        let capacity = Arc::new(Notify::new());
         Self {
             settings,
             incarnation: Incarnation::random(),
@@ -126,8 +133,9 @@
             routes: Arc::default(),
             servers: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::default(),
+            loads: Arc::new(LoadBook::new(Arc::clone(&capacity))),
             in_flight: watch::Sender::new(0),
+            capacity,
             leads: AtomicBool::new(false),
             phase: watch::Sender::new(Phase::Serving),
             budgets: Mutex::default(),
@@ -189,7 +197,7 @@
 
     /// This instance's part of the retries that all share.
     fn retry_policy(&self) -> RetryPolicy {
-        let instances = self.peers.load().peers.len() + 1;
+        let instances = (self.peers.load().peers.len() + 1).max(MIN_INSTANCES);
         let instances = f64::from(u32::try_from(instances).unwrap_or(u32::MAX));
         let RetryLimits { share, slack } = self.settings.retry_limits;
         RetryPolicy {
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -83,6 +83,7 @@
 pub use decisions::entries::{
     AdviceSettings, EntryAdvice, InstanceCandidate, entry_advice, watched_endpoints,
 };
+pub use decisions::batch::steady_batch;
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountBook, ExpertDemand, Found, OrderReply, RankCounts, RankOrder, RankStatus, find_switch,
@@ -145,14 +146,14 @@
 pub use roles::gateway::{Advice, Gateway, GatewayHandle};
 pub use routes::checked::{KeyHolder, Route, RouteTable, RouteTableError};
 pub use routes::raw::{
-    CallerLimits, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawService, RawShare,
+    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawService, RawShare,
     RequestKind,
 };
 pub use settings::{
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
 };
 pub use wire::codec::{DecodeError, decode, encode};
-pub use wire::heartbeat::{Heartbeat, SharedState};
+pub use wire::heartbeat::{About, Heartbeat, SharedState};
 pub use wire::message::{
     Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, RankReport,
     Recover, Refused, RefusedReason, Role, StageAsk, StageDone, StageRefused, Start, Suspects,
--- a/crates/lycheewood/src/load_book.rs
+++ b/crates/lycheewood/src/load_book.rs
@@ -6,6 +6,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+
 use crate::clock::Timestamp;
 use crate::decisions::units::decay;
 use crate::ids::InstanceId;
@@ -18,15 +20,27 @@
     in_flight: u32,
     failures: f64,
     failed: Timestamp,
+    /// The address belongs to another server until its entry changes, as far as known.
+    absent_until: Timestamp,
 }
 
+/// How long a server that was not at its address gets no request, in milliseconds. Its entry is corrected
+/// or gone by then.
+const ABSENT_MS: u64 = 5_000;
+
 /// Loads of all servers that this instance has sent requests to.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct LoadBook {
+    /// Woken when a request has ended.
+    ended: Arc<Notify>,
     loads: Mutex<HashMap<InstanceId, Load>>,
 }
 
 impl LoadBook {
+    pub(crate) fn new(ended: Arc<Notify>) -> Self {
+        Self { ended, loads: Mutex::default() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, Load>> {
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -45,6 +59,16 @@
         load.failed = now;
     }
 
+    /// Notes that another server answered at a server's address.
+    pub(crate) fn note_absent(&self, server: &InstanceId, now: Timestamp) {
+        self.lock().entry(server.clone()).or_default().absent_until = now.plus_ms(ABSENT_MS);
+    }
+
+    /// Whether a server was found absent from its address lately.
+    pub(crate) fn is_absent(&self, server: &InstanceId, now: Timestamp) -> bool {
+        self.lock().get(server).is_some_and(|load| now < load.absent_until)
+    }
+
     /// Notes that a server answered well.
     pub(crate) fn note_success(&self, server: &InstanceId) {
         if let Some(load) = self.lock().get_mut(server) {
@@ -84,5 +108,6 @@
         if let Some(load) = self.book.lock().get_mut(&self.server) {
             load.in_flight = load.in_flight.saturating_sub(1);
         }
+        self.book.ended.notify_waiters();
     }
 }
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -102,8 +102,8 @@
         let peers = self.state.peers.load();
         let ready = peers.peers.values().filter(|peer| peer.may_be_told(now));
         let others = ready.map(|peer| EntryView {
-            caller_address: peer.heartbeat.caller_address,
-            failure_domain: &peer.heartbeat.failure_domain,
+            caller_address: peer.about.caller_address,
+            failure_domain: &peer.about.failure_domain,
         });
         let own = self.is_ready().then_some(EntryView {
             caller_address: self.state.settings.caller_address,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -5,7 +5,7 @@
 use crate::decisions::digest::digest;
 use crate::ids::{TargetName, WorkspaceName};
 use crate::routes::raw::{
-    CallerLimits, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind,
+    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind,
 };
 
 /// Why a route table is refused as a whole. The one in force stays.
@@ -56,6 +56,8 @@
     pub is_open: bool,
     /// Whether a broken stream may continue at another server.
     pub is_resumable: bool,
+    /// The longest pause between events that is on time, in milliseconds.
+    pub target_gap_ms: Option<u64>,
     split: Vec<(TargetName, u64)>,
     weight_sum: u64,
 }
@@ -109,6 +111,7 @@
             max_attempts: raw.max_attempts.max(1),
             is_open: raw.is_open,
             is_resumable: raw.is_resumable,
+            target_gap_ms: raw.target_gap_ms,
             split,
             weight_sum,
         })
@@ -135,6 +138,8 @@
     pub version: u64,
     /// What callers may send.
     pub caller_limits: CallerLimits,
+    /// Paces of engines by service.
+    pub paces: HashMap<TargetName, EnginePace>,
     /// Expert groups by service.
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
     /// Routes of each host, the longest prefix first.
@@ -211,7 +216,10 @@
         });
         let shapes = raw.services.iter();
         let shapes = shapes.filter_map(|s| Some((TargetName::new(&s.name), s.experts?)));
+        let paces = raw.services.iter();
+        let paces = paces.filter_map(|s| Some((TargetName::new(&s.name), s.pace?)));
         Ok(Self {
+            paces: paces.collect(),
             version: raw.version,
             caller_limits: raw.caller_limits,
             expert_shapes: shapes.collect(),
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -76,6 +76,27 @@
     pub max_connections: u32,
     /// Shape of the expert groups of its servers, if it has any.
     pub experts: Option<ExpertShape>,
+    /// How fast its servers write streams, if they are engines.
+    pub pace: Option<EnginePace>,
+}
+
+/// How fast an engine reads prompts and writes streams.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EnginePace {
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Time of a step without requests, in milliseconds.
+    pub step_ms: f64,
+    /// Time that each request adds to a step, in milliseconds.
+    pub per_seq_ms: f64,
+    /// Steps in one pass; an event has this many tokens.
+    pub stride: u32,
+    /// Prompt tokens that it reads in a second.
+    pub read_per_s: f64,
+    /// Tokens of a usual prompt.
+    pub usual_prompt: f64,
+    /// Part of the work that experts do, 0 to 1.
+    pub expert_share: f64,
 }
 
 /// Shape and speed of the expert groups of a service.
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -4,23 +4,35 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::decisions::digest::digest;
 use crate::decisions::servers::ServerChange;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
-/// The state of one entry instance, sent to all others several times a second.
+/// What does not change while an instance runs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
+pub struct About {
     /// The instance.
     pub instance: InstanceId,
-    /// This run of it.
-    pub incarnation: Incarnation,
-    /// Rises with each heartbeat of the run.
-    pub sequence: u64,
     /// Where it stands.
     pub failure_domain: FailureDomain,
     /// Where callers connect.
     pub caller_address: SocketAddr,
+}
+
+/// The state of one entry instance, sent to all others several times a second.
+///
+/// Bytes between failure domains have a price, so it is encoded without field names, says what does not
+/// change only now and then, and names servers by [`server_tag`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Packed", into = "Packed")]
+pub struct Heartbeat {
+    /// What does not change, in some of the heartbeats.
+    pub about: Option<About>,
+    /// This run of the instance.
+    pub incarnation: Incarnation,
+    /// Rises with each heartbeat of the run.
+    pub sequence: u64,
     /// Whether it serves callers.
     pub is_ready: bool,
     /// Whether it holds the lease over expert groups.
@@ -29,8 +41,52 @@
     pub route_version: Option<u64>,
     /// The first offset of the server list that it has not read.
     pub servers_next: Offset,
-    /// Requests in flight from it, by server.
-    pub in_flight: Vec<(InstanceId, u32)>,
+    /// Requests in flight from it, by tag of the server.
+    pub in_flight: Vec<(u32, u32)>,
+}
+
+/// A short name of a server. Two servers with the same tag are counted together, which only blurs the
+/// choice between them.
+#[must_use]
+pub fn server_tag(server: &InstanceId) -> u32 {
+    let [a, b, c, d, ..] = digest(&[b"server", server.as_str().as_bytes()]);
+    u32::from_be_bytes([a, b, c, d])
+}
+
+/// The fields of a heartbeat in order.
+type Packed = (Option<About>, Incarnation, u64, bool, bool, Option<u64>, Offset, Vec<(u32, u32)>);
+
+impl From<Packed> for Heartbeat {
+    fn from(packed: Packed) -> Self {
+        let (about, incarnation, sequence, is_ready, leads, route_version, servers_next, in_flight) =
+            packed;
+        Self {
+            about,
+            incarnation,
+            sequence,
+            is_ready,
+            leads,
+            route_version,
+            servers_next,
+            in_flight,
+        }
+    }
+}
+
+impl From<Heartbeat> for Packed {
+    fn from(heartbeat: Heartbeat) -> Self {
+        let Heartbeat {
+            about,
+            incarnation,
+            sequence,
+            is_ready,
+            leads,
+            route_version,
+            servers_next,
+            in_flight,
+        } = heartbeat;
+        (about, incarnation, sequence, is_ready, leads, route_version, servers_next, in_flight)
+    }
 }
 
 /// What an instance that cannot reach the platform asks another one for.
