Read demand while ranks copy, and drop maps that are outdated

Cause: counts were read every 500 ms and never during a switch, so a switch answered the demand of 1.5 s before.

--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -3,6 +3,7 @@
 //! It is one task on the control thread, since a switch is a sequence of orders each of which waits for
 //! the one before. It owns all of its state; only whether it holds the lease is published.
 
+mod demand;
 mod group;
 mod lease;
 mod switch;
@@ -26,7 +27,7 @@
 use crate::routes::raw::ExpertShape;
 
 /// Time between two looks at the groups, in milliseconds.
-const LOOK_MS: u64 = 250;
+const LOOK_MS: u64 = 100;
 /// An instance waits this long for each ready instance before it in the order of their names until it
 /// tries to take the lease, in milliseconds, so that they do not all try at once.
 const TURN_MS: u64 = 1_500;
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -3,18 +3,15 @@
 use futures_util::future::join_all;
 
 use crate::clock::Timestamp;
+use crate::controllers::expert_groups::demand::DemandWatch;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
-use crate::controllers::expert_groups::switch::{self, SwitchRun};
+use crate::controllers::expert_groups::switch::{self, SwitchRun, SwitchStop};
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
-use crate::decisions::expert_groups::{
-    CountBook, ExpertDemand, Found, RankStatus, find_switch, imbalance, next_map,
-};
+use crate::decisions::expert_groups::{Found, RankStatus, find_switch, imbalance, next_map};
 use crate::decisions::log_lease::Proposal;
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 
-/// Time between two reads of the counts, in milliseconds.
-const COUNTS_MS: u64 = 500;
 /// The most experts that a rank copies in one switch. A copy takes some 400 ms, and a switch that takes
 /// long answers the demand of the past.
 const MAX_COPIES: usize = 2;
@@ -23,9 +20,7 @@
 struct Formation {
     epoch: u64,
     map: ExpertMap,
-    counts: CountBook,
-    demand: ExpertDemand,
-    read: Timestamp,
+    watch: DemandWatch,
     /// The last pass seen and when, to tell how long passes take.
     step: Option<(u64, Timestamp)>,
 }
@@ -50,17 +45,12 @@
             return;
         }
         let Some(formation) = &mut self.formation else { return };
-        let now = state.clock.now();
-        if now.ms_since(formation.read) < COUNTS_MS {
-            return;
-        }
-        formation.read = now;
-        if !read_counts(state, ports, listed, formation).await {
+        if !formation.watch.read(state, ports, listed).await {
             return;
         }
         let now = state.clock.now();
         let map = &formation.map;
-        let Some(forecast) = formation.demand.forecast(map.ranks) else { return };
+        let Some(forecast) = formation.watch.forecast(map.ranks) else { return };
         let shares = forecast.shares_at(now);
         log::info!("demand read group={} imbalance={:.3}", listed.name, imbalance(map, &shares));
         let Some(next) = next_map(now, map, &forecast, &listed.shape, MAX_COPIES) else { return };
@@ -75,7 +65,8 @@
             imbalance(&next, &shares)
         );
         let mut run = SwitchRun { state, ports, lease, listed };
-        match switch::run(&mut run, version, next, &formation.map, &mut formation.step).await {
+        let Formation { map: present, watch, step, .. } = formation;
+        match switch::run(&mut run, version, next, present, watch, step).await {
             Ok(map) => {
                 log::info!(
                     "map switched group={} version={version} took_ms={}",
@@ -83,9 +74,9 @@
                     state.clock.now().ms_since(now)
                 );
                 formation.map = map;
-                // What was chosen during the switch says less than what is chosen from now on.
-                read_counts(state, ports, listed, formation).await;
-                formation.read = state.clock.now();
+            }
+            Err(SwitchStop::Outdated) => {
+                log::info!("map dropped group={} version={version}", listed.name);
             }
             Err(stop) => {
                 log::warn!(
@@ -133,14 +124,7 @@
         }
     }
     let map = present_map(ports, listed, &ranks).await?;
-    Some(Formation {
-        epoch: listed.epoch,
-        map,
-        counts: CountBook::default(),
-        demand: ExpertDemand::default(),
-        read: Timestamp::default(),
-        step: None,
-    })
+    Some(Formation { epoch: listed.epoch, map, watch: DemandWatch::default(), step: None })
 }
 
 /// The map that the ranks use. All show the same version, or it is asked again later.
@@ -171,31 +155,3 @@
     let map = ExpertMap { ranks: listed.ranks.len(), slots: shape.slots, layers };
     map.check().is_ok().then_some(map)
 }
-
-/// Reads the counts of the sampled ranks. Tells whether the forecast has learned something.
-async fn read_counts(
-    state: &GatewayState,
-    ports: &GroupPorts,
-    listed: &ListedGroup,
-    formation: &mut Formation,
-) -> bool {
-    let asked = listed.ranks.iter().map(|rank| ports.ranks.counts(rank, listed.shape.experts));
-    let replies = join_all(asked).await;
-    let mut total: Option<Vec<Vec<u64>>> = None;
-    for (rank, counts) in replies.into_iter().enumerate() {
-        let Some(counts) = counts.filter(|counts| counts.epoch == listed.epoch) else { continue };
-        let Some(chosen) = formation.counts.take(rank, &counts) else { continue };
-        total = Some(match total {
-            None => chosen,
-            Some(total) => add(&total, &chosen),
-        });
-    }
-    let Some(tokens) = total else { return false };
-    formation.demand.take(&tokens, state.clock.now());
-    true
-}
-
-fn add(left: &[Vec<u64>], right: &[Vec<u64>]) -> Vec<Vec<u64>> {
-    let rows = left.iter().zip(right);
-    rows.map(|(left, right)| left.iter().zip(right).map(|(a, b)| a + b).collect()).collect()
-}
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -6,10 +6,11 @@
 use tokio::time::sleep;
 
 use crate::clock::Timestamp;
+use crate::controllers::expert_groups::demand::DemandWatch;
 use crate::controllers::expert_groups::group::statuses;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
-use crate::decisions::expert_groups::{OrderReply, RankOrder, switch_step};
+use crate::decisions::expert_groups::{OrderReply, RankOrder, imbalance, switch_step};
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::lifecycle::map_switch::{HeldBefore, MapSwitch, Prepared, Preparing};
@@ -31,6 +32,9 @@
 const MAX_PASS_MS: u64 = 250;
 /// Time until an order that got no reply is given again, in milliseconds.
 const REPEAT_MS: u64 = 50;
+/// A prepared map is used only if it makes the most loaded rank lighter by at least this part of the
+/// mean load.
+const MIN_GAIN: f64 = 0.05;
 /// Holds that may be refused because their pass had begun, until the switch is given up.
 const MAX_HOLDS: u32 = 5;
 
@@ -45,6 +49,8 @@
     NotPrepared,
     #[error("the group is too fast for the lead time")]
     TooLate,
+    #[error("demand has shifted; another map is better by now")]
+    Outdated,
 }
 
 /// What a switch works with.
@@ -126,11 +132,16 @@
     version: u64,
     next: ExpertMap,
     present: &ExpertMap,
+    watch: &mut DemandWatch,
     step: &mut Option<(u64, Timestamp)>,
 ) -> Result<ExpertMap, SwitchStop> {
     let copy_ms = copy_ms(run.listed, present, &next);
     let switch = MapSwitch::propose(version, run.listed.epoch, next);
     let (switch, map) = prepare(run, switch, copy_ms, step).await?;
+    watch.read(run.state, run.ports, run.listed).await;
+    if is_outdated(watch, present, &map, run.now()) {
+        return Err(SwitchStop::Outdated);
+    }
     let held = hold(run, switch, step).await?;
     arm_and_release(run, held).await?;
     settle(run, version).await?;
@@ -159,6 +170,14 @@
     }
 }
 
+/// Whether the present map is about as good as the next one, by what was chosen while ranks copied. A
+/// map that is not armed costs nothing more.
+fn is_outdated(watch: &DemandWatch, present: &ExpertMap, next: &ExpertMap, now: Timestamp) -> bool {
+    let Some(forecast) = watch.forecast(present.ranks) else { return false };
+    let shares = forecast.shares_at(now);
+    imbalance(present, &shares) < imbalance(next, &shares) + MIN_GAIN
+}
+
 /// How long the slowest rank copies, in milliseconds.
 fn copy_ms(listed: &ListedGroup, present: &ExpertMap, next: &ExpertMap) -> u64 {
     let mut copies = vec![0_u32; present.ranks];
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -109,7 +109,7 @@
 
 /// A count weighs a third after this time, in milliseconds. Demand shifts within seconds, and some ten
 /// thousand choices a second leave little noise in a window of this length.
-const DEMAND_MS: u64 = 800;
+const DEMAND_MS: u64 = 300;
 
 /// What was chosen lately, by set and then by expert. Older choices weigh less.
 #[derive(Clone, Debug, Default)]
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -80,10 +80,10 @@
 };
 // Under its own name: other log streams have records, pages and states as well.
 pub use decisions::balance::{ServerView, choose_server};
+pub use decisions::batch::steady_batch;
 pub use decisions::entries::{
     AdviceSettings, EntryAdvice, InstanceCandidate, entry_advice, watched_endpoints,
 };
-pub use decisions::batch::steady_batch;
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountBook, ExpertDemand, Found, OrderReply, RankCounts, RankOrder, RankStatus, find_switch,
@@ -146,8 +146,8 @@
 pub use roles::gateway::{Advice, Gateway, GatewayHandle};
 pub use routes::checked::{KeyHolder, Route, RouteTable, RouteTableError};
 pub use routes::raw::{
-    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawService, RawShare,
-    RequestKind,
+    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawService,
+    RawShare, RequestKind,
 };
 pub use settings::{
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -5,7 +5,8 @@
 use crate::decisions::digest::digest;
 use crate::ids::{TargetName, WorkspaceName};
 use crate::routes::raw::{
-    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind,
+    CallerLimits, EnginePace, ExpertShape, RawKeyHolder, RawRoute, RawRouteTable, RawShare,
+    RequestKind,
 };
 
 /// Why a route table is refused as a whole. The one in force stays.
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -48,7 +48,7 @@
 /// A short name of a server. Two servers with the same tag are counted together, which only blurs the
 /// choice between them.
 #[must_use]
-pub fn server_tag(server: &InstanceId) -> u32 {
+pub(crate) fn server_tag(server: &InstanceId) -> u32 {
     let [a, b, c, d, ..] = digest(&[b"server", server.as_str().as_bytes()]);
     u32::from_be_bytes([a, b, c, d])
 }
