Queue late requests behind those that can be on time, then refuse them

Cause: above its capacity an engine runs full batches, whose passes are longer than the longest pause that is on time, so nearly every stream was late.

Appends to the log of groups that fail are made again after 400 ms instead of at once.

--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -4,18 +4,24 @@
 
 use bytes::Bytes;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Timestamp};
 use crate::decisions::log_lease::{GroupRecord, LeaseState, Proposal};
 use crate::gateway::GatewayState;
 use crate::group_ports::{Appended, LeaseLog};
 use crate::ids::Incarnation;
 
+/// Time until the next append after one that failed, in milliseconds. Each call has a price, and a store
+/// that is away is not back at once.
+const RETRY_MS: u64 = 400;
+
 /// This process's part in the lease.
 pub(super) struct LeaseKeeper {
     log: Arc<dyn LeaseLog>,
     clock: Clock,
     own: Incarnation,
     state: LeaseState,
+    /// When an append last failed.
+    failed: Timestamp,
     /// The last proposal in the log, and the version of its map.
     last: Option<(u64, Proposal)>,
 }
@@ -23,7 +29,14 @@
 impl LeaseKeeper {
     pub(super) fn new(gateway: &GatewayState, log: Arc<dyn LeaseLog>) -> Self {
         let (clock, own) = (gateway.clock, gateway.incarnation);
-        Self { log, clock, own, state: LeaseState::default(), last: None }
+        Self {
+            log,
+            clock,
+            own,
+            state: LeaseState::default(),
+            failed: Timestamp::default(),
+            last: None,
+        }
     }
 
     /// Whether orders may be given now.
@@ -39,6 +52,9 @@
 
     /// Reads on, and takes the lease if nobody holds it.
     pub(super) async fn take(&mut self) -> bool {
+        if self.clock.now().ms_since(self.failed) < RETRY_MS {
+            return false;
+        }
         if !self.read_on().await || !self.state.may_take(self.clock.now()) {
             return false;
         }
@@ -51,7 +67,11 @@
 
     /// Renews the lease if it is time.
     pub(super) async fn renew(&mut self) {
-        if self.state.is_renewal_due(self.clock.now()) && self.append(None).await.is_none() {
+        let now = self.clock.now();
+        if !self.state.is_renewal_due(now) || now.ms_since(self.failed) < RETRY_MS {
+            return;
+        }
+        if self.append(None).await.is_none() {
             // An append without a reply may have been carried out; the log tells.
             self.read_on().await;
         }
@@ -65,6 +85,9 @@
     }
 
     async fn append(&mut self, proposal: Option<Proposal>) -> Option<u64> {
+        if self.clock.now().ms_since(self.failed) < RETRY_MS {
+            return None;
+        }
         let record = GroupRecord { holder: self.own, proposal };
         // Every part of a record has a form in JSON.
         let bytes = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
@@ -75,11 +98,13 @@
                 Some(offset + 1)
             }
             Appended::OtherEnd => {
+                self.failed = self.clock.now();
                 log::info!("group lease append refused holder={} end={}", self.own, self.state.end);
                 self.read_on().await;
                 None
             }
             Appended::Unknown => {
+                self.failed = self.clock.now();
                 log::warn!("group lease append without reply holder={}", self.own);
                 None
             }
@@ -88,7 +113,10 @@
 
     /// Reads the records after the known end.
     async fn read_on(&mut self) -> bool {
-        let Some((first, records)) = self.log.read(self.state.end).await else { return false };
+        let Some((first, records)) = self.log.read(self.state.end).await else {
+            self.failed = self.clock.now();
+            return false;
+        };
         let mut offset = first;
         let mut is_own = true;
         for bytes in &records {
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -23,6 +23,7 @@
 pub(crate) mod placement;
 pub mod publication;
 pub(crate) mod quarantine;
+pub(crate) mod queue;
 pub(crate) mod retries;
 pub(crate) mod routing;
 pub(crate) mod servers;
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -7,15 +7,12 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::balance::{ServerView, choose_server};
+use crate::decisions::queue::{QueuePhase, QueueTimes, queue_bound, queue_phase};
 use crate::decisions::servers::ServerEntry;
 use crate::filters::forward::exchange::{Admitted, Exchange, Selected, View};
 use crate::gateway::GatewayState;
 use crate::lifecycle::attempt::Attempt;
 
-/// The part of the target time, in percent, that a request waits for a server that keeps the pace. The
-/// rest is for reading the prompt and the first pass.
-const WAIT_PERCENT: u64 = 50;
-
 /// The choice.
 pub(crate) enum Selection<'r> {
     /// A server is chosen.
@@ -52,28 +49,27 @@
     Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
 }
 
-/// Waits for a server below its batch bound as long as the answer can still be on time, then takes the
-/// best one there is.
+/// Waits for a server below its bound. The bound is lower once the answer can no longer be on time, so
+/// that late requests take only the room that others leave; after that the request is refused.
 async fn wait_for_server(
     state: &GatewayState,
     admitted: &Admitted,
     received: Timestamp,
 ) -> Option<Arc<ServerEntry>> {
-    let wait_ms = admitted.route.target_ms * WAIT_PERCENT / 100;
-    let until = received.plus_ms(wait_ms);
+    let times = QueueTimes::new(received, admitted.route.target_ms, admitted.deadline);
     loop {
         // Registered before the look, so that no change between the two is missed.
         let changed = state.capacity.notified();
         let now = state.clock.now();
-        let is_late = now >= until;
-        let bound = admitted.batch.filter(|_| !is_late);
+        let phase = queue_phase(&times, now);
+        let bound = admitted.batch.map(|batch| queue_bound(batch, phase));
         if let Some(server) = choose(state, admitted, bound, now) {
             return Some(server);
         }
-        if is_late || bound.is_none() {
+        if bound.is_none() || phase == QueuePhase::Over {
             return None;
         }
-        let left = Duration::from_millis(until.ms_since(now));
+        let left = Duration::from_millis(times.next_after(now).ms_since(now).max(1));
         // A timeout ends the wait like a change does: with another look.
         let _ = timeout(left, changed).await;
     }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -101,6 +101,7 @@
     QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport,
 };
 pub use decisions::quarantine::{QuarantineSettings, QuarantineTable, QuarantineVerdict};
+pub use decisions::queue::{QueuePhase, QueueTimes, queue_bound, queue_phase};
 pub use decisions::retries::{RetryBudget, RetryPolicy, backoff_ms};
 pub use decisions::routing::{Candidate, NoEndpoint, RouteRequest, RoutingPolicy, choose_endpoint};
 pub use decisions::servers::{
