--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -180,6 +180,12 @@
         self.handle.clone()
     }
 
+    /// Where callers connect.
+    #[must_use]
+    pub fn caller_address(&self) -> SocketAddr {
+        self.handle.state.settings.caller_address
+    }
+
     /// The runtime of the control thread, for tasks that follow the platform.
     #[must_use]
     pub fn control(&self) -> &Handle {
--- /dev/null
+++ b/crates/lycheewood/tests/gateway/answers.rs
@@ -0,0 +1,93 @@
+//! Answers of servers that must not reach a caller as they are.
+
+use crate::world::{Act, Seen, World, answer, good, request};
+
+/// Guards against a caller that gets an answer of another request, an unsigned or encoded body, or part
+/// of a body as if it were whole.
+#[test]
+fn a_wrong_answer_is_never_passed_on_as_a_success() {
+    type Wrong = fn(&Seen) -> Vec<u8>;
+    let table: [(&str, Wrong); 7] = [
+        ("another id", |_| {
+            b"HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nhi".to_vec()
+        }),
+        ("no id", |_| b"HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nhi".to_vec()),
+        ("no signature", |seen| answer(seen, "200 OK", "", "hi")),
+        ("encoded", |seen| answer(seen, "200 OK", "X-Seal: s\r\nContent-Encoding: gzip\r\n", "hi")),
+        ("short body", |seen| {
+            let mut bytes = good(seen, "a longer body");
+            bytes.truncate(bytes.len() - 4);
+            bytes
+        }),
+        ("no HTTP", |_| b"what is this\r\n\r\n".to_vec()),
+        ("nothing", |_| Vec::new()),
+    ];
+    for (name, wrong) in table {
+        let mut world = World::with_routes();
+        world.server("s1", move |seen| Act::Write(wrong(seen)));
+        let reply = world.call(&request("/once/x", "id-1"));
+        assert_eq!(reply.status, 502, "{name}: {reply:?}");
+        assert_eq!(world.seen().len(), 1, "{name}: sent again although it may have run");
+    }
+}
+
+/// Guards against a second answer on a connection that is taken as the answer of the next request.
+#[test]
+fn a_second_answer_belongs_to_no_request() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| {
+        let mut bytes = good(seen, "first");
+        bytes.extend(good(seen, "extra"));
+        Act::Write(bytes)
+    });
+    for id in ["id-1", "id-2", "id-3"] {
+        let reply = world.call(&request("/read/x", id));
+        assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "first", true));
+    }
+}
+
+/// Guards against a body that ends with its connection being passed on when it was broken off.
+#[test]
+fn an_answer_without_a_length_is_whole_when_the_connection_ends() {
+    let mut world = World::with_routes();
+    world.server("s1", |_| {
+        Act::Write(b"HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Seal: s\r\n\r\nunframed".to_vec())
+    });
+    let reply = world.call(&request("/read/x", "id-1"));
+    assert_eq!((reply.status, reply.body.as_str(), reply.is_whole), (200, "unframed", true));
+}
+
+/// Guards against an answer that arrives before the request's body was read and leaves the rest of the
+/// body to be read as the next request.
+#[test]
+fn the_body_reaches_the_server_unchanged() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(good(seen, "ok")));
+    let chunked = "POST /once/x?a=1&b=%2F HTTP/1.1\r\nHost: one.example\r\nX-Id: id-1\r\n\
+                   Authorization: Bearer key-1\r\nTransfer-Encoding: chunked\r\n\
+                   Connection: close\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n";
+    assert_eq!(world.call(chunked).status, 200);
+    let seen = world.seen();
+    assert_eq!(seen[0].body, b"abcdefg");
+    assert!(seen[0].head.starts_with("post /once/x?a=1&b=%2f http/1.1"), "{}", seen[0].head);
+}
+
+/// Guards against a request that is hidden inside another one by two lengths.
+#[test]
+fn ambiguous_lengths_are_refused() {
+    let table = [
+        "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody!",
+        "Content-Length: 4, 5\r\n\r\nbody!",
+        "Content-Length: +4\r\n\r\nbody",
+        "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+    ];
+    for lines in table {
+        let mut world = World::with_routes();
+        world.server("s1", |seen| Act::Write(good(seen, "ok")));
+        let head = "POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Id: id-1\r\n\
+                    Authorization: Bearer key-1\r\n";
+        let reply = world.call(&format!("{head}{lines}"));
+        assert_eq!(reply.status, 400, "{lines:?}: {reply:?}");
+        assert!(world.seen().is_empty(), "{lines:?}");
+    }
+}
--- /dev/null
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -0,0 +1,129 @@
+//! What is sent again, and what a refusal promises.
+
+use std::net::TcpListener;
+
+use lycheewood::ServerState;
+
+use crate::world::{Act, World, answer, field, good, request};
+
+/// Guards against a request that may not repeat running twice, and against a refusal that says it has
+/// not run when it may have.
+#[test]
+fn a_request_that_may_have_run_is_sent_again_only_if_it_may_repeat() {
+    for (path, sent, status) in [("/once/x", 1, 502), ("/read/x", 2, 502)] {
+        let mut world = World::with_routes();
+        world.server("s1", |_| Act::Write(Vec::new()));
+        world.server("s2", |_| Act::Write(Vec::new()));
+        let reply = world.call(&request(path, "id-1"));
+        assert_eq!((world.seen().len(), reply.status), (sent, status), "{path}");
+    }
+}
+
+/// Guards against giving up when a server says that it has not run the request.
+#[test]
+fn a_server_that_has_not_run_the_request_is_followed_by_another() {
+    for path in ["/once/x", "/read/x"] {
+        let mut world = World::with_routes();
+        for id in ["s1", "s2"] {
+            world.server(id, |seen| {
+                if seen.server == "s1" {
+                    Act::Write(answer(seen, "503 Service Unavailable", "X-Not-Run: 1\r\n", ""))
+                } else {
+                    Act::Write(good(seen, "ok"))
+                }
+            });
+        }
+        for id in ["id-1", "id-2", "id-3"] {
+            assert_eq!(world.call(&request(path, id)).status, 200, "{path}");
+        }
+    }
+}
+
+/// Guards against passing on a refusal of a server as an own answer, and against sending the caller back
+/// at once.
+#[test]
+fn a_refusal_of_all_servers_is_passed_on_with_a_time_to_come_back() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| {
+        Act::Write(answer(seen, "503 Service Unavailable", "X-Not-Run: 1\r\n", "full"))
+    });
+    let reply = world.call(&request("/once/x", "id-1"));
+    assert_eq!((reply.status, reply.body.as_str()), (503, "full"));
+    assert_eq!(field(&reply.head, "retry-after").as_deref(), Some("1"));
+}
+
+/// Guards against a 503 after a first attempt that may have run.
+#[test]
+fn a_refusal_after_an_attempt_that_may_have_run_is_not_passed_on() {
+    let mut world = World::with_routes();
+    let script = |seen: &crate::world::Seen| {
+        let first = field(&seen.head, "x-expect");
+        // Whichever server comes first breaks off; the other one refuses.
+        if FIRST.get_or_init(|| first.clone()) == &first {
+            Act::Write(Vec::new())
+        } else {
+            Act::Write(answer(seen, "503 Service Unavailable", "X-Not-Run: 1\r\n", "full"))
+        }
+    };
+    static FIRST: std::sync::OnceLock<Option<String>> = std::sync::OnceLock::new();
+    world.server("s1", script);
+    world.server("s2", script);
+    let reply = world.call(&request("/read/x", "id-1"));
+    assert_eq!((world.seen().len(), reply.status), (2, 502));
+}
+
+/// Guards against a server's own failure being kept from the caller when no other attempt is left.
+#[test]
+fn a_server_error_is_tried_elsewhere_only_if_the_request_may_repeat() {
+    for (path, sent) in [("/once/x", 1), ("/read/x", 2)] {
+        let mut world = World::with_routes();
+        for id in ["s1", "s2"] {
+            world.server(id, |seen| {
+                Act::Write(answer(seen, "500 Internal Server Error", "X-Seal: s\r\n", "bad"))
+            });
+        }
+        let reply = world.call(&request(path, "id-1"));
+        assert_eq!((world.seen().len(), reply.status, reply.body.as_str()), (sent, 500, "bad"));
+    }
+}
+
+/// Guards against a request lost because one server cannot be reached.
+#[test]
+fn a_server_that_cannot_be_reached_does_not_count_as_an_attempt() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(good(seen, "ok")));
+    let unused = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    world.list("s2", unused, ServerState::Ready);
+    for id in ["id-1", "id-2", "id-3", "id-4", "id-5"] {
+        assert_eq!(world.call(&request("/once/x", id)).status, 200);
+    }
+}
+
+/// Guards against requests that keep being sent to an address that belongs to another server: after
+/// all processes lost power, one answer 421 for each request used the whole retry budget up.
+#[test]
+fn a_server_that_is_not_at_its_address_gets_no_further_request() {
+    let mut world = World::with_routes();
+    let other =
+        |seen: &crate::world::Seen| Act::Write(answer(seen, "421 Misdirected Request", "", ""));
+    world.server("s1", other);
+    world.server("s2", |seen| Act::Write(good(seen, "ok")));
+    for id in 0..20 {
+        assert_eq!(world.call(&request("/once/x", &format!("id-{id}"))).status, 200);
+    }
+    let misdirected = world.seen().iter().filter(|seen| seen.server == "s1").count();
+    assert!(misdirected <= 1, "{misdirected} requests went to the address of another server");
+}
+
+/// Guards against work on a draining server.
+#[test]
+fn a_draining_server_gets_no_request() {
+    let mut world = World::with_routes();
+    let leaving = world.server("s1", |seen| Act::Write(good(seen, "ok")));
+    world.server("s2", |seen| Act::Write(good(seen, "ok")));
+    world.list("s1", leaving, ServerState::Draining);
+    for id in ["id-1", "id-2", "id-3", "id-4", "id-5", "id-6"] {
+        assert_eq!(world.call(&request("/read/x", id)).status, 200);
+    }
+    assert!(world.seen().iter().all(|seen| seen.server == "s2"));
+}
--- /dev/null
+++ b/crates/lycheewood/tests/gateway/streams.rs
@@ -0,0 +1,94 @@
+//! Streams of events: passed on as they come, continued elsewhere, never joined wrongly.
+
+use std::io::{Read, Write};
+
+use crate::world::{Act, Seen, World, field, request};
+
+fn head(seen: &Seen) -> String {
+    let id = field(&seen.head, "x-id").unwrap_or_default();
+    let server = &seen.server;
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Seal: {server}\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn events(from: u32, to: u32) -> String {
+    (from..=to).map(event).collect()
+}
+
+/// Guards against a stream with a missing or repeated piece when a server stops in the middle of an
+/// event, and against a second head.
+#[test]
+fn a_broken_stream_continues_at_another_server() {
+    let mut world = World::with_routes();
+    let script = |seen: &Seen| match field(&seen.head, "last-event-id") {
+        None => {
+            let text = head(seen) + &chunk(&events(1, 3)) + &chunk("id: 4\nda");
+            Act::Write(text.into_bytes())
+        }
+        Some(last) => {
+            let next = last.parse::<u32>().expect("a number") + 1;
+            Act::Write((head(seen) + &chunk(&events(next, 6)) + "0\r\n\r\n").into_bytes())
+        }
+    };
+    world.server("s1", script);
+    world.server("s2", script);
+    let reply = world.call(&request("/stream/x", "id-1"));
+    assert_eq!((reply.status, reply.is_whole), (200, true));
+    assert_eq!(reply.body, events(1, 6));
+    let seen = world.seen();
+    assert_eq!(seen.len(), 2);
+    assert_eq!(field(&reply.head, "x-seal").as_deref(), Some(seen[0].server.as_str()));
+}
+
+/// Guards against pieces that come twice when the second server repeats some.
+#[test]
+fn repeated_events_are_not_passed_on_again() {
+    let mut world = World::with_routes();
+    let script = |seen: &Seen| match field(&seen.head, "last-event-id") {
+        None => Act::Write((head(seen) + &chunk(&events(1, 3))).into_bytes()),
+        Some(_) => Act::Write((head(seen) + &chunk(&events(2, 5)) + "0\r\n\r\n").into_bytes()),
+    };
+    world.server("s1", script);
+    world.server("s2", script);
+    let reply = world.call(&request("/stream/x", "id-1"));
+    assert_eq!((reply.body, reply.is_whole), (events(1, 5), true));
+}
+
+/// Guards against a stream that was broken off and looks complete.
+#[test]
+fn a_stream_that_cannot_continue_is_cut() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write((head(seen) + &chunk(&events(1, 2))).into_bytes()));
+    let reply = world.call(&request("/stream/x", "id-1"));
+    assert_eq!((reply.body, reply.is_whole), (events(1, 2), false));
+}
+
+/// Guards against events that wait for later ones, and against a server that works on for a caller that
+/// has left.
+#[test]
+fn events_are_passed_on_at_once_and_a_caller_that_leaves_frees_its_server() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Hang((head(seen) + &chunk(&events(1, 1))).into_bytes()));
+    world.wait_until_ready();
+    let mut tcp = world.connect();
+    tcp.write_all(request("/stream/x", "id-1").as_bytes()).expect("sent");
+    let mut text = String::new();
+    let mut buffer = [0; 512];
+    while !text.contains("piece 1") {
+        let length = tcp.read(&mut buffer).expect("the event arrives");
+        assert!(length > 0, "the connection ended before the event: {text}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    drop(tcp);
+    assert_eq!(world.wait_for_close(), "s1");
+}
