--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -10,7 +10,7 @@
 use crate::controllers::expert_groups::group::statuses;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
-use crate::decisions::expert_groups::{OrderReply, RankOrder, imbalance, switch_step};
+use crate::decisions::expert_groups::{OrderReply, RankOrder, imbalance, late_holds, switch_step};
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::lifecycle::map_switch::{HeldBefore, MapSwitch, Prepared, Preparing};
@@ -159,6 +159,10 @@
         {
             return Ok(());
         }
+        // An order to hold that got no reply may be carried out after the release.
+        for (rank, step) in late_holds(&statuses) {
+            release(run, step, rank).await;
+        }
         // Orders to a formation that is gone are refused; the list tells of it.
         if run.state.servers.load().table.entries().iter().any(|entry| {
             entry.group.as_ref().is_some_and(|group| {
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -247,6 +247,18 @@
     },
 }
 
+/// Holds that ranks show, as rank and pass.
+///
+/// After a switch has been released, each of them may be released as well. A hold before the pass of the
+/// switch is a late copy of its own, and all ranks are armed for that pass; a hold before another pass
+/// is a late one of a former holder of the lease, which armed no rank because it never learned that
+/// the group was held.
+#[must_use]
+pub fn late_holds(ranks: &[RankStatus]) -> Vec<(usize, u64)> {
+    let held = ranks.iter().enumerate();
+    held.filter_map(|(rank, status)| Some((rank, status.held?))).collect()
+}
+
 /// Judges what ranks show after a takeover. `proposed` is the version of the last proposal in the log.
 ///
 /// A hold is the former holder's decision to go forward: it was made only after every rank was
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -87,7 +87,7 @@
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountBook, ExpertDemand, Found, OrderReply, RankCounts, RankOrder, RankStatus, find_switch,
-    next_map, switch_step,
+    late_holds, next_map, switch_step,
 };
 pub use decisions::log_lease::{GroupRecord, LeaseState, Proposal};
 pub use decisions::membership::{
--- /dev/null
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -0,0 +1,325 @@
+//! Decisions about forwarded requests: routes, servers, instances, choice, queueing and events.
+
+use lycheewood::{
+    About, CountBook, EnginePace, EntryView, EventSplitter, FailureDomain, Heartbeat, Incarnation,
+    InstanceId, LagWatch, LeaseState, Offset, OwnState, PeerFold, QueuePhase, QueueTimes,
+    RankCounts, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind, RouteTable,
+    RouteTableError, ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerView,
+    TargetName, Timestamp, choose_server, event_id, near_entries, queue_bound, queue_phase,
+    steady_batch,
+};
+use proptest::prelude::*;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_unix_ms(1_000_000 + ms)
+}
+
+fn route(name: &str, prefix: &str, split: &[(&str, u64)]) -> RawRoute {
+    let share =
+        |(service, weight): &(&str, u64)| RawShare { service: (*service).into(), weight: *weight };
+    RawRoute {
+        name: name.into(),
+        host: "One.example".into(),
+        path_prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        priority: 1,
+        split: split.iter().map(share).collect(),
+        max_attempts: 2,
+        is_open: false,
+        is_resumable: false,
+        target_gap_ms: None,
+    }
+}
+
+fn table(routes: Vec<RawRoute>) -> RawRouteTable {
+    RawRouteTable { version: 1, routes, ..RawRouteTable::default() }
+}
+
+/// Guards against a shorter prefix that takes a longer one's requests, and hosts that differ in case.
+#[test]
+fn the_longest_prefix_wins() {
+    let routes = vec![route("a", "/a/", &[("s", 1)]), route("ab", "/a/b/", &[("s", 1)])];
+    let table = RouteTable::try_from(table(routes)).expect("a table");
+    let name = |path: &str| table.route("one.EXAMPLE:8080", path).map(|route| route.name.as_str());
+    assert_eq!(name("/a/b/c"), Some("ab"));
+    assert_eq!(name("/a/bc"), Some("a"));
+    assert_eq!(name("/b/"), None);
+    assert!(table.route("two.example", "/a/b/c").is_none());
+}
+
+/// Guards against a split that gives a service without weight requests.
+#[test]
+fn a_split_follows_its_weights() {
+    let split = [("x", 90), ("none", 0), ("y", 10)];
+    let table = RouteTable::try_from(table(vec![route("a", "/", &split)])).expect("a table");
+    let route = table.route("one.example", "/").expect("a route");
+    let count = |name: &str| (0..100).filter(|n| route.service(*n).as_str() == name).count();
+    assert_eq!((count("x"), count("y"), count("none")), (90, 10, 0));
+}
+
+/// Guards against a table in force that sends requests nowhere or names two holders of one key.
+#[test]
+fn an_unusable_table_is_refused_as_a_whole() {
+    let wrong = RouteTable::try_from(table(vec![route("a", "/a", &[("s", 1)])]));
+    assert!(matches!(wrong, Err(RouteTableError::Prefix { .. })));
+    let nowhere = RouteTable::try_from(table(vec![route("a", "/", &[("s", 0)])]));
+    assert!(matches!(nowhere, Err(RouteTableError::NoService { .. })));
+    let holder =
+        |name: &str| RawKeyHolder { name: name.into(), keys: vec!["k".into()], priority: None };
+    let shared = RawRouteTable { workspaces: vec![holder("a"), holder("b")], ..table(Vec::new()) };
+    assert!(matches!(RouteTable::try_from(shared), Err(RouteTableError::SharedKey { .. })));
+}
+
+fn entry(id: &str, state: ServerState) -> ServerRecord {
+    ServerRecord::Entry(ServerEntry {
+        id: InstanceId::new(id),
+        service: TargetName::new("s"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        failure_domain: FailureDomain::new("a"),
+        state,
+        slots: 4,
+        group: None,
+    })
+}
+
+fn change(offset: u64, id: &str, record: ServerRecord) -> ServerChange {
+    ServerChange { offset: Offset(offset), id: InstanceId::new(id), record }
+}
+
+fn ready(fold: &ServerFold) -> usize {
+    fold.table().len()
+}
+
+/// Guards against a server that gets requests after it has said that it leaves, because an older record
+/// is read again.
+#[test]
+fn an_older_record_never_replaces_a_newer_one() {
+    let mut fold = ServerFold::default();
+    fold.apply(change(5, "a", entry("a", ServerState::Draining)), at(0));
+    assert!(!fold.apply(change(3, "a", entry("a", ServerState::Ready)), at(1)));
+    assert!(!fold.replace(vec![change(3, "a", entry("a", ServerState::Ready))], Offset(4), at(2)));
+    assert_eq!(ready(&fold), 0);
+}
+
+/// Guards against an entry of another writer that changes the other servers, or is used.
+#[test]
+fn an_unreadable_entry_names_no_server_and_leaves_the_others() {
+    let mut fold = ServerFold::default();
+    fold.apply(change(0, "a", entry("a", ServerState::Ready)), at(0));
+    fold.apply(change(1, "b", ServerRecord::Unreadable), at(0));
+    assert_eq!(ready(&fold), 1);
+    fold.apply(change(2, "a", ServerRecord::Unreadable), at(0));
+    assert_eq!(ready(&fold), 0);
+}
+
+/// Guards against losing all servers whose entries lapsed while the list was away, and against using one
+/// that is gone for longer than a draining server may be used.
+#[test]
+fn lapsed_entries_count_for_a_short_time_after_an_outage() {
+    let mut fold = ServerFold::default();
+    fold.apply(change(0, "a", entry("a", ServerState::Ready)), at(0));
+    fold.apply(change(1, "b", entry("b", ServerState::Ready)), at(0));
+    fold.note_list_is_back(at(10_000));
+    fold.replace(Vec::new(), Offset(4), at(10_001));
+    assert_eq!(ready(&fold), 2);
+    fold.apply(change(4, "a", entry("a", ServerState::Ready)), at(10_500));
+    assert!(fold.expire(at(12_000)));
+    assert_eq!(ready(&fold), 1);
+    // Without an outage, an entry that is removed is gone at once.
+    fold.apply(change(5, "a", ServerRecord::Removed), at(20_000));
+    assert_eq!(ready(&fold), 0);
+}
+
+fn heartbeat(incarnation: u64, sequence: u64, is_ready: bool) -> Heartbeat {
+    Heartbeat {
+        about: Some(About {
+            instance: InstanceId::new("g"),
+            failure_domain: FailureDomain::new("a"),
+            caller_address: "127.0.0.1:9".parse().expect("an address"),
+        }),
+        incarnation: Incarnation(incarnation),
+        sequence,
+        is_ready,
+        leads: false,
+        route_version: Some(3),
+        servers_next: Offset(7),
+        in_flight: Vec::new(),
+    }
+}
+
+/// Guards against a stopping instance that a late datagram brings back, and one that died without a
+/// word.
+#[test]
+fn a_leaving_or_silent_instance_is_told_to_nobody() {
+    let from = "127.0.0.1:5".parse().expect("an address");
+    let mut fold = PeerFold::default();
+    fold.apply(from, heartbeat(1, 1, true), at(0));
+    let told = |fold: &PeerFold, now| fold.table(now).peers.values().any(|p| p.may_be_told(now));
+    assert!(told(&fold, at(100)));
+    assert!(!told(&fold, at(1_600)));
+    fold.apply(from, heartbeat(1, 3, false), at(200));
+    assert!(!fold.apply(from, heartbeat(1, 2, true), at(210)));
+    assert!(!told(&fold, at(220)));
+    // Another run at the same address ends the first one for good.
+    fold.apply(from, heartbeat(2, 1, true), at(300));
+    assert!(!fold.apply(from, heartbeat(1, 4, false), at(310)));
+    assert!(told(&fold, at(320)));
+}
+
+/// Guards against an instance that the platform turns away and that keeps an old route table.
+#[test]
+fn state_is_fetched_from_an_instance_that_has_more() {
+    let from = "127.0.0.1:5".parse().expect("an address");
+    let mut fold = PeerFold::default();
+    fold.apply(from, heartbeat(1, 1, true), at(0));
+    let mut lag = LagWatch::default();
+    let own = |version, read| OwnState {
+        route_version: version,
+        servers_next: Offset(7),
+        servers_read: Some(at(read)),
+    };
+    let peers = fold.table(at(0));
+    // Without a table there is nothing to wait for.
+    assert_eq!(lag.source(&own(None, 0), &peers, at(0)), Some(from));
+    assert_eq!(lag.source(&own(Some(2), 0), &peers, at(10)), None);
+    assert_eq!(lag.source(&own(Some(2), 0), &peers, at(310)), Some(from));
+    assert_eq!(lag.source(&own(Some(3), 300), &peers, at(320)), None);
+    // The server list is old, and the other instance has read further.
+    let stale = OwnState { servers_next: Offset(6), ..own(Some(3), 0) };
+    fold.apply(from, heartbeat(1, 2, true), at(4_000));
+    assert_eq!(lag.source(&stale, &fold.table(at(4_000)), at(4_000)), Some(from));
+}
+
+/// Guards against callers that are sent to another failure domain for no reason, or to a single
+/// instance.
+#[test]
+fn near_instances_are_told_unless_there_are_too_few() {
+    let (a, b) = (FailureDomain::new("a"), FailureDomain::new("b"));
+    let view = |port: u16, domain| EntryView {
+        caller_address: ([127, 0, 0, 1], port).into(),
+        failure_domain: domain,
+    };
+    let entries = [view(1, &a), view(2, &a), view(3, &b)];
+    assert_eq!(near_entries(&entries, &a, 0, 64).len(), 2);
+    assert_eq!(near_entries(&entries, &b, 0, 64).len(), 3);
+    assert_eq!(near_entries(&entries, &b, 0, 64)[0].port(), 3);
+    assert_eq!(near_entries(&entries, &b, 0, 2).len(), 2);
+}
+
+/// Guards against streams that are late because a server runs more of them than its pace allows.
+#[test]
+fn a_batch_keeps_the_pace() {
+    let engine = EnginePace {
+        slots: 12,
+        step_ms: 4.55,
+        per_seq_ms: 0.905,
+        stride: 4,
+        read_per_s: 61_400.0,
+        usual_prompt: 835.0,
+        expert_share: 0.85,
+    };
+    assert_eq!(steady_batch(&engine, 10_000), 12);
+    assert_eq!(steady_batch(&engine, 1), 1);
+    let batch = steady_batch(&engine, 120);
+    assert!((5..12).contains(&batch), "{batch}");
+    assert!(steady_batch(&engine, 100) <= batch);
+}
+
+/// Guards against a request that is held until nobody can use its answer.
+#[test]
+fn a_request_waits_in_turn_and_not_for_ever() {
+    let times = QueueTimes::new(at(0), 500, at(8_000));
+    assert_eq!(queue_phase(&times, at(249)), QueuePhase::OnTime);
+    assert_eq!(queue_phase(&times, at(250)), QueuePhase::Late);
+    assert_eq!(queue_phase(&times, at(2_000)), QueuePhase::Over);
+    assert_eq!(times.next_after(at(0)), at(250));
+    assert_eq!(times.next_after(at(250)), at(2_000));
+    assert_eq!((queue_bound(7, QueuePhase::OnTime), queue_bound(7, QueuePhase::Late)), (7, 6));
+    assert_eq!(queue_bound(1, QueuePhase::Late), 1);
+}
+
+/// Guards against counts of a rank that started anew being taken as choices.
+#[test]
+fn counts_of_a_new_formation_start_anew() {
+    let mut book = CountBook::default();
+    let counts = |epoch, a, b| RankCounts { epoch, counts: vec![vec![a, b]] };
+    assert_eq!(book.take(0, &counts(1, 10, 20)), None);
+    assert_eq!(book.take(0, &counts(1, 15, 20)), Some(vec![vec![5, 0]]));
+    assert_eq!(book.take(0, &counts(1, 3, 30)), None);
+    assert_eq!(book.take(0, &counts(2, 50, 60)), None);
+    assert_eq!(book.take(0, &counts(2, 51, 62)), Some(vec![vec![1, 2]]));
+}
+
+/// Guards against two processes that give orders at the same time.
+#[test]
+fn a_lease_is_over_before_another_process_may_take_it() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(0, at(0), at(100));
+    let mut other = LeaseState::default();
+    // The other process sees the record at the earliest when it was sent.
+    other.note_read(1, false, at(0));
+    for ms in 0..5_000 {
+        assert!(!(holder.may_order(at(ms)) && other.may_take(at(ms))), "both at {ms} ms");
+    }
+    assert!(other.may_take(at(4_000)));
+    // A new record starts the wait anew.
+    other.note_read(2, false, at(4_000));
+    assert!(!other.may_take(at(4_100)));
+    holder.note_lost();
+    assert!(!holder.may_order(at(0)));
+}
+
+proptest! {
+    /// Guards against events that depend on how the stream was cut into reads.
+    #[test]
+    fn events_do_not_depend_on_reads(
+        ids in prop::collection::vec(0_u64..1_000, 0..20),
+        cuts in prop::collection::vec(1_usize..40, 1..60),
+        crlf in any::<bool>(),
+    ) {
+        let line = if crlf { "\r\n" } else { "\n" };
+        let wanted: Vec<String> =
+            ids.iter().map(|id| format!("id: {id}{line}data: x{line}{line}")).collect();
+        let text = wanted.concat() + "id: 7";
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        let (mut rest, mut cuts) = (text.as_bytes(), cuts.iter().cycle());
+        while !rest.is_empty() {
+            let (part, left) = rest.split_at((*cuts.next().expect("endless")).min(rest.len()));
+            splitter.push(part).expect("short events");
+            rest = left;
+            while let Some(event) = splitter.next_event() {
+                events.push(event);
+            }
+        }
+        let texts: Vec<_> = events.iter().map(|e| String::from_utf8_lossy(e).into_owned()).collect();
+        prop_assert_eq!(texts, wanted);
+        let found: Vec<_> = events.iter().filter_map(|event| event_id(event)).collect();
+        prop_assert_eq!(found, ids);
+        prop_assert!(splitter.has_partial());
+    }
+
+    /// Guards against a server that must be avoided being chosen, and against no choice while one is
+    /// left.
+    #[test]
+    fn a_choice_is_made_among_those_that_are_left(
+        loads in prop::collection::vec((0_u32..20, 0.0_f64..3.0), 0..12),
+        avoided in prop::collection::vec(0_usize..12, 0..12),
+        random in any::<u64>(),
+    ) {
+        let domain = FailureDomain::new("a");
+        let ids: Vec<_> = (0..loads.len()).map(|n| InstanceId::new(&n.to_string())).collect();
+        let servers: Vec<_> = ids.iter().zip(&loads).map(|(id, (in_flight, failures))| ServerView {
+            id, failure_domain: &domain, slots: 4, in_flight: *in_flight, failures: *failures,
+        }).collect();
+        let avoid: Vec<_> = avoided.iter().map(|n| InstanceId::new(&n.to_string())).collect();
+        let left = ids.iter().filter(|id| !avoid.contains(id)).count();
+        let choice = choose_server(&servers, &domain, &avoid, random);
+        prop_assert_eq!(choice.is_some(), left > 0);
+        if let Some(index) = choice {
+            prop_assert!(!avoid.contains(&ids[index]));
+        }
+    }
+}
