--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -89,6 +89,12 @@
         self.state.metrics.records_unreadable.inc();
     }
 
+    /// Version of the route table in force.
+    #[must_use]
+    pub fn route_version(&self) -> Option<u64> {
+        self.state.routes.load().as_ref().map(|routes| routes.table.version)
+    }
+
     /// Whether callers may be sent to this instance.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/lycheewood/tests/gateway/world.rs
+++ b/crates/lycheewood/tests/gateway/world.rs
@@ -137,9 +137,14 @@
     }
 
     pub(crate) fn wait_until_ready(&self) {
-        while !self.gateway().handle().is_ready() {
+        // Far longer than it takes, so that a fault shows as a failure.
+        for _ in 0..3_000 {
+            if self.gateway().handle().is_ready() {
+                return;
+            }
             thread::park_timeout(Duration::from_millis(5));
         }
+        panic!("the gateway does not become ready");
     }
 
     pub(crate) fn call_now(&self, request: &str) -> Reply {
