Move the state that filters and adapters share out of the roles

Filters, adapters and roles imported each other in circles through roles/entry.rs. The state is a module of its own, and the phase of a process stands beside its shutdown.

--- a/crates/lycheewood/src/adapters/admin.rs
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -19,9 +19,9 @@
 use crate::controllers::document::DocumentInForce;
 use crate::controllers::{Progress, wait_for_progress};
 use crate::decisions::groups::GroupLog;
+use crate::entry_state::EntryState;
 use crate::ids::Offset;
 use crate::roles::endpoint::EndpointState;
-use crate::roles::entry::EntryState;
 use crate::runtime::stopped;
 
 /// The node whose state is shown.
--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -20,10 +20,10 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::entry_state::EntryState;
 use crate::filters;
 use crate::filters::request::Request;
 use crate::ids::RequestKey;
-use crate::roles::entry::EntryState;
 use crate::runtime::stopped;
 
 /// What the kernel may hold of an answer that its caller reads slowly. By default it grows to megabytes,
--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -14,11 +14,12 @@
 use crate::adapters::caller::{Delivery, ReplyBody};
 use crate::adapters::instance_list::ListedInstance;
 use crate::decisions::entries::{AdviceSettings, InstanceCandidate, entry_advice};
+use crate::entry_state::EntryState;
 use crate::filters::inquire::Inquiry;
 use crate::filters::relay::{Answer, Piece, Relay};
 use crate::filters::request::Request;
+use crate::lifecycle::shutdown::Phase;
 use crate::outcome::{InvalidRequest, NotRun, NotRunCode, Refusal, Unknown};
-use crate::roles::entry::{EntryState, Phase};
 
 /// The most entry addresses that a caller is told.
 const MAX_ADDRESSES: usize = 6;
--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -24,8 +24,8 @@
 use crate::filters::forward;
 use crate::filters::forward::exchange::Head;
 use crate::gateway::GatewayState;
+use crate::lifecycle::shutdown::Phase;
 use crate::outcome::Refusal;
-use crate::roles::entry::Phase;
 use crate::routes::raw::CallerLimits;
 
 /// What the kernel may hold of an answer that its caller reads slowly.
--- a/crates/lycheewood/src/adapters/forward/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/forward/caller/encode.rs
@@ -17,8 +17,8 @@
 use crate::filters::forward::exchange::Head;
 use crate::filters::forward::relay::{CutReason, Relay};
 use crate::gateway::GatewayState;
+use crate::lifecycle::shutdown::Phase;
 use crate::outcome::{InvalidRequest, NotRunCode, Refusal, UnknownCode};
-use crate::roles::entry::Phase;
 
 /// Body of every reply to a caller.
 pub(crate) type ReplyBody = UnsyncBoxBody<Bytes, CutReason>;
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -23,7 +23,7 @@
 use crate::gateway::GatewayState;
 use crate::group_ports::{LeaseLog, RankAddress, RankClient};
 use crate::ids::TargetName;
-use crate::roles::entry::Phase;
+use crate::lifecycle::shutdown::Phase;
 use crate::routes::raw::ExpertShape;
 
 /// Time between two looks at the groups, in milliseconds.
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -18,7 +18,7 @@
 use crate::controllers::servers::{Export, ServerNews, ServersController};
 use crate::decisions::peers::{LagWatch, OwnState, PeerFold};
 use crate::gateway::GatewayState;
-use crate::roles::entry::Phase;
+use crate::lifecycle::shutdown::Phase;
 use crate::wire::heartbeat::{About, Heartbeat, SharedState, server_tag};
 
 /// The first heartbeats of a run say all, and so does each of this many later ones.
--- a/crates/lycheewood/src/filters.rs
+++ b/crates/lycheewood/src/filters.rs
@@ -21,6 +21,7 @@
 
 use std::sync::Arc;
 
+use crate::entry_state::EntryState;
 use crate::filters::claim::Claiming;
 use crate::filters::deduplicate::Deduplicated;
 use crate::filters::dispatch::Dispatch;
@@ -28,7 +29,6 @@
 use crate::filters::relay::{Answer, FirstPiece};
 use crate::filters::request::Request;
 use crate::outcome::Refusal;
-use crate::roles::entry::EntryState;
 
 /// Passes a request through the chain, up to the head of its answer.
 pub(crate) async fn run(
--- a/crates/lycheewood/src/filters/admit.rs
+++ b/crates/lycheewood/src/filters/admit.rs
@@ -8,10 +8,10 @@
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::admission::{AdmissionController, EndOfRequest, Offer};
 use crate::decisions::admission::Admitted as Admission;
+use crate::entry_state::{EntryState, InFlight};
 use crate::filters::exchange::{Admitted, Classified, Exchange};
 use crate::ids::{TargetName, WorkspaceName};
 use crate::outcome::{NotRunCode, Refusal};
-use crate::roles::entry::{EntryState, InFlight};
 
 /// How soon a caller may come back when the control thread does not answer.
 const CONTROL_RETRY_MS: u64 = 1_000;
--- a/crates/lycheewood/src/filters/claim.rs
+++ b/crates/lycheewood/src/filters/claim.rs
@@ -6,11 +6,11 @@
 use crate::controllers::claims::{Acquire, NotGranted};
 use crate::decisions::claims::different_request;
 use crate::decisions::claims::record::{ClaimKey, ClaimRecord};
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Admitted, Claimed, Exchange, Routed};
 use crate::ids::RequestKey;
 use crate::lifecycle::claim::{Claim, Granted, LostReason};
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::EntryState;
 
 /// How soon a caller may come back when its claim was not decided or another attempt holds its key.
 pub(crate) const CLAIM_RETRY_MS: u64 = 1_000;
--- a/crates/lycheewood/src/filters/deduplicate.rs
+++ b/crates/lycheewood/src/filters/deduplicate.rs
@@ -10,13 +10,13 @@
 use crate::decisions::claims::record::ClaimKey;
 use crate::decisions::claims::recovery::{RecoveryReply, RecoveryStep, recovery_step};
 use crate::decisions::claims::{Holder, different_request};
+use crate::entry_state::EntryState;
 use crate::filters::claim::CLAIM_RETRY_MS;
 use crate::filters::exchange::{Admitted, Exchange};
 use crate::filters::relay::{self, Answer, Recovered};
 use crate::filters::request::Request;
 use crate::ids::RequestKey;
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::EntryState;
 use crate::wire::message::Recover;
 
 /// What is known of a key.
--- a/crates/lycheewood/src/filters/dispatch.rs
+++ b/crates/lycheewood/src/filters/dispatch.rs
@@ -9,13 +9,13 @@
 use crate::controllers::claims::Release;
 use crate::controllers::load::EndpointView;
 use crate::controllers::quarantine::Withdraw;
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Admitted, Claimed, Exchange};
 use crate::filters::request::Call;
 use crate::filters::route::NO_ENDPOINT_RETRY_MS;
 use crate::ids::{Incarnation, VersionName};
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::outcome::{NotRunCode, Refusal};
-use crate::roles::entry::EntryState;
 use crate::telemetry::HopSpan;
 use crate::wire::message::{Start, Work};
 
--- a/crates/lycheewood/src/filters/exchange.rs
+++ b/crates/lycheewood/src/filters/exchange.rs
@@ -8,14 +8,15 @@
 use crate::controllers::load::{EndpointTable, EndpointView};
 use crate::controllers::membership::Members;
 use crate::document::checked::Workspace;
+use crate::entry_state::EntryState;
 use crate::filters::admit::AdmissionGuard;
 use crate::filters::request::Request;
 use crate::ids::{
     EndpointKindName, InstanceId, RequestKey, TargetName, VersionName, WorkspaceName,
 };
 use crate::lifecycle::attempt::{Attempt, Planned};
+use crate::lifecycle::shutdown::Phase;
 use crate::outcome::{NotRun, NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::{EntryState, Phase};
 use crate::telemetry::HopSpan;
 
 /// How soon a caller may come back when this instance has no document yet.
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -15,9 +15,9 @@
 use crate::gateway::{GatewayState, RoutesInForce, ServersInForce};
 use crate::ids::{InstanceId, TargetName, WorkspaceName};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
+use crate::lifecycle::shutdown::Phase;
 use crate::load_book::InFlightGuard;
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::Phase;
 use crate::routes::checked::{KeyHolder, Route};
 
 /// How soon a caller may come back when this instance has no route table yet.
--- a/crates/lycheewood/src/filters/inquire.rs
+++ b/crates/lycheewood/src/filters/inquire.rs
@@ -4,6 +4,7 @@
 
 use crate::controllers::claims::{Found, Look, claim_settings};
 use crate::decisions::claims::record::ClaimKey;
+use crate::entry_state::EntryState;
 use crate::filters::claim::CLAIM_RETRY_MS;
 use crate::filters::deduplicate::{Question, Resolved};
 use crate::filters::exchange::{Admitted, Exchange, Terms, View};
@@ -12,7 +13,6 @@
 use crate::filters::{authenticate, trace};
 use crate::ids::{RequestKey, TargetName};
 use crate::outcome::{NotRunCode, Refusal, Unknown, UnknownCode};
-use crate::roles::entry::EntryState;
 
 /// What is known of a key.
 pub(crate) enum Inquiry {
--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -11,13 +11,13 @@
 use crate::controllers::claims::Vouched;
 use crate::controllers::quarantine::Clear;
 use crate::decisions::claims::record::ClaimKey;
+use crate::entry_state::EntryState;
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, Exchange, View};
 use crate::filters::request::Request;
 use crate::filters::retry;
 use crate::ids::AttemptId;
 use crate::outcome::{Refusal, Unknown, UnknownCode};
-use crate::roles::entry::EntryState;
 use crate::wire::message::Head;
 
 pub(crate) use recovered::{Recovered, recovered};
--- a/crates/lycheewood/src/filters/relay/recovered.rs
+++ b/crates/lycheewood/src/filters/relay/recovered.rs
@@ -6,11 +6,11 @@
 
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents};
 use crate::controllers::load::EndpointView;
+use crate::entry_state::EntryState;
 use crate::filters::exchange::Admitted;
 use crate::filters::relay::source::Source;
 use crate::filters::relay::{Answer, Relay};
 use crate::filters::request::Request;
-use crate::roles::entry::EntryState;
 
 /// What an endpoint says of an earlier attempt.
 pub(crate) enum Recovered {
--- a/crates/lycheewood/src/filters/relay/source.rs
+++ b/crates/lycheewood/src/filters/relay/source.rs
@@ -9,13 +9,13 @@
 use crate::adapters::peer::link::{AttemptEvent, AttemptEvents, Flight, Link};
 use crate::controllers::load::EndpointView;
 use crate::controllers::quarantine::Withdraw;
+use crate::entry_state::EntryState;
 use crate::filters::dispatch::Sent;
 use crate::filters::exchange::{Admitted, View};
 use crate::filters::route;
 use crate::ids::Incarnation;
 use crate::lifecycle::attempt::{Attempt, Dispatched, Vouch};
 use crate::outcome::{NotRun, NotRunCode, UnknownCode};
-use crate::roles::entry::EntryState;
 use crate::telemetry::HopSpan;
 use crate::wire::message::{Ask, Head};
 
--- a/crates/lycheewood/src/filters/retry.rs
+++ b/crates/lycheewood/src/filters/retry.rs
@@ -5,10 +5,10 @@
 use tokio::time::sleep;
 
 use crate::controllers::admission::TakeRetry;
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Admitted, Exchange};
 use crate::filters::route::NO_ENDPOINT_RETRY_MS;
 use crate::outcome::{NotRunCode, Refusal};
-use crate::roles::entry::EntryState;
 
 /// Gives the exchange back when the retry budget allows another attempt.
 pub(crate) async fn apply<'r>(
--- a/crates/lycheewood/src/filters/route.rs
+++ b/crates/lycheewood/src/filters/route.rs
@@ -7,12 +7,12 @@
 use crate::decisions::quarantine::QuarantineVerdict;
 use crate::decisions::routing::{Candidate, RouteRequest, choose_endpoint};
 use crate::decisions::versions::choose_version;
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Admitted, Exchange, Routed, View};
 use crate::filters::request::Call;
 use crate::ids::{AttemptId, InstanceId, VersionName};
 use crate::lifecycle::attempt::Attempt;
 use crate::outcome::{NotRunCode, Refusal};
-use crate::roles::entry::EntryState;
 
 /// How soon a caller may come back when no endpoint can take a request.
 pub(crate) const NO_ENDPOINT_RETRY_MS: u64 = 500;
--- a/crates/lycheewood/src/filters/trace.rs
+++ b/crates/lycheewood/src/filters/trace.rs
@@ -5,8 +5,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::trace::SpanKind;
 
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Exchange, Received, Traced};
-use crate::roles::entry::EntryState;
 
 pub(crate) fn apply<'r>(
     state: &EntryState,
--- a/crates/lycheewood/src/filters/trial.rs
+++ b/crates/lycheewood/src/filters/trial.rs
@@ -7,9 +7,9 @@
 
 use crate::clock::Timestamp;
 use crate::controllers::quarantine::Try;
+use crate::entry_state::EntryState;
 use crate::filters::exchange::{Exchange, Routed};
 use crate::outcome::{NotRun, NotRunCode, Refusal};
-use crate::roles::entry::EntryState;
 
 pub(crate) async fn apply<'r>(
     state: &EntryState,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -14,10 +14,10 @@
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::servers::ServerTable;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
+use crate::lifecycle::shutdown::Phase;
 use crate::lifecycle::shutdown::ShutdownSettings;
 use crate::load_book::LoadBook;
 use crate::metrics::gateway::GatewayMetrics;
-use crate::roles::entry::Phase;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
 
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -22,6 +22,7 @@
 mod controllers;
 mod decisions;
 mod document;
+mod entry_state;
 mod filters;
 mod gateway;
 mod group_ports;
--- a/crates/lycheewood/src/lifecycle/shutdown.rs
+++ b/crates/lycheewood/src/lifecycle/shutdown.rs
@@ -136,3 +136,14 @@
         Ok(Shutdown { settings: self.settings, stage: Stopped(()) })
     }
 }
+
+/// How far a process that serves callers is on its way to a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Phase {
+    /// Serves, and its address is told to callers.
+    Serving,
+    /// Serves callers that hold its address.
+    Lingering,
+    /// Refuses new requests as not run.
+    Refusing,
+}
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use kameo::actor::ActorRef;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -19,109 +19,21 @@
 use crate::clock::{Clock, Timestamp};
 use crate::controllers::admission::{AdmissionConfig, AdmissionController, AdmissionViews};
 use crate::controllers::claims::ClaimsController;
-use crate::controllers::document::{
-    DocumentConfig, DocumentController, DocumentInForce, SnapshotDuty,
-};
-use crate::controllers::leases::{LeaseConfig, LeaseController, LeaseFeed};
-use crate::controllers::load::{EndpointTable, LoadController};
+use crate::controllers::document::{DocumentConfig, DocumentController, SnapshotDuty};
+use crate::controllers::leases::{LeaseConfig, LeaseController};
+use crate::controllers::load::LoadController;
 use crate::controllers::membership::{Members, MembershipController};
 use crate::controllers::placement::{PlacementConfig, PlacementController};
 use crate::controllers::quarantine::QuarantineController;
 use crate::controllers::{Progress, wait_for_progress};
-use crate::decisions::quarantine::QuarantineTable;
-use crate::ids::{AttemptId, Incarnation, Offset};
-use crate::lifecycle::shutdown::{Shutdown, ShutdownSettings};
+use crate::entry_state::EntryState;
+use crate::ids::{Incarnation, Offset};
+use crate::lifecycle::shutdown::{Phase, Shutdown, ShutdownSettings};
 use crate::metrics::Metrics;
 use crate::roles::{StartError, listen};
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RoleSettings, Settings};
 use crate::telemetry::Telemetry;
-use crate::wire::message::{Hello, Role};
-use crate::wire::{PROTOCOL_MAX, PROTOCOL_MIN};
-
-/// How far an entry is on its way to a planned stop.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Phase {
-    /// Serves, and its address is told to callers.
-    Serving,
-    /// Serves callers that hold its address.
-    Lingering,
-    /// Refuses new requests as not run.
-    Refusing,
-}
-
-/// Counts one request until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    count: watch::Sender<usize>,
-    metrics: Arc<Metrics>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.count.send_modify(|count| *count -= 1);
-        self.metrics.requests_in_flight.dec();
-    }
-}
-
-/// What the traffic threads of an entry share: settings, counters and snapshots of control state.
-pub(crate) struct EntryState {
-    pub(crate) settings: Settings,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) clock: Clock,
-    pub(crate) metrics: Arc<Metrics>,
-    pub(crate) telemetry: Telemetry,
-    pub(crate) document: Arc<ArcSwapOption<DocumentInForce>>,
-    pub(crate) endpoints: Arc<ArcSwap<EndpointTable>>,
-    pub(crate) members: Arc<ArcSwap<Members>>,
-    pub(crate) progress: watch::Sender<Progress>,
-    pub(crate) claims: ActorRef<ClaimsController>,
-    pub(crate) admission: ActorRef<AdmissionController>,
-    pub(crate) quarantine: ActorRef<QuarantineController>,
-    pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
-    pub(crate) groups: LeaseFeed,
-    phase: ArcSwap<Phase>,
-    in_flight: watch::Sender<usize>,
-    sequence: AtomicU64,
-}
-
-impl EntryState {
-    /// An attempt identifier that has never been used.
-    pub(crate) fn next_attempt(&self) -> AttemptId {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        AttemptId { incarnation: self.incarnation, sequence }
-    }
-
-    /// How far this entry is on its way to a planned stop.
-    pub(crate) fn phase(&self) -> Phase {
-        **self.phase.load()
-    }
-
-    fn enter(&self, phase: Phase) {
-        log::info!("entry phase changed instance={} phase={phase:?}", self.settings.instance);
-        self.phase.store(Arc::new(phase));
-    }
-
-    /// Counts a request as in flight.
-    pub(crate) fn count_in_flight(&self) -> InFlight {
-        self.in_flight.send_modify(|count| *count += 1);
-        self.metrics.requests_in_flight.inc();
-        InFlight { count: self.in_flight.clone(), metrics: Arc::clone(&self.metrics) }
-    }
-
-    fn hello(&self, admin_address: SocketAddr) -> Hello {
-        Hello {
-            protocol_min: PROTOCOL_MIN,
-            protocol_max: PROTOCOL_MAX,
-            incarnation: self.incarnation,
-            instance: self.settings.instance.clone(),
-            role: Role::Entry,
-            endpoint_kind: None,
-            version: None,
-            admin_address: Some(admin_address),
-        }
-    }
-}
 
 /// A running entry.
 pub struct Entry {
