Use the newest entry of an address, and do not count misdirected requests

Ruled out: a wrong expected name (the server at the address was another).

Change: of the entries at one address only the one that was written last is used; a request that finds another server at an address has not used an attempt, four times at most; callers get 503 with a time to come back.

Tests that failed first: only_the_newest_entry_of_an_address_is_used; the two of misdirected requests in tests/gateway/retries.rs fail with the attempts counted.

--- a/crates/lycheewood/src/decisions/servers.rs
+++ b/crates/lycheewood/src/decisions/servers.rs
@@ -229,16 +229,30 @@
         listed.collect()
     }
 
+    /// The entries of living servers. One that was started anew at its address under another name leaves
+    /// its old entry until that lapses; the entry that was written last is the one that lives.
+    fn newest_at_each_address(&self) -> impl Iterator<Item = &Arc<ServerEntry>> {
+        let mut newest: HashMap<SocketAddr, Offset> = HashMap::new();
+        for known in self.known.values() {
+            if let Some(entry) = &known.entry {
+                let offset = newest.entry(entry.address).or_default();
+                *offset = known.offset.max(*offset);
+            }
+        }
+        self.known.values().filter_map(move |known| {
+            let entry = known.entry.as_ref()?;
+            (newest.get(&entry.address) == Some(&known.offset)).then_some(entry)
+        })
+    }
+
     /// The servers that may get requests.
     #[must_use]
     pub fn table(&self) -> ServerTable {
         let mut by_service: HashMap<TargetName, Vec<Arc<ServerEntry>>> = HashMap::new();
-        for entry in self.known.values().filter_map(|known| known.entry.as_ref()) {
-            if entry.state == ServerState::Ready {
-                by_service.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
-            }
+        let entries: Vec<_> = self.newest_at_each_address().cloned().collect();
+        for entry in entries.iter().filter(|entry| entry.state == ServerState::Ready) {
+            by_service.entry(entry.service.clone()).or_default().push(Arc::clone(entry));
         }
-        let entries = self.known.values().filter_map(|known| known.entry.clone()).collect();
         ServerTable { next: self.next, by_service, entries }
     }
 }
--- a/crates/lycheewood/src/filters/forward/bound.rs
+++ b/crates/lycheewood/src/filters/forward/bound.rs
@@ -49,6 +49,7 @@
         body,
         deadline,
         attempts: 0,
+        misdirected: 0,
         avoid: Vec::new(),
         last_event: head.last_event,
         may_have_run: None,
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -68,12 +68,15 @@
         let vouch = Vouch::from_endpoint(attempt.id());
         let _ = attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused);
         log::info!("attempt not run id={} server={} status={status}", head.request_id, server.id);
+        admitted.avoid.push(server.id.clone());
         if status == StatusCode::MISDIRECTED_REQUEST {
             state.loads.note_absent(&server.id, state.clock.now());
+            admitted.attempts -= 1;
+            admitted.misdirected += 1;
+        } else {
+            state.loads.note_failure(&server.id, state.clock.now());
+            admitted.last_answer = Some((answer, true));
         }
-        state.loads.note_failure(&server.id, state.clock.now());
-        admitted.avoid.push(server.id.clone());
-        admitted.last_answer = Some((answer, true));
         return Checked::Again(Box::new(admitted));
     }
     if status.is_server_error() && admitted.may_run_again() {
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -128,8 +128,10 @@
     pub(crate) batch: Option<u32>,
     /// When the caller must have its final answer.
     pub(crate) deadline: Timestamp,
-    /// Attempts that were sent to a server.
+    /// Servers that the request was sent to.
     pub(crate) attempts: u32,
+    /// Times that another server was at the address, which is no attempt.
+    pub(crate) misdirected: u32,
     /// Servers that failed or refused this request, or could not be reached.
     pub(crate) avoid: Vec<InstanceId>,
     /// The last event that the caller has.
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -13,6 +13,10 @@
 use crate::gateway::GatewayState;
 use crate::lifecycle::attempt::Attempt;
 
+/// Times that a request may find another server at an address. Each costs a round trip and a retry, and
+/// no request finds as many unless the whole list is out of date.
+const MAX_MISDIRECTED: u32 = 4;
+
 /// The choice.
 pub(crate) enum Selection<'r> {
     /// A server is chosen.
@@ -28,7 +32,9 @@
     exchange: Exchange<'r, Admitted>,
 ) -> Selection<'r> {
     let Exchange { head, view, now, stage: admitted } = exchange;
-    let is_over = admitted.attempts >= admitted.route.max_attempts || now >= admitted.deadline;
+    let is_over = admitted.attempts >= admitted.route.max_attempts
+        || admitted.misdirected >= MAX_MISDIRECTED
+        || now >= admitted.deadline;
     let barred = admitted.may_have_run.is_some() && !admitted.may_run_again();
     if is_over || barred {
         return Selection::None(admitted);
@@ -36,7 +42,7 @@
     let Some(server) = wait_for_server(state, &admitted, head.received).await else {
         return Selection::None(admitted);
     };
-    if admitted.attempts > 0 {
+    if admitted.attempts + admitted.misdirected > 0 {
         if !state.take_retry(&admitted.service) {
             state.metrics.retries_denied.inc();
             return Selection::None(admitted);
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -103,6 +103,27 @@
     assert_eq!(ready(&fold), 0);
 }
 
+/// Guards against requests for a server that was started anew at the same address under another name,
+/// while its old entry has not lapsed yet.
+#[test]
+fn only_the_newest_entry_of_an_address_is_used() {
+    let mut fold = ServerFold::default();
+    let moved = |id: &str, port: u16| {
+        let ServerRecord::Entry(entry) = entry(id, ServerState::Ready) else { unreachable!() };
+        ServerRecord::Entry(ServerEntry { address: ([127, 0, 0, 1], port).into(), ..entry })
+    };
+    fold.apply(change(0, "old", moved("old", 1)), at(0));
+    fold.apply(change(1, "other", moved("other", 2)), at(0));
+    fold.apply(change(2, "new", moved("new", 1)), at(0));
+    let ids = |fold: &ServerFold| {
+        fold.table().all().map(|entry| entry.id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(ids(&fold), ["new", "other"]);
+    // An entry that is written again is the one that lives.
+    fold.apply(change(3, "old", moved("old", 1)), at(0));
+    assert_eq!(ids(&fold), ["old", "other"]);
+}
+
 /// Guards against an entry of another writer that changes the other servers, or is used.
 #[test]
 fn an_unreadable_entry_names_no_server_and_leaves_the_others() {
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -1,6 +1,7 @@
 //! What is sent again, and what a refusal promises.
 
 use std::net::TcpListener;
+use std::sync::OnceLock;
 
 use lycheewood::ServerState;
 
@@ -55,6 +56,7 @@
 /// Guards against a 503 after a first attempt that may have run.
 #[test]
 fn a_refusal_after_an_attempt_that_may_have_run_is_not_passed_on() {
+    static FIRST: OnceLock<Option<String>> = OnceLock::new();
     let mut world = World::with_routes();
     let script = |seen: &crate::world::Seen| {
         let first = field(&seen.head, "x-expect");
@@ -65,7 +67,6 @@
             Act::Write(answer(seen, "503 Service Unavailable", "X-Not-Run: 1\r\n", "full"))
         }
     };
-    static FIRST: std::sync::OnceLock<Option<String>> = std::sync::OnceLock::new();
     world.server("s1", script);
     world.server("s2", script);
     let reply = world.call(&request("/read/x", "id-1"));
@@ -115,6 +116,30 @@
     assert!(misdirected <= 1, "{misdirected} requests went to the address of another server");
 }
 
+/// Guards against a caller that is told 421 although other servers are there: after a loss of power,
+/// requests went to two servers that had been started anew and were then refused.
+#[test]
+fn servers_that_are_not_at_their_addresses_do_not_use_up_the_attempts() {
+    let mut world = World::with_routes();
+    for id in ["s1", "s2", "s3"] {
+        world.server(id, |seen| Act::Write(answer(seen, "421 Misdirected Request", "", "")));
+    }
+    world.server("s4", |seen| Act::Write(good(seen, "ok")));
+    for id in 0..4 {
+        assert_eq!(world.call(&request("/once/x", &format!("id-{id}"))).status, 200);
+    }
+}
+
+/// Guards against a refusal of another server being passed on as the caller's own.
+#[test]
+fn a_caller_is_not_told_of_misdirected_requests() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(answer(seen, "421 Misdirected Request", "", "")));
+    let reply = world.call(&request("/once/x", "id-1"));
+    assert_eq!(reply.status, 503, "{reply:?}");
+    assert!(field(&reply.head, "retry-after").is_some());
+}
+
 /// Guards against work on a draining server.
 #[test]
 fn a_draining_server_gets_no_request() {
--- a/crates/lycheewood/tests/map_switch_model.rs
+++ b/crates/lycheewood/tests/map_switch_model.rs
@@ -75,7 +75,12 @@
 
 /// The version that a holder proposes; the log gives each its own.
 fn version(holder: usize) -> u64 {
-    holder as u64 + 1
+    if holder == 0 { 1 } else { 2 }
+}
+
+/// The rank that holds the group for a holder's version; each version has another one.
+fn holding_rank(holder: usize) -> usize {
+    (holder + 1) % RANKS
 }
 
 impl State {
@@ -164,7 +169,7 @@
             Phase::Prepare { done } => {
                 missing(done).map(|rank| (rank, Order::Prepare(version(holder)))).collect()
             }
-            Phase::Hold { step } => vec![(version(holder) as usize % RANKS, Order::Hold(step))],
+            Phase::Hold { step } => vec![(holding_rank(holder), Order::Hold(step))],
             Phase::Arm { step, done, version, .. } => {
                 missing(done).map(|rank| (rank, Order::Arm(version, step))).collect()
             }
@@ -204,8 +209,7 @@
                     Phase::Arm { step, done, version, rank: held }
                 }
             }
-            Phase::Release { version, .. } => Phase::Settle { version },
-            Phase::Settle { version } => Phase::Settle { version },
+            Phase::Release { version, .. } | Phase::Settle { version } => Phase::Settle { version },
             // A refusal elsewhere makes the holder look again.
             _ => Phase::Enter,
         };
