Say why no server takes a request

A request that waited in vain was logged as no_endpoint without the servers that were there. It ends as overloaded now, after a line with the servers listed and avoided, the bound, and the time waited.

--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -138,6 +138,8 @@
     pub(crate) last_event: Option<u64>,
     /// Set once an attempt may have run. The request can then no longer end as not run.
     pub(crate) may_have_run: Option<UnknownCode>,
+    /// Why no server takes the request, as of the last choice.
+    pub(crate) no_server: NotRunCode,
     /// The last answer of a server that is no success, and whether the server says that it has not run
     /// the request.
     pub(crate) last_answer: Option<(WholeAnswer, bool)>,
@@ -155,7 +157,7 @@
             (None, None) if state.clock.now() >= self.deadline => {
                 Err(Refusal::not_run(NotRunCode::DeadlineUnreachable, NO_SERVER_RETRY_MS))
             }
-            (None, None) => Err(Refusal::not_run(NotRunCode::NoEndpoint, NO_SERVER_RETRY_MS)),
+            (None, None) => Err(Refusal::not_run(self.no_server, NO_SERVER_RETRY_MS)),
         }
     }
 
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -9,9 +9,10 @@
 use crate::decisions::balance::{ServerView, choose_server};
 use crate::decisions::queue::{QueuePhase, QueueTimes, queue_bound, queue_phase};
 use crate::decisions::servers::ServerEntry;
-use crate::filters::forward::exchange::{Admitted, Exchange, Selected, View};
+use crate::filters::forward::exchange::{Admitted, Exchange, Head, Selected, View};
 use crate::gateway::GatewayState;
 use crate::lifecycle::attempt::Attempt;
+use crate::outcome::NotRunCode;
 
 /// Times that a request may find another server at an address. Each costs a round trip and a retry, and
 /// no request finds as many unless the whole list is out of date.
@@ -31,7 +32,7 @@
     state: &Arc<GatewayState>,
     exchange: Exchange<'r, Admitted>,
 ) -> Selection<'r> {
-    let Exchange { head, view, now, stage: admitted } = exchange;
+    let Exchange { head, view, now, stage: mut admitted } = exchange;
     let is_over = admitted.attempts >= admitted.route.max_attempts
         || admitted.misdirected >= MAX_MISDIRECTED
         || now >= admitted.deadline;
@@ -40,6 +41,7 @@
         return Selection::None(admitted);
     }
     let Some(server) = wait_for_server(state, &admitted, head.received).await else {
+        note_no_server(state, head, &mut admitted);
         return Selection::None(admitted);
     };
     if admitted.attempts + admitted.misdirected > 0 {
@@ -55,6 +57,24 @@
     Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
 }
 
+/// Notes why no server was found: there is none, or all run as many requests as keep their pace.
+fn note_no_server(state: &GatewayState, head: &Head, admitted: &mut Admitted) {
+    let servers = state.servers.load();
+    let listed = servers.table.servers(&admitted.service).len();
+    let avoided = admitted.avoid.len();
+    if listed > avoided && admitted.batch.is_some() {
+        admitted.no_server = NotRunCode::Overloaded;
+    }
+    log::info!(
+        "no server id={} service={} reason={} listed={listed} avoided={avoided} bound={:?} waited_ms={}",
+        head.request_id,
+        admitted.service,
+        admitted.no_server.as_str(),
+        admitted.batch,
+        state.clock.now().ms_since(head.received)
+    );
+}
+
 /// Waits for a server below its bound. The bound is lower once the answer can no longer be on time, so
 /// that late requests take only the room that others leave; after that the request is refused.
 async fn wait_for_server(
