Share the planned stop and the registration of metrics among roles

The life cycle of a planned stop stood in both roles, and four closures that register metrics in three files. One copy each; no change of behaviour.

--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -2,13 +2,12 @@
 
 pub(crate) mod gateway;
 mod groups;
+mod registrar;
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
 use groups::GroupMetrics;
+use registrar::Registrar;
 
 /// All metrics of a process. Labels have few values; none names a workspace.
 #[derive(Debug)]
@@ -42,93 +41,79 @@
     /// When two metrics have the same name.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
-        };
-        let first_piece_seconds = Histogram::with_opts(HistogramOpts::new(
+        let metrics = Registrar(&registry);
+        let first_piece_seconds = metrics.histogram(
             "lycheewood_first_piece_seconds",
             "Time from a request to the first piece of its answer; the first token for models.",
-        ))?;
-        registry.register(Box::new(first_piece_seconds.clone()))?;
+            &[],
+        )?;
         Ok(Self {
             first_piece_seconds,
-            requests: counters(
+            requests: metrics.counters(
                 "lycheewood_requests_total",
                 "Requests by outcome: done, invalid, unknown, cut, or the code of a refusal as not run.",
                 "outcome",
             )?,
-            requests_in_flight: gauge("lycheewood_requests_in_flight", "Requests being served.")?,
-            attempts: counters(
+            requests_in_flight: metrics.gauge("lycheewood_requests_in_flight", "Requests being served.")?,
+            attempts: metrics.counters(
                 "lycheewood_attempts_total",
                 "Attempts by end: done, refused, failed, lost, not_sent.",
                 "end",
             )?,
-            answer_pieces: counter(
+            answer_pieces: metrics.counter(
                 "lycheewood_answer_pieces_total",
                 "Pieces of answers relayed; a token each for models.",
             )?,
-            endpoints_connected: gauge(
+            endpoints_connected: metrics.gauge(
                 "lycheewood_endpoints_connected",
                 "Endpoint daemons with a working connection.",
             )?,
-            connections_silent: counter(
+            connections_silent: metrics.counter(
                 "lycheewood_connections_silent_total",
                 "Connections closed because nothing arrived for the silence timeout.",
             )?,
-            list_errors: counter(
+            list_errors: metrics.counter(
                 "lycheewood_instance_list_errors_total",
                 "Reads of the instance list that failed.",
             )?,
-            log_errors: counter("lycheewood_log_errors_total", "Reads of the log that failed.")?,
-            log_end_reversals: counter(
+            log_errors: metrics.counter("lycheewood_log_errors_total", "Reads of the log that failed.")?,
+            log_end_reversals: metrics.counter(
                 "lycheewood_log_end_reversals_total",
                 "Replies of the log with an older end than seen before; they are not applied.",
             )?,
-            document_version: gauge(
+            document_version: metrics.gauge(
                 "lycheewood_document_version",
                 "Log offset of the document in force, -1 when there is none.",
             )?,
-            suspects_reported: counter(
+            suspects_reported: metrics.counter(
                 "lycheewood_suspects_reported_total",
                 "Requests reported as in flight when an engine died.",
             )?,
-            callers_connected: gauge(
+            callers_connected: metrics.gauge(
                 "lycheewood_callers_connected",
                 "Open connections of callers.",
             )?,
-            claim_appends: counter(
+            claim_appends: metrics.counter(
                 "lycheewood_claim_appends_total",
                 "Appends of claims to the log; each carries those that waited.",
             )?,
-            claim_append_errors: counter(
+            claim_append_errors: metrics.counter(
                 "lycheewood_claim_append_errors_total",
                 "Appends of claims without a reply; they are appended again.",
             )?,
-            suspects: gauge(
+            suspects: metrics.gauge(
                 "lycheewood_suspects",
                 "Requests that are suspected or quarantined because an engine died under them.",
             )?,
-            snapshots_written: counter(
+            snapshots_written: metrics.counter(
                 "lycheewood_document_snapshots_written_total",
                 "Snapshots of the document stream that this instance has written.",
             )?,
-            retries: counter(
+            retries: metrics.counter(
                 "lycheewood_retries_total",
                 "Attempts made again within the retry budget.",
             )?,
-            brownout: gauge(
+            brownout: metrics.gauge(
                 "lycheewood_brownout_step",
                 "Brownout step: 0 off, 1 no retries, 2 and 3 shed low priorities.",
             )?,
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -1,9 +1,8 @@
 //! Metrics of a gateway.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
+
+use super::registrar::Registrar;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
@@ -35,84 +34,60 @@
     /// When two metrics have the same name.
     pub(crate) fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let counter = |name: &str, help: &str| -> Result<IntCounter, prometheus::Error> {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok(counter)
-        };
-        let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
-        };
-        let gauge = |name: &str, help: &str| -> Result<IntGauge, prometheus::Error> {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok(gauge)
-        };
-        let histogram = |name: &str, help: &str| -> Result<Histogram, prometheus::Error> {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
-            let histogram = Histogram::with_opts(options)?;
-            registry.register(Box::new(histogram.clone()))?;
-            Ok(histogram)
-        };
+        let metrics = Registrar(&registry);
         Ok(Self {
-            requests: counters(
+            requests: metrics.counters(
                 "lycheewood_gateway_requests_total",
                 "Requests by outcome: answered, cut, left, or the code of a refusal.",
                 "outcome",
             )?,
-            attempts: counters(
+            attempts: metrics.counters(
                 "lycheewood_gateway_attempts_total",
                 "Attempts by end: answered, not_sent, not_run, failed, server_error.",
                 "end",
             )?,
-            retries: counter(
+            retries: metrics.counter(
                 "lycheewood_gateway_retries_total",
                 "Attempts made again at another server.",
             )?,
-            retries_denied: counter(
+            retries_denied: metrics.counter(
                 "lycheewood_gateway_retries_denied_total",
                 "Attempts not made again because the retry budget was used up.",
             )?,
-            resumed: counter(
+            resumed: metrics.counter(
                 "lycheewood_gateway_streams_resumed_total",
                 "Broken streams continued at another server.",
             )?,
-            first_byte_seconds: histogram(
+            first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
+                &LATENCY_BUCKETS,
             )?,
-            request_seconds: histogram(
+            request_seconds: metrics.histogram(
                 "lycheewood_gateway_request_seconds",
                 "Time from a request to the end of its answer.",
+                &LATENCY_BUCKETS,
             )?,
-            requests_in_flight: gauge(
-                "lycheewood_gateway_requests_in_flight",
-                "Requests being served.",
-            )?,
-            callers_connected: gauge(
-                "lycheewood_gateway_callers_connected",
-                "Open connections of callers.",
-            )?,
-            route_version: gauge(
+            requests_in_flight: metrics
+                .gauge("lycheewood_gateway_requests_in_flight", "Requests being served.")?,
+            callers_connected: metrics
+                .gauge("lycheewood_gateway_callers_connected", "Open connections of callers.")?,
+            route_version: metrics.gauge(
                 "lycheewood_gateway_route_version",
                 "Version of the route table in force, -1 when there is none.",
             )?,
-            servers_listed: gauge(
-                "lycheewood_gateway_servers_listed",
-                "Servers that take requests.",
-            )?,
-            peers_heard: gauge(
+            servers_listed: metrics
+                .gauge("lycheewood_gateway_servers_listed", "Servers that take requests.")?,
+            peers_heard: metrics.gauge(
                 "lycheewood_gateway_peers_heard",
                 "Other instances that are ready and were heard lately.",
             )?,
-            state_fetches: counters(
+            state_fetches: metrics.counters(
                 "lycheewood_gateway_state_fetches_total",
                 "State fetched from another instance, by result: ok, failed.",
                 "result",
             )?,
-            records_unreadable: counter(
+            records_unreadable: metrics.counter(
                 "lycheewood_gateway_records_unreadable_total",
                 "Records of the platform that could not be read; they change nothing.",
             )?,
--- a/crates/lycheewood/src/metrics/groups.rs
+++ b/crates/lycheewood/src/metrics/groups.rs
@@ -1,6 +1,8 @@
 //! Metrics of leases and expert maps.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
+
+use super::registrar::Registrar;
 
 /// Metrics of leases and expert maps. Labels have two values; none names a group.
 #[derive(Debug)]
@@ -16,30 +18,24 @@
     ///
     /// When another metric has one of the names.
     pub(super) fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let counters = |name: &str, help: &str, label: &str| -> Result<_, prometheus::Error> {
-            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok(counters)
-        };
-        let weights_moved = IntCounter::new(
+        let metrics = Registrar(registry);
+        let weights_moved = metrics.counter(
             "lycheewood_weights_moved_total",
             "Experts loaded onto ranks by committed changes read from the log; a first map counts none.",
         )?;
-        registry.register(Box::new(weights_moved.clone()))?;
-        let step_time_skew = IntGauge::new(
+        let step_time_skew = metrics.gauge(
             "lycheewood_step_time_skew_permille",
             "Slowest minus fastest rank of the last report, over the mean, in thousandths.",
         )?;
-        registry.register(Box::new(step_time_skew.clone()))?;
         Ok(Self {
-            map_changes: counters(
+            map_changes: metrics.counters(
                 "lycheewood_map_changes_total",
                 "Changes of expert maps read from the log, by decision: committed, aborted.",
                 "decision",
             )?,
             weights_moved,
             step_time_skew,
-            lease_changes: counters(
+            lease_changes: metrics.counters(
                 "lycheewood_lease_changes_total",
                 "Leases read from the log, by change: granted, released.",
                 "change",
--- a/crates/lycheewood/src/roles.rs
+++ b/crates/lycheewood/src/roles.rs
@@ -7,8 +7,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::clock::{Clock, Timestamp};
+use crate::lifecycle::shutdown::{Phase, Shutdown, ShutdownSettings};
 
 /// Why a node does not start.
 #[derive(Debug, thiserror::Error)]
@@ -55,3 +60,37 @@
     let bound = listener.local_addr().map_err(failed)?;
     Ok((listener, bound))
 }
+
+/// Goes through the life cycle of a planned stop. `enter` tells of each phase; `in_flight` counts requests.
+async fn leave(
+    settings: ShutdownSettings,
+    clock: Clock,
+    in_flight: &watch::Sender<usize>,
+    enter: impl Fn(Phase),
+) {
+    enter(Phase::Lingering);
+    let mut lingering = Shutdown::serving(settings).announce(clock.now());
+    let mut refusing = loop {
+        sleep_until(clock, lingering.refuses_from()).await;
+        match lingering.refuse(clock.now()) {
+            Ok(refusing) => break refusing,
+            Err(early) => lingering = early,
+        }
+    };
+    enter(Phase::Refusing);
+    let mut count = in_flight.subscribe();
+    loop {
+        sleep_until(clock, refusing.stops_from()).await;
+        // The caller holds the sender, so the channel stays open.
+        let _ = count.wait_for(|count| *count == 0).await;
+        match refusing.stop(clock.now(), *in_flight.borrow()) {
+            Ok(_stopped) => return,
+            Err(busy) => refusing = busy,
+        }
+    }
+}
+
+async fn sleep_until(clock: Clock, until: Timestamp) {
+    let left_ms = until.ms_since(clock.now());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+}
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use kameo::actor::ActorRef;
@@ -16,7 +15,7 @@
 use crate::adapters::instance_list::ListClient;
 use crate::adapters::log::LogClient;
 use crate::adapters::peer::link::LinkConfig;
-use crate::clock::{Clock, Timestamp};
+use crate::clock::Clock;
 use crate::controllers::admission::{AdmissionConfig, AdmissionController, AdmissionViews};
 use crate::controllers::claims::ClaimsController;
 use crate::controllers::document::{DocumentConfig, DocumentController, SnapshotDuty};
@@ -28,9 +27,9 @@
 use crate::controllers::{Progress, wait_for_progress};
 use crate::entry_state::EntryState;
 use crate::ids::{Incarnation, Offset};
-use crate::lifecycle::shutdown::{Phase, Shutdown, ShutdownSettings};
+use crate::lifecycle::shutdown::{Phase, ShutdownSettings};
 use crate::metrics::Metrics;
-use crate::roles::{StartError, listen};
+use crate::roles::{StartError, leave, listen};
 use crate::runtime::{ControlThread, traffic_runtime};
 use crate::settings::{RoleSettings, Settings};
 use crate::telemetry::Telemetry;
@@ -118,7 +117,12 @@
     pub fn shutdown(self) {
         let Self { state, traffic, callers, stop, .. } = self;
         traffic.block_on(async {
-            leave(&state).await;
+            let timing = &state.settings.timing;
+            let settings = ShutdownSettings {
+                linger_ms: timing.entry_linger_ms,
+                min_refusing_ms: timing.entry_refuse_ms,
+            };
+            leave(settings, state.clock, &state.in_flight, |phase| state.enter(phase)).await;
             stop.send_replace(true);
             let _ = callers.await;
         });
@@ -128,40 +132,6 @@
     }
 }
 
-/// Goes through the life cycle of a planned stop.
-async fn leave(state: &EntryState) {
-    let timing = &state.settings.timing;
-    let settings = ShutdownSettings {
-        linger_ms: timing.entry_linger_ms,
-        min_refusing_ms: timing.entry_refuse_ms,
-    };
-    state.enter(Phase::Lingering);
-    let mut lingering = Shutdown::serving(settings).announce(state.clock.now());
-    let mut refusing = loop {
-        sleep_until(state, lingering.refuses_from()).await;
-        match lingering.refuse(state.clock.now()) {
-            Ok(refusing) => break refusing,
-            Err(early) => lingering = early,
-        }
-    };
-    state.enter(Phase::Refusing);
-    let mut in_flight = state.in_flight.subscribe();
-    loop {
-        sleep_until(state, refusing.stops_from()).await;
-        // The state holds the sender, so the channel stays open.
-        let _ = in_flight.wait_for(|count| *count == 0).await;
-        match refusing.stop(state.clock.now(), *state.in_flight.borrow()) {
-            Ok(_stopped) => return,
-            Err(busy) => refusing = busy,
-        }
-    }
-}
-
-async fn sleep_until(state: &EntryState, until: Timestamp) {
-    let left_ms = until.ms_since(state.clock.now());
-    tokio::time::sleep(Duration::from_millis(left_ms)).await;
-}
-
 /// Starts the controllers that requests talk to.
 fn start_state(
     settings: &Settings,
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -15,7 +15,6 @@
 use crate::adapters::agent::AgentRanks;
 use crate::adapters::forward::caller;
 use crate::adapters::{gossip, metrics};
-use crate::clock::Timestamp;
 use crate::controllers::expert_groups::{self, GroupPorts};
 use crate::controllers::peers::{Name, PeersController, StateSource};
 use crate::controllers::routes::{Adopt, RoutesController};
@@ -25,10 +24,8 @@
 use crate::gateway::{GatewaySettings, GatewayState};
 use crate::group_ports::{LeaseLog, RankClient};
 use crate::ids::{FailureDomain, Offset};
-use crate::lifecycle::shutdown::Phase;
-use crate::lifecycle::shutdown::Shutdown;
 use crate::metrics::gateway::GatewayMetrics;
-use crate::roles::{StartError, listen};
+use crate::roles::{StartError, leave, listen};
 use crate::routes::raw::RawRouteTable;
 use crate::runtime::{ControlThread, traffic_runtime};
 
@@ -214,7 +211,8 @@
         let within = Duration::from_millis(state.settings.stop_within_ms);
         traffic.block_on(async {
             let leaving = async {
-                leave(&state).await;
+                let settings = state.settings.shutdown;
+                leave(settings, state.clock, &state.in_flight, |phase| state.enter(phase)).await;
                 let _ = callers.await;
             };
             if tokio::time::timeout(within, leaving).await.is_err() {
@@ -247,33 +245,3 @@
         PeersController::start(Arc::clone(state), peers_udp, routes.clone(), servers.clone());
     GatewayHandle { state: Arc::clone(state), routes, servers, peers }
 }
-
-/// Goes through the life cycle of a planned stop.
-async fn leave(state: &GatewayState) {
-    state.enter(Phase::Lingering);
-    let shutdown = Shutdown::serving(state.settings.shutdown);
-    let mut lingering = shutdown.announce(state.clock.now());
-    let mut refusing = loop {
-        sleep_until(state, lingering.refuses_from()).await;
-        match lingering.refuse(state.clock.now()) {
-            Ok(refusing) => break refusing,
-            Err(early) => lingering = early,
-        }
-    };
-    state.enter(Phase::Refusing);
-    let mut in_flight = state.in_flight.subscribe();
-    loop {
-        sleep_until(state, refusing.stops_from()).await;
-        // The state holds the sender, so the channel stays open.
-        let _ = in_flight.wait_for(|count| *count == 0).await;
-        match refusing.stop(state.clock.now(), *state.in_flight.borrow()) {
-            Ok(_stopped) => return,
-            Err(busy) => refusing = busy,
-        }
-    }
-}
-
-async fn sleep_until(state: &GatewayState, until: Timestamp) {
-    let left_ms = until.ms_since(state.clock.now());
-    tokio::time::sleep(Duration::from_millis(left_ms)).await;
-}
