Pass silent agents over, and hold later when orders are lost

Change: an agent without a reply is passed over for 5 s and its rank ordered directly; when orders to prepare were lost, the group is held 1,500 ms ahead instead of 60 ms.

Tests: tests/agents.rs, lost_orders_make_the_lead_of_a_switch_longer.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -1,8 +1,9 @@
 //! The agent beside a rank: serves the calls of the holder of the lease, and makes them.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -18,6 +19,7 @@
 
 use crate::adapters::gossip::{decode, encode};
 use crate::adapters::http::{HttpClient, HttpError};
+use crate::clock::{Clock, Timestamp};
 use crate::decisions::expert_groups::{OrderReply, RankCounts, RankOrder, RankStatus};
 use crate::group_ports::{RankAddress, RankClient};
 use crate::wire::rank_call::{RankCall, RankReply, RankRequest};
@@ -76,11 +78,17 @@
     Response::new(Full::new(encode(&reply)))
 }
 
-/// Speaks to ranks through their agents, and to those without one directly.
-pub(crate) struct AgentRanks {
-    pub(crate) direct: Arc<dyn RankClient>,
-    /// The port of agents on all machines.
-    pub(crate) port: u16,
+/// An agent that gave no reply is not called for this long, in milliseconds. A group may be held while an
+/// order is repeated, and the machine of the agent may be frozen.
+const SILENT_MS: u64 = 5_000;
+
+/// Speaks to ranks through their agents, and directly to those whose agent is missing or silent.
+pub struct AgentRanks {
+    direct: Arc<dyn RankClient>,
+    port: u16,
+    clock: Clock,
+    /// Agents that gave no reply, and since when.
+    silent: Mutex<HashMap<SocketAddr, Timestamp>>,
 }
 
 /// What became of a call.
@@ -93,8 +101,28 @@
 }
 
 impl AgentRanks {
+    /// Agents listen on `port` of the machines of their ranks; `direct` speaks to ranks without them.
+    #[must_use]
+    pub fn new(direct: Arc<dyn RankClient>, port: u16, clock: Clock) -> Self {
+        Self { direct, port, clock, silent: Mutex::default() }
+    }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = silent.get(&address).copied();
+        since.is_some_and(|since| self.clock.now().ms_since(since) < SILENT_MS)
+    }
+
+    fn note_silent(&self, address: SocketAddr) {
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        silent.insert(address, self.clock.now());
+    }
+
     async fn call(&self, rank: &RankAddress, call: RankCall) -> Called {
         let address = SocketAddr::new(rank.address.ip(), self.port);
+        if self.is_silent(address) {
+            return Called::NoAgent;
+        }
         let client = HttpClient::new(address, CALL_MS);
         let request = RankRequest { server: rank.server.clone(), call };
         match client.call(Method::POST, RANK_PATH, encode(&request), CALL_MS).await {
@@ -102,6 +130,7 @@
             Err(HttpError::Connect { .. }) => Called::NoAgent,
             Err(error) => {
                 log::info!("agent silent server={} reason=\"{error}\"", rank.server);
+                self.note_silent(address);
                 Called::Unknown
             }
         }
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -64,7 +64,7 @@
             listed.epoch,
             imbalance(&next, &shares)
         );
-        let mut run = SwitchRun { state, ports, lease, listed };
+        let mut run = SwitchRun { state, ports, lease, listed, lost: 0 };
         let Formation { map: present, watch, step, .. } = formation;
         match switch::run(&mut run, version, next, present, watch, step).await {
             Ok(map) => {
@@ -107,7 +107,7 @@
     let proposed = lease.last_proposal(&listed.name, listed.epoch).map(|(version, _)| version);
     let found = find_switch(&ranks, proposed);
     log::info!("group entered group={} epoch={} found={found:?}", listed.name, listed.epoch);
-    let mut run = SwitchRun { state, ports, lease, listed };
+    let mut run = SwitchRun { state, ports, lease, listed, lost: 0 };
     match found {
         Found::Nothing => {}
         Found::Switch { version, step, rank } => {
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -10,7 +10,9 @@
 use crate::controllers::expert_groups::group::statuses;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
-use crate::decisions::expert_groups::{OrderReply, RankOrder, imbalance, late_holds, switch_step};
+use crate::decisions::expert_groups::{
+    OrderReply, RankOrder, imbalance, late_holds, switch_lead_ms, switch_step,
+};
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::lifecycle::map_switch::{HeldBefore, MapSwitch, Prepared, Preparing};
@@ -21,9 +23,6 @@
 const PREPARE_MS: u64 = 8_000;
 /// Time between two looks at whether ranks are prepared, in milliseconds.
 const PREPARE_LOOK_MS: u64 = 50;
-/// How long before the switch the group is asked to hold, in milliseconds. When all orders arrive at
-/// once, the ranks are armed before that and no pass waits.
-const LEAD_MS: u64 = 60;
 /// Time of a pass that is assumed before one was measured, in milliseconds.
 const PASS_MS: u64 = 40;
 /// Bounds of the measured time of a pass, in milliseconds. Idle time between two looks is not part of a
@@ -59,6 +58,8 @@
     pub(super) ports: &'a GroupPorts,
     pub(super) lease: &'a mut LeaseKeeper,
     pub(super) listed: &'a ListedGroup,
+    /// Orders that got no reply so far.
+    pub(super) lost: usize,
 }
 
 impl SwitchRun<'_> {
@@ -93,6 +94,7 @@
             let unanswered = missing.iter().zip(&replies);
             let unanswered = unanswered.filter(|(_, reply)| **reply == OrderReply::Unknown);
             missing = unanswered.map(|(rank, _)| *rank).collect();
+            self.lost += missing.len();
             if !missing.is_empty() {
                 sleep(Duration::from_millis(REPEAT_MS)).await;
             }
@@ -245,7 +247,7 @@
 ) -> Result<MapSwitch<HeldBefore>, SwitchStop> {
     // Holds of different versions go to different ranks, so that none takes the place of another.
     let rank = usize::try_from(switch.version()).unwrap_or(0) % switch.ranks();
-    let mut lead_ms = LEAD_MS;
+    let mut lead_ms = switch_lead_ms(run.lost);
     for _ in 0..MAX_HOLDS {
         run.check_lease().await?;
         let status = run.ports.ranks.status(&run.listed.ranks[rank]).await;
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -157,6 +157,20 @@
     present + 2 + lead_ms.div_ceil(pass_ms.max(1))
 }
 
+/// How long before a switch the group is asked to hold when every order gets a reply, in milliseconds. The
+/// ranks are armed before that, and no pass waits.
+const LEAD_MS: u64 = 60;
+/// The same when orders go without a reply, in milliseconds. An order is given again every 200 ms; with
+/// half of them lost, a dozen ranks have all replied after five to seven rounds.
+const LOSSY_LEAD_MS: u64 = 1_500;
+
+/// How long before a switch the group is asked to hold, when `lost` of the orders to prepare it got no
+/// reply. A group that reaches the held pass stands still until its ranks are armed.
+#[must_use]
+pub const fn switch_lead_ms(lost: usize) -> u64 {
+    if lost == 0 { LEAD_MS } else { LOSSY_LEAD_MS }
+}
+
 /// A switch has a price: orders to every rank, and weights that are copied. It is made only if it is
 /// expected to pay within this time, in milliseconds; demand shifts within seconds.
 const HORIZON_MS: f64 = 6_000.0;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -39,6 +39,7 @@
 mod telemetry;
 mod wire;
 
+pub use adapters::agent::AgentRanks;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
@@ -88,7 +89,7 @@
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountBook, ExpertDemand, Found, OrderReply, RankCounts, RankOrder, RankStatus, find_switch,
-    late_holds, next_map, switch_step,
+    late_holds, next_map, switch_lead_ms, switch_step,
 };
 pub use decisions::log_lease::{GroupRecord, LeaseState, Proposal};
 pub use decisions::membership::{
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -173,7 +173,7 @@
     pub fn control_groups(&self, ranks: Arc<dyn RankClient>, log: Arc<dyn LeaseLog>) {
         let state = Arc::clone(&self.handle.state);
         let port = state.settings.peer_address.port();
-        let ranks = Arc::new(AgentRanks { direct: ranks, port });
+        let ranks = Arc::new(AgentRanks::new(ranks, port, state.clock));
         self.control.handle().spawn(expert_groups::run(state, GroupPorts { ranks, log }));
     }
 
--- /dev/null
+++ b/crates/lycheewood/tests/agents.rs
@@ -0,0 +1,72 @@
+//! Orders to ranks through agents that are missing or silent.
+
+use std::net::{Ipv4Addr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_trait::async_trait;
+use lycheewood::{
+    AgentRanks, Clock, InstanceId, OrderReply, RankAddress, RankClient, RankCounts, RankOrder,
+    RankStatus,
+};
+
+/// A rank that carries every order out, and counts them.
+#[derive(Default)]
+struct Obedient {
+    orders: AtomicUsize,
+}
+
+#[async_trait]
+impl RankClient for Obedient {
+    async fn status(&self, _: &RankAddress) -> Option<RankStatus> {
+        Some(RankStatus::default())
+    }
+
+    async fn counts(&self, _: &RankAddress, _: usize) -> Option<RankCounts> {
+        None
+    }
+
+    async fn held_experts(&self, _: &RankAddress) -> Option<Vec<Vec<usize>>> {
+        None
+    }
+
+    async fn order(&self, _: &RankAddress, _: u64, _: &RankOrder) -> OrderReply {
+        self.orders.fetch_add(1, Ordering::Relaxed);
+        OrderReply::Done
+    }
+}
+
+fn rank() -> RankAddress {
+    RankAddress { server: InstanceId::new("s"), address: (Ipv4Addr::LOCALHOST, 1).into() }
+}
+
+fn order_twice(port: u16) -> (OrderReply, OrderReply, usize) {
+    let direct = Arc::new(Obedient::default());
+    let ranks = AgentRanks::new(Arc::clone(&direct) as Arc<dyn RankClient>, port, Clock::system());
+    let order = RankOrder::Hold { step: 5 };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(async {
+        let first = ranks.order(&rank(), 1, &order).await;
+        let second = ranks.order(&rank(), 1, &order).await;
+        (first, second, direct.orders.load(Ordering::Relaxed))
+    })
+}
+
+/// Guards against a group that is held for seconds because the orders to arm one rank go to the frozen
+/// machine of its agent again and again (trouble-2 of tread-coop, seed 392278877294).
+#[test]
+fn a_silent_agent_is_passed_over_when_an_order_is_given_again() {
+    let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let port = silent.local_addr().expect("an address").port();
+    assert_eq!(order_twice(port), (OrderReply::Unknown, OrderReply::Done, 1));
+}
+
+/// Guards against ranks that get no order because no agent runs beside them.
+#[test]
+fn a_rank_without_an_agent_is_ordered_directly() {
+    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let port = closed.local_addr().expect("an address").port();
+    drop(closed);
+    assert_eq!(order_twice(port), (OrderReply::Done, OrderReply::Done, 2));
+}
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -6,7 +6,7 @@
     RankCounts, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind, RouteTable,
     RouteTableError, ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerView,
     TargetName, Timestamp, choose_server, event_id, near_entries, queue_bound, queue_phase,
-    steady_batch,
+    steady_batch, switch_lead_ms, switch_step,
 };
 use proptest::prelude::*;
 
@@ -273,6 +273,18 @@
     assert_eq!(book.take(0, &counts(2, 51, 62)), Some(vec![vec![1, 2]]));
 }
 
+/// Guards against a group that stands still while orders to arm its ranks are given again: with a lead of
+/// 60 ms and half of the orders lost, streams stalled, their callers left, and a frozen holder of the
+/// lease left the group held.
+#[test]
+fn lost_orders_make_the_lead_of_a_switch_longer() {
+    let rounds_ms = 5 * 200;
+    assert!(switch_lead_ms(0) < 100);
+    assert!(switch_lead_ms(1) > rounds_ms);
+    // The pass that is held lies at least the lead ahead.
+    assert!((switch_step(10, 50, switch_lead_ms(1)) - 10) * 50 > rounds_ms);
+}
+
 /// Guards against two processes that give orders at the same time.
 #[test]
 fn a_lease_is_over_before_another_process_may_take_it() {
