Give orders to hold through another instance, and shorten the takeover

Cause: a group is held at a rank whose agent gave the order.

Ruled out: undoing the hold. An arm without a reply may be carried out while the others are disarmed, so a pass could begin with two maps.

Change: a ready instance that takes no other part relays the hold. Whoever takes over counts the lease from the end that its holder tells in heartbeats, not from its own first read of the log; the lease lasts 2,000 ms, not 3,000.

The test of the takeover fails when the time counts from the read.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -1,4 +1,7 @@
-//! The agent beside a rank: serves the calls of the holder of the lease, and makes them.
+//! Calls to ranks on behalf of another process, and their callers.
+//!
+//! An agent makes them beside its rank, where reports are fresh and orders are free. A gateway relays
+//! single orders to any rank, so that the machine that gives an order is not one that the next order needs.
 
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -32,8 +35,12 @@
 /// The longest wait for an agent, in milliseconds; longer than the agent's own wait for its rank.
 const CALL_MS: u64 = 250;
 
-/// Serves calls for the rank at `server`.
-pub(crate) async fn serve(listener: TcpListener, ranks: Arc<dyn RankClient>, server: SocketAddr) {
+/// Serves calls for the rank at `server`, or for those that the calls name.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    ranks: Arc<dyn RankClient>,
+    server: Option<SocketAddr>,
+) {
     loop {
         let Ok((tcp, _)) = listener.accept().await else { continue };
         let _ = tcp.set_nodelay(true);
@@ -54,7 +61,7 @@
 
 async fn reply(
     ranks: &dyn RankClient,
-    address: SocketAddr,
+    own: Option<SocketAddr>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let mut refused = Response::new(Full::default());
@@ -62,8 +69,10 @@
     let Ok(body) = Limited::new(request.into_body(), MAX_CALL_BYTES).collect().await else {
         return refused;
     };
-    let Some(RankRequest { server, call }) = decode(&body.to_bytes()) else { return refused };
-    let rank = RankAddress { server, address };
+    let Some(RankRequest { server, address, call }) = decode(&body.to_bytes()) else {
+        return refused;
+    };
+    let rank = RankAddress { server, address: own.unwrap_or(address) };
     let reply = match call {
         RankCall::Status => RankReply::Status(ranks.status(&rank).await),
         RankCall::Counts { experts } => {
@@ -118,18 +127,39 @@
         silent.insert(address, self.clock.now());
     }
 
+    /// Gives an order through a relay, the process at `relay` that serves calls for any rank.
+    pub async fn order_through(
+        &self,
+        relay: SocketAddr,
+        rank: &RankAddress,
+        epoch: u64,
+        order: &RankOrder,
+    ) -> OrderReply {
+        match self.call_at(relay, rank, RankCall::Order { epoch, order: order.clone() }).await {
+            Called::Reply(RankReply::Order(reply)) => reply,
+            Called::NoAgent => self.order(rank, epoch, order).await,
+            Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
+        }
+    }
+
     async fn call(&self, rank: &RankAddress, call: RankCall) -> Called {
-        let address = SocketAddr::new(rank.address.ip(), self.port);
+        self.call_at(SocketAddr::new(rank.address.ip(), self.port), rank, call).await
+    }
+
+    async fn call_at(&self, address: SocketAddr, rank: &RankAddress, call: RankCall) -> Called {
         if self.is_silent(address) {
             return Called::NoAgent;
         }
         let client = HttpClient::new(address, CALL_MS);
-        let request = RankRequest { server: rank.server.clone(), call };
+        let request = RankRequest { server: rank.server.clone(), address: rank.address, call };
         match client.call(Method::POST, RANK_PATH, encode(&request), CALL_MS).await {
             Ok(bytes) => decode(&bytes).map_or(Called::Unknown, Called::Reply),
             Err(HttpError::Connect { .. }) => Called::NoAgent,
             Err(error) => {
-                log::info!("agent silent server={} reason=\"{error}\"", rank.server);
+                log::info!(
+                    "agent silent address={address} server={} reason=\"{error}\"",
+                    rank.server
+                );
                 self.note_silent(address);
                 Called::Unknown
             }
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -10,18 +10,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::time::sleep;
 
+use crate::adapters::agent::AgentRanks;
 use crate::clock::Timestamp;
 use crate::controllers::expert_groups::group::Group;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
-use crate::decisions::peers::FRESH_MS;
 use crate::decisions::servers::ServerEntry;
 use crate::gateway::GatewayState;
-use crate::group_ports::{LeaseLog, RankAddress, RankClient};
+use crate::group_ports::{LeaseLog, RankAddress};
 use crate::ids::TargetName;
 use crate::lifecycle::shutdown::Phase;
 use crate::routes::raw::ExpertShape;
@@ -30,13 +29,16 @@
 const LOOK_MS: u64 = 100;
 /// An instance waits this long for each ready instance before it in the order of their names until it
 /// tries to take the lease, in milliseconds, so that they do not all try at once.
-const TURN_MS: u64 = 1_500;
+const TURN_MS: u64 = 500;
+/// A holder of the lease that was not heard for this long may be gone, in milliseconds: four heartbeats.
+/// Its lease must still be over before another one takes it.
+const HOLDER_SILENT_MS: u64 = 800;
 /// The most instances that are waited for.
 const MAX_TURNS: usize = 4;
 
 /// What the controller works with.
 pub(crate) struct GroupPorts {
-    pub(crate) ranks: Arc<dyn RankClient>,
+    pub(crate) ranks: Arc<AgentRanks>,
     pub(crate) log: Arc<dyn LeaseLog>,
 }
 
@@ -60,23 +62,24 @@
         let now = state.clock.now();
         let listed = listed_groups(&state);
         if listed.is_empty() || state.phase() != Phase::Serving {
-            state.leads.store(false, Ordering::Relaxed);
+            state.set_lease_end(None);
             continue;
         }
         if !lease.may_order() {
             groups.clear();
-            state.leads.store(false, Ordering::Relaxed);
-            if other_leads(&state, now) {
+            state.set_lease_end(None);
+            if let Some(end) = others_lease_end(&state, now) {
+                lease.note_heard(end);
                 without_holder = now;
                 continue;
             }
             if now.ms_since(without_holder) < turn_ms(&state, now) || !lease.take().await {
                 continue;
             }
-            state.leads.store(true, Ordering::Relaxed);
         }
         without_holder = now;
         lease.renew().await;
+        state.set_lease_end(Some(lease.end()));
         groups.retain(|name, _| listed.iter().any(|group| group.name == *name));
         for listed in listed {
             let group = groups.entry(listed.name.clone()).or_default();
@@ -85,9 +88,11 @@
     }
 }
 
-fn other_leads(state: &GatewayState, now: Timestamp) -> bool {
+/// The end of the lease's log, as another instance says that holds the lease.
+fn others_lease_end(state: &GatewayState, now: Timestamp) -> Option<u64> {
     let peers = state.peers.load();
-    peers.peers.values().any(|peer| peer.heartbeat.leads && now.ms_since(peer.heard) < FRESH_MS)
+    let fresh = peers.peers.values().filter(|peer| now.ms_since(peer.heard) < HOLDER_SILENT_MS);
+    fresh.filter_map(|peer| peer.heartbeat.lease_end).max()
 }
 
 fn turn_ms(state: &GatewayState, now: Timestamp) -> u64 {
--- a/crates/lycheewood/src/controllers/expert_groups/demand.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/demand.rs
@@ -7,6 +7,7 @@
 use crate::decisions::expert_groups::{CountBook, ExpertDemand};
 use crate::decisions::placement::LoadForecast;
 use crate::gateway::GatewayState;
+use crate::group_ports::RankClient as _;
 
 /// Time between two reads of the counts, in milliseconds.
 const COUNTS_MS: u64 = 250;
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -11,6 +11,7 @@
 use crate::decisions::log_lease::Proposal;
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
+use crate::group_ports::RankClient as _;
 
 /// The most experts that a rank copies in one switch. A copy takes some 400 ms, and a switch that takes
 /// long answers the demand of the past.
--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -44,6 +44,16 @@
         self.state.may_order(self.clock.now())
     }
 
+    /// Where the log ends, as far as this process knows.
+    pub(super) const fn end(&self) -> u64 {
+        self.state.end
+    }
+
+    /// Notes where the holder of the lease says that the log ends.
+    pub(super) fn note_heard(&mut self, end: u64) {
+        self.state.note_heard(end, self.clock.now());
+    }
+
     /// The last proposal for a group, and the version of its map.
     pub(super) fn last_proposal(&self, group: &str, epoch: u64) -> Option<(u64, &Proposal)> {
         let (version, proposal) = self.last.as_ref()?;
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -1,5 +1,6 @@
 //! Carries a switch of a group's map out, order by order.
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -14,7 +15,9 @@
     OrderReply, RankOrder, imbalance, late_holds, switch_lead_ms, switch_step,
 };
 use crate::decisions::placement::ExpertMap;
+use crate::decisions::units::index_below;
 use crate::gateway::GatewayState;
+use crate::group_ports::RankClient as _;
 use crate::lifecycle::map_switch::{HeldBefore, MapSwitch, Prepared, Preparing};
 
 /// Time between two looks at whether a switch has taken effect, in milliseconds; about a pass.
@@ -102,12 +105,21 @@
         Ok(())
     }
 
+    /// The instance that gives an order to hold. A machine that fails right after it has done so must not
+    /// be one that the held group waits for: neither this one nor that of a rank.
+    fn relay(&self, order: &RankOrder) -> Option<SocketAddr> {
+        matches!(order, RankOrder::Hold { .. }).then(|| any_relay(self.state)).flatten()
+    }
+
     async fn order(&self, epoch: u64, order: &RankOrder, rank: usize) -> OrderReply {
         if !self.lease.may_order() {
             return OrderReply::Unknown;
         }
         let address = &self.listed.ranks[rank];
-        let reply = self.ports.ranks.order(address, epoch, order).await;
+        let reply = match self.relay(order) {
+            Some(relay) => self.ports.ranks.order_through(relay, address, epoch, order).await,
+            None => self.ports.ranks.order(address, epoch, order).await,
+        };
         if reply != OrderReply::Done {
             log::info!(
                 "order not confirmed server={} epoch={epoch} order={} reply={reply:?}",
@@ -119,6 +131,16 @@
     }
 }
 
+/// Any other instance that is ready.
+fn any_relay(state: &GatewayState) -> Option<SocketAddr> {
+    let (now, port) = (state.clock.now(), state.settings.relay_address.port());
+    let peers = state.peers.load();
+    let ready = peers.peers.iter().filter(|(_, peer)| peer.may_be_told(now));
+    let ready: Vec<IpAddr> = ready.map(|(address, _)| address.ip()).collect();
+    let ip = *ready.get(index_below(rand::random(), ready.len().max(1)))?;
+    Some(SocketAddr::new(ip, port))
+}
+
 const fn name(order: &RankOrder) -> &'static str {
     match order {
         RankOrder::Prepare { .. } => "prepare",
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kameo::Actor;
@@ -118,7 +117,7 @@
             incarnation: state.incarnation,
             sequence: self.sequence,
             is_ready: state.is_ready(),
-            leads: state.leads.load(Ordering::Relaxed),
+            lease_end: state.lease_end(),
             route_version: state.routes.load().as_ref().map(|routes| routes.table.version),
             servers_next: state.servers.load().table.next,
             in_flight: in_flight.iter().map(|(id, count)| (server_tag(id), *count)).collect(),
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -11,9 +11,9 @@
 
 /// How long a record holds the lease, in milliseconds. Longer than two failed renewals, and short
 /// enough that a new holder finishes what a dead one left within a few seconds.
-pub(crate) const LEASE_MS: u64 = 3_000;
+pub(crate) const LEASE_MS: u64 = 2_000;
 /// A lease is renewed this long after the last record, in milliseconds.
-pub(crate) const RENEW_MS: u64 = 1_000;
+pub(crate) const RENEW_MS: u64 = 600;
 /// Orders are given only while this much of the lease is left, in milliseconds. Clocks of different
 /// machines run at rates that differ by less.
 pub(crate) const ORDER_MARGIN_MS: u64 = 200;
@@ -46,16 +46,27 @@
     pub end: u64,
     /// When this process first knew of that end.
     seen: Option<Timestamp>,
+    /// The last end that the holder told of, and when this process first heard of it.
+    heard: Option<(u64, Timestamp)>,
     /// When the own record that holds the lease was sent.
     held_from: Option<Timestamp>,
 }
 
 impl LeaseState {
+    /// Notes an end of the log that its holder tells of. The record before it was sent earlier, so its time
+    /// may be counted from here once the log turns out to end there, and nobody has to read it meanwhile.
+    pub fn note_heard(&mut self, end: u64, now: Timestamp) {
+        if self.heard.is_none_or(|(heard, _)| end > heard) {
+            self.heard = Some((end, now));
+        }
+    }
+
     /// Notes how far the log has been read, and who wrote the last record.
     pub fn note_read(&mut self, end: u64, is_own: bool, now: Timestamp) {
         if end != self.end || self.seen.is_none() {
             self.end = end;
-            self.seen = Some(now);
+            let heard = self.heard.filter(|(heard, _)| *heard == end);
+            self.seen = Some(heard.map_or(now, |(_, at)| at));
             if !is_own {
                 self.held_from = None;
             }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -51,6 +51,8 @@
     pub caller_address: SocketAddr,
     /// Where other instances send heartbeats (UDP) and ask for state (TCP).
     pub peer_address: SocketAddr,
+    /// Where other instances send orders that are relayed to ranks (TCP). All instances use this port.
+    pub relay_address: SocketAddr,
     /// Peer addresses of instances to begin with.
     pub seeds: Vec<SocketAddr>,
     /// Where metrics are served, if they are.
@@ -107,8 +109,8 @@
     pub(crate) in_flight: watch::Sender<usize>,
     /// Woken when a server may have room again.
     pub(crate) capacity: Arc<Notify>,
-    /// Whether this instance holds the lease over expert groups.
-    pub(crate) leads: AtomicBool,
+    /// The end of the log of the lease over expert groups, while this instance holds it.
+    lease_end: Mutex<Option<u64>>,
     phase: watch::Sender<Phase>,
     budgets: Mutex<HashMap<TargetName, RetryBudget>>,
     sequence: AtomicU64,
@@ -136,13 +138,22 @@
             loads: Arc::new(LoadBook::new(Arc::clone(&capacity))),
             in_flight: watch::Sender::new(0),
             capacity,
-            leads: AtomicBool::new(false),
+            lease_end: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             budgets: Mutex::default(),
             sequence: AtomicU64::new(1),
         }
     }
 
+    /// The end of the log of the lease over expert groups, if this instance holds it.
+    pub(crate) fn lease_end(&self) -> Option<u64> {
+        *self.lease_end.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_lease_end(&self, end: Option<u64>) {
+        *self.lease_end.lock().unwrap_or_else(PoisonError::into_inner) = end;
+    }
+
     /// An attempt identifier that has never been used.
     pub(crate) fn next_attempt(&self) -> AttemptId {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
--- a/crates/lycheewood/src/roles/agent.rs
+++ b/crates/lycheewood/src/roles/agent.rs
@@ -14,6 +14,7 @@
 /// A running agent. It has one thread, which also runs whatever it waits for.
 pub struct Agent {
     runtime: Runtime,
+    address: SocketAddr,
 }
 
 impl Agent {
@@ -28,6 +29,25 @@
         address: SocketAddr,
         server: SocketAddr,
         ranks: Arc<dyn RankClient>,
+    ) -> Result<Self, StartError> {
+        Self::open(address, Some(server), ranks)
+    }
+
+    /// Starts a relay that listens at `address` for calls to any rank.
+    ///
+    /// Must not be called from async code, because it blocks.
+    ///
+    /// # Errors
+    ///
+    /// When the listener or the runtime cannot be started.
+    pub fn relay(address: SocketAddr, ranks: Arc<dyn RankClient>) -> Result<Self, StartError> {
+        Self::open(address, None, ranks)
+    }
+
+    fn open(
+        address: SocketAddr,
+        server: Option<SocketAddr>,
+        ranks: Arc<dyn RankClient>,
     ) -> Result<Self, StartError> {
         let runtime = Builder::new_current_thread()
             .enable_all()
@@ -35,8 +55,14 @@
             .map_err(|source| StartError::Runtime { source })?;
         let (listener, address) = runtime.block_on(listen("peer_address", address))?;
         runtime.spawn(agent::serve(listener, ranks, server));
-        log::info!("agent started address={address} server_address={server}");
-        Ok(Self { runtime })
+        log::info!("agent started address={address} server_address={server:?}");
+        Ok(Self { runtime, address })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Serves calls until `stop` is over.
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -14,7 +14,7 @@
 
 use crate::adapters::agent::AgentRanks;
 use crate::adapters::forward::caller;
-use crate::adapters::{gossip, metrics};
+use crate::adapters::{agent, gossip, metrics};
 use crate::controllers::expert_groups::{self, GroupPorts};
 use crate::controllers::peers::{Name, PeersController, StateSource};
 use crate::controllers::routes::{Adopt, RoutesController};
@@ -170,11 +170,24 @@
 
     /// Starts to follow expert groups and to switch their maps, through the platform's ports. Ranks are
     /// reached through the agents beside them, which listen on the port of this gateway's peer address.
-    pub fn control_groups(&self, ranks: Arc<dyn RankClient>, log: Arc<dyn LeaseLog>) {
+    /// Orders of other gateways are relayed to ranks at the relay address.
+    ///
+    /// # Errors
+    ///
+    /// When the relay cannot listen.
+    pub fn control_groups(
+        &self,
+        ranks: Arc<dyn RankClient>,
+        log: Arc<dyn LeaseLog>,
+    ) -> Result<(), StartError> {
         let state = Arc::clone(&self.handle.state);
+        let control = self.control.handle();
+        let (relay, _) = control.block_on(listen("relay_address", state.settings.relay_address))?;
+        control.spawn(agent::serve(relay, Arc::clone(&ranks), None));
         let port = state.settings.peer_address.port();
         let ranks = Arc::new(AgentRanks::new(ranks, port, state.clock));
-        self.control.handle().spawn(expert_groups::run(state, GroupPorts { ranks, log }));
+        control.spawn(expert_groups::run(state, GroupPorts { ranks, log }));
+        Ok(())
     }
 
     /// A handle for the adapter to a platform.
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -35,8 +35,8 @@
     pub sequence: u64,
     /// Whether it serves callers.
     pub is_ready: bool,
-    /// Whether it holds the lease over expert groups.
-    pub leads: bool,
+    /// The end of the log of the lease over expert groups, if it holds the lease.
+    pub lease_end: Option<u64>,
     /// Version of its route table.
     pub route_version: Option<u64>,
     /// The first offset of the server list that it has not read.
@@ -54,18 +54,27 @@
 }
 
 /// The fields of a heartbeat in order.
-type Packed = (Option<About>, Incarnation, u64, bool, bool, Option<u64>, Offset, Vec<(u32, u32)>);
+type Packed =
+    (Option<About>, Incarnation, u64, bool, Option<u64>, Option<u64>, Offset, Vec<(u32, u32)>);
 
 impl From<Packed> for Heartbeat {
     fn from(packed: Packed) -> Self {
-        let (about, incarnation, sequence, is_ready, leads, route_version, servers_next, in_flight) =
-            packed;
+        let (
+            about,
+            incarnation,
+            sequence,
+            is_ready,
+            lease_end,
+            route_version,
+            servers_next,
+            in_flight,
+        ) = packed;
         Self {
             about,
             incarnation,
             sequence,
             is_ready,
-            leads,
+            lease_end,
             route_version,
             servers_next,
             in_flight,
@@ -80,12 +89,12 @@
             incarnation,
             sequence,
             is_ready,
-            leads,
+            lease_end,
             route_version,
             servers_next,
             in_flight,
         } = heartbeat;
-        (about, incarnation, sequence, is_ready, leads, route_version, servers_next, in_flight)
+        (about, incarnation, sequence, is_ready, lease_end, route_version, servers_next, in_flight)
     }
 }
 
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -1,5 +1,7 @@
 //! Calls of the holder of a group's lease to the agent beside a rank, and their replies.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::decisions::expert_groups::{OrderReply, RankOrder, RankStatus};
@@ -31,6 +33,8 @@
 pub struct RankRequest {
     /// The server. The rank refuses a call for another one.
     pub server: InstanceId,
+    /// Where the server listens. An agent calls the server beside it whatever stands here.
+    pub address: SocketAddr,
     /// The call.
     pub call: RankCall,
 }
--- a/crates/lycheewood/tests/agents.rs
+++ b/crates/lycheewood/tests/agents.rs
@@ -6,8 +6,8 @@
 
 use async_trait::async_trait;
 use lycheewood::{
-    AgentRanks, Clock, InstanceId, OrderReply, RankAddress, RankClient, RankCounts, RankOrder,
-    RankStatus,
+    Agent, AgentRanks, Clock, InstanceId, OrderReply, RankAddress, RankClient, RankCounts,
+    RankOrder, RankStatus,
 };
 
 /// A rank that carries every order out, and counts them.
@@ -70,3 +70,22 @@
     drop(closed);
     assert_eq!(order_twice(port), (OrderReply::Done, OrderReply::Done, 2));
 }
+
+/// Guards against a held group that waits for the machine that gave the order to hold: an order through
+/// another process reaches the rank although the agent beside it is silent, and without that agent.
+#[test]
+fn an_order_reaches_its_rank_through_a_relay() {
+    let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let port = silent.local_addr().expect("an address").port();
+    let relayed = Arc::new(Obedient::default());
+    let relay =
+        Agent::relay((Ipv4Addr::LOCALHOST, 0).into(), Arc::clone(&relayed) as Arc<dyn RankClient>)
+            .expect("a relay");
+    let direct = Arc::new(Obedient::default());
+    let ranks = AgentRanks::new(Arc::clone(&direct) as Arc<dyn RankClient>, port, Clock::system());
+    let order = RankOrder::Hold { step: 5 };
+    let reply = relay.run_until(ranks.order_through(relay.address(), &rank(), 1, &order));
+    assert_eq!(reply, OrderReply::Done);
+    let count = |ranks: &Obedient| ranks.orders.load(Ordering::Relaxed);
+    assert_eq!((count(&relayed), count(&direct)), (1, 0));
+}
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -163,7 +163,7 @@
         incarnation: Incarnation(incarnation),
         sequence,
         is_ready,
-        leads: false,
+        lease_end: None,
         route_version: Some(3),
         servers_next: Offset(7),
         in_flight: Vec::new(),
@@ -304,6 +304,25 @@
     assert!(!holder.may_order(at(0)));
 }
 
+/// Guards against seconds without a holder, because whoever takes over begins to wait only when it reads
+/// the log, and against a wait that counts from an end that the log has passed.
+#[test]
+fn a_lease_is_taken_soon_by_those_that_heard_its_holder() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(0, at(0), at(10));
+    let mut listener = LeaseState::default();
+    listener.note_heard(1, at(10));
+    // The holder tells of the same end in each heartbeat.
+    listener.note_heard(1, at(1_500));
+    listener.note_read(1, false, at(2_100));
+    let taken = (0..5_000).find(|ms| listener.may_take(at(*ms))).expect("it is taken at some time");
+    assert!(!holder.may_order(at(taken)) && taken < 3_000, "taken at {taken} ms");
+    let mut outdated = LeaseState::default();
+    outdated.note_heard(1, at(10));
+    outdated.note_read(2, false, at(2_100));
+    assert!(!outdated.may_take(at(2_300)));
+}
+
 proptest! {
     /// Guards against events that depend on how the stream was cut into reads.
     #[test]
--- a/crates/lycheewood/tests/gateway/world.rs
+++ b/crates/lycheewood/tests/gateway/world.rs
@@ -53,6 +53,7 @@
             failure_domain: FailureDomain::new("a"),
             caller_address: any,
             peer_address: any,
+            relay_address: any,
             seeds: Vec::new(),
             metrics_address: None,
             headers: HeaderNames {
@@ -148,12 +149,7 @@
     }
 
     pub(crate) fn call_now(&self, request: &str) -> Reply {
-        let mut tcp = self.connect();
-        tcp.write_all(request.as_bytes()).expect("the request is sent");
-        let mut bytes = Vec::new();
-        // A cut answer ends in a reset or early; both show in what was read.
-        let _ = tcp.read_to_end(&mut bytes);
-        Reply::parse(&bytes)
+        Reply::read(self.connect(), request)
     }
 
     pub(crate) fn connect(&self) -> TcpStream {
@@ -230,6 +226,15 @@
 }
 
 impl Reply {
+    /// Sends a request on a connection and reads until it ends.
+    pub(crate) fn read(mut tcp: TcpStream, request: &str) -> Self {
+        tcp.write_all(request.as_bytes()).expect("the request is sent");
+        let mut bytes = Vec::new();
+        // A cut answer ends in a reset or early; both show in what was read.
+        let _ = tcp.read_to_end(&mut bytes);
+        Self::parse(&bytes)
+    }
+
     fn parse(bytes: &[u8]) -> Self {
         let text = String::from_utf8_lossy(bytes);
         let (head, rest) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
