Leave a server that is silent alone

The keep-alive probes of the connection notice it after 4 s only.

Ruled out: a shorter time-out for all. A group that stands still is silent on every server, and each retry would wait again and use the budget up.

The test failed first: 504 instead of the whole stream.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -28,5 +28,6 @@
 pub(crate) mod routing;
 pub(crate) mod servers;
 pub(crate) mod shares;
+pub(crate) mod stall;
 pub(crate) mod units;
 pub(crate) mod versions;
--- a/crates/lycheewood/src/decisions/retries.rs
+++ b/crates/lycheewood/src/decisions/retries.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Whether a retry is left.
+    #[must_use]
+    pub fn has_retry(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Decides about a retry after `attempts` attempts with `left_ms` until the deadline, and takes it
     /// from the budget. Returns the wait before it in milliseconds, or `None` for no retry.
     pub fn take_retry(
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Whether another attempt is left, on a server that has not had the request.
+    pub(crate) fn may_leave(&self) -> bool {
+        self.may_run_again() && self.attempts < self.route.max_attempts
+    }
+
     /// Whether another server may get the request after one that may have run it.
     pub(crate) fn may_run_again(&self) -> bool {
         self.route.may_repeat()
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -7,8 +7,9 @@
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::timeout;
 
-use crate::adapters::forward::upstream::UpstreamAnswer;
+use crate::adapters::forward::upstream::{UpstreamAnswer, UpstreamError};
 use crate::decisions::events::{EventSplitter, event_id};
+use crate::decisions::stall::{Awaited, patience_ms};
 use crate::filters::forward::exchange::{Admitted, Answered, Head};
 use crate::filters::forward::{Answer, attempt};
 use crate::gateway::GatewayState;
@@ -67,6 +68,15 @@
     }
 }
 
+/// What the wait for more of a stream has come to.
+enum Waited {
+    /// Bytes, an error, or the end of the stream.
+    Bytes(Option<Result<Bytes, UpstreamError>>),
+    /// The server is silent alone.
+    Stuck,
+    Deadline,
+}
+
 /// The rest of an event stream. Dropping it closes the connection to the server.
 pub(crate) struct Relay {
     state: Arc<GatewayState>,
@@ -95,33 +105,67 @@
                     return Some(Ok(event));
                 }
             }
-            let deadline = self.source.admitted.deadline;
-            let left = Duration::from_millis(deadline.ms_since(self.state.clock.now()));
-            let reason = match timeout(left, self.source.answer.next()).await {
-                Err(_) => return Some(Err(CutReason::Deadline)),
-                Ok(Some(Ok(bytes))) => match self.source.splitter.push(&bytes) {
+            let next = match self.wait_for_bytes().await {
+                Waited::Bytes(next) => next,
+                Waited::Stuck => {
+                    if !self.resume("silent while others answer").await {
+                        return Some(Err(CutReason::Broken));
+                    }
+                    continue;
+                }
+                Waited::Deadline => return Some(Err(CutReason::Deadline)),
+            };
+            let reason = match next {
+                Some(Ok(bytes)) => match self.source.splitter.push(&bytes) {
                     Ok(()) => continue,
                     Err(error) => error.to_string(),
                 },
-                Ok(Some(Err(error))) => error.to_string(),
-                Ok(None) if !self.source.splitter.has_partial() => {
+                Some(Err(error)) => error.to_string(),
+                None if !self.source.splitter.has_partial() => {
                     self.state.loads.note_success(&self.source.server);
                     return None;
                 }
-                Ok(None) => "the stream ends within an event".to_owned(),
+                None => "the stream ends within an event".to_owned(),
             };
-            log::info!(
-                "stream broken id={} server={} events={} reason=\"{reason}\"",
-                self.head.request_id,
-                self.source.server,
-                self.events
-            );
-            if !self.resume().await {
+            if !self.resume(&reason).await {
                 return Some(Err(CutReason::Broken));
             }
         }
     }
 
+    /// Waits for more of the stream until the deadline, or until the server is stuck and the stream may be
+    /// continued elsewhere.
+    async fn wait_for_bytes(&mut self) -> Waited {
+        let since = self.state.clock.now();
+        loop {
+            let Source { admitted, server, answer, .. } = &mut self.source;
+            let now = self.state.clock.now();
+            let left_ms = admitted.deadline.ms_since(now);
+            if left_ms == 0 {
+                return Waited::Deadline;
+            }
+            let wait_ms = if admitted.may_leave() { patience_ms(Awaited::Event) } else { left_ms };
+            match timeout(Duration::from_millis(wait_ms.min(left_ms)), answer.next()).await {
+                Ok(next) => {
+                    self.state.loads.note_sign(server, self.state.clock.now());
+                    return Waited::Bytes(next);
+                }
+                Err(_)
+                    if admitted.may_leave()
+                        && self.state.should_leave(
+                            Awaited::Event,
+                            &admitted.service,
+                            server,
+                            since,
+                        ) =>
+                {
+                    return Waited::Stuck;
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     /// Notes the id of an event. An event that the caller has already is not passed on again.
     fn is_next(&mut self, event: &[u8]) -> bool {
         let Some(id) = event_id(event) else { return true };
@@ -133,7 +177,13 @@
     }
 
     /// Continues the stream at another server after the last event, if the route allows it.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self, reason: &str) -> bool {
+        log::info!(
+            "stream broken id={} server={} events={} reason=\"{reason}\"",
+            self.head.request_id,
+            self.source.server,
+            self.events
+        );
         let admitted = &mut self.source.admitted;
         self.state.loads.note_failure(&self.source.server, self.state.clock.now());
         if !admitted.may_run_again() {
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -5,9 +5,11 @@
 
 use tokio::time::timeout;
 
-use crate::adapters::forward::upstream::{self, Outbound};
+use crate::adapters::forward::upstream::{self, Outbound, UpstreamAnswer, UpstreamError};
+use crate::decisions::stall::{Awaited, patience_ms};
 use crate::filters::forward::exchange::{Admitted, Answered, Exchange, Selected};
 use crate::gateway::GatewayState;
+use crate::ids::InstanceId;
 use crate::outcome::UnknownCode;
 
 /// The longest wait for a connection to a server, in milliseconds. Servers are at most a few
@@ -59,16 +61,20 @@
     };
     admitted.attempts += 1;
     let attempt = attempt.dispatch();
-    let answer = timeout(Duration::from_millis(left_ms), connection.send(&outbound)).await;
+    let answer = wait_for_head(state, &admitted, &server.id, connection.send(&outbound)).await;
     let (code, reason) = match answer {
-        Ok(Ok(answer)) => {
+        Waited::Answer(Ok(answer)) => {
             let answer = Box::new(answer);
+            state.loads.note_sign(&server.id, state.clock.now());
             let answered = Answered { admitted, server, attempt, in_flight, answer };
             let now = state.clock.now();
             return Sent::Answered(Exchange { head, view, now, stage: answered });
         }
-        Ok(Err(error)) => (UnknownCode::EndpointLost, error.to_string()),
-        Err(_) => (UnknownCode::DeadlinePassed, "no answer before the deadline".to_owned()),
+        Waited::Answer(Err(error)) => (UnknownCode::EndpointLost, error.to_string()),
+        Waited::Stuck => (UnknownCode::EndpointLost, "silent while others answer".to_owned()),
+        Waited::Deadline => {
+            (UnknownCode::DeadlinePassed, "no answer before the deadline".to_owned())
+        }
     };
     fail(state, &mut admitted, &server.id, code);
     log::info!(
@@ -81,11 +87,47 @@
     Sent::Again(admitted)
 }
 
+/// What the wait for an answer has come to.
+enum Waited {
+    Answer(Result<UpstreamAnswer, UpstreamError>),
+    /// The server is silent alone; the request goes to another one.
+    Stuck,
+    Deadline,
+}
+
+/// Waits for the head of the answer until the caller's deadline, or until the server is stuck and
+/// the request may leave it.
+async fn wait_for_head(
+    state: &GatewayState,
+    admitted: &Admitted,
+    server: &InstanceId,
+    answer: impl Future<Output = Result<UpstreamAnswer, UpstreamError>>,
+) -> Waited {
+    let sent = state.clock.now();
+    tokio::pin!(answer);
+    loop {
+        let left_ms = admitted.deadline.ms_since(state.clock.now());
+        if left_ms == 0 {
+            return Waited::Deadline;
+        }
+        let wait_ms = if admitted.may_leave() { patience_ms(Awaited::Head) } else { left_ms };
+        let wait = Duration::from_millis(wait_ms.min(left_ms));
+        if let Ok(answer) = timeout(wait, answer.as_mut()).await {
+            return Waited::Answer(answer);
+        }
+        if admitted.may_leave()
+            && state.should_leave(Awaited::Head, &admitted.service, server, sent)
+        {
+            return Waited::Stuck;
+        }
+    }
+}
+
 /// Notes that an attempt may have run and brought no answer.
 pub(crate) fn fail(
     state: &GatewayState,
     admitted: &mut Admitted,
-    server: &crate::ids::InstanceId,
+    server: &InstanceId,
     code: UnknownCode,
 ) {
     state.loads.note_failure(server, state.clock.now());
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -13,6 +13,7 @@
 use crate::decisions::peers::PeerTable;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::servers::ServerTable;
+use crate::decisions::stall::{Awaited, is_stuck};
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
 use crate::lifecycle::shutdown::Phase;
 use crate::lifecycle::shutdown::ShutdownSettings;
@@ -196,6 +197,28 @@
         })
     }
 
+    /// Whether a retry for a service is left in the budget.
+    pub(crate) fn has_retry(&self, service: &TargetName) -> bool {
+        let policy = self.retry_policy();
+        self.with_budget(service, &policy, |budget| budget.has_retry())
+    }
+
+    /// Whether a request should leave a server that has been silent since `since`: the others of the
+    /// service answer, and the request may be sent to one of them.
+    pub(crate) fn should_leave(
+        &self,
+        awaited: Awaited,
+        service: &TargetName,
+        server: &InstanceId,
+        since: Timestamp,
+    ) -> bool {
+        let now = self.clock.now();
+        let servers = self.servers.load();
+        let others = servers.table.servers(service).iter().map(|entry| &entry.id);
+        let others_ms = self.loads.last_sign_ms(others.filter(|id| *id != server), now);
+        is_stuck(awaited, now.ms_since(since), others_ms) && self.has_retry(service)
+    }
+
     fn with_budget<T>(
         &self,
         service: &TargetName,
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -110,6 +110,7 @@
     GroupPlace, ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerTable,
 };
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
+pub use decisions::stall::{Awaited, is_stuck, patience_ms};
 pub use decisions::versions::choose_version;
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
--- a/crates/lycheewood/src/load_book.rs
+++ b/crates/lycheewood/src/load_book.rs
@@ -22,6 +22,8 @@
     failed: Timestamp,
     /// The address belongs to another server until its entry changes, as far as known.
     absent_until: Timestamp,
+    /// When this instance last got a head or an event from it.
+    answered: Timestamp,
 }
 
 /// How long a server that was not at its address gets no request, in milliseconds. Its entry is corrected
@@ -69,6 +71,22 @@
         self.lock().get(server).is_some_and(|load| now < load.absent_until)
     }
 
+    /// Notes a sign of life: the head of an answer or an event.
+    pub(crate) fn note_sign(&self, server: &InstanceId, now: Timestamp) {
+        self.lock().entry(server.clone()).or_default().answered = now;
+    }
+
+    /// Age of the last sign of life of any of the servers, in milliseconds.
+    pub(crate) fn last_sign_ms<'a>(
+        &self,
+        servers: impl Iterator<Item = &'a InstanceId>,
+        now: Timestamp,
+    ) -> Option<u64> {
+        let loads = self.lock();
+        let signs = servers.filter_map(|server| loads.get(server)).map(|load| load.answered);
+        signs.max().map(|sign| now.ms_since(sign))
+    }
+
     /// Notes that a server answered well.
     pub(crate) fn note_success(&self, server: &InstanceId) {
         if let Some(load) = self.lock().get_mut(server) {
--- a/crates/lycheewood/tests/gateway/streams.rs
+++ b/crates/lycheewood/tests/gateway/streams.rs
@@ -1,8 +1,10 @@
 //! Streams of events: passed on as they come, continued elsewhere, never joined wrongly.
 
 use std::io::{Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::world::{Act, Seen, World, field, request};
+use crate::world::{Act, Reply, Seen, World, field, good, request};
 
 fn head(seen: &Seen) -> String {
     let id = field(&seen.head, "x-id").unwrap_or_default();
@@ -92,3 +94,62 @@
     drop(tcp);
     assert_eq!(world.wait_for_close(), "s1");
 }
+
+/// Sends short requests until the stream's caller has its reply, so that one of two servers shows that the
+/// service works.
+fn with_other_requests(world: &World, stream: &str) -> Reply {
+    world.wait_until_ready();
+    let tcp = world.connect();
+    let stream = stream.to_owned();
+    let caller = std::thread::spawn(move || Reply::read(tcp, &stream));
+    for number in 0.. {
+        if caller.is_finished() {
+            break;
+        }
+        world.call(&request("/read/x", &format!("other-{number}")));
+    }
+    caller.join().expect("a reply")
+}
+
+/// Guards against callers that leave because their stream waits for a machine that stands still, and
+/// against the work that such a machine does for them later (`order-givers`, seed 1, on tread-coop).
+#[test]
+fn a_stream_leaves_a_server_that_is_silent_alone() {
+    for silent_after in [0, 3] {
+        let mut world = World::with_routes();
+        let attempts = Arc::new(AtomicUsize::new(0));
+        for server in ["s1", "s2"] {
+            let attempts = Arc::clone(&attempts);
+            world.server(server, move |seen| {
+                if field(&seen.head, "x-id").is_some_and(|id| id.starts_with("other")) {
+                    return Act::Write(good(seen, "ok"));
+                }
+                let is_first = attempts.fetch_add(1, Ordering::Relaxed) == 0;
+                match (is_first, silent_after) {
+                    (true, 0) => Act::Hang(Vec::new()),
+                    (true, last) => Act::Hang((head(seen) + &chunk(&events(1, last))).into_bytes()),
+                    (false, last) => {
+                        let rest = chunk(&events(last + 1, 6));
+                        Act::Write((head(seen) + &rest + "0\r\n\r\n").into_bytes())
+                    }
+                }
+            });
+        }
+        let reply = with_other_requests(&world, &request("/stream/x", "id-1"));
+        assert_eq!((reply.status, reply.is_whole), (200, true), "silent after {silent_after}");
+        assert_eq!(reply.body, events(1, 6));
+    }
+}
+
+/// Guards against streams that leave their servers because a whole group stands still: the next server
+/// would be silent as well, and the retry budget would be gone.
+#[test]
+fn a_stream_stays_while_no_other_server_answers() {
+    let mut world = World::with_routes();
+    let script = |seen: &Seen| Act::Hang((head(seen) + &chunk(&events(1, 1))).into_bytes());
+    world.server("s1", script);
+    world.server("s2", script);
+    let reply = world.call(&request("/stream/x", "id-1"));
+    assert_eq!((reply.body, reply.is_whole), (events(1, 1), false));
+    assert_eq!(world.seen().len(), 1);
+}
