Refuse the order of a superseded lease while a newer one waits

Cause: a daemon keeps one order to stage a map. An order with a lower fencing number than the waiting one was dropped without a word, so a holder that was paused never learned that its lease had passed on.

Ruled out: load on the machine.

Change: the order of the lower lease is refused at once, whichever came first.

--- a/crates/lycheewood/src/controllers/rank.rs
+++ b/crates/lycheewood/src/controllers/rank.rs
@@ -167,16 +167,19 @@
                 let done = StageDone { scope, rank, incarnation, change: ask.change };
                 let _ = frames.try_send(Frame::Staged(done));
             }
-            RankEvidence::Refused => {
-                let (scope, rank) = (ask.scope, self.config.rank.index);
-                let incarnation = self.config.incarnation;
-                let refused = StageRefused { scope, rank, incarnation, change: ask.change };
-                let _ = frames.try_send(Frame::StageRefused(refused));
-            }
+            RankEvidence::Refused => self.refuse(StageOn { ask, frames }),
             RankEvidence::Silent => self.waiting = Some(StageOn { ask, frames }),
         }
     }
 
+    fn refuse(&self, order: StageOn) {
+        let StageOn { ask, frames } = order;
+        let (scope, rank) = (ask.scope, self.config.rank.index);
+        let incarnation = self.config.incarnation;
+        let refused = StageRefused { scope, rank, incarnation, change: ask.change };
+        let _ = frames.try_send(Frame::StageRefused(refused));
+    }
+
     async fn stage(&mut self, maps: &RankMaps, order: &StageOrder) -> RankEvidence {
         match self.fence.admit(order.fencing) {
             Ok(()) => self.fencing = self.fencing.max(order.fencing),
@@ -283,9 +286,18 @@
         if order.ask.scope != self.scope {
             return;
         }
-        let is_older = |waiting: &StageOn| waiting.ask.fencing > order.ask.fencing;
-        if !self.waiting.as_ref().is_some_and(is_older) {
-            self.waiting = Some(order);
+        // Of two holders' orders only the later one's waits; the other holder must hear of it.
+        match self.waiting.take() {
+            Some(waiting) if waiting.ask.fencing > order.ask.fencing => {
+                self.refuse(order);
+                self.waiting = Some(waiting);
+            }
+            former => {
+                if let Some(former) = former.filter(|f| f.ask.fencing < order.ask.fencing) {
+                    self.refuse(former);
+                }
+                self.waiting = Some(order);
+            }
         }
         self.advance(true).await;
     }
--- a/crates/lycheewood/tests/map_change_path.rs
+++ b/crates/lycheewood/tests/map_change_path.rs
@@ -378,9 +378,9 @@
     }
 }
 
-/// Sends an order over a connection of its own, as an entry that was paused would, and gives the
-/// rank's answer.
-async fn order_as_entry(address: SocketAddr, ask: StageAsk) -> Frame {
+/// Sends orders over a connection of its own, as an entry that was paused would, and gives the rank's
+/// answer to the last one.
+async fn order_as_entry(address: SocketAddr, asks: &[StageAsk]) -> Frame {
     let hello = Hello {
         protocol_min: PROTOCOL_MIN,
         protocol_max: PROTOCOL_MAX,
@@ -394,14 +394,17 @@
     let tcp = TcpStream::connect(address).await.expect("connect to the daemon");
     let (mut socket, _) =
         client_async(format!("ws://{address}/"), tcp).await.expect("open a connection");
-    for frame in [Frame::Hello(hello), Frame::Stage(ask)] {
+    let orders = asks.iter().map(|ask| Frame::Stage(ask.clone()));
+    for frame in std::iter::once(Frame::Hello(hello)).chain(orders) {
         socket.send(Message::Binary(encode(&frame))).await.expect("send a frame");
     }
+    let last = asks.last().map(|ask| ask.change);
     loop {
         let message = socket.next().await.expect("the connection stays").expect("a message");
         let Message::Binary(bytes) = message else { continue };
         match decode(&bytes).expect("a frame") {
-            frame @ (Frame::Staged(_) | Frame::StageRefused(_)) => return frame,
+            Frame::Staged(done) if Some(done.change) == last => return Frame::Staged(done),
+            Frame::StageRefused(no) if Some(no.change) == last => return Frame::StageRefused(no),
             _ => socket
                 .send(Message::Binary(encode(&Frame::Heartbeat(1))))
                 .await
@@ -423,11 +426,16 @@
     world.run_past(change);
     assert!(world.lease().fencing > former.fencing, "the lease did not pass on");
     let ask =
-        StageAsk { scope: world.scope.clone(), change, step: u64::MAX, fencing: former.fencing };
+        |change, fencing| StageAsk { scope: world.scope.clone(), change, step: u64::MAX, fencing };
     let daemon = world.daemons[0].as_ref().expect("rank 0 runs").peer_address();
-    let reply =
-        async { timeout(Duration::from_millis(WAIT_MS), order_as_entry(daemon, ask)).await };
-    let reply = world.deployment.runtime.block_on(reply).expect("the daemon answers");
-    assert!(matches!(reply, Frame::StageRefused(_)), "an old order was obeyed: {reply:?}");
+    // An order of the present holder that cannot be carried out yet must not hide the old one.
+    let pending = ask(Offset(change.0 + 1_000), world.lease().fencing);
+    let old = ask(change, former.fencing);
+    for asks in [vec![old.clone()], vec![pending, old]] {
+        let order = order_as_entry(daemon, &asks);
+        let reply = async { timeout(Duration::from_millis(WAIT_MS), order).await };
+        let reply = world.deployment.runtime.block_on(reply).expect("the daemon answers");
+        assert!(matches!(reply, Frame::StageRefused(_)), "obeyed after {asks:?}: {reply:?}");
+    }
     world.check_steps("superseded lease");
 }
