Switch maps at the next pass, and look at demand again at once

Cause: after ranks had copied, a switch still took 240 ms: two passes of lead, 60 ms between two looks at whether it took effect, and 100 ms until the next look at demand. Passes are slowest just then.

Ruled out: arming without a hold. Ranks could be armed for a pass that begins before the last of them is.

Change: the group is held before the very next pass.

--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -57,8 +57,11 @@
     let mut lease = LeaseKeeper::new(&state, Arc::clone(&ports.log));
     let mut groups: BTreeMap<String, Group> = BTreeMap::new();
     let mut without_holder = state.clock.now();
+    let mut looks_again = false;
     loop {
-        sleep(Duration::from_millis(LOOK_MS)).await;
+        if !std::mem::take(&mut looks_again) {
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
         let now = state.clock.now();
         let listed = listed_groups(&state);
         if listed.is_empty() || state.phase() != Phase::Serving {
@@ -83,7 +86,7 @@
         groups.retain(|name, _| listed.iter().any(|group| group.name == *name));
         for listed in listed {
             let group = groups.entry(listed.name.clone()).or_default();
-            group.look(&state, &ports, &mut lease, &listed).await;
+            looks_again |= group.look(&state, &ports, &mut lease, &listed).await;
         }
     }
 }
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -35,21 +35,22 @@
 }
 
 impl Group {
-    /// Looks at the group, and switches its map if that pays off.
+    /// Looks at the group, and switches its map if that pays off. Tells whether time has passed in which
+    /// demand may have changed, so that it should be looked at again at once.
     pub(super) async fn look(
         &mut self,
         state: &GatewayState,
         ports: &GroupPorts,
         lease: &mut LeaseKeeper,
         listed: &ListedGroup,
-    ) {
+    ) -> bool {
         if self.formation.as_ref().is_none_or(|formation| formation.epoch != listed.epoch) {
             self.formation = enter(state, ports, lease, listed).await;
-            return;
+            return false;
         }
-        let Some(formation) = &mut self.formation else { return };
+        let Some(formation) = &mut self.formation else { return false };
         if formation.watch.read(state, ports, listed).await == Demand::Unknown {
-            return;
+            return false;
         }
         let now = state.clock.now();
         let map = &formation.map;
@@ -58,11 +59,11 @@
             Some(shares) => next_map(map, shares, &listed.shape, MAX_COPIES),
             None => idle_map(map, &listed.shape),
         };
-        let Some(next) = next else { return };
+        let Some(next) = next else { return false };
         let copies = map.moves_to(&next).len();
         let proposal =
             Proposal { group: listed.name.clone(), epoch: listed.epoch, map: next.clone() };
-        let Some(version) = lease.propose(proposal).await else { return };
+        let Some(version) = lease.propose(proposal).await else { return false };
         log::info!(
             "map proposed group={} epoch={} version={version} copies={copies} imbalance={:.3} present={:.3}",
             listed.name,
@@ -91,8 +92,10 @@
                 );
                 // What the ranks show tells what became of it.
                 self.formation = None;
+                return false;
             }
         }
+        true
     }
 }
 
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -21,7 +21,7 @@
 use crate::lifecycle::map_switch::{HeldBefore, MapSwitch, Prepared, Preparing};
 
 /// Time between two looks at whether a switch has taken effect, in milliseconds; about a pass.
-const SETTLE_LOOK_MS: u64 = 60;
+const SETTLE_LOOK_MS: u64 = 30;
 /// The longest time until every rank must be prepared, in milliseconds.
 const PREPARE_MS: u64 = 8_000;
 /// Time between two looks at whether ranks are prepared, in milliseconds.
@@ -42,6 +42,8 @@
 /// A prepared map is used only if it makes the most loaded rank lighter by at least this part of the
 /// mean load.
 const MIN_GAIN: f64 = 0.05;
+/// How long before a switch the group is asked to hold after such an order was refused, in milliseconds.
+const MIN_REPEATED_LEAD_MS: u64 = 30;
 /// Holds that may be refused because their pass had begun, until the switch is given up.
 const MAX_HOLDS: u32 = 5;
 
@@ -164,6 +166,7 @@
     watch: &mut DemandWatch,
     step: &mut Option<(u64, Timestamp)>,
 ) -> Result<ExpertMap, SwitchStop> {
+    let begun = run.now();
     let copy_ms = copy_ms(run.listed, present, &next);
     let switch = MapSwitch::propose(version, run.listed.epoch, next);
     let (switch, map) = prepare(run, switch, copy_ms, present, watch, step).await?;
@@ -171,8 +174,17 @@
     if is_outdated(watch, present, &map) {
         return Err(SwitchStop::Outdated);
     }
+    let prepared = run.now();
     let held = hold(run, switch, step).await?;
+    let holding = run.now();
     arm_and_release(run, held).await?;
+    log::info!(
+        "map armed group={} version={version} prepare_ms={} hold_ms={} held_ms={}",
+        run.listed.name,
+        prepared.ms_since(begun),
+        holding.ms_since(prepared),
+        run.now().ms_since(holding)
+    );
     settle(run, version).await?;
     Ok(map)
 }
@@ -308,7 +320,7 @@
             Err(SwitchStop::Refused) => switch = holding.note_too_late(),
             Err(reason) => return Err(reason),
         }
-        lead_ms *= 2;
+        lead_ms = (lead_ms * 2).max(MIN_REPEATED_LEAD_MS);
     }
     Err(SwitchStop::TooLate)
 }
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -172,12 +172,13 @@
 /// `pass_ms` and a status is `lag_ms` old. The lead is a time, because idle groups have short passes.
 #[must_use]
 pub fn switch_step(present: u64, pass_ms: u64, lead_ms: u64) -> u64 {
-    present + 2 + lead_ms.div_ceil(pass_ms.max(1))
+    present + 1 + lead_ms.div_ceil(pass_ms.max(1))
 }
 
-/// How long before a switch the group is asked to hold when every order gets a reply, in milliseconds. The
-/// ranks are armed before that, and no pass waits.
-const LEAD_MS: u64 = 60;
+/// How long before a switch the group is asked to hold when every order gets a reply, in milliseconds: the
+/// next pass. Ranks are armed within some 20 ms, mostly before the present pass ends, and a hold that
+/// comes after its begin is refused and given again.
+const LEAD_MS: u64 = 0;
 /// The same when orders go without a reply, in milliseconds. An order is given again every 200 ms; with
 /// half of them lost, a dozen ranks have all replied after five to seven rounds.
 const LOSSY_LEAD_MS: u64 = 1_500;
