--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -62,6 +62,9 @@
         if !std::mem::take(&mut looks_again) {
             sleep(Duration::from_millis(LOOK_MS)).await;
         }
+        // A process that starts may take the lease only some time after it has seen the log. That time runs
+        // while groups form.
+        lease.read_first().await;
         let now = state.clock.now();
         let listed = listed_groups(&state);
         if listed.is_empty() || state.phase() != Phase::Serving {
--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -60,6 +60,13 @@
         (proposal.group == group && proposal.epoch == epoch).then_some((*version, proposal))
     }
 
+    /// Reads the log if that has not been done.
+    pub(super) async fn read_first(&mut self) {
+        if !self.state.is_read() && self.clock.now().ms_since(self.failed) >= RETRY_MS {
+            self.read_on().await;
+        }
+    }
+
     /// Reads on, and takes the lease if nobody holds it.
     pub(super) async fn take(&mut self) -> bool {
         if self.clock.now().ms_since(self.failed) < RETRY_MS {
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -11,9 +11,9 @@
 
 /// How long a record holds the lease, in milliseconds. Longer than two failed renewals, and short
 /// enough that a new holder finishes what a dead one left within a few seconds.
-pub(crate) const LEASE_MS: u64 = 2_000;
+pub(crate) const LEASE_MS: u64 = 1_500;
 /// A lease is renewed this long after the last record, in milliseconds.
-pub(crate) const RENEW_MS: u64 = 600;
+pub(crate) const RENEW_MS: u64 = 500;
 /// Orders are given only while this much of the lease is left, in milliseconds. Clocks of different
 /// machines run at rates that differ by less.
 pub(crate) const ORDER_MARGIN_MS: u64 = 200;
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Whether the log has been read.
+    #[must_use]
+    pub const fn is_read(&self) -> bool {
+        self.seen.is_some()
+    }
+
     /// Notes an own record that was appended at `offset` and sent at `sent`.
     pub fn note_appended(&mut self, offset: u64, sent: Timestamp, now: Timestamp) {
         self.end = offset + 1;
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -71,6 +71,7 @@
         admitted.avoid.push(server.id.clone());
         if status == StatusCode::MISDIRECTED_REQUEST {
             state.loads.note_absent(&server.id, state.clock.now());
+            state.list_doubted.notify_one();
             admitted.attempts -= 1;
             admitted.misdirected += 1;
         } else {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -108,6 +108,8 @@
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadBook>,
     pub(crate) in_flight: watch::Sender<usize>,
+    /// Woken when the server list seems to be out of date.
+    pub(crate) list_doubted: Notify,
     /// Woken when a server may have room again.
     pub(crate) capacity: Arc<Notify>,
     /// The end of the log of the lease over expert groups, while this instance holds it.
@@ -139,6 +141,7 @@
             loads: Arc::new(LoadBook::new(Arc::clone(&capacity))),
             in_flight: watch::Sender::new(0),
             capacity,
+            list_doubted: Notify::new(),
             lease_end: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             budgets: Mutex::default(),
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -71,6 +71,11 @@
         let _ = self.servers.tell(news).try_send();
     }
 
+    /// Waits until a server was not at its address, so that the list should be read again.
+    pub async fn server_list_doubted(&self) {
+        self.state.list_doubted.notified().await;
+    }
+
     /// The server list answers again after an outage.
     pub fn note_server_list_is_back(&self) {
         let _ = self.servers.tell(ServerNews::ListIsBack).try_send();
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -116,6 +116,17 @@
     assert!(misdirected <= 1, "{misdirected} requests went to the address of another server");
 }
 
+/// Guards against a server list that is read 1,500 ms later although requests show that servers have been
+/// started anew under other names.
+#[test]
+fn a_server_that_is_not_at_its_address_makes_the_list_doubted() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(answer(seen, "421 Misdirected Request", "", "")));
+    assert_eq!(world.call(&request("/once/x", "id-1")).status, 503);
+    assert!(world.is_list_doubted());
+    assert!(!world.is_list_doubted(), "one request makes the list be read once");
+}
+
 /// Guards against a caller that is told 421 although other servers are there: after a loss of power,
 /// requests went to two servers that had been started anew and were then refused.
 #[test]
--- a/crates/lycheewood/tests/gateway/world.rs
+++ b/crates/lycheewood/tests/gateway/world.rs
@@ -137,6 +137,15 @@
         self.call_now(request)
     }
 
+    /// Whether the platform's adapter would read the server list again at once.
+    pub(crate) fn is_list_doubted(&self) -> bool {
+        let handle = self.gateway().handle();
+        let doubted = async {
+            tokio::time::timeout(Duration::from_millis(20), handle.server_list_doubted()).await
+        };
+        self.gateway().traffic().block_on(doubted).is_ok()
+    }
+
     pub(crate) fn wait_until_ready(&self) {
         // Far longer than it takes, so that a fault shows as a failure.
         for _ in 0..3_000 {
