Take experts and requests away from slow ranks

Cause: all ranks of a group wait for the slowest.

Change: agents read the pace that their rank reports. Maps are made for load times pace; the holder of the lease names slow servers in its heartbeats, and gateways send them requests only when no other server is left.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -77,7 +77,7 @@
         RankCall::Status => RankReply::Status(ranks.status(&rank).await),
         RankCall::Counts { experts } => {
             let counts = ranks.counts(&rank, experts).await;
-            RankReply::Counts(counts.map(|counts| (counts.epoch, counts.counts)))
+            RankReply::Counts(counts.map(|c| (c.epoch, c.pace_percent, c.counts)))
         }
         RankCall::HeldExperts => RankReply::HeldExperts(ranks.held_experts(&rank).await),
         RankCall::Order { epoch, order } => {
@@ -200,9 +200,8 @@
 
     async fn counts(&self, rank: &RankAddress, experts: usize) -> Option<RankCounts> {
         match self.call(rank, RankCall::Counts { experts }).await {
-            Called::Reply(RankReply::Counts(counts)) => {
-                counts.map(|(epoch, counts)| RankCounts { epoch, counts })
-            }
+            Called::Reply(RankReply::Counts(counts)) => counts
+                .map(|(epoch, pace_percent, counts)| RankCounts { epoch, pace_percent, counts }),
             // Counts read from another machine have a price, and other ranks speak for this one.
             Called::NoAgent | Called::Reply(_) | Called::Unknown => None,
         }
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -98,7 +98,7 @@
 fn others_lease_end(state: &GatewayState, now: Timestamp) -> Option<u64> {
     let peers = state.peers.load();
     let fresh = peers.peers.values().filter(|peer| now.ms_since(peer.heard) < HOLDER_SILENT_MS);
-    fresh.filter_map(|peer| peer.heartbeat.lease_end).max()
+    fresh.filter_map(|peer| Some(peer.heartbeat.leading.as_ref()?.lease_end)).max()
 }
 
 fn turn_ms(state: &GatewayState, now: Timestamp) -> u64 {
--- a/crates/lycheewood/src/controllers/expert_groups/demand.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/demand.rs
@@ -4,13 +4,18 @@
 
 use crate::clock::Timestamp;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
-use crate::decisions::expert_groups::{CountBook, ExpertDemand};
+use crate::decisions::expert_groups::{CountBook, ExpertDemand, GroupDemand};
 use crate::gateway::GatewayState;
 use crate::group_ports::RankClient as _;
 
 /// Time between two reads of the counts, in milliseconds.
 const COUNTS_MS: u64 = 100;
 
+/// Time that the work of a rank of usual pace takes, in percent.
+const USUAL_PACE: u32 = 100;
+/// A change of a pace by this much is logged, in percent.
+const NOTED_CHANGE: u32 = 20;
+
 /// What a look at the counts has brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Demand {
@@ -27,6 +32,8 @@
 pub(super) struct DemandWatch {
     counts: CountBook,
     demand: ExpertDemand,
+    /// The last pace of each rank, in percent of the usual time.
+    paces: Vec<u32>,
     read: Timestamp,
 }
 
@@ -50,6 +57,7 @@
             let Some(counts) = counts.filter(|counts| counts.epoch == listed.epoch) else {
                 continue;
             };
+            self.note_pace(state, listed, rank, counts.pace_percent);
             let Some(chosen) = self.counts.take(rank, &counts) else { continue };
             total = Some(match total {
                 None => chosen,
@@ -60,9 +68,25 @@
         if self.demand.take(&chosen, state.clock.now()) { Demand::Jumped } else { Demand::Known }
     }
 
-    /// The share of each expert in its set, once enough was chosen.
-    pub(super) fn shares(&self) -> Option<Vec<Vec<f64>>> {
-        self.demand.shares()
+    fn note_pace(&mut self, state: &GatewayState, listed: &ListedGroup, rank: usize, percent: u32) {
+        if percent == 0 {
+            return;
+        }
+        self.paces.resize(listed.ranks.len(), USUAL_PACE);
+        let former = std::mem::replace(&mut self.paces[rank], percent);
+        let server = &listed.ranks[rank].server;
+        state.note_pace(server, percent);
+        if former.abs_diff(percent) >= NOTED_CHANGE {
+            log::info!("pace changed server={server} percent={percent} former={former}");
+        }
+    }
+
+    /// What a map is made for, once enough was chosen.
+    pub(super) fn demand(&self, ranks: usize) -> Option<GroupDemand> {
+        let shares = self.demand.shares()?;
+        let pace = |rank| self.paces.get(rank).copied().unwrap_or(USUAL_PACE);
+        let paces = (0..ranks).map(|rank| f64::from(pace(rank)) / f64::from(USUAL_PACE)).collect();
+        Some(GroupDemand { shares, paces })
     }
 }
 
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -54,9 +54,9 @@
         }
         let now = state.clock.now();
         let map = &formation.map;
-        let shares = formation.watch.shares();
-        let next = match &shares {
-            Some(shares) => next_map(map, shares, &listed.shape, MAX_COPIES),
+        let demand = formation.watch.demand(map.ranks);
+        let next = match &demand {
+            Some(demand) => next_map(map, demand, &listed.shape, MAX_COPIES),
             None => idle_map(map, &listed.shape),
         };
         let Some(next) = next else { return false };
@@ -68,8 +68,8 @@
             "map proposed group={} epoch={} version={version} copies={copies} imbalance={:.3} present={:.3}",
             listed.name,
             listed.epoch,
-            shares.as_ref().map_or(0.0, |shares| imbalance(&next, shares)),
-            shares.as_ref().map_or(0.0, |shares| imbalance(map, shares)),
+            demand.as_ref().map_or(0.0, |demand| imbalance(&next, demand)),
+            demand.as_ref().map_or(0.0, |demand| imbalance(map, demand)),
         );
         let mut run = SwitchRun { state, ports, lease, listed, lost: 0 };
         let Formation { map: present, watch, step, .. } = formation;
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -218,8 +218,8 @@
 /// Whether the present map is about as good as the next one, by what was chosen while ranks copied. A
 /// map that is not armed costs nothing more.
 fn is_outdated(watch: &DemandWatch, present: &ExpertMap, next: &ExpertMap) -> bool {
-    let Some(shares) = watch.shares() else { return false };
-    imbalance(present, &shares) < imbalance(next, &shares) + MIN_GAIN
+    let Some(demand) = watch.demand(present.ranks) else { return false };
+    imbalance(present, &demand) < imbalance(next, &demand) + MIN_GAIN
 }
 
 /// Whether a map made from the present one now would be clearly better than one that is being copied.
@@ -229,9 +229,9 @@
     present: &ExpertMap,
     next: &ExpertMap,
 ) -> bool {
-    let Some(shares) = watch.shares() else { return false };
-    let fresh = next_map(present, &shares, &run.listed.shape, MAX_COPIES);
-    fresh.is_some_and(|fresh| imbalance(&fresh, &shares) + RESTART_GAIN < imbalance(next, &shares))
+    let Some(demand) = watch.demand(present.ranks) else { return false };
+    let fresh = next_map(present, &demand, &run.listed.shape, MAX_COPIES);
+    fresh.is_some_and(|fresh| imbalance(&fresh, &demand) + RESTART_GAIN < imbalance(next, &demand))
 }
 
 /// How long the slowest rank copies, in milliseconds.
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -117,7 +117,7 @@
             incarnation: state.incarnation,
             sequence: self.sequence,
             is_ready: state.is_ready(),
-            lease_end: state.lease_end(),
+            leading: state.leading(),
             route_version: state.routes.load().as_ref().map(|routes| routes.table.version),
             servers_next: state.servers.load().table.next,
             in_flight: in_flight.iter().map(|(id, count)| (server_tag(id), *count)).collect(),
--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -27,9 +27,12 @@
     pub in_flight: u32,
     /// Weight of its recent failures, 0 when there are none.
     pub failures: f64,
+    /// Whether its work takes much longer than usual.
+    pub is_slow: bool,
 }
 
-/// Index of the server that gets the request, or `None` when each one is in `avoid`.
+/// Index of the server that gets the request, or `None` when each one is in `avoid`. A slow server gets it
+/// only if there is no other: where ranks wait for each other, it makes all of them slow.
 #[must_use]
 pub fn choose_server(
     servers: &[ServerView<'_>],
@@ -39,6 +42,9 @@
 ) -> Option<usize> {
     let mut indices: Vec<usize> =
         (0..servers.len()).filter(|i| !avoid.contains(servers[*i].id)).collect();
+    if indices.iter().any(|index| !servers[*index].is_slow) {
+        indices.retain(|index| !servers[*index].is_slow);
+    }
     let looked_at = indices.len().div_ceil(2).max(2).min(indices.len());
     let mut word = random;
     for place in 0..looked_at {
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -67,11 +67,13 @@
     pub held: Option<u64>,
 }
 
-/// How often the requests of one rank have chosen each expert.
+/// How often the requests of one rank have chosen each expert, and how fast it works.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RankCounts {
     /// The formation of the group.
     pub epoch: u64,
+    /// Time that its work takes, in percent of the usual; 0 where it is not known.
+    pub pace_percent: u32,
     /// Counts since the rank started, by set and then by expert.
     pub counts: Vec<Vec<u64>>,
 }
@@ -165,6 +167,15 @@
     Some(both.map(|(left, right)| (left / all_left).min(right / all_right)).sum())
 }
 
+/// What a group's map is made for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GroupDemand {
+    /// The share of each expert in its set, by set and then by expert.
+    pub shares: Vec<Vec<f64>>,
+    /// Time that the work of each rank takes, as a multiple of the usual.
+    pub paces: Vec<f64>,
+}
+
 /// Choices in a set below which demand is noise.
 const MIN_CHOICES: f64 = 700.0;
 
@@ -192,23 +203,23 @@
 
 /// The least fall of [`imbalance`] for which a map is changed. While ranks copy, passes take 15 in 100 longer
 /// for some 400 ms; a fall by this much pays that back in half a second.
-const MIN_GAIN: f64 = 0.14;
+const MIN_GAIN: f64 = 0.18;
 
 /// The next map of a group, if one pays off. No rank gets more than `max_copies` new experts, since ranks
 /// copy one after the other.
 #[must_use]
 pub fn next_map(
     map: &ExpertMap,
-    shares: &[Vec<f64>],
+    demand: &GroupDemand,
     shape: &ExpertShape,
     max_copies: usize,
 ) -> Option<ExpertMap> {
-    let has_shape = map.layers.iter().map(Vec::len).eq(shares.iter().map(Vec::len));
-    if !has_shape || map.check().is_err() {
+    let has_shape = map.layers.iter().map(Vec::len).eq(demand.shares.iter().map(Vec::len));
+    if !has_shape || demand.paces.len() != map.ranks || map.check().is_err() {
         return None;
     }
-    let next = refine::refine(map, shares, shape, max_copies);
-    (imbalance(map, shares) - imbalance(&next, shares) >= MIN_GAIN).then_some(next)
+    let next = refine::refine(map, demand, shape, max_copies);
+    (imbalance(map, demand) - imbalance(&next, demand) >= MIN_GAIN).then_some(next)
 }
 
 /// The map that a group without demand gets: all slots are filled, so that demand may begin anywhere.
@@ -219,10 +230,10 @@
 }
 
 /// How much longer a pass takes than with perfectly even ranks, as a factor of the part of it that
-/// experts take: the mean over all sets of the most loaded rank over the mean rank.
+/// experts take: the mean over all sets of the slowest rank, over a mean rank of usual pace.
 #[must_use]
-pub fn imbalance(map: &ExpertMap, shares: &[Vec<f64>]) -> f64 {
-    let sets = map.layers.iter().zip(shares);
+pub fn imbalance(map: &ExpertMap, demand: &GroupDemand) -> f64 {
+    let sets = map.layers.iter().zip(&demand.shares);
     let slowest = sets.map(|(experts, shares)| {
         let mut ranks = vec![0.0_f64; map.ranks];
         for (holders, share) in experts.iter().zip(shares) {
@@ -231,7 +242,7 @@
                 ranks[*rank] += part;
             }
         }
-        ranks.into_iter().fold(0.0, f64::max)
+        ranks.into_iter().zip(&demand.paces).map(|(load, pace)| load * pace).fold(0.0, f64::max)
     });
     let count = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
     slowest.sum::<f64>() * count(map.ranks) / count(map.layers.len().max(1))
--- a/crates/lycheewood/src/decisions/expert_groups/refine.rs
+++ b/crates/lycheewood/src/decisions/expert_groups/refine.rs
@@ -5,6 +5,7 @@
 //! set becomes lighter, over all sets at once. Replicas that no present load asks for are kept: an expert
 //! with two of them does half the harm when demand jumps to it.
 
+use crate::decisions::expert_groups::GroupDemand;
 use crate::decisions::placement::ExpertMap;
 use crate::routes::raw::ExpertShape;
 
@@ -14,7 +15,7 @@
 /// Experts of the most loaded rank that are tried, the heaviest first.
 const TRIED_EXPERTS: usize = 6;
 /// The least fall of the norm of one set that a copy must bring. The mean load of a rank is 1.
-const MIN_FALL: f64 = 0.02;
+const MIN_FALL: f64 = 0.03;
 /// Preference for dropping a replica of an expert that has many, small against any real fall.
 const SPREAD_BONUS: f64 = 1e-4;
 
@@ -22,13 +23,14 @@
 #[must_use]
 pub(crate) fn refine(
     map: &ExpertMap,
-    shares: &[Vec<f64>],
+    demand: &GroupDemand,
     shape: &ExpertShape,
     max_copies: usize,
 ) -> ExpertMap {
     let mut left = vec![max_copies; map.ranks];
+    let sets = map.layers.iter().zip(&demand.shares);
     let mut sets: Vec<Set<'_>> =
-        map.layers.iter().zip(shares).map(|(layer, shares)| Set::new(map, layer, shares)).collect();
+        sets.map(|(layer, shares)| Set::new(map, layer, shares, &demand.paces)).collect();
     let mut best: Vec<Option<Found>> = sets.iter().map(|set| set.best_edit(&left, shape)).collect();
     loop {
         let found = best.iter().enumerate().filter_map(|(set, found)| Some((set, (*found)?)));
@@ -80,20 +82,22 @@
 struct Set<'a> {
     before: &'a [Vec<usize>],
     shares: &'a [f64],
+    paces: &'a [f64],
     slots: usize,
     holders: Vec<Vec<usize>>,
     held: Vec<Vec<usize>>,
-    /// Load by rank; the mean is 1.
+    /// Load by rank times its pace; the mean load is 1.
     loads: Vec<f64>,
     /// New experts by rank.
     new: Vec<usize>,
 }
 
 impl<'a> Set<'a> {
-    fn new(map: &ExpertMap, before: &'a [Vec<usize>], shares: &'a [f64]) -> Self {
+    fn new(map: &ExpertMap, before: &'a [Vec<usize>], shares: &'a [f64], paces: &'a [f64]) -> Self {
         let mut set = Self {
             before,
             shares,
+            paces,
             slots: map.slots,
             holders: before.to_vec(),
             held: vec![Vec::new(); map.ranks],
@@ -114,7 +118,7 @@
         for (expert, ranks) in self.holders.iter().enumerate() {
             let part = self.shares[expert] * count(self.loads.len()) / count(ranks.len().max(1));
             for &rank in ranks {
-                self.loads[rank] += part;
+                self.loads[rank] += part * self.paces[rank];
             }
         }
     }
@@ -225,7 +229,7 @@
         }
         let after = changes.0.iter().fold(powers, |powers, (rank, change)| {
             let load = self.loads[*rank];
-            powers - load.powi(NORM) + (load + change).max(0.0).powi(NORM)
+            powers - load.powi(NORM) + (load + change * self.paces[*rank]).max(0.0).powi(NORM)
         });
         let copies = copies.iter().flatten().map(|(_, copies)| *copies).sum::<usize>();
         (norm(powers) - norm(after)) / count(copies.max(1)) + bonus
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -41,9 +41,17 @@
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// Requests in flight from all of them, by tag of the server.
     in_flight: HashMap<u32, u32>,
+    /// Servers that the holder of the lease over expert groups says are slow.
+    slow: Vec<u32>,
 }
 
 impl PeerTable {
+    /// Whether the holder of the lease says that a server is slow.
+    #[must_use]
+    pub fn is_slow(&self, server: &InstanceId) -> bool {
+        !self.slow.is_empty() && self.slow.contains(&server_tag(server))
+    }
+
     /// Requests in flight from all other instances at a server.
     #[must_use]
     pub fn in_flight(&self, server: &InstanceId) -> u32 {
@@ -103,11 +111,13 @@
     #[must_use]
     pub fn table(&self, now: Timestamp) -> PeerTable {
         let mut in_flight: HashMap<u32, u32> = HashMap::new();
-        let fresh = self.peers.values().filter(|peer| now.ms_since(peer.heard) < FRESH_MS);
-        for (server, count) in fresh.flat_map(|peer| &peer.heartbeat.in_flight) {
+        let fresh = || self.peers.values().filter(|peer| now.ms_since(peer.heard) < FRESH_MS);
+        let leading = fresh().filter_map(|peer| peer.heartbeat.leading.as_ref());
+        let slow = leading.flat_map(|leading| &leading.slow).map(|(server, _)| *server).collect();
+        for (server, count) in fresh().flat_map(|peer| &peer.heartbeat.in_flight) {
             *in_flight.entry(*server).or_default() += count;
         }
-        PeerTable { peers: self.peers.clone(), in_flight }
+        PeerTable { peers: self.peers.clone(), in_flight, slow }
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -11,8 +11,10 @@
 use crate::decisions::servers::ServerEntry;
 use crate::filters::forward::exchange::{Admitted, Exchange, Head, Selected, View};
 use crate::gateway::GatewayState;
+use crate::ids::InstanceId;
 use crate::lifecycle::attempt::Attempt;
 use crate::outcome::NotRunCode;
+use crate::wire::heartbeat::server_tag;
 
 /// Times that a request may find another server at an address. Each costs a round trip and a retry, and
 /// no request finds as many unless the whole list is out of date.
@@ -120,6 +122,10 @@
         })
         .filter(|(_, in_flight, _)| bound.is_none_or(|bound| *in_flight < bound))
         .collect();
+    let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
+    let is_slow = |id: &InstanceId| {
+        view.peers.is_slow(id) || own_slow.iter().any(|(tag, _)| *tag == server_tag(id))
+    };
     let views: Vec<_> = loads
         .iter()
         .map(|(entry, in_flight, failures)| ServerView {
@@ -128,6 +134,7 @@
             slots: entry.slots,
             in_flight: *in_flight,
             failures: *failures,
+            is_slow: is_slow(&entry.id),
         })
         .collect();
     let own_domain = &state.settings.failure_domain;
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::metrics::gateway::GatewayMetrics;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
+use crate::wire::heartbeat::{Leading, server_tag};
 
 /// Names of the headers that callers, gateways and servers use among themselves. A platform sets them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -97,6 +98,9 @@
     pub(crate) read: Option<Timestamp>,
 }
 
+/// A server whose work takes this much of the usual time is slow, in percent.
+const SLOW_PERCENT: u32 = 150;
+
 /// What the traffic threads of a gateway share.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
@@ -112,8 +116,8 @@
     pub(crate) list_doubted: Notify,
     /// Woken when a server may have room again.
     pub(crate) capacity: Arc<Notify>,
-    /// The end of the log of the lease over expert groups, while this instance holds it.
-    lease_end: Mutex<Option<u64>>,
+    /// What this instance tells the others while it holds the lease over expert groups.
+    leading: Mutex<Option<Leading>>,
     phase: watch::Sender<Phase>,
     budgets: Mutex<HashMap<TargetName, RetryBudget>>,
     sequence: AtomicU64,
@@ -142,20 +146,34 @@
             in_flight: watch::Sender::new(0),
             capacity,
             list_doubted: Notify::new(),
-            lease_end: Mutex::default(),
+            leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             budgets: Mutex::default(),
             sequence: AtomicU64::new(1),
         }
     }
 
-    /// The end of the log of the lease over expert groups, if this instance holds it.
-    pub(crate) fn lease_end(&self) -> Option<u64> {
-        *self.lease_end.lock().unwrap_or_else(PoisonError::into_inner)
+    /// What this instance tells the others, if it holds the lease over expert groups.
+    pub(crate) fn leading(&self) -> Option<Leading> {
+        self.leading.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Notes whether this instance holds the lease, and where its log ends.
     pub(crate) fn set_lease_end(&self, end: Option<u64>) {
-        *self.lease_end.lock().unwrap_or_else(PoisonError::into_inner) = end;
+        let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
+        let slow = leading.take().map(|leading| leading.slow).unwrap_or_default();
+        *leading = end.map(|lease_end| Leading { lease_end, slow });
+    }
+
+    /// Notes the pace of a server, while this instance holds the lease.
+    pub(crate) fn note_pace(&self, server: &InstanceId, percent: u32) {
+        let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(leading) = leading.as_mut() else { return };
+        let tag = server_tag(server);
+        leading.slow.retain(|(slow, _)| *slow != tag);
+        if percent >= SLOW_PERCENT {
+            leading.slow.push((tag, percent));
+        }
     }
 
     /// An attempt identifier that has never been used.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -88,8 +88,8 @@
 };
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
-    CountBook, ExpertDemand, Found, OrderReply, RankCounts, RankOrder, RankStatus, find_switch,
-    idle_map, imbalance, late_holds, next_map, switch_lead_ms, switch_step,
+    CountBook, ExpertDemand, Found, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
+    find_switch, idle_map, imbalance, late_holds, next_map, switch_lead_ms, switch_step,
 };
 pub use decisions::log_lease::{GroupRecord, LeaseState, Proposal};
 pub use decisions::membership::{
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -20,6 +20,17 @@
     pub caller_address: SocketAddr,
 }
 
+/// What the holder of the lease over expert groups tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leading {
+    /// The end of the lease's log.
+    #[serde(rename = "e")]
+    pub lease_end: u64,
+    /// Slow servers, by tag, and the time that their work takes, in percent of the usual.
+    #[serde(rename = "s")]
+    pub slow: Vec<(u32, u32)>,
+}
+
 /// The state of one entry instance, sent to all others several times a second.
 ///
 /// Bytes between failure domains have a price, so it is encoded without field names, says what does not
@@ -35,8 +46,8 @@
     pub sequence: u64,
     /// Whether it serves callers.
     pub is_ready: bool,
-    /// The end of the log of the lease over expert groups, if it holds the lease.
-    pub lease_end: Option<u64>,
+    /// What it tells as the holder of the lease over expert groups, if it is.
+    pub leading: Option<Leading>,
     /// Version of its route table.
     pub route_version: Option<u64>,
     /// The first offset of the server list that it has not read.
@@ -55,7 +66,7 @@
 
 /// The fields of a heartbeat in order.
 type Packed =
-    (Option<About>, Incarnation, u64, bool, Option<u64>, Option<u64>, Offset, Vec<(u32, u32)>);
+    (Option<About>, Incarnation, u64, bool, Option<Leading>, Option<u64>, Offset, Vec<(u32, u32)>);
 
 impl From<Packed> for Heartbeat {
     fn from(packed: Packed) -> Self {
@@ -64,7 +75,7 @@
             incarnation,
             sequence,
             is_ready,
-            lease_end,
+            leading,
             route_version,
             servers_next,
             in_flight,
@@ -74,7 +85,7 @@
             incarnation,
             sequence,
             is_ready,
-            lease_end,
+            leading,
             route_version,
             servers_next,
             in_flight,
@@ -89,12 +100,12 @@
             incarnation,
             sequence,
             is_ready,
-            lease_end,
+            leading,
             route_version,
             servers_next,
             in_flight,
         } = heartbeat;
-        (about, incarnation, sequence, is_ready, lease_end, route_version, servers_next, in_flight)
+        (about, incarnation, sequence, is_ready, leading, route_version, servers_next, in_flight)
     }
 }
 
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -44,8 +44,8 @@
 pub enum RankReply {
     /// Its status.
     Status(Option<RankStatus>),
-    /// Its formation and counts, by set and then by expert.
-    Counts(Option<(u64, Vec<Vec<u64>>)>),
+    /// Its formation, its pace in percent, and its counts, by set and then by expert.
+    Counts(Option<(u64, u32, Vec<Vec<u64>>)>),
     /// Its experts, by set.
     HeldExperts(Option<Vec<Vec<usize>>>),
     /// Its reply to an order.
--- a/crates/lycheewood/tests/expert_maps.rs
+++ b/crates/lycheewood/tests/expert_maps.rs
@@ -1,6 +1,8 @@
 //! The next map of a group whose ranks copy weights one after the other.
 
-use lycheewood::{ExpertDemand, ExpertMap, ExpertShape, Timestamp, idle_map, imbalance, next_map};
+use lycheewood::{
+    ExpertDemand, ExpertMap, ExpertShape, GroupDemand, Timestamp, idle_map, imbalance, next_map,
+};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -18,7 +20,7 @@
 
 /// Shares that fall with the rank in popularity to the power 1.3, for a random order of popularity in each
 /// set, over a part that is even. Measured demand looks like this.
-fn demand(seed: u64) -> Vec<Vec<f64>> {
+fn demand(seed: u64) -> GroupDemand {
     let mut random = StdRng::seed_from_u64(seed);
     let set = |random: &mut StdRng| {
         let mut order: Vec<u32> = (1..=96).collect();
@@ -27,7 +29,8 @@
         let total = weights.iter().sum::<f64>();
         weights.iter().map(|weight| 0.7 * weight / total + 0.3 / 96.0).collect()
     };
-    (0..SHAPE.sets).map(|_| set(&mut random)).collect()
+    let shares = (0..SHAPE.sets).map(|_| set(&mut random)).collect();
+    GroupDemand { shares, paces: vec![1.0; RANKS] }
 }
 
 fn start() -> ExpertMap {
@@ -47,27 +50,47 @@
 #[test]
 fn one_copy_a_rank_takes_most_of_a_jump_away() {
     for seed in 0..20 {
-        let shares = demand(seed);
+        let demand = demand(seed);
         let map = start();
-        let next = next_map(&map, &shares, &SHAPE, 1).expect("a better map");
-        let (before, after) = (imbalance(&map, &shares), imbalance(&next, &shares));
+        let next = next_map(&map, &demand, &SHAPE, 1).expect("a better map");
+        let (before, after) = (imbalance(&map, &demand), imbalance(&next, &demand));
         assert!(before > 2.5 && after < 1.6, "seed {seed}: {before:.2} to {after:.2}");
         assert_eq!(most_copies(&map, &next), 1);
     }
 }
 
+/// Guards against a group that waits for one slow rank in each pass (kind `srv_slow`).
+#[test]
+fn experts_leave_a_slow_rank() {
+    for seed in 0..20 {
+        let mut demand = demand(seed);
+        let mut map = idle_map(&start(), &SHAPE).expect("free slots");
+        while let Some(next) = next_map(&map, &demand, &SHAPE, 1) {
+            map = next;
+        }
+        demand.paces[3] = 5.0;
+        let before = imbalance(&map, &demand);
+        for _ in 0..4 {
+            let Some(next) = next_map(&map, &demand, &SHAPE, 1) else { break };
+            map = next;
+        }
+        let after = imbalance(&map, &demand);
+        assert!(before > 4.0 && after < 1.7, "seed {seed}: {before:.2} to {after:.2}");
+    }
+}
+
 /// Guards against steps that go on for ever or stop before the map is even.
 #[test]
 fn a_few_steps_make_a_map_even() {
     for seed in 0..20 {
-        let shares = demand(seed);
+        let demand = demand(seed);
         let mut map = start();
         let mut steps = 0;
-        while let Some(next) = next_map(&map, &shares, &SHAPE, 1) {
+        while let Some(next) = next_map(&map, &demand, &SHAPE, 1) {
             map = next;
             steps += 1;
         }
-        let left = imbalance(&map, &shares);
+        let left = imbalance(&map, &demand);
         assert!(steps <= 4 && left < 1.25, "seed {seed}: {left:.2} after {steps} steps");
     }
 }
@@ -85,9 +108,9 @@
     assert!(mean(&map) < 0.9 * mean(&start()));
 }
 
-fn choices(shares: &[Vec<f64>]) -> Vec<Vec<u64>> {
+fn choices(demand: &GroupDemand) -> Vec<Vec<u64>> {
     let choose = |share: &f64| format!("{:.0}", share * 10_000.0).parse().expect("a count");
-    shares.iter().map(|set| set.iter().map(choose).collect()).collect()
+    demand.shares.iter().map(|set| set.iter().map(choose).collect()).collect()
 }
 
 /// Guards against seconds in which old demand still weighs, so that the map is made for neither.
@@ -101,7 +124,7 @@
     assert!(watch.take(&new, Timestamp::from_unix_ms(1_500)));
     assert!(!watch.take(&new, Timestamp::from_unix_ms(1_600)));
     let shares = watch.shares().expect("enough choices");
-    for (set, wanted) in shares.iter().zip(demand(2)) {
+    for (set, wanted) in shares.iter().zip(demand(2).shares) {
         let both = set.iter().zip(wanted).map(|(share, wanted)| share.min(wanted)).sum::<f64>();
         assert!(both > 0.98, "common part {both:.3}");
     }
@@ -120,8 +143,8 @@
             map = idle_map(&map, &SHAPE).expect("free slots");
         }
         for seed in seeds {
-            let shares = demand(seed);
-            let Some(next) = next_map(&map, &shares, &SHAPE, max_copies) else { continue };
+            let demand = demand(seed);
+            let Some(next) = next_map(&map, &demand, &SHAPE, max_copies) else { continue };
             prop_assert!(next.check().is_ok());
             prop_assert!(most_copies(&map, &next) <= max_copies);
             for set in 0..SHAPE.sets {
@@ -131,7 +154,7 @@
                     prop_assert!(new <= SHAPE.max_new);
                 }
             }
-            prop_assert!(imbalance(&next, &shares) < imbalance(&map, &shares));
+            prop_assert!(imbalance(&next, &demand) < imbalance(&map, &demand));
             map = next;
         }
     }
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -163,7 +163,7 @@
         incarnation: Incarnation(incarnation),
         sequence,
         is_ready,
-        lease_end: None,
+        leading: None,
         route_version: Some(3),
         servers_next: Offset(7),
         in_flight: Vec::new(),
@@ -265,7 +265,7 @@
 #[test]
 fn counts_of_a_new_formation_start_anew() {
     let mut book = CountBook::default();
-    let counts = |epoch, a, b| RankCounts { epoch, counts: vec![vec![a, b]] };
+    let counts = |epoch, a, b| RankCounts { epoch, pace_percent: 100, counts: vec![vec![a, b]] };
     assert_eq!(book.take(0, &counts(1, 10, 20)), None);
     assert_eq!(book.take(0, &counts(1, 15, 20)), Some(vec![vec![5, 0]]));
     assert_eq!(book.take(0, &counts(1, 3, 30)), None);
@@ -365,7 +365,7 @@
         let domain = FailureDomain::new("a");
         let ids: Vec<_> = (0..loads.len()).map(|n| InstanceId::new(&n.to_string())).collect();
         let servers: Vec<_> = ids.iter().zip(&loads).map(|(id, (in_flight, failures))| ServerView {
-            id, failure_domain: &domain, slots: 4, in_flight: *in_flight, failures: *failures,
+            id, failure_domain: &domain, slots: 4, in_flight: *in_flight, failures: *failures, is_slow: false,
         }).collect();
         let avoid: Vec<_> = avoided.iter().map(|n| InstanceId::new(&n.to_string())).collect();
         let left = ids.iter().filter(|id| !avoid.contains(id)).count();
