Keep the control of groups going while the store is away

Cause: no map was switched while the store did not answer. Each proposal waited for the store as well (240 ms when it is slow), and so did the steps of a switch when a renewal came due between them.

Ruled out: to agree on a holder without the store.

Change: a task of its own calls the log. While the log does not answer, the holder goes on for up to 20 s; each call to an agent carries the number of its tenure, and agents refuse a lower number than they have seen, so a holder that was replaced meanwhile can do nothing. Versions of maps are counted within a tenure, so a proposal needs no record. A leaving holder gives the lease up. Who takes over finds the map of a held group as the newest that all ranks have prepared; tests/map_switch_model.rs explores it and fails when armed ranks alone count.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -41,14 +42,15 @@
     ranks: Arc<dyn RankClient>,
     server: Option<SocketAddr>,
 ) {
+    let fence = Arc::new(AtomicU64::new(0));
     loop {
         let Ok((tcp, _)) = listener.accept().await else { continue };
         let _ = tcp.set_nodelay(true);
-        let ranks = Arc::clone(&ranks);
+        let (ranks, fence) = (Arc::clone(&ranks), Arc::clone(&fence));
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let ranks = Arc::clone(&ranks);
-                async move { Ok::<_, Infallible>(reply(ranks.as_ref(), server, request).await) }
+                let (ranks, fence) = (Arc::clone(&ranks), Arc::clone(&fence));
+                async move { Ok::<_, Infallible>(reply(ranks.as_ref(), server, &fence, request).await) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -62,6 +64,7 @@
 async fn reply(
     ranks: &dyn RankClient,
     own: Option<SocketAddr>,
+    highest: &AtomicU64,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let mut refused = Response::new(Full::default());
@@ -69,9 +72,12 @@
     let Ok(body) = Limited::new(request.into_body(), MAX_CALL_BYTES).collect().await else {
         return refused;
     };
-    let Some(RankRequest { server, address, call }) = decode(&body.to_bytes()) else {
+    let Some(RankRequest { server, fence, address, call }) = decode(&body.to_bytes()) else {
         return refused;
     };
+    if own.is_some() && highest.fetch_max(fence, Ordering::Relaxed) > fence {
+        return Response::new(Full::new(encode(&RankReply::Superseded)));
+    }
     let rank = RankAddress { server, address: own.unwrap_or(address) };
     let reply = match call {
         RankCall::Status => RankReply::Status(ranks.status(&rank).await),
@@ -119,6 +125,10 @@
     clock: Clock,
     /// Agents that gave no reply, and since when.
     silent: Mutex<HashMap<SocketAddr, Timestamp>>,
+    /// The number of the own tenure, which each call carries.
+    fence: AtomicU64,
+    /// Whether an agent has refused that number.
+    is_superseded: AtomicBool,
 }
 
 /// What became of a call.
@@ -134,7 +144,25 @@
     /// Agents listen on `port` of the machines of their ranks; `direct` speaks to ranks without them.
     #[must_use]
     pub fn new(direct: Arc<dyn RankClient>, port: u16, clock: Clock) -> Self {
-        Self { direct, port, clock, silent: Mutex::default() }
+        Self {
+            direct,
+            port,
+            clock,
+            silent: Mutex::default(),
+            fence: AtomicU64::new(0),
+            is_superseded: AtomicBool::new(false),
+        }
+    }
+
+    /// Begins to call under another tenure of the lease. Numbers begin with 1.
+    pub fn set_fence(&self, fence: u64) {
+        self.fence.store(fence, Ordering::Relaxed);
+        self.is_superseded.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether an agent has been called under a later lease since the present number was set.
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded.load(Ordering::Relaxed)
     }
 
     fn is_silent(&self, address: SocketAddr) -> bool {
@@ -172,9 +200,17 @@
             return Called::NoAgent;
         }
         let client = HttpClient::new(address, CALL_MS);
-        let request = RankRequest { server: rank.server.clone(), address: rank.address, call };
+        let fence = self.fence.load(Ordering::Relaxed);
+        let (server, to) = (rank.server.clone(), rank.address);
+        let request = RankRequest { server, fence, address: to, call };
         match client.call(Method::POST, RANK_PATH, encode(&request), CALL_MS).await {
-            Ok(bytes) => decode(&bytes).map_or(Called::Unknown, Called::Reply),
+            Ok(bytes) => match decode(&bytes) {
+                Some(RankReply::Superseded) => {
+                    self.is_superseded.store(true, Ordering::Relaxed);
+                    Called::Unknown
+                }
+                reply => reply.map_or(Called::Unknown, Called::Reply),
+            },
             Err(HttpError::Connect { .. }) => Called::NoAgent,
             Err(error) => {
                 log::info!(
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -54,7 +54,7 @@
 
 /// Runs the controller until the process ends.
 pub(crate) async fn run(state: Arc<GatewayState>, ports: GroupPorts) {
-    let mut lease = LeaseKeeper::new(&state, Arc::clone(&ports.log));
+    let lease = LeaseKeeper::start(&state, Arc::clone(&ports.log));
     let mut groups: BTreeMap<String, Group> = BTreeMap::new();
     let mut without_holder = state.clock.now();
     let mut looks_again = false;
@@ -62,34 +62,38 @@
         if !std::mem::take(&mut looks_again) {
             sleep(Duration::from_millis(LOOK_MS)).await;
         }
-        // A process that starts may take the lease only some time after it has seen the log. That time runs
-        // while groups form.
-        lease.read_first().await;
         let now = state.clock.now();
+        let is_passed = others_lease_end(&state, now).is_some_and(|end| end > lease.end());
+        if lease.fence().is_some() && (ports.ranks.is_superseded() || is_passed) {
+            lease.note_superseded();
+        }
         let listed = listed_groups(&state);
-        if listed.is_empty() || state.phase() != Phase::Serving {
-            state.set_lease_end(None);
-            continue;
+        let is_leaving = state.phase() != Phase::Serving;
+        // While the log is away nobody could take the lease over.
+        if is_leaving && !lease.is_log_away() {
+            lease.release();
         }
-        if !lease.may_order() {
+        if listed.is_empty() || !lease.may_order() {
             groups.clear();
             state.set_lease_end(None);
             if let Some(end) = others_lease_end(&state, now) {
                 lease.note_heard(end);
                 without_holder = now;
-                continue;
-            }
-            if now.ms_since(without_holder) < turn_ms(&state, now) || !lease.take().await {
-                continue;
+            } else if !is_leaving
+                && !listed.is_empty()
+                && now.ms_since(without_holder) >= turn_ms(&state, now)
+            {
+                lease.want();
             }
+            continue;
         }
         without_holder = now;
-        lease.renew().await;
+        ports.ranks.set_fence(lease.fence().map_or(0, |fence| fence + 1));
         state.set_lease_end(Some(lease.end()));
         groups.retain(|name, _| listed.iter().any(|group| group.name == *name));
         for listed in listed {
             let group = groups.entry(listed.name.clone()).or_default();
-            looks_again |= group.look(&state, &ports, &mut lease, &listed).await;
+            looks_again |= group.look(&state, &ports, &lease, &listed).await;
         }
     }
 }
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -10,7 +10,6 @@
 use crate::decisions::expert_groups::{
     Found, RankStatus, find_switch, idle_map, imbalance, next_map,
 };
-use crate::decisions::log_lease::Proposal;
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::group_ports::RankClient as _;
@@ -41,7 +40,7 @@
         &mut self,
         state: &GatewayState,
         ports: &GroupPorts,
-        lease: &mut LeaseKeeper,
+        lease: &LeaseKeeper,
         listed: &ListedGroup,
     ) -> bool {
         if self.formation.as_ref().is_none_or(|formation| formation.epoch != listed.epoch) {
@@ -61,9 +60,7 @@
         };
         let Some(next) = next else { return false };
         let copies = map.moves_to(&next).len();
-        let proposal =
-            Proposal { group: listed.name.clone(), epoch: listed.epoch, map: next.clone() };
-        let Some(version) = lease.propose(proposal).await else { return false };
+        let Some(version) = lease.next_version() else { return false };
         log::info!(
             "map proposed group={} epoch={} version={version} copies={copies} imbalance={:.3} present={:.3}",
             listed.name,
@@ -109,12 +106,11 @@
 async fn enter(
     state: &GatewayState,
     ports: &GroupPorts,
-    lease: &mut LeaseKeeper,
+    lease: &LeaseKeeper,
     listed: &ListedGroup,
 ) -> Option<Formation> {
     let ranks = statuses(ports, listed).await?;
-    let proposed = lease.last_proposal(&listed.name, listed.epoch).map(|(version, _)| version);
-    let found = find_switch(&ranks, proposed);
+    let found = find_switch(&ranks);
     log::info!("group entered group={} epoch={} found={found:?}", listed.name, listed.epoch);
     let mut run = SwitchRun { state, ports, lease, listed, lost: 0 };
     match found {
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -14,6 +14,7 @@
 use crate::decisions::expert_groups::{
     OrderReply, RankOrder, imbalance, late_holds, next_map, switch_lead_ms, switch_step,
 };
+use crate::decisions::log_lease::holding_rank;
 use crate::decisions::placement::ExpertMap;
 use crate::decisions::units::index_below;
 use crate::gateway::GatewayState;
@@ -66,7 +67,7 @@
 pub(super) struct SwitchRun<'a> {
     pub(super) state: &'a GatewayState,
     pub(super) ports: &'a GroupPorts,
-    pub(super) lease: &'a mut LeaseKeeper,
+    pub(super) lease: &'a LeaseKeeper,
     pub(super) listed: &'a ListedGroup,
     /// Orders that got no reply so far.
     pub(super) lost: usize,
@@ -77,10 +78,10 @@
         self.state.clock.now()
     }
 
-    /// Renews the lease if needed. Orders are given only under it.
-    async fn check_lease(&mut self) -> Result<(), SwitchStop> {
-        self.lease.renew().await;
-        if self.lease.may_order() { Ok(()) } else { Err(SwitchStop::LeaseOver) }
+    /// Orders are given only under the lease.
+    fn check_lease(&self) -> Result<(), SwitchStop> {
+        let is_held = self.lease.may_order() && !self.ports.ranks.is_superseded();
+        if is_held { Ok(()) } else { Err(SwitchStop::LeaseOver) }
     }
 
     /// Gives an order to some ranks at once, and again to those that do not reply, until all have.
@@ -92,7 +93,7 @@
     ) -> Result<(), SwitchStop> {
         let mut missing = ranks;
         while !missing.is_empty() {
-            self.check_lease().await?;
+            self.check_lease()?;
             let given = missing.iter().map(|rank| self.order(epoch, order, *rank));
             let replies = join_all(given).await;
             if replies
@@ -291,12 +292,12 @@
 async fn sleep_under_lease(run: &mut SwitchRun<'_>, wait_ms: u64) -> Result<(), SwitchStop> {
     let until = run.now().plus_ms(wait_ms);
     loop {
-        run.check_lease().await?;
+        run.check_lease()?;
         let left_ms = until.ms_since(run.now());
         if left_ms == 0 {
             return Ok(());
         }
-        sleep(Duration::from_millis(left_ms.min(crate::decisions::log_lease::RENEW_MS))).await;
+        sleep(Duration::from_millis(left_ms)).await;
     }
 }
 
@@ -306,10 +307,10 @@
     step: &mut Option<(u64, Timestamp)>,
 ) -> Result<MapSwitch<HeldBefore>, SwitchStop> {
     // Holds of different versions go to different ranks, so that none takes the place of another.
-    let rank = usize::try_from(switch.version()).unwrap_or(0) % switch.ranks();
+    let rank = holding_rank(switch.version(), switch.ranks());
     let mut lead_ms = switch_lead_ms(run.lost);
     for _ in 0..MAX_HOLDS {
-        run.check_lease().await?;
+        run.check_lease()?;
         let status = run.ports.ranks.status(&run.listed.ranks[rank]).await;
         let present = status.map(|status| status.step).ok_or(SwitchStop::TooLate)?;
         let pass_ms = pass_ms(step, present, run.now());
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -283,16 +283,16 @@
     held.filter_map(|(rank, status)| Some((rank, status.held?))).collect()
 }
 
-/// Judges what ranks show after a takeover. `proposed` is the version of the last proposal in the log.
+/// Judges what ranks show after a takeover.
 ///
 /// A hold is the former holder's decision to go forward: it was made only after every rank was
 /// prepared. So a held group is switched wherever every rank has the map, also when no rank shows
-/// as armed, because orders to arm may still be on their way.
+/// as armed, because orders to arm may still be on their way. The map is then the newest that all ranks
+/// have: ranks refuse to prepare an older one.
 #[must_use]
-pub fn find_switch(ranks: &[RankStatus], proposed: Option<u64>) -> Found {
+pub fn find_switch(ranks: &[RankStatus]) -> Found {
     let held = ranks.iter().enumerate().find_map(|(rank, status)| Some((rank, status.held?)));
     let armed = ranks.iter().enumerate().find_map(|(rank, status)| Some((rank, status.armed?)));
-    let version = armed.map(|(_, (version, _))| version).or(proposed);
     let all_have = |version: u64| {
         ranks.iter().all(|status| {
             status.map == version
@@ -300,6 +300,9 @@
                 || status.armed.is_some_and(|(armed, _)| armed == version)
         })
     };
+    let prepared = ranks.iter().flat_map(|status| &status.prepared).copied();
+    let newest = prepared.filter(|version| all_have(*version)).max();
+    let version = armed.map(|(_, (version, _))| version).or(newest);
     match (held, version) {
         (Some((rank, step)), Some(version)) if all_have(version) => {
             Found::Switch { version, step, rank }
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -2,11 +2,14 @@
 //!
 //! The holder counts from before it sent its last record. Another process takes over once it has seen
 //! no new record for the whole duration by its own clock, so the two never overlap. No clock is shared.
+//!
+//! While the log does not answer, nobody can take over unless the log answers others. So the holder goes
+//! on, and each call to an agent carries the number of its tenure: agents refuse a lower one than they
+//! have seen, and whoever takes over calls all of them first.
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Timestamp;
-use crate::decisions::placement::ExpertMap;
 use crate::ids::Incarnation;
 
 /// How long a record holds the lease, in milliseconds. Longer than two failed renewals, and short
@@ -18,25 +21,36 @@
 /// machines run at rates that differ by less.
 pub(crate) const ORDER_MARGIN_MS: u64 = 200;
 
+/// How long a holder that cannot reach the log goes on after its lease is over, in milliseconds. Agents refuse
+/// its orders once another process has taken over; nobody can do so while the log is away for all.
+pub(crate) const OUTAGE_MS: u64 = 20_000;
+
 /// A record of the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GroupRecord {
     /// The process that wrote it.
     pub holder: Incarnation,
-    /// A map that it proposes, if any.
-    pub proposal: Option<Proposal>,
+    /// Whether it gives the lease up.
+    #[serde(default)]
+    pub is_release: bool,
 }
 
-/// A map that is proposed for one formation of a group. The offset of the record, plus one, is the
-/// version of the map, so no two maps ever have the same.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Proposal {
-    /// The group.
-    pub group: String,
-    /// Its formation.
-    pub epoch: u64,
-    /// The map.
-    pub map: ExpertMap,
+/// Versions that one tenure of the lease may give to maps, as a power of two.
+const VERSION_BITS: u32 = 20;
+
+/// Version of the `count`th map of the tenure that began with the record at `fence`. No two maps ever have the
+/// same, and versions of a later tenure are higher. They stay below 2^53, so that JSON holds them.
+#[must_use]
+pub const fn tenure_version(fence: u64, count: u64) -> u64 {
+    ((fence + 1) << VERSION_BITS) | (count & ((1 << VERSION_BITS) - 1))
+}
+
+/// The rank that holds the group for a switch to `version`. Holds of different versions go to different ranks
+/// as far as possible, so that none takes the place of another.
+#[must_use]
+pub fn holding_rank(version: u64, ranks: usize) -> usize {
+    let spread = (version >> VERSION_BITS) + (version & ((1 << VERSION_BITS) - 1));
+    usize::try_from(spread).unwrap_or(0) % ranks.max(1)
 }
 
 /// What one process knows of the lease.
@@ -50,6 +64,12 @@
     heard: Option<(u64, Timestamp)>,
     /// When the own record that holds the lease was sent.
     held_from: Option<Timestamp>,
+    /// The offset of the record with which this tenure began.
+    fence: Option<u64>,
+    /// Whether the last call to the log got no answer.
+    is_log_away: bool,
+    /// Whether the last record gives the lease up.
+    is_released: bool,
 }
 
 impl LeaseState {
@@ -63,16 +83,33 @@
 
     /// Notes how far the log has been read, and who wrote the last record.
     pub fn note_read(&mut self, end: u64, is_own: bool, now: Timestamp) {
+        self.is_log_away = false;
         if end != self.end || self.seen.is_none() {
             self.end = end;
             let heard = self.heard.filter(|(heard, _)| *heard == end);
             self.seen = Some(heard.map_or(now, |(_, at)| at));
             if !is_own {
-                self.held_from = None;
+                self.note_lost();
             }
         }
     }
 
+    /// Notes whether the last record gives the lease up.
+    pub fn note_released(&mut self, is_released: bool) {
+        self.is_released = is_released;
+    }
+
+    /// Whether the last call to the log got no answer.
+    #[must_use]
+    pub const fn is_log_away(&self) -> bool {
+        self.is_log_away
+    }
+
+    /// Notes that a call to the log got no answer.
+    pub fn note_log_away(&mut self) {
+        self.is_log_away = true;
+    }
+
     /// Whether the log has been read.
     #[must_use]
     pub const fn is_read(&self) -> bool {
@@ -84,17 +121,29 @@
         self.end = offset + 1;
         self.seen = Some(now);
         self.held_from = Some(sent);
+        self.fence.get_or_insert(offset);
+        self.is_log_away = false;
+        self.is_released = false;
     }
 
     /// Notes that another process has written at the end.
     pub fn note_lost(&mut self) {
         self.held_from = None;
+        self.fence = None;
+    }
+
+    /// The number of this tenure, which agents compare, while it lasts.
+    #[must_use]
+    pub const fn fence(&self) -> Option<u64> {
+        self.fence
     }
 
-    /// Whether this process may give orders.
+    /// Whether this process may give orders: under its lease, and for some time after it while the log does
+    /// not answer.
     #[must_use]
     pub fn may_order(&self, now: Timestamp) -> bool {
-        self.held_from.is_some_and(|from| now.ms_since(from) + ORDER_MARGIN_MS < LEASE_MS)
+        let lasts_ms = if self.is_log_away { OUTAGE_MS } else { LEASE_MS };
+        self.held_from.is_some_and(|from| now.ms_since(from) + ORDER_MARGIN_MS < lasts_ms)
     }
 
     /// Whether the lease should be renewed.
@@ -103,11 +152,12 @@
         self.held_from.is_some_and(|from| now.ms_since(from) >= RENEW_MS)
     }
 
-    /// Whether this process may take the lease: an empty log has no holder, and otherwise no record
-    /// was seen for the whole duration.
+    /// Whether this process may take the lease: an empty log has no holder, nor one that ends with a
+    /// release, and otherwise no record was seen for the whole duration.
     #[must_use]
     pub fn may_take(&self, now: Timestamp) -> bool {
         let is_silent = |seen| now.ms_since(seen) >= LEASE_MS + ORDER_MARGIN_MS;
-        self.seen.is_some_and(|seen| self.end == 0 || is_silent(seen))
+        let is_free = self.end == 0 || self.is_released;
+        self.seen.is_some_and(|seen| is_free || is_silent(seen))
     }
 }
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -33,6 +33,9 @@
 pub struct RankRequest {
     /// The server. The rank refuses a call for another one.
     pub server: InstanceId,
+    /// The number of the caller's tenure of the lease, or 0 of a call that is relayed. An agent refuses a
+    /// lower number than it has seen.
+    pub fence: u64,
     /// Where the server listens. An agent calls the server beside it whatever stands here.
     pub address: SocketAddr,
     /// The call.
@@ -48,6 +51,8 @@
     Counts(Option<(u64, u32, Vec<Vec<u64>>)>),
     /// Its experts, by set.
     HeldExperts(Option<Vec<Vec<usize>>>),
+    /// Nothing: the agent has been called under a later lease.
+    Superseded,
     /// Its reply to an order.
     Order(OrderReply),
 }
--- a/crates/lycheewood/tests/agents.rs
+++ b/crates/lycheewood/tests/agents.rs
@@ -107,3 +107,28 @@
     assert_eq!(reply, OrderReply::Done);
     assert_eq!(rank_client.orders.load(Ordering::Relaxed), 4);
 }
+
+/// Guards against orders of a holder whose lease passed on while it could not reach the log.
+#[test]
+fn an_agent_refuses_orders_under_an_earlier_lease() {
+    let rank_client = Arc::new(Obedient::default());
+    let address = (Ipv4Addr::LOCALHOST, 0).into();
+    let agent = Agent::start(address, rank().address, rank_client.clone()).expect("an agent");
+    let holder = |fence| {
+        let direct = Arc::new(Obedient::default());
+        let ranks = AgentRanks::new(direct, agent.address().port(), Clock::system());
+        ranks.set_fence(fence);
+        ranks
+    };
+    let (former, present) = (holder(4), holder(6));
+    let order = RankOrder::Arm { version: 1, step: 5 };
+    agent.run_until(async {
+        assert_eq!(former.order(&rank(), 1, &order).await, OrderReply::Done);
+        // The present holder looks at the rank before it gives orders.
+        assert!(present.status(&rank()).await.is_some());
+        assert_eq!(former.order(&rank(), 1, &order).await, OrderReply::Unknown);
+        assert!(former.is_superseded() && !present.is_superseded());
+        assert_eq!(present.order(&rank(), 1, &order).await, OrderReply::Done);
+    });
+    assert_eq!(rank_client.orders.load(Ordering::Relaxed), 2);
+}
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -5,8 +5,8 @@
     InstanceId, LagWatch, LeaseState, Offset, OwnState, PeerFold, QueuePhase, QueueTimes,
     RankCounts, RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind, RouteTable,
     RouteTableError, ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerView,
-    TargetName, Timestamp, choose_server, event_id, near_entries, queue_bound, queue_phase,
-    steady_batch, switch_lead_ms, switch_step,
+    TargetName, Timestamp, choose_server, event_id, holding_rank, near_entries, queue_bound,
+    queue_phase, steady_batch, switch_lead_ms, switch_step, tenure_version,
 };
 use proptest::prelude::*;
 
@@ -324,6 +324,48 @@
     assert!(!outdated.may_take(at(2_300)));
 }
 
+/// Guards against seconds without a holder after a planned stop.
+#[test]
+fn a_lease_that_is_given_up_is_taken_at_once() {
+    let mut other = LeaseState::default();
+    other.note_read(3, false, at(0));
+    assert!(!other.may_take(at(100)));
+    other.note_released(true);
+    other.note_read(4, false, at(100));
+    assert!(other.may_take(at(100)));
+}
+
+/// Guards against groups without a holder for as long as the log is away, and against a holder that goes on
+/// for ever or after it has read that another one took over.
+#[test]
+fn a_holder_goes_on_while_the_log_does_not_answer() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(4, at(0), at(10));
+    assert_eq!(holder.fence(), Some(4));
+    assert!(!holder.may_order(at(5_000)));
+    holder.note_log_away();
+    assert!(holder.may_order(at(5_000)) && !holder.may_order(at(60_000)));
+    // Its renewals belong to the same tenure.
+    holder.note_appended(5, at(6_000), at(6_010));
+    assert_eq!(holder.fence(), Some(4));
+    holder.note_log_away();
+    holder.note_read(7, false, at(7_000));
+    assert_eq!((holder.may_order(at(7_000)), holder.fence()), (false, None));
+}
+
+/// Guards against two maps with one version, and versions that fall when the lease passes on.
+#[test]
+fn versions_of_maps_rise_from_tenure_to_tenure() {
+    let tenures = [(0, 1), (0, 2), (0, 900), (1, 1), (40, 1), (41, 1)];
+    let versions: Vec<u64> =
+        tenures.iter().map(|(fence, count)| tenure_version(*fence, *count)).collect();
+    assert!(versions.windows(2).all(|pair| pair[0] < pair[1]), "{versions:?}");
+    assert!(tenure_version(1 << 30, 1) < 1 << 53);
+    let ranks: Vec<usize> = (1..5).map(|n| holding_rank(tenure_version(7, n), 12)).collect();
+    assert!(ranks.windows(2).all(|pair| pair[0] != pair[1]), "{ranks:?}");
+    assert_ne!(holding_rank(tenure_version(7, 1), 12), holding_rank(tenure_version(8, 1), 12));
+}
+
 proptest! {
     /// Guards against events that depend on how the stream was cut into reads.
     #[test]
--- a/crates/lycheewood/tests/map_switch_model.rs
+++ b/crates/lycheewood/tests/map_switch_model.rs
@@ -217,13 +217,7 @@
 
     /// A holder looks at all ranks.
     fn enter(&mut self, holder: usize) {
-        // The log has the last proposal: the own one, or that of the first holder.
-        let proposed = Some(if self.ranks.iter().any(|r| r.prepared == version(holder)) {
-            version(holder)
-        } else {
-            version(0)
-        });
-        self.holders[holder] = match find_switch(&self.statuses(), proposed) {
+        self.holders[holder] = match find_switch(&self.statuses()) {
             Found::Nothing if self.ranks.iter().all(|rank| rank.map == version(holder)) => {
                 Phase::Done
             }
