Follow a request through gateways' logs with the tool, and try framing at its edges

Cause: the logs were read with grep only, and the framing of callers' requests was tested with single cases.

Change: lycheewood log ID FILE... prints a request's lines and why it ended as it did, as text or JSON. Tests send bodies in random chunks and writes, and nine requests with broken framing, of which none may reach a server.

--- a/crates/lycheewood-cli/src/cmd.rs
+++ b/crates/lycheewood-cli/src/cmd.rs
@@ -6,6 +6,7 @@
 pub(crate) mod endpoints;
 pub(crate) mod follow;
 pub(crate) mod groups;
+pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod nodes;
 pub(crate) mod publish;
@@ -44,6 +45,7 @@
         .subcommand(endpoints::make_subcommand())
         .subcommand(groups::make_subcommand())
         .subcommand(metrics::make_subcommand())
+        .subcommand(log::make_subcommand())
         .subcommand(send::make_subcommand())
         .subcommand(completions::make_subcommand())
 }
--- a/crates/lycheewood-cli/src/main.rs
+++ b/crates/lycheewood-cli/src/main.rs
@@ -33,6 +33,7 @@
         Some(("endpoints", matches)) => cmd::endpoints::execute(matches),
         Some(("groups", matches)) => cmd::groups::execute(matches),
         Some(("metrics", matches)) => cmd::metrics::execute(matches),
+        Some(("log", matches)) => cmd::log::execute(matches),
         Some(("send", matches)) => cmd::send::execute(matches),
         Some(("completions", matches)) => cmd::completions::execute(matches),
         _ => unreachable!("clap requires one of the subcommands above"),
--- a/crates/lycheewood/tests/gateway/answers.rs
+++ b/crates/lycheewood/tests/gateway/answers.rs
@@ -1,5 +1,11 @@
 //! Answers of servers that must not reach a caller as they are.
 
+use std::io::{Read, Write};
+
+use proptest::prelude::*;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
 use crate::world::{Act, Seen, World, answer, good, request};
 
 /// Guards against a caller that gets an answer of another request, an unsigned or encoded body, or part
@@ -91,3 +97,84 @@
         assert!(world.seen().is_empty(), "{lines:?}");
     }
 }
+
+/// A chunked request whose body is cut into chunks of the given sizes.
+fn chunked(id: usize, body: &[u8], sizes: &[usize]) -> Vec<u8> {
+    let mut bytes = format!(
+        "POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Id: id-{id}\r\nX-Deadline: 3000\r\n\
+         Authorization: Bearer key-1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    .into_bytes();
+    let (mut rest, mut sizes) = (body, sizes.iter().cycle());
+    while !rest.is_empty() {
+        let (chunk, left) = rest.split_at((*sizes.next().expect("endless")).min(rest.len()));
+        bytes.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+        bytes.extend([chunk, b"\r\n"].concat());
+        rest = left;
+    }
+    bytes.extend(b"0\r\n\r\n");
+    bytes
+}
+
+/// Guards against bodies that depend on how they were chunked or how the bytes arrived.
+#[test]
+fn a_body_does_not_depend_on_chunks_or_reads() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(good(seen, "ok")));
+    world.wait_until_ready();
+    let mut runner = TestRunner::new_with_rng(
+        Config::default(),
+        TestRng::deterministic_rng(RngAlgorithm::ChaCha),
+    );
+    let cases = (
+        prop::collection::vec(any::<u8>(), 1..300),
+        prop::collection::vec(1_usize..50, 1..8),
+        prop::collection::vec(1_usize..90, 1..8),
+    );
+    for id in 0..24 {
+        let case = cases.new_tree(&mut runner).expect("a case").current();
+        let (body, sizes, writes) = case;
+        let mut tcp = world.connect();
+        let bytes = chunked(id, &body, &sizes);
+        let (mut rest, mut writes) = (bytes.as_slice(), writes.iter().cycle());
+        while !rest.is_empty() {
+            let (part, left) = rest.split_at((*writes.next().expect("endless")).min(rest.len()));
+            tcp.write_all(part).expect("sent");
+            rest = left;
+        }
+        let mut reply = Vec::new();
+        let _ = tcp.read_to_end(&mut reply);
+        assert!(reply.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&reply));
+        let seen = world.seen();
+        assert_eq!(seen.last().map(|seen| seen.body.as_slice()), Some(body.as_slice()));
+    }
+}
+
+/// Guards against a request that is smuggled to a server in broken framing.
+#[test]
+fn broken_framing_reaches_no_server() {
+    let mut world = World::with_routes();
+    world.server("s1", |seen| Act::Write(good(seen, "ok")));
+    world.wait_until_ready();
+    let head = "POST /once/x HTTP/1.1\r\nHost: one.example\r\nX-Id: id-1\r\nX-Deadline: 500\r\n\
+                Authorization: Bearer key-1\r\nConnection: close\r\n";
+    let broken = [
+        format!("{head}Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\n4\r\nbodyextra\r\n0\r\n\r\n"),
+        format!("{head}Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nbody"),
+        format!("{head}Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody"),
+        format!("{head}Content-Length: -4\r\n\r\nbody"),
+        format!("{head}Content-Length: 4x\r\n\r\nbody"),
+        format!("{head}Transfer-Encoding: chunked, identity\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+        format!("{head}X-Odd: a\0b\r\nContent-Length: 4\r\n\r\nbody"),
+        format!("{head}X-Odd : a\r\nContent-Length: 4\r\n\r\nbody"),
+    ];
+    for request in broken {
+        let mut tcp = world.connect();
+        let _ = tcp.write_all(request.as_bytes());
+        let mut reply = Vec::new();
+        let _ = tcp.read_to_end(&mut reply);
+        assert!(!reply.starts_with(b"HTTP/1.1 2"), "{request:?}");
+        assert_eq!(world.seen().len(), 0, "{request:?}");
+    }
+}
