Release late holds between two switches of a map

Cause: found by reading, not seen: an order to hold of an earlier holder of the lease may be carried out seconds later. It was released after the next switch only, and an idle group makes none, because nothing is chosen in it.

Ruled out: to wait for the next formation; the group would stand still for good.

Change: each look at the counts also shows whether a rank holds a pass. Between two switches such a hold is a late one, and is released. The model of switches allows it at any time after a switch and finds no order of events that parts the ranks.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -81,10 +81,7 @@
     let rank = RankAddress { server, address: own.unwrap_or(address) };
     let reply = match call {
         RankCall::Status => RankReply::Status(ranks.status(&rank).await),
-        RankCall::Counts { experts } => {
-            let counts = ranks.counts(&rank, experts).await;
-            RankReply::Counts(counts.map(|c| (c.epoch, c.pace_percent, c.counts)))
-        }
+        RankCall::Counts { experts } => RankReply::Counts(ranks.counts(&rank, experts).await),
         RankCall::HeldExperts => RankReply::HeldExperts(ranks.held_experts(&rank).await),
         RankCall::Order { epoch, order } => {
             RankReply::Order(give_order(ranks, &rank, epoch, &order).await)
@@ -236,8 +233,7 @@
 
     async fn counts(&self, rank: &RankAddress, experts: usize) -> Option<RankCounts> {
         match self.call(rank, RankCall::Counts { experts }).await {
-            Called::Reply(RankReply::Counts(counts)) => counts
-                .map(|(epoch, pace_percent, counts)| RankCounts { epoch, pace_percent, counts }),
+            Called::Reply(RankReply::Counts(counts)) => counts,
             // Counts read from another machine have a price, and other ranks speak for this one.
             Called::NoAgent | Called::Reply(_) | Called::Unknown => None,
         }
--- a/crates/lycheewood/src/controllers/expert_groups/demand.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/demand.rs
@@ -34,6 +34,8 @@
     demand: ExpertDemand,
     /// The last pace of each rank, in percent of the usual time.
     paces: Vec<u32>,
+    /// Holds that the last look showed, as rank and pass.
+    held: Vec<(usize, u64)>,
     read: Timestamp,
 }
 
@@ -53,11 +55,13 @@
         let asked = listed.ranks.iter().map(|rank| ports.ranks.counts(rank, listed.shape.experts));
         let replies = join_all(asked).await;
         let mut total: Option<Vec<Vec<u64>>> = None;
+        self.held.clear();
         for (rank, counts) in replies.into_iter().enumerate() {
             let Some(counts) = counts.filter(|counts| counts.epoch == listed.epoch) else {
                 continue;
             };
             self.note_pace(state, listed, rank, counts.pace_percent);
+            self.held.extend(counts.held.map(|step| (rank, step)));
             let Some(chosen) = self.counts.take(rank, &counts) else { continue };
             total = Some(match total {
                 None => chosen,
@@ -81,6 +85,12 @@
         }
     }
 
+    /// Holds that the last look showed. Between two switches there is no reason for any: a late order of an
+    /// earlier switch, for which no rank is armed.
+    pub(super) fn held(&self) -> &[(usize, u64)] {
+        &self.held
+    }
+
     /// What a map is made for, once enough was chosen.
     pub(super) fn demand(&self, ranks: usize) -> Option<GroupDemand> {
         let shares = self.demand.shares()?;
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -48,7 +48,13 @@
             return false;
         }
         let Some(formation) = &mut self.formation else { return false };
-        if formation.watch.read(state, ports, listed).await == Demand::Unknown {
+        let looked = formation.watch.read(state, ports, listed).await;
+        if let Some((rank, step)) = formation.watch.held().first().copied() {
+            let mut run = SwitchRun { state, ports, lease, listed, lost: 0 };
+            switch::release(&mut run, step, rank).await;
+            return false;
+        }
+        if looked == Demand::Unknown {
             return false;
         }
         let now = state.clock.now();
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -67,13 +67,15 @@
     pub held: Option<u64>,
 }
 
-/// How often the requests of one rank have chosen each expert, and how fast it works.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// How often the requests of one rank have chosen each expert, and what else a look at it shows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankCounts {
     /// The formation of the group.
     pub epoch: u64,
     /// Time that its work takes, in percent of the usual; 0 where it is not known.
     pub pace_percent: u32,
+    /// The pass that it holds.
+    pub held: Option<u64>,
     /// Counts since the rank started, by set and then by expert.
     pub counts: Vec<Vec<u64>>,
 }
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::decisions::expert_groups::{OrderReply, RankOrder, RankStatus};
+use crate::decisions::expert_groups::{OrderReply, RankCounts, RankOrder, RankStatus};
 use crate::ids::InstanceId;
 
 /// What the agent is asked to do.
@@ -47,8 +47,8 @@
 pub enum RankReply {
     /// Its status.
     Status(Option<RankStatus>),
-    /// Its formation, its pace in percent, and its counts, by set and then by expert.
-    Counts(Option<(u64, u32, Vec<Vec<u64>>)>),
+    /// Its counts.
+    Counts(Option<RankCounts>),
     /// Its experts, by set.
     HeldExperts(Option<Vec<Vec<usize>>>),
     /// Nothing: the agent has been called under a later lease.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -265,7 +265,8 @@
 #[test]
 fn counts_of_a_new_formation_start_anew() {
     let mut book = CountBook::default();
-    let counts = |epoch, a, b| RankCounts { epoch, pace_percent: 100, counts: vec![vec![a, b]] };
+    let counts =
+        |epoch, a, b| RankCounts { epoch, counts: vec![vec![a, b]], ..RankCounts::default() };
     assert_eq!(book.take(0, &counts(1, 10, 20)), None);
     assert_eq!(book.take(0, &counts(1, 15, 20)), Some(vec![vec![5, 0]]));
     assert_eq!(book.take(0, &counts(1, 3, 30)), None);
--- a/crates/lycheewood/tests/map_switch_model.rs
+++ b/crates/lycheewood/tests/map_switch_model.rs
@@ -174,11 +174,12 @@
                 missing(done).map(|rank| (rank, Order::Arm(version, step))).collect()
             }
             Phase::Release { step, rank, .. } => vec![(rank, Order::Release(step))],
-            Phase::Settle { .. } => late_holds(&self.statuses())
+            // Between two switches as well as after one, holds are late ones.
+            Phase::Settle { .. } | Phase::Done => late_holds(&self.statuses())
                 .into_iter()
                 .map(|(rank, step)| (rank, Order::Release(step)))
                 .collect(),
-            Phase::Waiting | Phase::Enter | Phase::Done | Phase::Stopped => Vec::new(),
+            Phase::Waiting | Phase::Enter | Phase::Stopped => Vec::new(),
         }
     }
 
@@ -210,6 +211,7 @@
                 }
             }
             Phase::Release { version, .. } | Phase::Settle { version } => Phase::Settle { version },
+            Phase::Done => Phase::Done,
             // A refusal elsewhere makes the holder look again.
             _ => Phase::Enter,
         };
