--- a/crates/lycheewood/src/decisions/batch.rs
+++ b/crates/lycheewood/src/decisions/batch.rs
@@ -7,7 +7,7 @@
 
 /// Factor by which the most loaded rank is assumed to exceed the mean. Maps come to 1.2 within some 1.2 s of
 /// a jump of demand, which comes every 4 s.
-const ASSUMED_IMBALANCE: f64 = 1.4;
+const ASSUMED_IMBALANCE: f64 = 1.5;
 /// A pass takes this much longer while ranks copy weights.
 const COPY_FACTOR: f64 = 1.15;
 /// Prompts of usual length that the slowest rank reads in one pass. All ranks wait for the one that
