--- /dev/null
+++ b/crates/lycheewood/src/adapters/agent/client.rs
@@ -0,0 +1,162 @@
+//! Client of agents and relays.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_trait::async_trait;
+use hyper::Method;
+
+use crate::adapters::agent::{CALL_MS, RANK_PATH};
+use crate::adapters::gossip::{decode, encode};
+use crate::adapters::http::{HttpClient, HttpError};
+use crate::clock::{Clock, Timestamp};
+use crate::decisions::expert_groups::{OrderReply, RankCounts, RankOrder, RankStatus};
+use crate::group_ports::{RankAddress, RankClient};
+use crate::wire::rank_call::{RankCall, RankReply, RankRequest};
+
+/// An agent that gave no reply is not called for this long, in milliseconds. A group may be held while an
+/// order is repeated, and the machine of the agent may be frozen.
+const SILENT_MS: u64 = 5_000;
+
+/// Speaks to ranks through their agents, and directly to those whose agent is missing or silent.
+pub struct AgentRanks {
+    direct: Arc<dyn RankClient>,
+    port: u16,
+    clock: Clock,
+    /// Agents that gave no reply, and since when.
+    silent: Mutex<HashMap<SocketAddr, Timestamp>>,
+    /// The number of the own tenure, which each call carries.
+    fence: AtomicU64,
+    /// Whether an agent has refused that number.
+    is_superseded: AtomicBool,
+}
+
+/// What became of a call.
+enum Called {
+    Reply(RankReply),
+    /// The agent cannot be reached; the call was not made.
+    NoAgent,
+    /// No reply: the call may have been made.
+    Unknown,
+}
+
+impl AgentRanks {
+    /// Agents listen on `port` of the machines of their ranks; `direct` speaks to ranks without them.
+    #[must_use]
+    pub fn new(direct: Arc<dyn RankClient>, port: u16, clock: Clock) -> Self {
+        Self {
+            direct,
+            port,
+            clock,
+            silent: Mutex::default(),
+            fence: AtomicU64::new(0),
+            is_superseded: AtomicBool::new(false),
+        }
+    }
+
+    /// Begins to call under another tenure of the lease. Numbers begin with 1.
+    pub fn set_fence(&self, fence: u64) {
+        self.fence.store(fence, Ordering::Relaxed);
+        self.is_superseded.store(false, Ordering::Relaxed);
+    }
+
+    /// Whether an agent has been called under a later lease since the present number was set.
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded.load(Ordering::Relaxed)
+    }
+
+    fn is_silent(&self, address: SocketAddr) -> bool {
+        let silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        let since = silent.get(&address).copied();
+        since.is_some_and(|since| self.clock.now().ms_since(since) < SILENT_MS)
+    }
+
+    fn note_silent(&self, address: SocketAddr) {
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        silent.insert(address, self.clock.now());
+    }
+
+    /// Gives an order through a relay, the process at `relay` that serves calls for any rank.
+    pub async fn order_through(
+        &self,
+        relay: SocketAddr,
+        rank: &RankAddress,
+        epoch: u64,
+        order: &RankOrder,
+    ) -> OrderReply {
+        match self.call_at(relay, rank, RankCall::Order { epoch, order: order.clone() }).await {
+            Called::Reply(RankReply::Order(reply)) => reply,
+            Called::NoAgent => self.order(rank, epoch, order).await,
+            Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
+        }
+    }
+
+    async fn call(&self, rank: &RankAddress, call: RankCall) -> Called {
+        self.call_at(SocketAddr::new(rank.address.ip(), self.port), rank, call).await
+    }
+
+    async fn call_at(&self, address: SocketAddr, rank: &RankAddress, call: RankCall) -> Called {
+        if self.is_silent(address) {
+            return Called::NoAgent;
+        }
+        let client = HttpClient::new(address, CALL_MS);
+        let fence = self.fence.load(Ordering::Relaxed);
+        let (server, to) = (rank.server.clone(), rank.address);
+        let request = RankRequest { server, fence, address: to, call };
+        match client.call(Method::POST, RANK_PATH, encode(&request), CALL_MS).await {
+            Ok(bytes) => match decode(&bytes) {
+                Some(RankReply::Superseded) => {
+                    self.is_superseded.store(true, Ordering::Relaxed);
+                    Called::Unknown
+                }
+                reply => reply.map_or(Called::Unknown, Called::Reply),
+            },
+            Err(HttpError::Connect { .. }) => Called::NoAgent,
+            Err(error) => {
+                log::info!(
+                    "agent silent address={address} server={} reason=\"{error}\"",
+                    rank.server
+                );
+                self.note_silent(address);
+                Called::Unknown
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl RankClient for AgentRanks {
+    async fn status(&self, rank: &RankAddress) -> Option<RankStatus> {
+        match self.call(rank, RankCall::Status).await {
+            Called::Reply(RankReply::Status(status)) => status,
+            Called::NoAgent => self.direct.status(rank).await,
+            Called::Reply(_) | Called::Unknown => None,
+        }
+    }
+
+    async fn counts(&self, rank: &RankAddress, experts: usize) -> Option<RankCounts> {
+        match self.call(rank, RankCall::Counts { experts }).await {
+            Called::Reply(RankReply::Counts(counts)) => counts,
+            // Counts read from another machine have a price, and other ranks speak for this one.
+            Called::NoAgent | Called::Reply(_) | Called::Unknown => None,
+        }
+    }
+
+    async fn held_experts(&self, rank: &RankAddress) -> Option<Vec<Vec<usize>>> {
+        match self.call(rank, RankCall::HeldExperts).await {
+            Called::Reply(RankReply::HeldExperts(held)) => held,
+            Called::NoAgent => self.direct.held_experts(rank).await,
+            Called::Reply(_) | Called::Unknown => None,
+        }
+    }
+
+    async fn order(&self, rank: &RankAddress, epoch: u64, order: &RankOrder) -> OrderReply {
+        match self.call(rank, RankCall::Order { epoch, order: order.clone() }).await {
+            Called::Reply(RankReply::Order(reply)) => reply,
+            Called::NoAgent => self.direct.order(rank, epoch, order).await,
+            Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
+        }
+    }
+}
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -14,7 +14,7 @@
 
 use tokio::time::sleep;
 
-use crate::adapters::agent::AgentRanks;
+use crate::adapters::agent::client::AgentRanks;
 use crate::clock::Timestamp;
 use crate::controllers::expert_groups::group::Group;
 use crate::controllers::expert_groups::lease::LeaseKeeper;
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -12,8 +12,8 @@
 use crate::clock::Timestamp;
 use crate::ids::Incarnation;
 
-/// How long a record holds the lease, in milliseconds. Longer than two failed renewals, and short
-/// enough that a new holder finishes what a dead one left within a few seconds.
+/// How long a record holds the lease, in milliseconds. Short, so that a new holder soon finishes what a dead
+/// one left; a holder whose renewals get no answer goes on after it.
 pub(crate) const LEASE_MS: u64 = 1_000;
 /// A lease is renewed this long after the last record, in milliseconds.
 pub(crate) const RENEW_MS: u64 = 300;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -39,7 +39,7 @@
 mod telemetry;
 mod wire;
 
-pub use adapters::agent::AgentRanks;
+pub use adapters::agent::client::AgentRanks;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -12,7 +12,7 @@
 use tokio::runtime::{Handle, Runtime};
 use tokio::task::JoinHandle;
 
-use crate::adapters::agent::AgentRanks;
+use crate::adapters::agent::client::AgentRanks;
 use crate::adapters::forward::caller;
 use crate::adapters::{agent, gossip, metrics};
 use crate::controllers::expert_groups::{self, GroupPorts};
