--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -205,7 +205,7 @@
 
 /// The least fall of [`imbalance`] for which a map is changed. While ranks copy, passes take 15 in 100 longer
 /// for some 400 ms; a fall by this much pays that back in half a second.
-const MIN_GAIN: f64 = 0.18;
+const MIN_GAIN: f64 = 0.14;
 
 /// The next map of a group, if one pays off. No rank gets more than `max_copies` new experts, since ranks
 /// copy one after the other.
