Mend what reading the change once more has shown

Such orders now wait for the agent. - An instance that waited for the lease read its log every 50 ms; it now reads once the lease may be over. The task waits for an event with a deadline instead of looking every 50 ms. - A refusing group made requests of other services wait, and one that left the list kept them looking for ever. Only its own service's requests wait. - A leaving holder that had asked to give the lease up could begin a switch. - The fence was set, and a refusal of it forgotten, at each look. - check.rs: what a refusal means has a function of its own.

Ruled out: no check or bound was changed.

--- a/crates/lycheewood/src/adapters/agent/client.rs
+++ b/crates/lycheewood/src/adapters/agent/client.rs
@@ -31,6 +31,7 @@
     fence: AtomicU64,
     /// Whether an agent has refused that number.
     is_superseded: AtomicBool,
+    is_direct_allowed: AtomicBool,
 }
 
 /// What became of a call.
@@ -53,13 +54,21 @@
             silent: Mutex::default(),
             fence: AtomicU64::new(0),
             is_superseded: AtomicBool::new(false),
+            is_direct_allowed: AtomicBool::new(true),
         }
     }
 
-    /// Begins to call under another tenure of the lease. Numbers begin with 1.
+    /// Calls under a tenure of the lease from now on. Numbers begin with 1.
     pub fn set_fence(&self, fence: u64) {
-        self.fence.store(fence, Ordering::Relaxed);
-        self.is_superseded.store(false, Ordering::Relaxed);
+        if self.fence.swap(fence, Ordering::Relaxed) != fence {
+            self.is_superseded.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether orders may go directly to a rank whose agent is missing. Only agents refuse the orders of a
+    /// holder that was replaced, so one that cannot reach the log must not pass them over.
+    pub fn allow_direct_orders(&self, is_allowed: bool) {
+        self.is_direct_allowed.store(is_allowed, Ordering::Relaxed);
     }
 
     /// Whether an agent has been called under a later lease since the present number was set.
@@ -155,8 +164,10 @@
     async fn order(&self, rank: &RankAddress, epoch: u64, order: &RankOrder) -> OrderReply {
         match self.call(rank, RankCall::Order { epoch, order: order.clone() }).await {
             Called::Reply(RankReply::Order(reply)) => reply,
-            Called::NoAgent => self.direct.order(rank, epoch, order).await,
-            Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
+            Called::NoAgent if self.is_direct_allowed.load(Ordering::Relaxed) => {
+                self.direct.order(rank, epoch, order).await
+            }
+            Called::NoAgent | Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
         }
     }
 }
--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -1,7 +1,8 @@
 //! The controller of expert groups: holds the lease, follows demand, and switches maps.
 //!
 //! It is one task on the control thread, since a switch is a sequence of orders each of which waits for
-//! the one before. It owns all of its state; only whether it holds the lease is published.
+//! the one before. It owns all of its state; what it tells other instances while it holds the lease is
+//! published.
 
 mod demand;
 mod group;
@@ -70,10 +71,11 @@
         let listed = listed_groups(&state);
         let is_leaving = state.phase() != Phase::Serving;
         // While the log is away nobody could take the lease over.
-        if is_leaving && !lease.is_log_away() {
+        let gives_up = is_leaving && !lease.is_log_away();
+        if gives_up {
             lease.release();
         }
-        if listed.is_empty() || !lease.may_order() {
+        if gives_up || listed.is_empty() || !lease.may_order() {
             groups.clear();
             state.set_lease_end(None);
             if let Some(end) = others_lease_end(&state, now) {
--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::clock::{Clock, Timestamp};
 use crate::decisions::log_lease::{GroupRecord, LeaseState, tenure_version};
@@ -18,8 +19,6 @@
 /// Time until the next call after one that failed, in milliseconds. Each call has a price, and a store that
 /// is away is not back at once.
 const RETRY_MS: u64 = 400;
-/// Time between two looks at what is to be done, in milliseconds.
-const LOOK_MS: u64 = 50;
 
 /// What the controller of groups wants.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -45,6 +44,8 @@
 #[derive(Clone)]
 pub(super) struct LeaseKeeper {
     shared: Arc<Mutex<Shared>>,
+    /// Woken when the wish or the state has changed outside the task.
+    changed: Arc<Notify>,
     clock: Clock,
 }
 
@@ -52,7 +53,7 @@
     /// Starts the task that calls the log on the present runtime.
     pub(super) fn start(gateway: &GatewayState, log: Arc<dyn LeaseLog>) -> Self {
         let (clock, own) = (gateway.clock, gateway.incarnation);
-        let keeper = Self { shared: Arc::default(), clock };
+        let keeper = Self { shared: Arc::default(), changed: Arc::default(), clock };
         let writer = LogWriter { log, own, keeper: keeper.clone(), failed: Timestamp::default() };
         tokio::spawn(writer.run());
         keeper
@@ -86,23 +87,31 @@
     pub(super) fn note_heard(&self, end: u64) {
         let mut shared = self.lock();
         shared.state.note_heard(end, self.clock.now());
-        shared.wish = Wish::Follow;
+        drop(shared);
+        self.wish_for(Wish::Follow);
+    }
+
+    fn wish_for(&self, wish: Wish) {
+        if std::mem::replace(&mut self.lock().wish, wish) != wish {
+            self.changed.notify_one();
+        }
     }
 
     /// Another process holds the lease by now, as an agent says.
     pub(super) fn note_superseded(&self) {
         log::warn!("group lease superseded fence={:?}", self.fence());
         self.lock().state.note_lost();
+        self.changed.notify_one();
     }
 
     /// Asks for the lease, which is taken once nobody holds it, and kept.
     pub(super) fn want(&self) {
-        self.lock().wish = Wish::Hold;
+        self.wish_for(Wish::Hold);
     }
 
     /// Gives the lease up, so that another process takes it at once.
     pub(super) fn release(&self) {
-        self.lock().wish = Wish::Release;
+        self.wish_for(Wish::Release);
     }
 
     /// A version for a new map, if the lease is held.
@@ -125,27 +134,53 @@
 
 impl LogWriter {
     async fn run(mut self) {
+        let changed = Arc::clone(&self.keeper.changed);
         loop {
-            sleep(Duration::from_millis(LOOK_MS)).await;
-            let now = self.now();
-            if now.ms_since(self.failed) < RETRY_MS {
-                continue;
-            }
-            let (state, wish) = {
-                let shared = self.keeper.lock();
-                (shared.state, shared.wish)
-            };
-            match wish {
-                // A process that starts may take the lease only some time after it has seen the log. That
-                // time runs while groups form.
-                _ if !state.is_read() => {
-                    self.read_on().await;
+            let wait_ms = self.next_call().map(|due| due.ms_since(self.now()));
+            match wait_ms {
+                Some(0) => self.call().await,
+                // Whether the time is over or something has changed, it is looked at anew.
+                Some(wait_ms) => {
+                    let _ = timeout(Duration::from_millis(wait_ms), changed.notified()).await;
                 }
-                Wish::Hold if state.fence().is_none() => self.take().await,
-                Wish::Hold if state.is_renewal_due(now) => self.renew().await,
-                Wish::Release if state.fence().is_some() => self.release().await,
-                Wish::Follow | Wish::Hold | Wish::Release => {}
+                None => changed.notified().await,
+            }
+        }
+    }
+
+    /// When the log is called next, unless something changes before.
+    fn next_call(&self) -> Option<Timestamp> {
+        let (state, wish) = {
+            let shared = self.keeper.lock();
+            (shared.state, shared.wish)
+        };
+        let is_held = state.fence().is_some();
+        let due = match wish {
+            // A process that starts may take the lease only some time after it has seen the log. That
+            // time runs while groups form.
+            _ if !state.is_read() => Some(Timestamp::default()),
+            Wish::Hold if is_held => state.renew_at(),
+            Wish::Hold => state.free_at(),
+            Wish::Release if is_held => Some(Timestamp::default()),
+            Wish::Release | Wish::Follow => None,
+        };
+        due.map(|due| due.max(self.failed.plus_ms(RETRY_MS)))
+    }
+
+    /// Makes the call that is due.
+    async fn call(&mut self) {
+        let (state, wish) = {
+            let shared = self.keeper.lock();
+            (shared.state, shared.wish)
+        };
+        match wish {
+            _ if !state.is_read() => {
+                self.read_on().await;
             }
+            Wish::Hold if state.fence().is_some() => self.renew().await,
+            Wish::Hold => self.take().await,
+            Wish::Release => self.release().await,
+            Wish::Follow => {}
         }
     }
 
@@ -157,7 +192,7 @@
         self.keeper.lock().state
     }
 
-    /// Reads on, and takes the lease if nobody holds it.
+    /// Reads on, and takes the lease if nobody has written meanwhile.
     async fn take(&mut self) {
         if !self.read_on().await || !self.state().may_take(self.now()) {
             return;
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -124,6 +124,7 @@
             return OrderReply::Unknown;
         }
         let address = &self.listed.ranks[rank];
+        self.ports.ranks.allow_direct_orders(!self.lease.is_log_away());
         let reply = match self.relay(order) {
             Some(relay) => self.ports.ranks.order_through(relay, address, epoch, order).await,
             None => self.ports.ranks.order(address, epoch, order).await,
@@ -288,17 +289,10 @@
     }
 }
 
-/// Sleeps while the lease is renewed.
-async fn sleep_under_lease(run: &mut SwitchRun<'_>, wait_ms: u64) -> Result<(), SwitchStop> {
-    let until = run.now().plus_ms(wait_ms);
-    loop {
-        run.check_lease()?;
-        let left_ms = until.ms_since(run.now());
-        if left_ms == 0 {
-            return Ok(());
-        }
-        sleep(Duration::from_millis(left_ms)).await;
-    }
+/// Sleeps, and checks that the lease still lasts.
+async fn sleep_under_lease(run: &SwitchRun<'_>, wait_ms: u64) -> Result<(), SwitchStop> {
+    sleep(Duration::from_millis(wait_ms)).await;
+    run.check_lease()
 }
 
 async fn hold(
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -146,18 +146,24 @@
         self.held_from.is_some_and(|from| now.ms_since(from) + ORDER_MARGIN_MS < lasts_ms)
     }
 
-    /// Whether the lease should be renewed.
+    /// When the lease should be renewed, if it is held.
     #[must_use]
-    pub fn is_renewal_due(&self, now: Timestamp) -> bool {
-        self.held_from.is_some_and(|from| now.ms_since(from) >= RENEW_MS)
+    pub fn renew_at(&self) -> Option<Timestamp> {
+        self.held_from.map(|from| from.plus_ms(RENEW_MS))
     }
 
-    /// Whether this process may take the lease: an empty log has no holder, nor one that ends with a
-    /// release, and otherwise no record was seen for the whole duration.
+    /// When this process may take the lease unless a record is written before: an empty log has no holder, nor
+    /// one that ends with a release, and otherwise no record may be seen for the whole duration.
     #[must_use]
-    pub fn may_take(&self, now: Timestamp) -> bool {
-        let is_silent = |seen| now.ms_since(seen) >= LEASE_MS + ORDER_MARGIN_MS;
+    pub fn free_at(&self) -> Option<Timestamp> {
         let is_free = self.end == 0 || self.is_released;
-        self.seen.is_some_and(|seen| is_free || is_silent(seen))
+        let wait_ms = if is_free { 0 } else { LEASE_MS + ORDER_MARGIN_MS };
+        self.seen.map(|seen| seen.plus_ms(wait_ms))
+    }
+
+    /// Whether this process may take the lease.
+    #[must_use]
+    pub fn may_take(&self, now: Timestamp) -> bool {
+        self.free_at().is_some_and(|free| now >= free)
     }
 }
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -69,22 +69,7 @@
         let vouch = Vouch::from_endpoint(attempt.id());
         let _ = attempt.not_run_on_evidence(vouch, NotRunCode::EndpointRefused);
         log::info!("attempt not run id={} server={} status={status}", head.request_id, server.id);
-        if status == StatusCode::SERVICE_UNAVAILABLE && is_group_closed(state, &server) {
-            admitted.attempts -= 1;
-            admitted.closed += 1;
-            admitted.last_answer = Some((answer, true));
-            return Checked::Again(Box::new(admitted));
-        }
-        admitted.avoid.push(server.id.clone());
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            state.loads.note_absent(&server.id, state.clock.now());
-            state.list_doubted.notify_one();
-            admitted.attempts -= 1;
-            admitted.misdirected += 1;
-        } else {
-            state.loads.note_failure(&server.id, state.clock.now());
-            admitted.last_answer = Some((answer, true));
-        }
+        note_refusal(state, &mut admitted, &server, answer);
         return Checked::Again(Box::new(admitted));
     }
     if status.is_server_error() && admitted.may_run_again() {
@@ -100,6 +85,33 @@
     Checked::Answer(Answer::Whole(answer))
 }
 
+/// Notes what a server's refusal says of the server, and which attempts the request has left.
+fn note_refusal(
+    state: &GatewayState,
+    admitted: &mut Admitted,
+    server: &ServerEntry,
+    answer: WholeAnswer,
+) {
+    let now = state.clock.now();
+    let status = answer.status;
+    if status == StatusCode::SERVICE_UNAVAILABLE && is_group_closed(state, server) {
+        admitted.attempts -= 1;
+        admitted.closed += 1;
+        admitted.last_answer = Some((answer, true));
+        return;
+    }
+    admitted.avoid.push(server.id.clone());
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        state.loads.note_absent(&server.id, now);
+        state.list_doubted.notify_one();
+        admitted.attempts -= 1;
+        admitted.misdirected += 1;
+    } else {
+        state.loads.note_failure(&server.id, now);
+        admitted.last_answer = Some((answer, true));
+    }
+}
+
 /// Notes that a server refused a request. Tells whether its whole group seems to refuse, as while it forms.
 fn is_group_closed(state: &GatewayState, server: &ServerEntry) -> bool {
     let Some(group) = &server.group else { return false };
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -11,7 +11,7 @@
 use crate::decisions::servers::ServerEntry;
 use crate::filters::forward::exchange::{Admitted, Exchange, Head, Selected, View};
 use crate::gateway::GatewayState;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, TargetName};
 use crate::lifecycle::attempt::Attempt;
 use crate::outcome::NotRunCode;
 use crate::wire::heartbeat::server_tag;
@@ -19,7 +19,6 @@
 /// Times that a request may find another server at an address. Each costs a round trip and a retry, and
 /// no request finds as many unless the whole list is out of date.
 const MAX_MISDIRECTED: u32 = 4;
-
 /// Times that a request may be sent to a group that refuses it. Each takes a retry; a group that forms anew
 /// has done so by then.
 const MAX_CLOSED: u32 = 8;
@@ -104,12 +103,13 @@
         if let Some(server) = choose(state, admitted, bound, now) {
             return Some(server);
         }
-        let waits = bound.is_some() || state.loads.has_closed_groups();
+        let is_refused = has_refusing_group(state, &admitted.service);
+        let waits = bound.is_some() || is_refused;
         if !waits || phase == QueuePhase::Over {
             return None;
         }
         let mut left_ms = times.next_after(now).ms_since(now).max(1);
-        if state.loads.has_closed_groups() {
+        if is_refused {
             left_ms = left_ms.min(CLOSED_LOOK_MS);
         }
         let left = Duration::from_millis(left_ms);
@@ -118,6 +118,14 @@
     }
 }
 
+/// Whether a group of the service refuses requests, as while it forms.
+fn has_refusing_group(state: &GatewayState, service: &TargetName) -> bool {
+    let servers = state.servers.load();
+    let groups = servers.table.servers(service).iter().filter_map(|entry| entry.group.as_ref());
+    let mut groups = groups.map(|group| &group.name);
+    groups.any(|group| state.loads.has_group_refused(group))
+}
+
 /// The best server with fewer than `bound` requests in flight.
 fn choose(
     state: &GatewayState,
--- a/crates/lycheewood/src/load_book.rs
+++ b/crates/lycheewood/src/load_book.rs
@@ -111,9 +111,9 @@
         self.lock_closed().get(group).is_some_and(|until| now < *until)
     }
 
-    /// Whether any group refuses.
-    pub(crate) fn has_closed_groups(&self) -> bool {
-        !self.lock_closed().is_empty()
+    /// Whether a group has refused and has not answered since.
+    pub(crate) fn has_group_refused(&self, group: &str) -> bool {
+        self.lock_closed().contains_key(group)
     }
 
     /// Notes that a request goes to a group. If the group refuses, others wait for what becomes of it.
--- a/crates/lycheewood/tests/agents.rs
+++ b/crates/lycheewood/tests/agents.rs
@@ -132,3 +132,20 @@
     });
     assert_eq!(rank_client.orders.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against an order past the agents that would refuse it, from a holder that cannot reach the log and
+/// may have been replaced.
+#[test]
+fn no_order_goes_past_a_missing_agent_while_the_log_is_away() {
+    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let port = closed.local_addr().expect("an address").port();
+    drop(closed);
+    let direct = Arc::new(Obedient::default());
+    let ranks = AgentRanks::new(Arc::clone(&direct) as Arc<dyn RankClient>, port, Clock::system());
+    ranks.allow_direct_orders(false);
+    let order = RankOrder::Arm { version: 1, step: 5 };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    assert_eq!(runtime.block_on(ranks.order(&rank(), 1, &order)), OrderReply::Unknown);
+    assert_eq!(direct.orders.load(Ordering::Relaxed), 0);
+}
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -1,5 +1,6 @@
 //! What is sent again, and what a refusal promises.
 
+use std::io::Write;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -207,3 +208,30 @@
     let to_refusing = world.seen().iter().filter(|seen| seen.server == "s1").count();
     assert!(to_refusing <= 5, "{to_refusing} requests went to the server that refuses");
 }
+
+/// Guards against a request that waits because a group of another service refuses: its own service has no
+/// servers, and waiting brings none.
+#[test]
+fn a_refusing_group_holds_up_its_own_service_only() {
+    let mut world = World::start();
+    let mut table = routes(1);
+    for route in &mut table.routes {
+        // A wait would be longer than callers here read.
+        route.timeout_ms = 80_000;
+        if route.name == "read" {
+            route.split[0].service = "elsewhere".to_owned();
+        }
+    }
+    world.offer(table);
+    world.rank("s1", 0, refusal);
+    world.rank("s2", 1, refusal);
+    let patient =
+        |path: &str, id: &str| request(path, id).replace("X-Deadline: 3000", "X-Deadline: 80000");
+    world.wait_until_ready();
+    let mut waiting = world.connect();
+    waiting.write_all(patient("/once/x", "id-1").as_bytes()).expect("sent");
+    while world.seen().len() < 2 {
+        std::thread::park_timeout(std::time::Duration::from_millis(5));
+    }
+    assert_eq!(world.call(&patient("/read/x", "id-2")).status, 503);
+}
