--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -142,7 +142,6 @@
         let own = OwnState {
             route_version: self.state.routes.load().as_ref().map(|routes| routes.table.version),
             servers_next: servers.table.next,
-            servers_read: servers.read,
         };
         let peers = self.state.peers.load();
         let Some(source) = self.lag.source(&own, &peers, self.state.clock.now()) else { return };
--- a/crates/lycheewood/src/controllers/servers.rs
+++ b/crates/lycheewood/src/controllers/servers.rs
@@ -60,11 +60,11 @@
         actor
     }
 
-    fn publish(&self, read: Option<Timestamp>) {
+    fn publish(&self) {
         let table = self.fold.table();
         self.metrics.servers_listed.set(i64::try_from(table.len()).unwrap_or(i64::MAX));
         self.loads.retain(|server| table.all().any(|entry| entry.id == *server));
-        self.published.store(Arc::new(ServersInForce { table, read }));
+        self.published.store(Arc::new(ServersInForce { table }));
     }
 
     fn apply(&mut self, change: ServerChange, now: Timestamp) {
@@ -123,7 +123,7 @@
                 return;
             }
         }
-        self.publish(Some(now));
+        self.publish();
     }
 }
 
@@ -132,7 +132,7 @@
 
     async fn handle(&mut self, _: Expire, _: &mut Context<Self, ()>) {
         if self.fold.expire(self.clock.now()) {
-            self.publish(self.published.load().read);
+            self.publish();
         }
     }
 }
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -128,21 +128,20 @@
     pub route_version: Option<u64>,
     /// The first offset of the server list that it has not read.
     pub servers_next: Offset,
-    /// When the server list was last read.
-    pub servers_read: Option<Timestamp>,
 }
 
 /// A route table that others have must be missing for this long before it is fetched from one of them,
 /// in milliseconds. Where the platform answers, it brings the table sooner.
 const ROUTES_LAG_MS: u64 = 300;
-/// A server list that has not been read for this long is fetched from another instance, in
-/// milliseconds; well above the time between two reads.
-const SERVERS_LAG_MS: u64 = 2_500;
+/// The same for news of servers, in milliseconds. Longer, because instances gather the platform's news for up
+/// to 250 ms; well below the 2,000 ms within which requests to a draining server must end.
+const SERVERS_LAG_MS: u64 = 700;
 
 /// Watches whether this instance lacks what others have.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LagWatch {
-    behind_since: Option<Timestamp>,
+    routes_behind: Option<Timestamp>,
+    servers_behind: Option<Timestamp>,
 }
 
 impl LagWatch {
@@ -153,18 +152,28 @@
         peers: &PeerTable,
         now: Timestamp,
     ) -> Option<SocketAddr> {
-        let fresh = peers.peers.iter().filter(|(_, peer)| now.ms_since(peer.heard) < FRESH_MS);
-        let (address, best) = fresh
-            .max_by_key(|(_, peer)| (peer.heartbeat.route_version, peer.heartbeat.servers_next))?;
-        if best.heartbeat.route_version <= own.route_version {
-            self.behind_since = None;
-            let is_stale = own.servers_read.is_none_or(|at| now.ms_since(at) >= SERVERS_LAG_MS);
-            let has_more = best.heartbeat.servers_next > own.servers_next;
-            return (is_stale && has_more).then_some(*address);
-        }
-        let since = *self.behind_since.get_or_insert(now);
-        let is_due = own.route_version.is_none() || now.ms_since(since) >= ROUTES_LAG_MS;
-        is_due.then_some(*address)
+        let fresh = || peers.peers.iter().filter(|(_, peer)| now.ms_since(peer.heard) < FRESH_MS);
+        let newer = |peer: &Peer| peer.heartbeat.route_version > own.route_version;
+        let routes = fresh().max_by_key(|(_, peer)| peer.heartbeat.route_version);
+        let routes = routes.filter(|(_, peer)| newer(peer)).map(|(address, _)| *address);
+        let further = |peer: &Peer| peer.heartbeat.servers_next > own.servers_next;
+        let servers = fresh().max_by_key(|(_, peer)| peer.heartbeat.servers_next);
+        let servers = servers.filter(|(_, peer)| further(peer)).map(|(address, _)| *address);
+        let routes_ms = behind_ms(&mut self.routes_behind, routes.is_some(), now);
+        let servers_ms = behind_ms(&mut self.servers_behind, servers.is_some(), now);
+        let routes_due = own.route_version.is_none() || routes_ms >= ROUTES_LAG_MS;
+        let servers_due = servers_ms >= SERVERS_LAG_MS;
+        routes.filter(|_| routes_due).or(servers.filter(|_| servers_due))
+    }
+}
+
+/// How long this instance has been behind, in milliseconds.
+fn behind_ms(since: &mut Option<Timestamp>, is_behind: bool, now: Timestamp) -> u64 {
+    if is_behind {
+        now.ms_since(*since.get_or_insert(now))
+    } else {
+        *since = None;
+        0
     }
 }
 
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -94,8 +94,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServersInForce {
     pub(crate) table: ServerTable,
-    /// When the list was last read, from the platform or another instance.
-    pub(crate) read: Option<Timestamp>,
 }
 
 /// A server whose work takes this much of the usual time is slow, in percent.
--- a/crates/lycheewood/tests/adoption.rs
+++ b/crates/lycheewood/tests/adoption.rs
@@ -85,11 +85,7 @@
     }
     for index in 0..INSTANCES {
         let instance = &mut instances[index];
-        let own = OwnState {
-            route_version: instance.version,
-            servers_next: Offset(0),
-            servers_read: Some(now),
-        };
+        let own = OwnState { route_version: instance.version, servers_next: Offset(0) };
         let source = instance.lag.source(&own, &instance.peers.table(now), now);
         let source = source.and_then(|source| (0..INSTANCES).find(|i| address(*i) == source));
         // The other may have restarted since its heartbeat, and then has nothing to give.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -196,21 +196,20 @@
     let mut fold = PeerFold::default();
     fold.apply(from, heartbeat(1, 1, true), at(0));
     let mut lag = LagWatch::default();
-    let own = |version, read| OwnState {
-        route_version: version,
-        servers_next: Offset(7),
-        servers_read: Some(at(read)),
-    };
+    let own = |version| OwnState { route_version: version, servers_next: Offset(7) };
     let peers = fold.table(at(0));
     // Without a table there is nothing to wait for.
-    assert_eq!(lag.source(&own(None, 0), &peers, at(0)), Some(from));
-    assert_eq!(lag.source(&own(Some(2), 0), &peers, at(10)), None);
-    assert_eq!(lag.source(&own(Some(2), 0), &peers, at(310)), Some(from));
-    assert_eq!(lag.source(&own(Some(3), 300), &peers, at(320)), None);
-    // The server list is old, and the other instance has read further.
-    let stale = OwnState { servers_next: Offset(6), ..own(Some(3), 0) };
+    assert_eq!(lag.source(&own(None), &peers, at(0)), Some(from));
+    assert_eq!(lag.source(&own(Some(2)), &peers, at(10)), None);
+    assert_eq!(lag.source(&own(Some(2)), &peers, at(310)), Some(from));
+    assert_eq!(lag.source(&own(Some(3)), &peers, at(320)), None);
+    // The other instance has read further in the server list, and the platform brings nothing.
+    let stale = OwnState { servers_next: Offset(6), ..own(Some(3)) };
     fold.apply(from, heartbeat(1, 2, true), at(4_000));
-    assert_eq!(lag.source(&stale, &fold.table(at(4_000)), at(4_000)), Some(from));
+    let peers = fold.table(at(4_000));
+    assert_eq!(lag.source(&stale, &peers, at(4_000)), None);
+    assert_eq!(lag.source(&stale, &peers, at(4_700)), Some(from));
+    assert_eq!(lag.source(&own(Some(3)), &peers, at(4_800)), None);
 }
 
 /// Guards against callers that are sent to another failure domain for no reason, or to a single
