Follow each expert group in a task of its own

Cause: the holder of the lease looked at its groups one after the other. On the grown sites, with three groups, the first one filled its idle slots for 9.5 s while the others had map 0, and under load each group waited for the switches of the two others; demand had jumped again by then.

Ruled out: the time of one switch (211 ms, of which 76 ms are the copy) and the planning (45 ms between two).

Change: a task for each group and tenure, beside the one that follows the lease. A leaving holder lets its switches end before it gives the lease up. Ranks copy for up to 160 ms in a switch, at least one expert: two on the grown sites, one on the small ones as before. Counts are read from up to 12 ranks at a time, in turns where a group has more. `groups_do_not_wait_for_each_other` failed on the code before ("nobody controls the group").

--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -1,8 +1,9 @@
 //! The controller of expert groups: holds the lease, follows demand, and switches maps.
 //!
-//! It is one task on the control thread, since a switch is a sequence of orders each of which waits for
-//! the one before. It owns all of its state; what it tells other instances while it holds the lease is
-//! published.
+//! One task on the control thread follows the lease and the list of groups. While this instance holds the
+//! lease, each group has a task of its own beside it, since a switch is a sequence of orders each of which
+//! waits for the one before, and groups do not wait for each other. What this instance tells others
+//! meanwhile is published.
 
 mod demand;
 mod group;
@@ -13,7 +14,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use futures_util::future::join_all;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use crate::adapters::agent::client::AgentRanks;
 use crate::clock::Timestamp;
@@ -39,6 +43,7 @@
 const MAX_TURNS: usize = 8;
 
 /// What the controller works with.
+#[derive(Clone)]
 pub(crate) struct GroupPorts {
     pub(crate) ranks: Arc<AgentRanks>,
     pub(crate) log: Arc<dyn LeaseLog>,
@@ -57,42 +62,91 @@
 /// Runs the controller until the process ends.
 pub(crate) async fn run(state: Arc<GatewayState>, ports: GroupPorts) {
     let lease = LeaseKeeper::start(&state, Arc::clone(&ports.log));
-    let mut groups: BTreeMap<String, Group> = BTreeMap::new();
-    let mut looks_again = false;
+    let groups = watch::Sender::new(ListedGroups::default());
+    let mut tasks: BTreeMap<String, JoinHandle<()>> = BTreeMap::new();
+    let mut phases = state.phases();
     loop {
-        if !std::mem::take(&mut looks_again) {
-            sleep(Duration::from_millis(LOOK_MS)).await;
-        }
+        wait_for_look(&mut phases).await;
         let now = state.clock.now();
         let is_passed = others_lease_end(&state, now).is_some_and(|end| end > lease.end());
         if lease.fence().is_some() && (ports.ranks.is_superseded() || is_passed) {
             lease.note_superseded();
         }
-        let is_leaving = state.phase() != Phase::Serving;
-        // While the log is away nobody could take the lease over.
-        let gives_up = is_leaving && !lease.is_log_away();
+        tasks.retain(|_, task| !task.is_finished());
+        let gives_up = is_leaving(&state, &lease);
         if gives_up {
+            // Switches that are under way come to their end first.
+            join_all(std::mem::take(&mut tasks).into_values()).await;
             lease.release();
         }
         // Groups that form are on their way: whoever controls them should hold the lease when they open.
         let has_groups = has_groups(&state);
         if gives_up || !has_groups || !lease.may_order() {
-            groups.clear();
             state.set_lease_end(None);
             if let Some(end) = others_lease_end(&state, now) {
                 lease.note_heard(end);
-            } else if !is_leaving && has_groups {
+            } else if state.phase() == Phase::Serving && has_groups {
                 lease.want(turn_ms(&state, now));
             }
             continue;
         }
-        let listed = listed_groups(&state);
-        ports.ranks.set_fence(lease.fence().map_or(0, |fence| fence + 1));
+        let Some(fence) = lease.fence() else { continue };
+        ports.ranks.set_fence(fence + 1);
         state.set_lease_end(Some(lease.end()));
-        groups.retain(|name, _| listed.iter().any(|group| group.name == *name));
-        for listed in listed {
-            let group = groups.entry(listed.name.clone()).or_default();
-            looks_again |= group.look(&state, &ports, &lease, &listed).await;
+        groups.send_replace(Arc::new(listed_groups(&state)));
+        // The task of an earlier tenure may still be in a switch; two must not order the same ranks.
+        for name in groups.borrow().keys() {
+            tasks.entry(name.clone()).or_insert_with(|| {
+                let (state, ports, lease) = (Arc::clone(&state), ports.clone(), lease.clone());
+                let follower = GroupFollower { state, ports, lease };
+                tokio::spawn(follower.run(name.clone(), fence, groups.subscribe()))
+            });
+        }
+    }
+}
+
+/// Waits until it is time for a look, or until this instance begins to leave.
+async fn wait_for_look(phases: &mut watch::Receiver<Phase>) {
+    // Whichever comes first, the look tells what has changed.
+    let _ = timeout(Duration::from_millis(LOOK_MS), phases.changed()).await;
+}
+
+/// Whether this instance stops and should give the lease up. While the log is away nobody could take it over.
+fn is_leaving(state: &GatewayState, lease: &LeaseKeeper) -> bool {
+    state.phase() != Phase::Serving && !lease.is_log_away()
+}
+
+/// All open groups by name, shared among the tasks that follow them.
+type ListedGroups = Arc<BTreeMap<String, ListedGroup>>;
+
+/// Follows one group for one tenure of the lease.
+struct GroupFollower {
+    state: Arc<GatewayState>,
+    ports: GroupPorts,
+    lease: LeaseKeeper,
+}
+
+impl GroupFollower {
+    async fn run(self, name: String, fence: u64, groups: watch::Receiver<ListedGroups>) {
+        let mut group = Group::default();
+        let mut looks_again = false;
+        let mut phases = self.state.phases();
+        loop {
+            if !std::mem::take(&mut looks_again) {
+                wait_for_look(&mut phases).await;
+            }
+            let is_held = self.lease.fence() == Some(fence) && self.lease.may_order();
+            if !is_held || is_leaving(&self.state, &self.lease) {
+                return;
+            }
+            let groups = Arc::clone(&groups.borrow());
+            match groups.get(&name) {
+                Some(listed) => {
+                    looks_again = group.look(&self.state, &self.ports, &self.lease, listed).await;
+                }
+                // It forms anew, or is gone.
+                None => group = Group::default(),
+            }
         }
     }
 }
@@ -118,8 +172,8 @@
 }
 
 /// Groups whose ranks are all listed in one formation, and open.
-fn listed_groups(state: &GatewayState) -> Vec<ListedGroup> {
-    let Some(routes) = state.routes.load_full() else { return Vec::new() };
+fn listed_groups(state: &GatewayState) -> BTreeMap<String, ListedGroup> {
+    let Some(routes) = state.routes.load_full() else { return BTreeMap::new() };
     let servers = state.servers.load();
     let mut by_name: BTreeMap<&str, Vec<&Arc<ServerEntry>>> = BTreeMap::new();
     for entry in servers.table.entries() {
@@ -132,7 +186,7 @@
         .filter_map(|(name, entries)| {
             let service: &TargetName = &entries.first()?.service;
             let shape = *routes.table.expert_shapes.get(service)?;
-            listed_group(name, shape, &entries)
+            Some((name.to_owned(), listed_group(name, shape, &entries)?))
         })
         .collect()
 }
--- a/crates/lycheewood/src/controllers/expert_groups/demand.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/demand.rs
@@ -11,6 +11,10 @@
 /// Time between two reads of the counts, in milliseconds.
 const COUNTS_MS: u64 = 100;
 
+/// Ranks whose counts are read at a time. Requests are spread over all ranks, so these show the demand of the
+/// group; those of larger groups are read in turns, and the cost of a look does not grow with the group.
+const READ_AT_ONCE: usize = 12;
+
 /// Time that the work of a rank of usual pace takes, in percent.
 const USUAL_PACE: u32 = 100;
 /// A change of a pace by this much is logged, in percent.
@@ -37,10 +41,12 @@
     /// Holds that the last look showed, as rank and pass.
     held: Vec<(usize, u64)>,
     read: Timestamp,
+    /// Which ranks the next look reads, where there are several turns.
+    turn: usize,
 }
 
 impl DemandWatch {
-    /// Reads the counts of all ranks if it is time.
+    /// Reads the counts of all ranks, or of those whose turn it is, if it is time.
     pub(super) async fn read(
         &mut self,
         state: &GatewayState,
@@ -52,11 +58,15 @@
             return Demand::Unknown;
         }
         self.read = now;
-        let asked = listed.ranks.iter().map(|rank| ports.ranks.counts(rank, listed.shape.experts));
+        let turns = listed.ranks.len().div_ceil(READ_AT_ONCE).max(1);
+        self.turn = (self.turn + 1) % turns;
+        let due = || listed.ranks.iter().enumerate().skip(self.turn).step_by(turns);
+        let asked = due().map(|(_, rank)| ports.ranks.counts(rank, listed.shape.experts));
         let replies = join_all(asked).await;
+        let replies: Vec<_> = due().map(|(rank, _)| rank).zip(replies).collect();
         let mut total: Option<Vec<Vec<u64>>> = None;
         self.held.clear();
-        for (rank, counts) in replies.into_iter().enumerate() {
+        for (rank, counts) in replies {
             let Some(counts) = counts.filter(|counts| counts.epoch == listed.epoch) else {
                 continue;
             };
--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -13,10 +13,24 @@
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::group_ports::RankClient as _;
+use crate::routes::raw::ExpertShape;
 
-/// The most experts that a rank copies in one switch. A copy takes some 400 ms, and a switch that takes
-/// long answers the demand of the past.
-pub(super) const MAX_COPIES: usize = 1;
+/// Time that a rank may copy in one switch, in milliseconds. A switch that takes long answers the demand of the
+/// past, and one with few copies pays the time of its orders for little.
+const COPY_BUDGET_MS: f64 = 160.0;
+
+/// The most experts that a rank copies in one switch, at least 1.
+pub(super) fn max_copies(shape: &ExpertShape) -> usize {
+    let copies = 1..=shape.max_new * shape.sets;
+    let fitting = copies.take_while(|copies| copy_ms(shape, *copies) <= COPY_BUDGET_MS);
+    fitting.last().unwrap_or(1)
+}
+
+/// How long a rank takes to copy some experts, in milliseconds.
+pub(super) fn copy_ms(shape: &ExpertShape, copies: usize) -> f64 {
+    let copies = f64::from(u32::try_from(copies).unwrap_or(u32::MAX));
+    copies * shape.expert_mb * 8.0 / shape.link_mbps.max(1.0) * 1_000.0
+}
 
 /// What is known of one formation of a group.
 struct Formation {
@@ -61,7 +75,7 @@
         let map = &formation.map;
         let demand = formation.watch.demand(map.ranks);
         let next = match &demand {
-            Some(demand) => next_map(map, demand, &listed.shape, MAX_COPIES),
+            Some(demand) => next_map(map, demand, &listed.shape, max_copies(&listed.shape)),
             // Filling all slots takes a second or more, in which a group under load would get no other map.
             None if formation.watch.is_idle(now) => idle_map(map, &listed.shape),
             None => None,
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Timestamp;
 use crate::controllers::expert_groups::demand::{Demand, DemandWatch};
-use crate::controllers::expert_groups::group::{MAX_COPIES, statuses};
+use crate::controllers::expert_groups::group::{copy_ms, max_copies, statuses};
 use crate::controllers::expert_groups::lease::LeaseKeeper;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
 use crate::decisions::expert_groups::{
@@ -169,7 +169,7 @@
     step: &mut Option<(u64, Timestamp)>,
 ) -> Result<ExpertMap, SwitchStop> {
     let begun = run.now();
-    let copy_ms = copy_ms(run.listed, present, &next);
+    let copy_ms = longest_copy_ms(run.listed, present, &next);
     let switch = MapSwitch::propose(version, run.listed.epoch, next);
     let (switch, map) = prepare(run, switch, copy_ms, present, watch, step).await?;
     watch.read(run.state, run.ports, run.listed).await;
@@ -232,19 +232,18 @@
     next: &ExpertMap,
 ) -> bool {
     let Some(demand) = watch.demand(present.ranks) else { return false };
-    let fresh = next_map(present, &demand, &run.listed.shape, MAX_COPIES);
+    let fresh = next_map(present, &demand, &run.listed.shape, max_copies(&run.listed.shape));
     fresh.is_some_and(|fresh| imbalance(&fresh, &demand) + RESTART_GAIN < imbalance(next, &demand))
 }
 
 /// How long the slowest rank copies, in milliseconds.
-fn copy_ms(listed: &ListedGroup, present: &ExpertMap, next: &ExpertMap) -> u64 {
-    let mut copies = vec![0_u32; present.ranks];
+fn longest_copy_ms(listed: &ListedGroup, present: &ExpertMap, next: &ExpertMap) -> u64 {
+    let mut copies = vec![0_usize; present.ranks];
     for copied in present.moves_to(next) {
         copies[copied.rank] += 1;
     }
     let most = copies.into_iter().max().unwrap_or(0);
-    let one_ms = listed.shape.expert_mb * 8.0 / listed.shape.link_mbps.max(1.0) * 1_000.0;
-    crate::decisions::units::whole_ms(f64::from(most) * one_ms)
+    crate::decisions::units::whole_ms(copy_ms(&listed.shape, most))
 }
 
 async fn prepare(
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -49,6 +49,9 @@
     }
 }
 
+/// A server whose name begins like this gives no reply for a long time.
+const HANGING: &str = "hanging";
+
 /// Ranks that never say how they are, so that whoever controls them asks again at each look.
 #[derive(Default)]
 struct Ranks {
@@ -57,7 +60,10 @@
 
 #[async_trait]
 impl RankClient for Ranks {
-    async fn status(&self, _: &RankAddress) -> Option<RankStatus> {
+    async fn status(&self, rank: &RankAddress) -> Option<RankStatus> {
+        if rank.server.as_str().starts_with(HANGING) {
+            return std::future::pending().await;
+        }
         self.looks.fetch_add(1, Ordering::Relaxed);
         None
     }
@@ -116,7 +122,7 @@
         let (log, ranks) = (Arc::new(log), Arc::new(Ranks::default()));
         gateway.control_groups(ranks.clone(), log.clone()).expect("the relay listens");
         gateway.handle().offer_routes(routes());
-        let servers = (0..RANKS).map(server).collect();
+        let servers = (0..RANKS).map(|rank| server("s", "g", rank)).collect();
         gateway.handle().apply_servers(servers, Offset(RANKS as u64));
         Self { gateway, log, ranks }
     }
@@ -151,14 +157,15 @@
     RawRouteTable { version: 1, services: vec![service], ..RawRouteTable::default() }
 }
 
-fn server(rank: usize) -> ServerChange {
-    let id = InstanceId::new(&format!("s{rank}"));
-    let place = GroupPlace { name: "g".to_owned(), epoch: 1, rank, size: RANKS, is_open: true };
+fn server(prefix: &str, group: &str, rank: usize) -> ServerChange {
+    let id = InstanceId::new(&format!("{prefix}{rank}"));
+    let place = GroupPlace { name: group.to_owned(), epoch: 1, rank, size: RANKS, is_open: true };
     let entry = ServerEntry {
         id: id.clone(),
         service: TargetName::new("engines"),
-        // No agent listens at this address.
-        address: ([127, 0, 0, 2], if rank == 0 { 9 } else { 10 }).into(),
+        // No agent listens at this address. A server stands alone at its own.
+        address: ([127, 0, if group == "g" { 0 } else { 1 }, 2], if rank == 0 { 9 } else { 10 })
+            .into(),
         failure_domain: FailureDomain::new("a"),
         state: ServerState::Ready,
         slots: 4,
@@ -207,3 +214,18 @@
         serde_json::from_slice(records.last().expect("records")).expect("a record");
     assert!(last.is_release && last.holder != Incarnation(1), "{last:?}");
 }
+
+/// Guards against groups that wait for each other: a switch of one of three groups kept the others on an uneven
+/// map, and filling the slots of the first one while idle did so for 9.5 s (tread-coop-grown).
+#[test]
+fn groups_do_not_wait_for_each_other() {
+    let world = World::start(&[]);
+    world.wait_for_looks(1);
+    // The group's name comes first, and its ranks give no reply.
+    let hanging = (0..RANKS).map(|rank| {
+        let change = server(HANGING, "a", rank);
+        ServerChange { offset: Offset(change.offset.0 + 10), ..change }
+    });
+    world.gateway.handle().apply_servers(hanging.collect(), Offset(20));
+    world.wait_for_looks(30);
+}
