Prefer servers of the own domain, and send fewer heartbeats to others

Two thirds of the requests went to servers of other domains, and each gateway sent five heartbeats a second to all 60 others.

Change: a choice looks at three servers of the own domain and one of another, and takes the other one only if it has at least two requests less. Two of three heartbeats go to the own domain only; those of the holder of the lease and those that tell of a stop go to all. `servers_of_the_own_domain_are_preferred_up_to_a_bound` and `heartbeats_go_to_one_domain_or_to_all` are new; neither mechanism existed.

--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -20,9 +20,12 @@
 use crate::gateway::GatewayState;
 use crate::wire::heartbeat::{About, Heartbeat, SharedState, server_tag};
 
-/// The first heartbeats of a run say all, and so does each of this many later ones.
+/// The first heartbeats of a run say all and go to all, and so does each of this many later ones.
 const ABOUT_FIRST: u64 = 4;
-const ABOUT_EVERY: u64 = 8;
+const ABOUT_EVERY: u64 = 9;
+/// Each of this many heartbeats goes to all instances, the others to those of the own failure domain. Bytes
+/// between domains have a price; an instance counts as silent after 1,500 ms, more than twice this.
+const FAR_EVERY: u64 = 3;
 
 /// A heartbeat of another instance.
 struct Heard {
@@ -31,7 +34,10 @@
 }
 
 /// Time for the next heartbeat.
-struct Beat;
+struct Beat {
+    /// Whether it is a change that all instances should hear of.
+    is_for_all: bool,
+}
 
 /// Addresses of instances, from the platform's list or from another instance.
 pub(crate) struct Name {
@@ -222,11 +228,18 @@
 impl Message<Beat> for PeersController {
     type Reply = ();
 
-    async fn handle(&mut self, _: Beat, _: &mut Context<Self, ()>) {
+    async fn handle(&mut self, Beat { is_for_all }: Beat, _: &mut Context<Self, ()>) {
         self.fold.expire(self.state.clock.now());
         let heartbeat = self.heartbeat();
-        let own = self.state.settings.peer_address;
-        gossip::send(&self.socket, &heartbeat, self.fold.addresses().filter(|a| *a != own));
+        let settings = &self.state.settings;
+        // Others must not take a holder of the lease for silent.
+        let is_for_all = is_for_all
+            || heartbeat.leading.is_some()
+            || self.sequence <= ABOUT_FIRST
+            || self.sequence.is_multiple_of(FAR_EVERY);
+        let domain = Some(&settings.failure_domain).filter(|_| !is_for_all);
+        let addresses = self.fold.addresses(domain).filter(|a| *a != settings.peer_address);
+        gossip::send(&self.socket, &heartbeat, addresses);
         self.publish();
     }
 }
@@ -273,12 +286,18 @@
     let mut interval = interval(Duration::from_millis(heartbeat_ms));
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let mut is_for_all = false;
         tokio::select! {
             _ = interval.tick() => {}
-            changed = phases.changed() => if changed.is_err() { return },
+            changed = phases.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                is_for_all = true;
+            }
             () = state.news.notified() => {}
         }
-        if actor.tell(Beat).await.is_err() {
+        if actor.tell(Beat { is_for_all }).await.is_err() {
             return;
         }
     }
--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests in flight are known exactly for this instance and within a heartbeat for the others. Instances
 //! that decide within one heartbeat of each other must not all choose the least loaded server, so each looks
-//! at a few random ones and takes the one with the fewest requests for its size.
+//! at a few random ones, most of them in its own failure domain, and takes the one with the fewest requests
+//! for its size.
 
 use crate::decisions::units::{index_below, mix};
 use crate::ids::{FailureDomain, InstanceId};
@@ -10,11 +11,11 @@
 /// Added to the load of a server for each recent failure, in requests per slot. One failure outweighs
 /// a full queue of an average server; a few keep it for when all others fail as well.
 const FAILURE_LOAD: f64 = 2.0;
-/// Added to the load of a server in another failure domain. Breaks ties only: traffic between domains
-/// has a price, but waiting costs more.
-const REMOTE_LOAD: f64 = 0.02;
+/// Requests by which a server in another failure domain must be less loaded than one in the own domain. Bytes
+/// between domains have a price, and what others have in flight there is known later.
+const REMOTE_REQUESTS: f64 = 1.5;
 
-/// Servers that one choice looks at. With two, an even load is lost between servers that are both busy; with many,
+/// Servers of the own failure domain that one choice looks at, beside one of another domain. With two, an even load is lost between servers that are both busy; with many,
 /// all instances choose the same few. Three were best or within noise of it for 12 and for 72 servers.
 const LOOKED_AT: usize = 3;
 
@@ -49,22 +50,29 @@
     if indices.iter().any(|index| !servers[*index].is_slow) {
         indices.retain(|index| !servers[*index].is_slow);
     }
-    let looked_at = LOOKED_AT.min(indices.len());
+    let (mut near, mut far): (Vec<usize>, Vec<usize>) =
+        indices.into_iter().partition(|index| servers[*index].failure_domain == own_domain);
+    shuffle_to_front(&mut near, LOOKED_AT, random);
+    shuffle_to_front(&mut far, LOOKED_AT + 1 - near.len(), mix(random));
+    near.into_iter()
+        .chain(far)
+        .min_by(|a, b| load(&servers[*a], own_domain).total_cmp(&load(&servers[*b], own_domain)))
+}
+
+/// Keeps `count` random ones of the indices.
+fn shuffle_to_front(indices: &mut Vec<usize>, count: usize, random: u64) {
+    let count = count.min(indices.len());
     let mut word = random;
-    for place in 0..looked_at {
+    for place in 0..count {
         word = mix(word);
         let other = place + index_below(word, indices.len() - place);
         indices.swap(place, other);
     }
-    indices.truncate(looked_at);
-    indices
-        .into_iter()
-        .min_by(|a, b| load(&servers[*a], own_domain).total_cmp(&load(&servers[*b], own_domain)))
+    indices.truncate(count);
 }
 
 fn load(server: &ServerView<'_>, own_domain: &FailureDomain) -> f64 {
-    let remote = if server.failure_domain == own_domain { 0.0 } else { REMOTE_LOAD };
-    f64::from(server.in_flight) / f64::from(server.slots.max(1))
+    let remote = if server.failure_domain == own_domain { 0.0 } else { REMOTE_REQUESTS };
+    (f64::from(server.in_flight) + remote) / f64::from(server.slots.max(1))
         + FAILURE_LOAD * server.failures
-        + remote
 }
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -102,9 +102,12 @@
         self.named.retain(|_, named| now.ms_since(*named) < FORGET_MS);
     }
 
-    /// Where heartbeats go.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.keys().chain(self.named.keys()).copied()
+    /// Where heartbeats go: to all instances, or to those of one failure domain and those that were not heard.
+    pub fn addresses(&self, domain: Option<&FailureDomain>) -> impl Iterator<Item = SocketAddr> {
+        let is_meant =
+            move |peer: &Peer| domain.is_none_or(|domain| peer.about.failure_domain == *domain);
+        let peers = self.peers.iter().filter(move |(_, peer)| is_meant(peer));
+        peers.map(|(address, _)| *address).chain(self.named.keys().copied())
     }
 
     /// What others read.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -373,6 +373,47 @@
     assert!(light >= 40, "only {light} of 54 requests went to the less loaded half");
 }
 
+/// Guards against requests that cross failure domains for no reason, and against a domain whose servers are full
+/// while others have room.
+#[test]
+fn servers_of_the_own_domain_are_preferred_up_to_a_bound() {
+    let (near, far) = (FailureDomain::new("a"), FailureDomain::new("b"));
+    let ids: Vec<_> = (0..8).map(|n| InstanceId::new(&n.to_string())).collect();
+    let choose = |near_in_flight, far_in_flight, seed| {
+        let view = |(n, id)| ServerView {
+            id,
+            failure_domain: if n < 4 { &near } else { &far },
+            slots: 10,
+            in_flight: if n < 4 { near_in_flight } else { far_in_flight },
+            failures: 0.0,
+            is_slow: false,
+        };
+        let servers: Vec<_> = (0..).zip(&ids).map(view).collect();
+        choose_server(&servers, &near, &[], seed).expect("a server") < 4
+    };
+    for seed in 0..16 {
+        assert!(choose(5, 4, seed), "one request less is no reason to leave the domain");
+        assert!(!choose(5, 3, seed), "two requests less are");
+    }
+}
+
+/// Guards against heartbeats that all go to all instances: their bytes between failure domains grow with the
+/// square of the instances.
+#[test]
+fn heartbeats_go_to_one_domain_or_to_all() {
+    let [first, second, named]: [std::net::SocketAddr; 3] =
+        ["127.0.0.1:5", "127.0.0.1:6", "127.0.0.1:7"].map(|a| a.parse().expect("an address"));
+    let mut fold = PeerFold::default();
+    fold.apply(first, heartbeat(1, 1, true), at(0));
+    let mut far = heartbeat(2, 1, true);
+    far.about.as_mut().expect("it says all").failure_domain = FailureDomain::new("b");
+    fold.apply(second, far, at(0));
+    fold.name(named, at(0));
+    let near: Vec<_> = fold.addresses(Some(&FailureDomain::new("a"))).collect();
+    assert_eq!(near, [first, named], "what was not heard yet may be near");
+    assert_eq!(fold.addresses(None).count(), 3);
+}
+
 proptest! {
     /// Guards against events that depend on how the stream was cut into reads.
     #[test]
--- a/crates/lycheewood/tests/readers.rs
+++ b/crates/lycheewood/tests/readers.rs
@@ -129,12 +129,18 @@
     assert_eq!(lag.fetch(&own, &peers, at(30), 0).map(|fetch| fetch.source), Some(address(1)));
 }
 
+/// What the platform does with the calls of one instance.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Platform {
+    Answers,
+    Refuses,
+}
+
 /// One instance of the model.
 struct Instance {
     domain: FailureDomain,
     is_alive: bool,
-    /// Whether the platform answers it.
-    is_served: bool,
+    platform: Platform,
     duty: ReadDuty,
     has_duty: bool,
     reads_well: bool,
@@ -146,7 +152,7 @@
         Self {
             domain: domain(if index < INSTANCES / 2 { "a" } else { "b" }),
             is_alive: true,
-            is_served: true,
+            platform: Platform::Answers,
             duty: ReadDuty::default(),
             has_duty: false,
             reads_well: false,
@@ -177,7 +183,7 @@
             reads_well: instance.reads_well,
         };
         instance.has_duty = instance.duty.look(&own, &instance.peers.table(now), now);
-        instance.reads_well = instance.has_duty && instance.is_served;
+        instance.reads_well = instance.has_duty && instance.platform == Platform::Answers;
     }
 }
 
@@ -218,8 +224,8 @@
                         instances[index] = Instance::start(index);
                     }
                 }
-                Event::Refuse(index) => instances[index].is_served = false,
-                Event::Serve(index) => instances[index].is_served = true,
+                Event::Refuse(index) => instances[index].platform = Platform::Refuses,
+                Event::Serve(index) => instances[index].platform = Platform::Answers,
             }
             round(&mut instances);
         }
@@ -229,7 +235,7 @@
         for name in ["a", "b"] {
             let alive = || instances.iter().filter(|i| i.is_alive && i.domain == domain(name));
             let with_duty = alive().filter(|i| i.has_duty).count();
-            if alive().any(|i| i.is_served) {
+            if alive().any(|i| i.platform == Platform::Answers) {
                 prop_assert_eq!(with_duty, 1, "domain {}", name);
                 prop_assert!(alive().any(|i| i.has_duty && i.reads_well), "domain {}", name);
             } else {
