Try: correct the batch by the pauses that streams show

All streams are late then.

Change: each gateway lowers the batch of a group while the mean pause of its streams is above 87 in 100 of what is allowed, down to half, and gives that up for 3 s where it does not help.

--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -100,12 +100,11 @@
         let changed = state.capacity.notified();
         let now = state.clock.now();
         let phase = queue_phase(&times, now);
-        let bound = admitted.batch.map(|batch| queue_bound(batch, phase));
-        if let Some(server) = choose(state, admitted, bound, now) {
+        if let Some(server) = choose(state, admitted, phase, now) {
             return Some(server);
         }
         let is_refused = has_refusing_group(state, &admitted.service);
-        let waits = bound.is_some() || is_refused;
+        let waits = admitted.batch.is_some() || is_refused;
         if !waits || phase == QueuePhase::Over {
             return None;
         }
@@ -127,11 +126,11 @@
     groups.any(|group| state.loads.has_group_refused(group))
 }
 
-/// The best server with fewer than `bound` requests in flight.
+/// The best server with room for a request in this phase of its wait.
 fn choose(
     state: &GatewayState,
     admitted: &Admitted,
-    bound: Option<u32>,
+    phase: QueuePhase,
     now: Timestamp,
 ) -> Option<Arc<ServerEntry>> {
     let view = View::load(state);
@@ -148,7 +147,13 @@
             let others = view.peers.in_flight(&entry.id);
             (entry, own + others, failures)
         })
-        .filter(|(_, in_flight, _)| bound.is_none_or(|bound| *in_flight < bound))
+        .filter(|(entry, in_flight, _)| {
+            let batch = admitted.batch.map(|steady| match &entry.group {
+                Some(group) => state.batch(&group.name, steady),
+                None => steady,
+            });
+            batch.is_none_or(|batch| *in_flight < queue_bound(batch, phase))
+        })
         .collect();
     let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
     let is_slow = |id: &InstanceId| {
