--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -17,9 +17,6 @@
 use crate::load_book::InFlightGuard;
 use crate::outcome::UnknownCode;
 
-/// The least pause that counts as a pass of the engine, in milliseconds. What comes sooner is the rest of an event.
-const MIN_PASS_MS: u64 = 5;
-
 /// Why a stream ends before its last event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum CutReason {
@@ -53,8 +50,6 @@
 struct Source {
     admitted: Admitted,
     server: InstanceId,
-    /// The group that the server is a rank of.
-    group: Option<String>,
     answer: Box<UpstreamAnswer>,
     splitter: EventSplitter,
     _in_flight: InFlightGuard,
@@ -66,7 +61,6 @@
         Self {
             admitted,
             server: server.id.clone(),
-            group: server.group.as_ref().map(|group| group.name.clone()),
             answer,
             splitter: EventSplitter::default(),
             _in_flight: in_flight,
@@ -153,12 +147,7 @@
             let wait_ms = if admitted.may_leave() { patience_ms(Awaited::Event) } else { left_ms };
             match timeout(Duration::from_millis(wait_ms.min(left_ms)), answer.next()).await {
                 Ok(next) => {
-                    let now = self.state.clock.now();
-                    self.state.loads.note_sign(server, now);
-                    let pause_ms = now.ms_since(since);
-                    if self.events > 0 && pause_ms >= MIN_PASS_MS && matches!(next, Some(Ok(_))) {
-                        self.note_pause(pause_ms);
-                    }
+                    self.state.loads.note_sign(server, self.state.clock.now());
                     return Waited::Bytes(next);
                 }
                 Err(_)
@@ -177,16 +166,6 @@
         }
     }
 
-    /// Notes a pause between two events, by which the batch of the group is corrected.
-    fn note_pause(&self, pause_ms: u64) {
-        let Source { admitted, group, .. } = &self.source;
-        if let (Some(group), Some(steady), Some(gap_ms)) =
-            (group, admitted.batch, admitted.route.target_gap_ms)
-        {
-            self.state.note_pause(group, pause_ms, gap_ms, steady);
-        }
-    }
-
     /// Notes the id of an event. An event that the caller has already is not passed on again.
     fn is_next(&mut self, event: &[u8]) -> bool {
         let Some(id) = event_id(event) else { return true };
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -100,11 +100,12 @@
         let changed = state.capacity.notified();
         let now = state.clock.now();
         let phase = queue_phase(&times, now);
-        if let Some(server) = choose(state, admitted, phase, now) {
+        let bound = admitted.batch.map(|batch| queue_bound(batch, phase));
+        if let Some(server) = choose(state, admitted, bound, now) {
             return Some(server);
         }
         let is_refused = has_refusing_group(state, &admitted.service);
-        let waits = admitted.batch.is_some() || is_refused;
+        let waits = bound.is_some() || is_refused;
         if !waits || phase == QueuePhase::Over {
             return None;
         }
@@ -126,11 +127,11 @@
     groups.any(|group| state.loads.has_group_refused(group))
 }
 
-/// The best server with room for a request in this phase of its wait.
+/// The best server with fewer than `bound` requests in flight.
 fn choose(
     state: &GatewayState,
     admitted: &Admitted,
-    phase: QueuePhase,
+    bound: Option<u32>,
     now: Timestamp,
 ) -> Option<Arc<ServerEntry>> {
     let view = View::load(state);
@@ -147,13 +148,7 @@
             let others = view.peers.in_flight(&entry.id);
             (entry, own + others, failures)
         })
-        .filter(|(entry, in_flight, _)| {
-            let batch = admitted.batch.map(|steady| match &entry.group {
-                Some(group) => state.batch(&group.name, steady),
-                None => steady,
-            });
-            batch.is_none_or(|batch| *in_flight < queue_bound(batch, phase))
-        })
+        .filter(|(_, in_flight, _)| bound.is_none_or(|bound| *in_flight < bound))
         .collect();
     let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
     let is_slow = |id: &InstanceId| {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -10,7 +10,6 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
-use crate::decisions::batch::PaceControl;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::servers::ServerTable;
@@ -120,8 +119,6 @@
     /// Whether this instance should read the platform's topics.
     pub(crate) read_duty: watch::Sender<bool>,
     reading: Reading,
-    /// Batches of groups, by name.
-    paces: Mutex<HashMap<String, PaceControl>>,
     /// What this instance tells the others while it holds the lease over expert groups.
     leading: Mutex<Option<Leading>>,
     phase: watch::Sender<Phase>,
@@ -180,7 +177,6 @@
             news: Arc::default(),
             read_duty: watch::Sender::new(true),
             reading: Reading::default(),
-            paces: Mutex::default(),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             budgets: Mutex::default(),
@@ -211,23 +207,6 @@
         }
     }
 
-    /// Notes a pause of a stream that comes from a group and may be `gap_ms` long.
-    pub(crate) fn note_pause(&self, group: &str, pause_ms: u64, gap_ms: u64, steady: u32) {
-        let now = self.clock.now();
-        let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(pace) = paces.get_mut(group) {
-            pace.note(pause_ms, gap_ms, steady, now);
-        } else {
-            paces.entry(group.to_owned()).or_default().note(pause_ms, gap_ms, steady, now);
-        }
-    }
-
-    /// Requests that one server of a group should run at once, at most `steady`.
-    pub(crate) fn batch(&self, group: &str, steady: u32) -> u32 {
-        let paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
-        paces.get(group).map_or(steady, |pace| pace.bound(steady))
-    }
-
     /// Notes whether the last call for a topic of the platform was answered.
     pub(crate) fn note_reading(&self, topic: PlatformTopic, is_answered: bool) {
         let was_answered = self.reading.of(topic).swap(is_answered, Ordering::Relaxed);
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -82,7 +82,7 @@
 };
 // Under its own name: other log streams have records, pages and states as well.
 pub use decisions::balance::{ServerView, choose_server};
-pub use decisions::batch::{PaceControl, steady_batch};
+pub use decisions::batch::steady_batch;
 pub use decisions::entries::{
     AdviceSettings, EntryAdvice, InstanceCandidate, entry_advice, watched_endpoints,
 };
