--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -83,6 +83,7 @@
         let has_groups = has_groups(&state);
         if gives_up || !has_groups || !lease.may_order() {
             state.set_lease_end(None);
+            lease.note_peers(&state, &state.peers.load());
             if let Some(end) = others_lease_end(&state, now) {
                 lease.note_heard(end);
             } else if state.phase() == Phase::Serving && has_groups {
--- a/crates/lycheewood/src/controllers/expert_groups/demand.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/demand.rs
@@ -57,8 +57,10 @@
         if now.ms_since(self.read) < COUNTS_MS {
             return Demand::Unknown;
         }
+        // The first look reads all, so that each rank's next counts tell what was chosen since.
+        let is_first = self.read == Timestamp::default();
         self.read = now;
-        let turns = listed.ranks.len().div_ceil(READ_AT_ONCE).max(1);
+        let turns = if is_first { 1 } else { listed.ranks.len().div_ceil(READ_AT_ONCE).max(1) };
         self.turn = (self.turn + 1) % turns;
         let due = || listed.ranks.iter().enumerate().skip(self.turn).step_by(turns);
         let asked = due().map(|(_, rank)| ports.ranks.counts(rank, listed.shape.experts));
--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -3,6 +3,7 @@
 //! A task of its own makes the calls to the log, so that a switch never waits for a log that does not
 //! answer. The controller of groups reads the state that the task shares, and says what it wants.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
 use tokio::time::timeout;
 
 use crate::clock::{Clock, Timestamp};
-use crate::decisions::log_lease::{GroupRecord, LeaseState, tenure_version};
+use crate::decisions::log_lease::{GroupRecord, HolderWatch, LeaseState, tenure_version};
+use crate::decisions::peers::PeerTable;
 use crate::gateway::GatewayState;
 use crate::group_ports::{Appended, LeaseLog};
 use crate::ids::Incarnation;
@@ -40,6 +42,9 @@
     turn_ms: u64,
     /// Maps that this tenure has given versions to.
     maps: u64,
+    /// Who wrote the last record, and where it is heard.
+    holder: Option<(Incarnation, SocketAddr)>,
+    watch: HolderWatch,
 }
 
 /// This process's part in the lease.
@@ -56,7 +61,9 @@
     pub(super) fn start(gateway: &GatewayState, log: Arc<dyn LeaseLog>) -> Self {
         let (clock, own) = (gateway.clock, gateway.incarnation);
         let keeper = Self { shared: Arc::default(), changed: Arc::default(), clock };
-        let writer = LogWriter { log, own, keeper: keeper.clone(), failed: Timestamp::default() };
+        let address = gateway.settings.peer_address;
+        let writer =
+            LogWriter { log, own, address, keeper: keeper.clone(), failed: Timestamp::default() };
         tokio::spawn(writer.run());
         keeper
     }
@@ -93,6 +100,29 @@
         self.wish_for(Wish::Follow);
     }
 
+    /// Notes who is heard where the last holder was. A lease ends with its process.
+    pub(super) fn note_peers(&self, gateway: &GatewayState, peers: &PeerTable) {
+        let mut shared = self.lock();
+        let Some((holder, address)) = shared.holder else { return };
+        let has_ended = if address == gateway.settings.peer_address {
+            // This process has taken the address of the one before it.
+            holder != gateway.incarnation
+        } else {
+            let Some(peer) = peers.peers.get(&address) else { return };
+            let heartbeat = &peer.heartbeat;
+            shared.watch.has_ended(holder, heartbeat.incarnation, heartbeat.sequence)
+        };
+        if has_ended {
+            log::info!(
+                "group lease free holder={holder} address={address} reason=\"the holder has ended\""
+            );
+            shared.holder = None;
+            shared.state.note_released(true);
+            drop(shared);
+            self.changed.notify_one();
+        }
+    }
+
     fn wish_for(&self, wish: Wish) {
         if std::mem::replace(&mut self.lock().wish, wish) != wish {
             self.changed.notify_one();
@@ -130,6 +160,8 @@
 struct LogWriter {
     log: Arc<dyn LeaseLog>,
     own: Incarnation,
+    /// Where other instances hear this one.
+    address: SocketAddr,
     keeper: LeaseKeeper,
     /// When a call last failed.
     failed: Timestamp,
@@ -220,13 +252,15 @@
     }
 
     async fn append(&mut self, is_release: bool) -> Option<u64> {
-        let record = GroupRecord { holder: self.own, is_release };
+        let record = GroupRecord { holder: self.own, address: Some(self.address), is_release };
         // Every part of a record has a form in JSON.
         let bytes = Bytes::from(serde_json::to_vec(&record).unwrap_or_default());
         let (sent, end) = (self.now(), self.state().end);
         match self.log.append_at(end, bytes).await {
             Appended::At(offset) => {
-                self.keeper.lock().state.note_appended(offset, sent, self.now());
+                let mut shared = self.keeper.lock();
+                shared.state.note_appended(offset, sent, self.now());
+                shared.holder = None;
                 Some(offset)
             }
             Appended::OtherEnd => {
@@ -257,16 +291,19 @@
         let mut offset = first;
         let mut is_own = true;
         let mut is_release = None;
+        let mut holder = None;
         for bytes in &records {
             offset += 1;
             match serde_json::from_slice::<GroupRecord>(bytes) {
                 Ok(record) => {
                     is_own &= record.holder == self.own;
                     is_release = Some(record.is_release);
+                    holder = record.address.map(|address| (record.holder, address));
                 }
                 Err(error) => {
                     is_own = false;
                     is_release = Some(false);
+                    holder = None;
                     log::error!("group record unreadable offset={} reason=\"{error}\"", offset - 1);
                 }
             }
@@ -277,6 +314,8 @@
         }
         if let Some(is_release) = is_release {
             shared.state.note_released(is_release);
+            shared.holder = holder.filter(|(holder, _)| *holder != self.own);
+            shared.watch = HolderWatch::default();
         }
         let end = offset.max(shared.state.end);
         shared.state.note_read(end, is_own, self.now());
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -7,6 +7,8 @@
 //! on, and each call to an agent carries the number of its tenure: agents refuse a lower one than they
 //! have seen, and whoever takes over calls all of them first.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Timestamp;
@@ -30,6 +32,9 @@
 pub struct GroupRecord {
     /// The process that wrote it.
     pub holder: Incarnation,
+    /// Where other instances hear it. Another process there shows that this one has ended.
+    #[serde(default)]
+    pub address: Option<SocketAddr>,
     /// Whether it gives the lease up.
     #[serde(default)]
     pub is_release: bool,
@@ -53,6 +58,32 @@
     usize::try_from(spread).unwrap_or(0) % ranks.max(1)
 }
 
+/// Watches whether the process that wrote the last record has ended, so that nobody waits for its lease.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HolderWatch {
+    /// Another process that was heard at the holder's address: its run, and its heartbeat.
+    heard: Option<(Incarnation, u64)>,
+}
+
+impl HolderWatch {
+    /// Notes which process was heard at the address of `holder`, and with which heartbeat. Tells whether the
+    /// holder has ended. One heartbeat may be a late one of an earlier process; a second, later one is
+    /// not.
+    pub fn has_ended(&mut self, holder: Incarnation, heard: Incarnation, sequence: u64) -> bool {
+        if heard == holder {
+            self.heard = None;
+            return false;
+        }
+        match self.heard {
+            Some((former, first)) if former == heard => sequence > first,
+            _ => {
+                self.heard = Some((heard, sequence));
+                false
+            }
+        }
+    }
+}
+
 /// What one process knows of the lease.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseState {
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -91,7 +91,9 @@
     CountBook, ExpertDemand, Found, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
     find_switch, idle_map, imbalance, late_holds, next_map, switch_lead_ms, switch_step,
 };
-pub use decisions::log_lease::{GroupRecord, LeaseState, holding_rank, tenure_version};
+pub use decisions::log_lease::{
+    GroupRecord, HolderWatch, LeaseState, holding_rank, tenure_version,
+};
 pub use decisions::membership::{
     Connection, Eligibility, InstanceView, Listed, MembershipSettings, eligibility, may_be_told,
 };
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -1,12 +1,12 @@
 //! Decisions about forwarded requests: routes, servers, instances, choice, queueing and events.
 
 use lycheewood::{
-    About, CountBook, EnginePace, EntryView, EventSplitter, FailureDomain, Heartbeat, Incarnation,
-    InstanceId, LeaseState, Offset, PeerFold, QueuePhase, QueueTimes, RankCounts, RawKeyHolder,
-    RawRoute, RawRouteTable, RawShare, RequestKind, RouteTable, RouteTableError, ServerChange,
-    ServerEntry, ServerFold, ServerRecord, ServerState, ServerView, TargetName, Timestamp,
-    choose_server, event_id, holding_rank, near_entries, queue_bound, queue_phase, steady_batch,
-    switch_lead_ms, switch_step, tenure_version,
+    About, CountBook, EnginePace, EntryView, EventSplitter, FailureDomain, Heartbeat, HolderWatch,
+    Incarnation, InstanceId, LeaseState, Offset, PeerFold, QueuePhase, QueueTimes, RankCounts,
+    RawKeyHolder, RawRoute, RawRouteTable, RawShare, RequestKind, RouteTable, RouteTableError,
+    ServerChange, ServerEntry, ServerFold, ServerRecord, ServerState, ServerView, TargetName,
+    Timestamp, choose_server, event_id, holding_rank, near_entries, queue_bound, queue_phase,
+    steady_batch, switch_lead_ms, switch_step, tenure_version,
 };
 use proptest::prelude::*;
 
@@ -414,6 +414,21 @@
     assert_eq!(fold.addresses(None).count(), 3);
 }
 
+/// Guards against a lease that is waited for although its holder has lost power, and against one that is taken
+/// from a living holder because of a late heartbeat of the process before it.
+#[test]
+fn a_lease_ends_with_its_process_but_not_on_one_late_heartbeat() {
+    let (holder, before, after) = (Incarnation(2), Incarnation(1), Incarnation(3));
+    let mut watch = HolderWatch::default();
+    assert!(!watch.has_ended(holder, holder, 40));
+    assert!(!watch.has_ended(holder, before, 90), "a late heartbeat");
+    assert!(!watch.has_ended(holder, before, 90), "the same one again");
+    assert!(!watch.has_ended(holder, holder, 41), "the holder lives");
+    assert!(!watch.has_ended(holder, after, 1));
+    assert!(!watch.has_ended(holder, after, 1));
+    assert!(watch.has_ended(holder, after, 2), "another process goes on there");
+}
+
 proptest! {
     /// Guards against events that depend on how the stream was cut into reads.
     #[test]
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -174,7 +174,7 @@
 }
 
 fn of_another(is_release: bool) -> GroupRecord {
-    GroupRecord { holder: Incarnation(1), is_release }
+    GroupRecord { holder: Incarnation(1), address: None, is_release }
 }
 
 /// Guards against groups that nobody controls while the log does not answer: the lease ended 1 s after the
