--- /dev/null
+++ b/crates/lycheewood/tests/log_lease.rs
@@ -0,0 +1,102 @@
+//! The lease over expert groups in a log.
+
+use lycheewood::{HolderWatch, Incarnation, LeaseState, Timestamp, holding_rank, tenure_version};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_unix_ms(1_000_000 + ms)
+}
+
+/// Guards against two processes that give orders at the same time.
+#[test]
+fn a_lease_is_over_before_another_process_may_take_it() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(0, at(0), at(100));
+    let mut other = LeaseState::default();
+    // The other process sees the record at the earliest when it was sent.
+    other.note_read(1, false, at(0));
+    for ms in 0..5_000 {
+        assert!(!(holder.may_order(at(ms)) && other.may_take(at(ms))), "both at {ms} ms");
+    }
+    assert!(other.may_take(at(4_000)));
+    // A new record starts the wait anew.
+    other.note_read(2, false, at(4_000));
+    assert!(!other.may_take(at(4_100)));
+    holder.note_lost();
+    assert!(!holder.may_order(at(0)));
+}
+
+/// Guards against seconds without a holder, because whoever takes over begins to wait only when it reads
+/// the log, and against a wait that counts from an end that the log has passed.
+#[test]
+fn a_lease_is_taken_soon_by_those_that_heard_its_holder() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(0, at(0), at(10));
+    let mut listener = LeaseState::default();
+    listener.note_heard(1, at(10));
+    // The holder tells of the same end in each heartbeat.
+    listener.note_heard(1, at(1_500));
+    listener.note_read(1, false, at(2_100));
+    let taken = (0..5_000).find(|ms| listener.may_take(at(*ms))).expect("it is taken at some time");
+    assert!(!holder.may_order(at(taken)) && taken < 3_000, "taken at {taken} ms");
+    let mut outdated = LeaseState::default();
+    outdated.note_heard(1, at(10));
+    outdated.note_read(2, false, at(2_100));
+    assert!(!outdated.may_take(at(2_300)));
+}
+
+/// Guards against seconds without a holder after a planned stop.
+#[test]
+fn a_lease_that_is_given_up_is_taken_at_once() {
+    let mut other = LeaseState::default();
+    other.note_read(3, false, at(0));
+    assert!(!other.may_take(at(100)));
+    other.note_released(true);
+    other.note_read(4, false, at(100));
+    assert!(other.may_take(at(100)));
+}
+
+/// Guards against groups without a holder for as long as the log is away, and against a holder that goes on
+/// for ever or after it has read that another one took over.
+#[test]
+fn a_holder_goes_on_while_the_log_does_not_answer() {
+    let mut holder = LeaseState::default();
+    holder.note_appended(4, at(0), at(10));
+    assert_eq!(holder.fence(), Some(4));
+    assert!(!holder.may_order(at(5_000)));
+    holder.note_log_away();
+    assert!(holder.may_order(at(5_000)) && !holder.may_order(at(60_000)));
+    // Its renewals belong to the same tenure.
+    holder.note_appended(5, at(6_000), at(6_010));
+    assert_eq!(holder.fence(), Some(4));
+    holder.note_log_away();
+    holder.note_read(7, false, at(7_000));
+    assert_eq!((holder.may_order(at(7_000)), holder.fence()), (false, None));
+}
+
+/// Guards against two maps with one version, and versions that fall when the lease passes on.
+#[test]
+fn versions_of_maps_rise_from_tenure_to_tenure() {
+    let tenures = [(0, 1), (0, 2), (0, 900), (1, 1), (40, 1), (41, 1)];
+    let versions: Vec<u64> =
+        tenures.iter().map(|(fence, count)| tenure_version(*fence, *count)).collect();
+    assert!(versions.windows(2).all(|pair| pair[0] < pair[1]), "{versions:?}");
+    assert!(tenure_version(1 << 30, 1) < 1 << 53);
+    let ranks: Vec<usize> = (1..5).map(|n| holding_rank(tenure_version(7, n), 12)).collect();
+    assert!(ranks.windows(2).all(|pair| pair[0] != pair[1]), "{ranks:?}");
+    assert_ne!(holding_rank(tenure_version(7, 1), 12), holding_rank(tenure_version(8, 1), 12));
+}
+
+/// Guards against a lease that is waited for although its holder has lost power, and against one that is taken
+/// from a living holder because of a late heartbeat of the process before it.
+#[test]
+fn a_lease_ends_with_its_process_but_not_on_one_late_heartbeat() {
+    let (holder, before, after) = (Incarnation(2), Incarnation(1), Incarnation(3));
+    let mut watch = HolderWatch::default();
+    assert!(!watch.has_ended(holder, holder, 40));
+    assert!(!watch.has_ended(holder, before, 90), "a late heartbeat");
+    assert!(!watch.has_ended(holder, before, 90), "the same one again");
+    assert!(!watch.has_ended(holder, holder, 41), "the holder lives");
+    assert!(!watch.has_ended(holder, after, 1));
+    assert!(!watch.has_ended(holder, after, 1));
+    assert!(watch.has_ended(holder, after, 2), "another process goes on there");
+}
