Log and count crashes of endpoints at gateways

After a response breaks, the gateway now connects once more: only a refused connection counts as a crash. It is logged with the request and the start of the endpoint's incarnation, which the endpoint list now carries, and counted. No routing decision has changed; the gateway and forwarding tests pass.

--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -4,6 +4,7 @@
 //! next request is sent. None of these can be told apart from a request that ran, so connections are not
 //! reused.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -105,6 +106,13 @@
     Ok(Connection { sender, task: ConnectionTask(task.abort_handle()) })
 }
 
+/// Whether the machine at `address` refuses connections, which shows that nothing listens there. `false` if it
+/// accepts one or does not answer in time.
+pub(crate) async fn is_refused(address: SocketAddr, timeout_ms: u64) -> bool {
+    let connected = timeout(Duration::from_millis(timeout_ms), TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 impl Connection {
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
--- a/crates/lycheewood/src/decisions/endpoint_list.rs
+++ b/crates/lycheewood/src/decisions/endpoint_list.rs
@@ -53,6 +53,10 @@
     pub slots: u32,
     /// Membership in a group, if any.
     pub group: Option<GroupMembership>,
+    /// When this incarnation started, in Unix milliseconds, by the endpoint's own clock; 0 if it does not say.
+    /// An endpoint may start again under the identifier that it had.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 /// Content of a record for one endpoint.
--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod authenticate;
 pub(crate) mod check;
+pub(crate) mod crash;
 pub(crate) mod exchange;
 pub(crate) mod read_body;
 pub(crate) mod relay;
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -9,6 +9,7 @@
 
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::ForwardedResponse;
+use crate::filters::forward::crash;
 use crate::filters::forward::exchange::{
     Admitted, BufferedResponse, Exchange, RequestHead, Responded,
 };
@@ -60,6 +61,7 @@
                 head.request_id,
                 endpoint.id
             );
+            crash::has_crashed(state, head, &endpoint).await;
             record_failed_attempt(state, &mut admitted, &endpoint.id, UnknownCode::EndpointLost);
             return CheckOutcome::Retry(Box::new(admitted));
         }
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -8,8 +8,10 @@
 use tokio::time::timeout;
 
 use crate::adapters::forward::upstream::{UpstreamError, UpstreamResponse};
+use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
+use crate::filters::forward::crash;
 use crate::filters::forward::exchange::{Admitted, RequestHead, Responded};
 use crate::filters::forward::{ForwardedResponse, attempt};
 use crate::gateway::GatewayState;
@@ -53,7 +55,7 @@
 /// The present upstream of a stream.
 struct Source {
     admitted: Admitted,
-    endpoint: InstanceId,
+    endpoint: Arc<EndpointEntry>,
     response: Box<UpstreamResponse>,
     splitter: EventSplitter,
     _in_flight: InFlightGuard,
@@ -64,7 +66,7 @@
         let Responded { admitted, endpoint, in_flight, response, .. } = responded;
         Self {
             admitted,
-            endpoint: endpoint.id.clone(),
+            endpoint,
             response,
             splitter: EventSplitter::default(),
             _in_flight: in_flight,
@@ -96,8 +98,8 @@
     }
 
     /// The endpoint that the stream presently comes from.
-    pub(crate) const fn endpoint(&self) -> &InstanceId {
-        &self.source.endpoint
+    pub(crate) fn endpoint(&self) -> &InstanceId {
+        &self.source.endpoint.id
     }
 
     /// The next event, or `None` after the last one.
@@ -126,11 +128,12 @@
                 },
                 Some(Err(error)) => error.to_string(),
                 None if !self.source.splitter.has_partial() => {
-                    self.state.loads.record_success(&self.source.endpoint);
+                    self.state.loads.record_success(&self.source.endpoint.id);
                     return None;
                 }
                 None => "the stream ends within an event".to_owned(),
             };
+            crash::has_crashed(&self.state, &self.head, &self.source.endpoint).await;
             if !self.resume(&reason).await {
                 return Some(Err(StreamError::Broken));
             }
@@ -155,7 +158,7 @@
             };
             match timeout(Duration::from_millis(wait_ms.min(remaining_ms)), response.next()).await {
                 Ok(next) => {
-                    self.state.loads.record_activity(endpoint, self.state.clock.now());
+                    self.state.loads.record_activity(&endpoint.id, self.state.clock.now());
                     return WaitOutcome::Bytes(next);
                 }
                 Err(_)
@@ -163,7 +166,7 @@
                         && self.state.should_fail_over(
                             ResponsePart::Event,
                             &admitted.service,
-                            endpoint,
+                            &endpoint.id,
                             since,
                         ) =>
                 {
@@ -189,11 +192,11 @@
         log::info!(
             "stream broken id={} server={} events={} reason=\"{reason}\"",
             self.head.request_id,
-            self.source.endpoint,
+            self.source.endpoint.id,
             self.events
         );
         let admitted = &mut self.source.admitted;
-        self.state.loads.record_failure(&self.source.endpoint, self.state.clock.now());
+        self.state.loads.record_failure(&self.source.endpoint.id, self.state.clock.now());
         if !admitted.may_repeat() {
             return false;
         }
@@ -208,7 +211,7 @@
             last_response: None,
             ..*admitted
         };
-        retry.avoid.push(self.source.endpoint.clone());
+        retry.avoid.push(self.source.endpoint.id.clone());
         // Boxed because the future of `attempt` contains this one.
         match Box::pin(attempt(&self.state, &self.head, retry)).await {
             Ok(ForwardedResponse::Streaming(stream)) => {
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -7,6 +7,7 @@
 
 use crate::adapters::forward::upstream::{self, UpstreamError, UpstreamRequest, UpstreamResponse};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
+use crate::filters::forward::crash;
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
@@ -76,7 +77,10 @@
             let now = state.clock.now();
             return SendOutcome::Responded(Exchange { head, view, now, stage: responded });
         }
-        WaitOutcome::Response(Err(error)) => (UnknownCode::EndpointLost, error.to_string()),
+        WaitOutcome::Response(Err(error)) => {
+            crash::has_crashed(state, head, &endpoint).await;
+            (UnknownCode::EndpointLost, error.to_string())
+        }
         WaitOutcome::Stalled => {
             (UnknownCode::EndpointLost, "silent while other endpoints respond".to_owned())
         }
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -17,6 +17,7 @@
     pub(crate) retries: IntCounter,
     pub(crate) retries_denied: IntCounter,
     pub(crate) resumed: IntCounter,
+    pub(crate) endpoint_crashes: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_in_flight: IntGauge,
@@ -58,6 +59,10 @@
                 "lycheewood_gateway_streams_resumed_total",
                 "Broken streams continued at another endpoint.",
             )?,
+            endpoint_crashes: metrics.counter(
+                "lycheewood_gateway_endpoint_crashes_total",
+                "Requests whose endpoint ended while it may have run them.",
+            )?,
             first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -87,6 +87,7 @@
         state,
         slots: 4,
         group: None,
+        started_ms: 0,
     })
 }
 
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -151,6 +151,7 @@
             state,
             slots: 4,
             group,
+            started_ms: 0,
         };
         let offset = Offset(self.next_offset);
         self.next_offset += 1;
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -177,6 +177,7 @@
         state: EndpointAvailability::Ready,
         slots: 4,
         group: Some(membership),
+        started_ms: 0,
     };
     EndpointChange { offset: Offset(rank as u64), id, record: EndpointRecord::Entry(entry) }
 }
