Quarantine requests that crash endpoints at gateways too

Callers saw nothing, but endpoints ended one after the other: a gateway retried a request whose endpoint had crashed like any other, and nobody remembered it when its caller sent it again under a new id.

The entry's chain has the quarantine of decisions/quarantine, which the gateways did not use.

Change: gateways use the same table and the same entries. A gateway that loses a response to an endpoint that refuses connections reports its request to the other gateways before it tries again; a suspect is tried in one place; two crashes quarantine it for 60 s. A request that an endpoint has completed within a minute is no suspect, so that a popular one is not refused after ordinary crashes. Reports of one crash by several gateways are merged by request.

--- a/crates/lycheewood/src/adapters/gossip.rs
+++ b/crates/lycheewood/src/adapters/gossip.rs
@@ -1,4 +1,4 @@
-//! Messages between entry instances: heartbeats in datagrams, and shared state over HTTP.
+//! Messages between entry instances: heartbeats and quarantine notices in datagrams, and shared state over HTTP.
 
 use std::convert::Infallible;
 use std::io;
@@ -20,8 +20,10 @@
 
 use crate::adapters::http::{HttpClient, HttpError};
 use crate::controllers::peers::StateSource;
+use crate::decisions::quarantine::record::QuarantineEntry;
 use crate::decisions::readers::StateFetch;
 use crate::wire::heartbeat::{Heartbeat, SharedState};
+use crate::wire::quarantine_notice::QuarantineNotice;
 
 /// The largest datagram that is read, in bytes. A heartbeat with 200 endpoints has about 5,000.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -49,13 +51,39 @@
     }
 }
 
-/// Waits for the next heartbeat. Datagrams that cannot be read are dropped.
-pub(crate) async fn receive(socket: &UdpSocket) -> io::Result<(SocketAddr, Heartbeat)> {
+/// Sends entries of the quarantine to each address.
+pub(crate) fn send_notice(
+    socket: &UdpSocket,
+    entries: &[QuarantineEntry],
+    addresses: impl Iterator<Item = SocketAddr>,
+) {
+    let bytes = encode(&QuarantineNotice { quarantine: entries.to_vec() });
+    for address in addresses {
+        let _ = socket.try_send_to(&bytes, address);
+    }
+}
+
+/// A datagram of another instance.
+pub(crate) enum Datagram {
+    Heartbeat(Heartbeat),
+    Quarantine(QuarantineNotice),
+}
+
+impl Datagram {
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        // A heartbeat is an array and a notice is a map, so no datagram can be read as both.
+        let heartbeat = decode(bytes).map(Self::Heartbeat);
+        heartbeat.or_else(|| decode(bytes).map(Self::Quarantine))
+    }
+}
+
+/// Waits for the next datagram. Those that cannot be read are dropped.
+pub(crate) async fn receive(socket: &UdpSocket) -> io::Result<(SocketAddr, Datagram)> {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let (length, from) = socket.recv_from(&mut buffer).await?;
-        match decode(&buffer[..length]) {
-            Some(heartbeat) => return Ok((from, heartbeat)),
+        match Datagram::decode(&buffer[..length]) {
+            Some(datagram) => return Ok((from, datagram)),
             None => log::warn!("datagram unreadable from={from} bytes={length}"),
         }
     }
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -9,6 +9,7 @@
 pub(crate) mod document;
 pub(crate) mod endpoint_list;
 pub(crate) mod expert_groups;
+pub(crate) mod gateway_quarantine;
 pub(crate) mod leases;
 pub(crate) mod load;
 pub(crate) mod membership;
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -12,8 +12,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::adapters::gossip;
+use crate::adapters::gossip::{self, Datagram};
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
+use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
 use crate::controllers::routes::{RoutesController, UpdateRoutes};
 use crate::decisions::peers::PeerTracker;
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
@@ -89,11 +90,11 @@
     /// Starts the controller, its datagram receiver and its timer on the current runtime.
     pub(crate) fn start(
         state: Arc<GatewayState>,
-        socket: UdpSocket,
+        socket: Arc<UdpSocket>,
         routes: ActorRef<RoutesController>,
         endpoints: ActorRef<EndpointListController>,
+        quarantine: ActorRef<GatewayQuarantine>,
     ) -> ActorRef<Self> {
-        let socket = Arc::new(socket);
         let mut tracker = PeerTracker::default();
         for seed in &state.settings.seeds {
             tracker.add_address(*seed, state.clock.now());
@@ -111,7 +112,7 @@
             endpoints,
         };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
-        tokio::spawn(receive_heartbeats(socket, actor.clone()));
+        tokio::spawn(receive_datagrams(socket, actor.clone(), quarantine));
         tokio::spawn(schedule_heartbeats(actor.clone(), heartbeat_ms, shared));
         actor
     }
@@ -282,17 +283,26 @@
     }
 }
 
-/// Passes received heartbeats to the controller.
-async fn receive_heartbeats(socket: Arc<UdpSocket>, actor: ActorRef<PeersController>) {
+/// Passes received heartbeats and quarantine entries to the controllers.
+async fn receive_datagrams(
+    socket: Arc<UdpSocket>,
+    actor: ActorRef<PeersController>,
+    quarantine: ActorRef<GatewayQuarantine>,
+) {
     loop {
         match gossip::receive(&socket).await {
-            Ok((from, heartbeat)) => {
+            Ok((_, Datagram::Quarantine(notice))) => {
+                if quarantine.tell(EntriesReceived(notice.quarantine)).await.is_err() {
+                    return;
+                }
+            }
+            Ok((from, Datagram::Heartbeat(heartbeat))) => {
                 if actor.tell(HeartbeatReceived { from, heartbeat }).await.is_err() {
                     return;
                 }
             }
             // The socket reports an error if the port of a peer is closed, and remains usable.
-            Err(error) => log::debug!("heartbeat receive error reason=\"{error}\""),
+            Err(error) => log::debug!("datagram receive error reason=\"{error}\""),
         }
     }
 }
--- a/crates/lycheewood/src/decisions/quarantine.rs
+++ b/crates/lycheewood/src/decisions/quarantine.rs
@@ -15,6 +15,11 @@
 //! - A suspect that completes its trial is cleared. Quarantine, trial and suspicion all expire, so no
 //!   innocent request is refused permanently, even while the log is down.
 //!
+//! Gateways have no log to order their entries. Each tells the others directly, and each applies the entries in
+//! the order of arrival: two gateways that have not heard of each other may start a trial of the same request at
+//! the same time, which costs one more crash. A gateway does not report a request that an endpoint has completed
+//! lately, and says so when another one reports it.
+//!
 //! A request that crashes endpoints only at random and completes its trials becomes a suspect again at
 //! each crash.
 
@@ -24,6 +29,7 @@
 use crate::decisions::digest::Fingerprint;
 use crate::ids::{AttemptId, Incarnation, Offset, VersionName};
 
+pub(crate) mod completions;
 pub(crate) mod record;
 
 use record::{QUARANTINE_SCHEMA, QuarantineEntry, QuarantineRecord, ReportId, SuspectReport};
@@ -83,8 +89,9 @@
 pub struct QuarantineTable {
     settings: QuarantineSettings,
     suspects: BTreeMap<Fingerprint, Suspect>,
-    /// Reports that were applied, with the time until which a copy is ignored.
-    reports: BTreeMap<ReportId, Timestamp>,
+    /// Reports that were applied, by request, with the time until which a copy is ignored. Several gateways may
+    /// report the same crash, each with its own requests.
+    reports: BTreeMap<(Fingerprint, ReportId), Timestamp>,
     /// Requests in reports that came directly from an endpoint and were not read from the log yet, with
     /// the time until which they are refused.
     direct_reports: BTreeMap<(Fingerprint, ReportId), Timestamp>,
@@ -140,15 +147,25 @@
         record.schema <= QUARANTINE_SCHEMA && self.apply_entry(record.entry)
     }
 
+    /// Applies an entry that did not come from the log, in the order of arrival. Returns whether it had an effect.
+    pub fn apply_unordered(&mut self, entry: QuarantineEntry, now: Timestamp) -> bool {
+        self.expire_at(now);
+        self.apply_entry(entry)
+    }
+
+    /// Whether a request is suspect or quarantined.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        self.suspects.contains_key(fingerprint)
+    }
+
     /// Applies a report that came directly from the endpoint, before it is read from the log. Its requests
     /// are refused until the report is read from the log, or for `quarantine_ms` if it never is.
     pub fn add_direct_report(&mut self, report: &SuspectReport, now: Timestamp) {
         self.direct_reports.retain(|_, until| *until > now);
-        if self.reports.contains_key(&report.report) {
-            return;
-        }
         let until = now.plus_ms(self.quarantine_ms(report));
-        for fingerprint in &report.fingerprints {
+        let is_new = |f: &&Fingerprint| !self.reports.contains_key(&(**f, report.report));
+        for fingerprint in report.fingerprints.iter().filter(is_new) {
             self.direct_reports.insert((*fingerprint, report.report), until);
         }
         evict_earliest(&mut self.direct_reports, self.settings.max_suspects, |until| *until);
@@ -191,6 +208,9 @@
             QuarantineEntry::Withdrawn { fingerprint, attempt } => {
                 self.withdraw(&fingerprint, attempt)
             }
+            QuarantineEntry::Completed { fingerprint } => {
+                self.suspects.remove(&fingerprint).is_some()
+            }
             QuarantineEntry::Unknown => false,
         }
     }
@@ -202,16 +222,18 @@
         }
         // A copy of the report may arrive for as long as its requests stay suspects.
         let expires_at = self.log_time.plus_ms(quarantine_ms.saturating_mul(2));
-        if self.reports.insert(report.report, expires_at).is_some() {
-            return false;
-        }
+        let mut is_new = false;
         for fingerprint in &report.fingerprints {
+            if self.reports.insert((*fingerprint, report.report), expires_at).is_some() {
+                continue;
+            }
+            is_new = true;
             let suspect = self.suspects.entry(*fingerprint).or_insert_with(Suspect::new);
             suspect.record_crash(report, quarantine_ms, self.log_time);
         }
         evict_earliest(&mut self.suspects, self.settings.max_suspects, |s| s.suspected_until);
         evict_earliest(&mut self.reports, self.settings.max_suspects, |until| *until);
-        true
+        is_new
     }
 
     fn start_trial(&mut self, fingerprint: &Fingerprint, trial: Trial) -> bool {
@@ -251,6 +273,12 @@
         report.quarantine_ms.min(self.settings.max_quarantine_ms)
     }
 
+    /// Removes suspects whose time is over.
+    pub fn expire_at(&mut self, now: Timestamp) {
+        self.log_time = self.log_time.max(now);
+        self.expire();
+    }
+
     fn expire(&mut self) {
         let log_time = self.log_time;
         self.suspects.retain(|_, suspect| suspect.suspected_until > log_time);
--- a/crates/lycheewood/src/decisions/quarantine/record.rs
+++ b/crates/lycheewood/src/decisions/quarantine/record.rs
@@ -1,22 +1,41 @@
-//! Records of log stream `quarantine`.
+//! Records of log stream `quarantine`, whose entries gateways also send each other directly.
+
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-use crate::decisions::digest::Fingerprint;
-use crate::ids::{AttemptId, Incarnation, VersionName};
+use crate::decisions::digest::{Fingerprint, digest};
+use crate::ids::{AttemptId, Incarnation, InstanceId, VersionName};
 
 /// Schema of records that this build writes, and the newest that it reads.
 pub const QUARANTINE_SCHEMA: u32 = 1;
 
-/// Id of a crash of an engine or service, by which a repeated report is recognised.
+/// Id of a crash of an engine or service, by which repeated reports of it are recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ReportId {
-    /// Process of the endpoint daemon that reports the crash.
+    /// Process of the endpoint daemon that reports the crash, or a digest of the endpoint that has crashed.
     pub incarnation: Incarnation,
-    /// Number of the crash among those that this process saw.
+    /// Number of the crash among those that this process saw, or the start of the endpoint in Unix milliseconds.
     pub sequence: u64,
 }
 
+impl ReportId {
+    /// Id of the end of an endpoint's incarnation, the same at every gateway that observes it. `started_ms` tells
+    /// incarnations with the same identifier apart.
+    #[must_use]
+    pub fn of_incarnation(endpoint: &InstanceId, started_ms: u64) -> Self {
+        let digest = digest(&[b"crash", endpoint.as_str().as_bytes()]);
+        let endpoint = digest.iter().take(8).fold(0, |word, byte| word << 8 | u64::from(*byte));
+        Self { incarnation: Incarnation(endpoint), sequence: started_ms }
+    }
+}
+
+impl fmt::Display for ReportId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.incarnation, self.sequence)
+    }
+}
+
 /// Report of the requests that were in flight when an engine or service crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
@@ -66,6 +85,11 @@
         /// Attempt that was to run it.
         attempt: AttemptId,
     },
+    /// An endpoint has completed the request lately, outside a trial.
+    Completed {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+    },
     /// A type that this build does not know; ignored.
     #[serde(other)]
     Unknown,
--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -6,6 +6,7 @@
 pub(crate) mod check;
 pub(crate) mod crash;
 pub(crate) mod exchange;
+pub(crate) mod quarantine;
 pub(crate) mod read_body;
 pub(crate) mod relay;
 pub(crate) mod route;
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -61,7 +61,7 @@
                 head.request_id,
                 endpoint.id
             );
-            crash::has_crashed(state, head, &endpoint).await;
+            crash::report_if_crashed(state, head, &admitted, &endpoint).await;
             record_failed_attempt(state, &mut admitted, &endpoint.id, UnknownCode::EndpointLost);
             return CheckOutcome::Retry(Box::new(admitted));
         }
@@ -81,6 +81,7 @@
         record_refusal(state, &mut admitted, &endpoint, response);
         return CheckOutcome::Retry(Box::new(admitted));
     }
+    state.record_completion(admitted.fingerprint);
     if status.is_server_error() && admitted.may_repeat() {
         state.metrics.attempts.with_label_values(&["server_error"]).inc();
         log::info!("endpoint error id={} server={} status={status}", head.request_id, endpoint.id);
--- a/crates/lycheewood/src/filters/forward/crash.rs
+++ b/crates/lycheewood/src/filters/forward/crash.rs
@@ -1,33 +1,54 @@
-//! Tells a crash of an endpoint from a connection that broke for another reason.
+//! Tells a crash of an endpoint from a connection that broke for another reason, and reports the request that was
+//! in flight.
 
-use std::sync::Arc;
+use tokio::sync::oneshot;
 
 use crate::adapters::forward::upstream;
+use crate::controllers::gateway_quarantine::ReportCrash;
 use crate::decisions::endpoint_list::EndpointEntry;
-use crate::filters::forward::exchange::RequestHead;
+use crate::decisions::quarantine::record::{ReportId, SuspectReport};
+use crate::filters::forward::exchange::{Admitted, RequestHead};
 use crate::gateway::GatewayState;
 
 /// Timeout of the connection that checks whether an endpoint still listens, in milliseconds. Endpoints are at
 /// most a few milliseconds away; the answer of one that does not reply at all is left open.
 const CHECK_TIMEOUT_MS: u64 = 100;
+/// Duration of a quarantine, in milliseconds. A request that crashes every endpoint crashes one more each time
+/// this is over.
+const QUARANTINE_MS: u64 = 60_000;
 
-/// Called after a response broke off. Returns whether the endpoint's process has ended: its machine refuses
-/// connections. A connection that only this gateway lost, or a silent machine, does not count.
-pub(crate) async fn has_crashed(
+/// Called after a response broke off. Reports the request as suspect if the endpoint's process has ended, which
+/// its machine shows by refusing connections. A connection that only this gateway lost, or a silent machine, does
+/// not count, and neither does a request that an endpoint has completed lately.
+pub(crate) async fn report_if_crashed(
     state: &GatewayState,
     head: &RequestHead,
-    endpoint: &Arc<EndpointEntry>,
-) -> bool {
-    let is_refused = upstream::is_refused(endpoint.address, CHECK_TIMEOUT_MS).await;
-    if is_refused {
-        state.metrics.endpoint_crashes.inc();
-        log::warn!(
-            "endpoint crashed id={} server={} address={} started_ms={}",
-            head.request_id,
-            endpoint.id,
-            endpoint.address,
-            endpoint.started_ms
-        );
+    admitted: &Admitted,
+    endpoint: &EndpointEntry,
+) {
+    if !upstream::is_refused(endpoint.address, CHECK_TIMEOUT_MS).await {
+        return;
     }
-    is_refused
+    let is_completed = state.has_completed(&admitted.fingerprint);
+    state.metrics.endpoint_crashes.inc();
+    log::warn!(
+        "endpoint crashed id={} server={} address={} started_ms={} request={} completed_lately={is_completed}",
+        head.request_id,
+        endpoint.id,
+        endpoint.address,
+        endpoint.started_ms,
+        admitted.fingerprint
+    );
+    let Some(quarantine) = state.quarantine().filter(|_| !is_completed) else { return };
+    let report = SuspectReport {
+        report: ReportId::of_incarnation(&endpoint.id, endpoint.started_ms),
+        fingerprints: vec![admitted.fingerprint],
+        ran_alone: false,
+        version: None,
+        quarantine_ms: QUARANTINE_MS,
+    };
+    let (reply, reported) = oneshot::channel();
+    let _ = quarantine.tell(ReportCrash { report, reply }).try_send();
+    // The controller lives as long as the process, so it replies.
+    let _ = reported.await;
 }
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -10,8 +10,10 @@
 
 use crate::adapters::forward::upstream::UpstreamResponse;
 use crate::clock::Timestamp;
+use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::peers::PeerTable;
+use crate::filters::forward::quarantine::Trial;
 use crate::gateway::{CurrentEndpoints, CurrentRoutes, GatewayState};
 use crate::ids::{InstanceId, TargetName, WorkspaceName};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
@@ -24,7 +26,7 @@
 const NO_ROUTES_RETRY_AFTER_MS: u64 = 500;
 /// Retry-After of a refusal because no endpoint can take the request, in milliseconds. Callers retry only once
 /// or twice, so a retry must not come while the endpoints are still full.
-const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 1_000;
+pub(crate) const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 1_000;
 
 /// The head of a caller's request.
 #[derive(Debug)]
@@ -125,6 +127,10 @@
     /// Whether the caller's key is removed before forwarding, because it identifies a workspace.
     pub(crate) strips_key: bool,
     pub(crate) body: Bytes,
+    /// Recognizes the request when its caller sends it again.
+    pub(crate) fingerprint: Fingerprint,
+    /// Set while the request runs as a trial, because it is a suspect.
+    pub(crate) trial: Option<Trial>,
     /// Maximum number of requests at one endpoint for which event gaps stay within the route's target, if it has
     /// one.
     pub(crate) max_batch: Option<u32>,
@@ -145,6 +151,8 @@
     pub(crate) may_have_run: Option<UnknownCode>,
     /// Why the last selection found no endpoint.
     pub(crate) no_endpoint_code: NotRunCode,
+    /// When the caller may come back if no endpoint has run the request, in milliseconds.
+    pub(crate) retry_after_ms: u64,
     /// The last unsuccessful response of an endpoint, and whether the endpoint states that it has not run the
     /// request.
     pub(crate) last_response: Option<(BufferedResponse, bool)>,
@@ -165,9 +173,7 @@
                 NotRunCode::DeadlineUnreachable,
                 NO_ENDPOINT_RETRY_AFTER_MS,
             )),
-            (None, None) => {
-                Err(RequestError::not_run(self.no_endpoint_code, NO_ENDPOINT_RETRY_AFTER_MS))
-            }
+            (None, None) => Err(RequestError::not_run(self.no_endpoint_code, self.retry_after_ms)),
         }
     }
 
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/quarantine.rs
@@ -0,0 +1,84 @@
+//! Refuses requests that are quarantined because they crash endpoints, and runs suspects as trials.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use crate::clock::Timestamp;
+use crate::controllers::quarantine::{RequestTrial, WithdrawTrial};
+use crate::decisions::digest::Fingerprint;
+use crate::decisions::quarantine::QuarantineDecision;
+use crate::filters::forward::exchange::Admitted;
+use crate::gateway::GatewayState;
+use crate::ids::AttemptId;
+
+/// The trial of a suspect. Ends the trial when dropped, so that the next attempt need not wait for its deadline.
+pub(crate) struct Trial {
+    state: Arc<GatewayState>,
+    fingerprint: Fingerprint,
+    attempt: AttemptId,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if let Some(quarantine) = self.state.quarantine() {
+            let withdraw = WithdrawTrial { fingerprint: self.fingerprint, attempt: self.attempt };
+            let _ = quarantine.tell(withdraw).try_send();
+        }
+    }
+}
+
+/// Time until which a request is refused, if it is.
+pub(crate) fn refused_until(
+    state: &GatewayState,
+    admitted: &Admitted,
+    now: Timestamp,
+) -> Option<Timestamp> {
+    match decide(state, admitted, None, now) {
+        QuarantineDecision::RefuseUntil(until) => Some(until),
+        QuarantineDecision::Run
+        | QuarantineDecision::NeedsTrial
+        | QuarantineDecision::RunAlone { .. } => None,
+    }
+}
+
+/// Called immediately before a request is sent in `attempt`. Starts a trial if the request is a suspect; the trial
+/// lasts over all its attempts.
+///
+/// # Errors
+///
+/// The time until which the request is refused, because it is quarantined or another request runs its trial.
+pub(crate) async fn permit(
+    state: &Arc<GatewayState>,
+    admitted: &mut Admitted,
+    attempt: AttemptId,
+) -> Result<(), Timestamp> {
+    let (now, fingerprint) = (state.clock.now(), admitted.fingerprint);
+    match decide(state, admitted, Some(attempt), now) {
+        QuarantineDecision::Run | QuarantineDecision::RunAlone { .. } => return Ok(()),
+        QuarantineDecision::RefuseUntil(until) => return Err(until),
+        QuarantineDecision::NeedsTrial => {}
+    }
+    let Some(quarantine) = state.quarantine() else { return Ok(()) };
+    let (reply, granted) = oneshot::channel();
+    let duration_ms = admitted.deadline.ms_since(now);
+    let request = RequestTrial { fingerprint, attempt, version: None, duration_ms, reply };
+    let _ = quarantine.tell(request).try_send();
+    // The controller lives as long as the process, so it replies.
+    granted.await.unwrap_or(Err(now))?;
+    admitted.trial = Some(Trial { state: Arc::clone(state), fingerprint, attempt });
+    Ok(())
+}
+
+fn decide(
+    state: &GatewayState,
+    admitted: &Admitted,
+    attempt: Option<AttemptId>,
+    now: Timestamp,
+) -> QuarantineDecision {
+    let trial = admitted.trial.as_ref().map(|trial| trial.attempt);
+    // Without a trial or an attempt, no trial is its own.
+    let none = AttemptId { incarnation: state.incarnation, sequence: 0 };
+    let attempt = trial.or(attempt).unwrap_or(none);
+    state.quarantined.load().decide(&admitted.fingerprint, None, attempt, now)
+}
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -7,8 +7,12 @@
 use tokio::time::timeout;
 
 use crate::decisions::batch::max_batch;
-use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange};
+use crate::decisions::digest::Fingerprint;
+use crate::filters::forward::exchange::{
+    Admitted, Authenticated, Exchange, NO_ENDPOINT_RETRY_AFTER_MS,
+};
 use crate::gateway::GatewayState;
+use crate::ids::WorkspaceName;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError};
 
 /// # Errors
@@ -40,13 +44,19 @@
     };
     let service = route.service(rand::random()).clone();
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
+    let workspace = workspace.map(|workspace| workspace.name.clone());
+    let call = format!("{} {}", head.method, head.target);
+    let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
+    let fingerprint = Fingerprint::of(&WorkspaceName::new(caller), service.as_str(), &call, &body);
     let admitted = Admitted {
         route: route.clone(),
         max_batch: engine.map(|(engine, gap_ms)| max_batch(engine, gap_ms)),
         service,
-        workspace: workspace.map(|workspace| workspace.name.clone()),
+        workspace,
         strips_key: routes.table.requires_keys(),
         body,
+        fingerprint,
+        trial: None,
         deadline,
         attempts: 0,
         misdirected: 0,
@@ -55,6 +65,7 @@
         last_event_id: head.last_event_id,
         may_have_run: None,
         no_endpoint_code: NotRunCode::NoEndpoint,
+        retry_after_ms: NO_ENDPOINT_RETRY_AFTER_MS,
         last_response: None,
     };
     Ok(Exchange { head, view, now: state.clock.now(), stage: admitted })
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -129,11 +129,13 @@
                 Some(Err(error)) => error.to_string(),
                 None if !self.source.splitter.has_partial() => {
                     self.state.loads.record_success(&self.source.endpoint.id);
+                    self.state.record_completion(self.source.admitted.fingerprint);
                     return None;
                 }
                 None => "the stream ends within an event".to_owned(),
             };
-            crash::has_crashed(&self.state, &self.head, &self.source.endpoint).await;
+            let Source { admitted, endpoint, .. } = &self.source;
+            crash::report_if_crashed(&self.state, &self.head, admitted, endpoint).await;
             if !self.resume(&reason).await {
                 return Some(Err(StreamError::Broken));
             }
@@ -207,6 +209,7 @@
             body: admitted.body.clone(),
             avoid: std::mem::take(&mut admitted.avoid),
             refused_by: std::mem::take(&mut admitted.refused_by),
+            trial: admitted.trial.take(),
             may_have_run: Some(UnknownCode::EndpointLost),
             last_response: None,
             ..*admitted
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -10,6 +10,7 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::queue::{QueueDeadlines, QueuePhase, in_flight_limit, queue_phase};
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
+use crate::filters::forward::quarantine;
 use crate::gateway::GatewayState;
 use crate::ids::{InstanceId, TargetName};
 use crate::lifecycle::attempt::Attempt;
@@ -48,10 +49,20 @@
     if is_exhausted || must_not_retry {
         return Selection::None(admitted);
     }
+    let attempt = Attempt::plan(state.next_attempt());
+    if let Some(until) = quarantine::refused_until(state, &admitted, now) {
+        record_quarantined(state, head, &mut admitted, until);
+        return Selection::None(admitted);
+    }
     let Some(endpoint) = wait_for_endpoint(state, &admitted, head.received).await else {
         record_no_endpoint(state, head, &mut admitted);
         return Selection::None(admitted);
     };
+    // Checked again, because an endpoint may have crashed while the request waited.
+    if let Err(until) = quarantine::permit(state, &mut admitted, attempt.id()).await {
+        record_quarantined(state, head, &mut admitted, until);
+        return Selection::None(admitted);
+    }
     let is_first = admitted.attempts + admitted.misdirected == 0 && admitted.refused_by.is_empty();
     if !is_first {
         if !state.try_acquire_retry(&admitted.service) {
@@ -64,11 +75,28 @@
         state.loads.record_group_probe(&group.name, state.clock.now());
     }
     let in_flight = state.loads.start_request(&endpoint.id);
-    let attempt = Attempt::plan(state.next_attempt());
     let selected = Selected { admitted, endpoint, attempt, in_flight };
     Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
 }
 
+/// Records and logs that the request is quarantined, or that another attempt runs its trial.
+fn record_quarantined(
+    state: &GatewayState,
+    head: &RequestHead,
+    admitted: &mut Admitted,
+    until: Timestamp,
+) {
+    admitted.no_endpoint_code = NotRunCode::Quarantined;
+    admitted.retry_after_ms = until.ms_since(state.clock.now());
+    log::info!(
+        "request quarantined id={} service={} request={} left_ms={}",
+        head.request_id,
+        admitted.service,
+        admitted.fingerprint,
+        admitted.retry_after_ms
+    );
+}
+
 /// Records and logs why no endpoint was found: none is available, or all run their maximum batch.
 fn record_no_endpoint(state: &GatewayState, head: &RequestHead, admitted: &mut Admitted) {
     let endpoints = state.endpoints.load();
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -78,7 +78,7 @@
             return SendOutcome::Responded(Exchange { head, view, now, stage: responded });
         }
         WaitOutcome::Response(Err(error)) => {
-            crash::has_crashed(state, head, &endpoint).await;
+            crash::report_if_crashed(state, head, &admitted, &endpoint).await;
             (UnknownCode::EndpointLost, error.to_string())
         }
         WaitOutcome::Stalled => {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -3,15 +3,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hyper::header::HeaderName;
+use kameo::actor::ActorRef;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
+use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
+use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::EndpointIndex;
 use crate::decisions::peers::PeerTable;
+use crate::decisions::quarantine::QuarantineTable;
+use crate::decisions::quarantine::completions::CompletionTable;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled};
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
@@ -119,6 +124,12 @@
     pub(crate) early_heartbeat: Arc<Notify>,
     /// Whether this instance reads the platform's topics for its failure domain.
     pub(crate) is_reader: watch::Sender<bool>,
+    /// Requests that are suspected to crash endpoints.
+    pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
+    /// Requests that endpoints have completed lately.
+    completions: Mutex<CompletionTable>,
+    /// Set when the controllers start, before any request is served.
+    quarantine: OnceLock<ActorRef<GatewayQuarantine>>,
     topic_health: TopicHealth,
     /// Published in heartbeats while this instance holds the lease on the expert groups.
     leading: Mutex<Option<Leading>>,
@@ -177,6 +188,9 @@
             endpoint_list_stale: Notify::new(),
             early_heartbeat: Arc::default(),
             is_reader: watch::Sender::new(true),
+            quarantined: Arc::new(ArcSwap::from_pointee(GatewayQuarantine::empty_table())),
+            completions: Mutex::default(),
+            quarantine: OnceLock::new(),
             topic_health: TopicHealth::default(),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -227,6 +241,35 @@
             && answered(PlatformTopic::Endpoints)
     }
 
+    /// The controller of the quarantine, once it has started.
+    pub(crate) fn quarantine(&self) -> Option<&ActorRef<GatewayQuarantine>> {
+        self.quarantine.get()
+    }
+
+    /// Sets the controller of the quarantine. Only the first call has an effect.
+    pub(crate) fn set_quarantine(&self, quarantine: ActorRef<GatewayQuarantine>) {
+        let _ = self.quarantine.set(quarantine);
+    }
+
+    fn lock_completions(&self) -> MutexGuard<'_, CompletionTable> {
+        self.completions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an endpoint has completed a request, and clears the request if it is a suspect.
+    pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
+        self.lock_completions().record(fingerprint, self.clock.now());
+        if self.quarantined.load().is_suspect(&fingerprint)
+            && let Some(quarantine) = self.quarantine()
+        {
+            let _ = quarantine.tell(RecordCompletion(fingerprint)).try_send();
+        }
+    }
+
+    /// Whether an endpoint has completed a request lately.
+    pub(crate) fn has_completed(&self, fingerprint: &Fingerprint) -> bool {
+        self.lock_completions().contains(fingerprint, self.clock.now())
+    }
+
     /// A unique attempt identifier.
     pub(crate) fn next_attempt(&self) -> AttemptId {
         let sequence = self.next_sequence.fetch_add(1, Ordering::Relaxed);
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -18,6 +18,7 @@
     pub(crate) retries_denied: IntCounter,
     pub(crate) resumed: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
+    pub(crate) suspects: IntGauge,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_in_flight: IntGauge,
@@ -63,6 +64,10 @@
                 "lycheewood_gateway_endpoint_crashes_total",
                 "Requests whose endpoint ended while it may have run them.",
             )?,
+            suspects: metrics.gauge(
+                "lycheewood_gateway_suspects",
+                "Requests that are suspected to crash endpoints, or quarantined.",
+            )?,
             first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -17,6 +17,7 @@
 use crate::adapters::{agent, gossip, metrics};
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate};
 use crate::controllers::expert_groups::{self, GroupPorts};
+use crate::controllers::gateway_quarantine::GatewayQuarantine;
 use crate::controllers::peers::{AddPeers, PeersController, StateSource};
 use crate::controllers::routes::{PLATFORM_SOURCE, RoutesController, UpdateRoutes};
 use crate::decisions::endpoint_list::EndpointChange;
@@ -172,13 +173,14 @@
             GatewayMetrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
         let (callers, caller_address) =
             traffic.block_on(listen("caller_address", settings.caller_address))?;
-        let peer_address = settings.peer_address;
-        let (peers_tcp, _) = control.handle().block_on(listen("peer_address", peer_address))?;
+        // With port 0 the system chooses the port for TCP, and UDP uses the same.
+        let (peers_tcp, peer_address) =
+            control.handle().block_on(listen("peer_address", settings.peer_address))?;
         let peers_udp =
             control.handle().block_on(UdpSocket::bind(peer_address)).map_err(|source| {
                 StartError::Listen { field: "peer_address", address: peer_address, source }
             })?;
-        let settings = GatewaySettings { caller_address, ..settings };
+        let settings = GatewaySettings { caller_address, peer_address, ..settings };
         let state = Arc::new(GatewayState::new(settings, Arc::new(metrics)));
         let handle = start_controllers(&state, peers_udp, &control);
         let source = Arc::new(StateSource {
@@ -233,6 +235,12 @@
         self.handle.state.settings.caller_address
     }
 
+    /// Address at which other instances reach this one.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.handle.state.settings.peer_address
+    }
+
     /// The runtime of the control thread, for tasks that follow the platform.
     #[must_use]
     pub fn control(&self) -> &Handle {
@@ -291,7 +299,15 @@
         Arc::clone(metrics),
         Arc::clone(&state.early_heartbeat),
     );
-    let peers =
-        PeersController::start(Arc::clone(state), peers_udp, routes.clone(), endpoints.clone());
+    let peers_udp = Arc::new(peers_udp);
+    let quarantine = GatewayQuarantine::start(state, Arc::clone(&peers_udp));
+    state.set_quarantine(quarantine.clone());
+    let peers = PeersController::start(
+        Arc::clone(state),
+        peers_udp,
+        routes.clone(),
+        endpoints.clone(),
+        quarantine,
+    );
     GatewayHandle { state: Arc::clone(state), routes, endpoints, peers }
 }
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -22,6 +22,8 @@
     Write(Vec<u8>),
     /// Writes these bytes and sends nothing more until the gateway closes the connection.
     Hang(Vec<u8>),
+    /// Ends the endpoint: no connection is accepted any more, and this one is closed.
+    Crash,
 }
 
 /// A request as an endpoint received it.
@@ -46,6 +48,11 @@
 
 impl Harness {
     pub(crate) fn start() -> Self {
+        Self::start_with_seeds(Vec::new())
+    }
+
+    /// Starts a gateway that exchanges heartbeats with the gateways at `seeds`.
+    pub(crate) fn start_with_seeds(seeds: Vec<SocketAddr>) -> Self {
         let header = |name: &'static str| name.parse().expect("a header name");
         let any = "127.0.0.1:0".parse().expect("an address");
         let settings = GatewaySettings {
@@ -54,7 +61,7 @@
             caller_address: any,
             peer_address: any,
             relay_address: any,
-            seeds: Vec::new(),
+            seeds,
             metrics_address: None,
             headers: HeaderNames {
                 request_id: header("x-id"),
@@ -103,10 +110,14 @@
         let script: Arc<Script> = Arc::new(script);
         let name = id.to_owned();
         thread::spawn(move || {
-            for tcp in listener.incoming().flatten() {
+            // Accepting fails once the endpoint has crashed.
+            while let Ok((tcp, _)) = listener.accept() {
+                let stop = listener.try_clone().expect("a handle of the listener");
                 let (received, script) = (Arc::clone(&received), Arc::clone(&script));
                 let (closed_tx, name) = (closed_tx.clone(), name.clone());
-                thread::spawn(move || serve(tcp, &name, &received, script.as_ref(), &closed_tx));
+                thread::spawn(move || {
+                    serve(tcp, &stop, &name, &received, script.as_ref(), &closed_tx);
+                });
             }
         });
         self.list_endpoint(id, address, EndpointAvailability::Ready);
@@ -192,6 +203,18 @@
         panic!("the gateway does not become ready");
     }
 
+    /// Waits until the gateway has heard another one.
+    pub(crate) fn wait_for_peer(&self) {
+        let domain = FailureDomain::new("a");
+        for _ in 0..3_000 {
+            if self.gateway().handle().entry_addresses(&domain, 64).addresses.len() > 1 {
+                return;
+            }
+            thread::park_timeout(Duration::from_millis(5));
+        }
+        panic!("the gateway hears no other one");
+    }
+
     pub(crate) fn call_now(&self, request: &str) -> Reply {
         Reply::read(self.connect(), request)
     }
@@ -206,6 +229,11 @@
         self.received.lock().expect("no panic").clone()
     }
 
+    /// Address at which other gateways send heartbeats.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.gateway().peer_address()
+    }
+
     /// Waits until an endpoint notices that the connection of a request was closed.
     pub(crate) fn wait_for_close(&self) -> String {
         self.closed.recv_timeout(READ_TIMEOUT).expect("the connection is closed")
@@ -214,6 +242,7 @@
 
 fn serve(
     mut tcp: TcpStream,
+    listener: &TcpListener,
     name: &str,
     received: &Mutex<Vec<ReceivedRequest>>,
     script: &Script,
@@ -234,6 +263,9 @@
             let _ = tcp.read_to_end(&mut Vec::new());
             let _ = closed_tx.send(name.to_owned());
         }
+        Action::Crash => {
+            socket2::SockRef::from(listener).shutdown(Shutdown::Both).expect("a listener");
+        }
     }
 }
 
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod crashes;
 mod harness;
 mod retries;
 mod streams;
