Quarantine prompt parts that crash endpoints

Cause: the quarantine recognized whole requests only, and each of these is a new one.

The whole test suite passes.

--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -36,6 +36,8 @@
 const KEEPALIVE_INTERVAL_S: u64 = 3;
 /// On a graceful shutdown, how long a new connection may take to send its first request, in milliseconds.
 const FIRST_REQUEST_GRACE_MS: u64 = 500;
+/// Maximum number of prompt parts of a request that are recognized at a crash of an endpoint.
+const MAX_SHARED_PARTS: usize = 64;
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -151,6 +153,8 @@
     let last_event_id = header_text(&hyper::header::HeaderName::from_static("last-event-id"))
         .and_then(|value| value.parse().ok());
     let key = header_text(&AUTHORIZATION).and_then(bearer_token).map(str::to_owned);
+    let shared_prompt_parts =
+        header_text(&names.prompt_parts).map(shared_parts).unwrap_or_default();
     let target = parts.uri.path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let head = RequestHead {
@@ -159,6 +163,7 @@
         host,
         request_id,
         key,
+        shared_prompt_parts,
         deadline_ms,
         last_event_id,
         received: state.clock.now(),
@@ -167,6 +172,15 @@
     Ok((head, body))
 }
 
+/// The ids of the parts of a prompt that other requests may share: all but the last one.
+fn shared_parts(parts: &str) -> Vec<String> {
+    let ids = parts.split(',').map(|part| part.split(':').next().unwrap_or_default().trim());
+    let mut ids: Vec<String> = ids.map(str::to_owned).collect();
+    ids.pop();
+    ids.truncate(MAX_SHARED_PARTS);
+    ids
+}
+
 /// The token of a bearer `Authorization` header.
 fn bearer_token(value: &str) -> Option<&str> {
     let (scheme, key) = value.split_once(' ')?;
--- a/crates/lycheewood/src/controllers/attempts.rs
+++ b/crates/lycheewood/src/controllers/attempts.rs
@@ -280,6 +280,8 @@
             report: ReportId { incarnation: self.config.incarnation, sequence: self.crashes },
             ran_alone: in_flight.len() == 1 && in_flight[0].run_alone,
             fingerprints: in_flight.iter().map(|buffered| buffered.fingerprint.into()).collect(),
+            // Endpoint daemons do not know which parts of a prompt are shared.
+            prompt_parts: Vec::new(),
             version: self.config.version.clone(),
             quarantine_ms: document
                 .as_ref()
--- a/crates/lycheewood/src/controllers/gateway_quarantine.rs
+++ b/crates/lycheewood/src/controllers/gateway_quarantine.rs
@@ -122,19 +122,17 @@
             return;
         }
         if let QuarantineEntry::Suspects(report) = &entry {
-            let requests: Vec<String> =
-                report.fingerprints.iter().map(ToString::to_string).collect();
+            let SuspectReport { report, fingerprints, prompt_parts, .. } = report;
             log::info!(
-                "crash reported own={is_own} report={} requests={requests:?}",
-                report.report
+                "crash reported own={is_own} report={report} requests={fingerprints:?} prompt_parts={prompt_parts:?}"
             );
         }
         self.kept.push(KeptEntry { entry, is_own, age: 0 });
     }
 
-    /// Tells the others of the reported requests that an endpoint has completed lately.
+    /// Tells the others which of the reported suspects this instance knows to be harmless.
     fn refute(&mut self, report: &SuspectReport, now: Timestamp) {
-        for fingerprint in &report.fingerprints {
+        for fingerprint in report.fingerprints.iter().chain(&report.prompt_parts) {
             if self.state.has_completed(fingerprint) {
                 self.apply_own(QuarantineEntry::Completed { fingerprint: *fingerprint }, now);
             }
@@ -176,7 +174,8 @@
 fn is_in_force(entry: &QuarantineEntry, table: &QuarantineTable, age: u64) -> bool {
     match entry {
         QuarantineEntry::Suspects(report) => {
-            report.fingerprints.iter().any(|fingerprint| table.is_suspect(fingerprint))
+            let mut fingerprints = report.fingerprints.iter().chain(&report.prompt_parts);
+            fingerprints.any(|fingerprint| table.is_suspect(fingerprint))
         }
         _ => REPEATS_AFTER.last().is_some_and(|last| age <= *last),
     }
--- a/crates/lycheewood/src/decisions/digest.rs
+++ b/crates/lycheewood/src/decisions/digest.rs
@@ -70,8 +70,8 @@
     KeyDigest
 );
 digest_type!(
-    /// Digest of the content of a request: workspace, target, call and body. It does not depend on the key
-    /// or the entry.
+    /// Digest of the content of a request (workspace, target, call and body), or of a part of its prompt. It does
+    /// not depend on the key or the entry.
     Fingerprint
 );
 
@@ -91,6 +91,12 @@
         let workspace = workspace.as_str().as_bytes();
         Self(digest(&[b"request", workspace, target.as_bytes(), call.as_bytes(), body]))
     }
+
+    /// Digests a part of a prompt, which requests of different workspaces may share.
+    #[must_use]
+    pub fn of_prompt_part(target: &str, part: &str) -> Self {
+        Self(digest(&[b"prompt part", target.as_bytes(), part.as_bytes()]))
+    }
 }
 
 /// Digests `parts`, each preceded by its length, so that moving a byte from one part to the next changes
--- a/crates/lycheewood/src/decisions/quarantine.rs
+++ b/crates/lycheewood/src/decisions/quarantine.rs
@@ -15,6 +15,10 @@
 //! - A suspect that completes its trial is cleared. Quarantine, trial and suspicion all expire, so no
 //!   innocent request is refused permanently, even while the log is down.
 //!
+//! Requests may also share a part of their prompt that crashes endpoints. A part that was in flight at a crash, in
+//! a request without output, is refused after the first crash already: each of the many requests with it would
+//! be a suspect of its own. A part is no suspect while endpoints send output for other requests with it.
+//!
 //! Gateways have no log to order their entries. Each tells the others directly, and each applies the entries in
 //! the order of arrival: two gateways that have not heard of each other may start a trial of the same request at
 //! the same time, which costs one more crash. A gateway does not report a request that an endpoint has completed
@@ -64,6 +68,35 @@
     RefuseUntil(Timestamp),
 }
 
+impl QuarantineDecision {
+    /// The stricter of two decisions.
+    fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::RefuseUntil(a), Self::RefuseUntil(b)) => Self::RefuseUntil(a.max(b)),
+            (refusal @ Self::RefuseUntil(_), _) | (_, refusal @ Self::RefuseUntil(_)) => refusal,
+            (Self::NeedsTrial, _) | (_, Self::NeedsTrial) => Self::NeedsTrial,
+            (Self::RunAlone { latest_deadline: a }, Self::RunAlone { latest_deadline: b }) => {
+                Self::RunAlone { latest_deadline: a.min(b) }
+            }
+            (alone @ Self::RunAlone { .. }, Self::Run)
+            | (Self::Run, alone @ Self::RunAlone { .. }) => alone,
+            (Self::Run, Self::Run) => Self::Run,
+        }
+    }
+}
+
+/// Part of the quarantine for which a prompt part is refused after its first crash.
+const FIRST_PART_QUARANTINE_DIVISOR: u64 = 2;
+
+/// What a fingerprint stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scope {
+    /// A whole request. It may run again as a trial at once, because it comes back at most a few times.
+    Request,
+    /// A prompt part that requests share. Requests with it keep coming, so it is refused after the first crash.
+    PromptPart,
+}
+
 #[derive(Clone, Debug)]
 struct Trial {
     attempt: AttemptId,
@@ -190,6 +223,20 @@
         suspect.decide(version, attempt, now, self.settings.clock_skew_ms)
     }
 
+    /// Decides whether `attempt` may run a request with these fingerprints, its own and those of its prompt parts.
+    /// The strictest decision counts.
+    #[must_use]
+    pub fn decide_all(
+        &self,
+        fingerprints: &[Fingerprint],
+        version: Option<&VersionName>,
+        attempt: AttemptId,
+        now: Timestamp,
+    ) -> QuarantineDecision {
+        let decisions = fingerprints.iter().map(|f| self.decide(f, version, attempt, now));
+        decisions.fold(QuarantineDecision::Run, QuarantineDecision::stricter)
+    }
+
     fn direct_report_until(&self, fingerprint: &Fingerprint) -> Option<Timestamp> {
         let first = ReportId { incarnation: Incarnation(0), sequence: 0 };
         let reports = self.direct_reports.range((*fingerprint, first)..);
@@ -223,13 +270,15 @@
         // A copy of the report may arrive for as long as its requests stay suspects.
         let expires_at = self.log_time.plus_ms(quarantine_ms.saturating_mul(2));
         let mut is_new = false;
-        for fingerprint in &report.fingerprints {
+        let requests = report.fingerprints.iter().map(|fingerprint| (fingerprint, Scope::Request));
+        let parts = report.prompt_parts.iter().map(|fingerprint| (fingerprint, Scope::PromptPart));
+        for (fingerprint, scope) in requests.chain(parts) {
             if self.reports.insert((*fingerprint, report.report), expires_at).is_some() {
                 continue;
             }
             is_new = true;
             let suspect = self.suspects.entry(*fingerprint).or_insert_with(Suspect::new);
-            suspect.record_crash(report, quarantine_ms, self.log_time);
+            suspect.record_crash(report, scope, quarantine_ms, self.log_time);
         }
         evict_earliest(&mut self.suspects, self.settings.max_suspects, |s| s.suspected_until);
         evict_earliest(&mut self.reports, self.settings.max_suspects, |until| *until);
@@ -298,7 +347,13 @@
         }
     }
 
-    fn record_crash(&mut self, report: &SuspectReport, quarantine_ms: u64, log_time: Timestamp) {
+    fn record_crash(
+        &mut self,
+        report: &SuspectReport,
+        scope: Scope,
+        quarantine_ms: u64,
+        log_time: Timestamp,
+    ) {
         self.crashes += 1;
         self.cleared.retain(|version| *version != report.version);
         if !self.versions.contains(&report.version) {
@@ -307,6 +362,9 @@
         let alone = report.ran_alone && report.fingerprints.len() == 1;
         if alone || self.crashes >= 2 {
             self.refused_until = Some(log_time.plus_ms(quarantine_ms));
+        } else if scope == Scope::PromptPart {
+            self.refused_until =
+                Some(log_time.plus_ms(quarantine_ms / FIRST_PART_QUARANTINE_DIVISOR));
         }
         // Suspicion outlasts the quarantine, so that the request must pass a trial afterwards.
         self.suspected_until = log_time.plus_ms(quarantine_ms.saturating_mul(2));
--- a/crates/lycheewood/src/decisions/quarantine/completions.rs
+++ b/crates/lycheewood/src/decisions/quarantine/completions.rs
@@ -1,4 +1,5 @@
-//! Requests that endpoints have completed lately, which are therefore no suspects at a crash.
+//! Requests that endpoints have completed lately, and prompt parts for which they have sent output. These are no
+//! suspects at a crash.
 
 use std::collections::HashSet;
 
@@ -10,7 +11,7 @@
 /// Maximum number of fingerprints in each half of the table, of about 20 bytes each.
 const MAX_FINGERPRINTS: usize = 20_000;
 
-/// Fingerprints of completed requests, in two halves: the older one is dropped when the newer one is full or has
+/// Fingerprints in two halves: the older one is dropped when the newer one is full or has
 /// been filled for half of the time for which a completion counts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CompletionTable {
@@ -20,7 +21,7 @@
 }
 
 impl CompletionTable {
-    /// Records that an endpoint has completed a request.
+    /// Records that an endpoint has completed a request or sent output for a prompt part.
     pub(crate) fn record(&mut self, fingerprint: Fingerprint, now: Timestamp) {
         self.expire(now);
         if self.recent.len() >= MAX_FINGERPRINTS {
@@ -29,7 +30,7 @@
         self.recent.insert(fingerprint);
     }
 
-    /// Whether an endpoint has completed the request lately.
+    /// Whether this was recorded lately.
     pub(crate) fn contains(&mut self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
         self.expire(now);
         self.recent.contains(fingerprint) || self.older.contains(fingerprint)
--- a/crates/lycheewood/src/decisions/quarantine/record.rs
+++ b/crates/lycheewood/src/decisions/quarantine/record.rs
@@ -43,6 +43,10 @@
     pub report: ReportId,
     /// Fingerprints of the requests.
     pub fingerprints: Vec<Fingerprint>,
+    /// Fingerprints of parts of their prompts that requests in flight share with others. Only parts of requests
+    /// without output are named: an endpoint that sends output has processed the prompt.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prompt_parts: Vec<Fingerprint>,
     /// Whether the only request in flight ran alone by order of its entry.
     pub ran_alone: bool,
     /// Model version that the engine had loaded; `None` for a service.
@@ -85,9 +89,9 @@
         /// Attempt that was to run it.
         attempt: AttemptId,
     },
-    /// An endpoint has completed the request lately, outside a trial.
+    /// An endpoint has lately completed the request, or sent output for the prompt part, outside a trial.
     Completed {
-        /// Fingerprint of the request.
+        /// Fingerprint of the request or prompt part.
         fingerprint: Fingerprint,
     },
     /// A type that this build does not know; ignored.
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -9,7 +9,7 @@
 
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::ForwardedResponse;
-use crate::filters::forward::crash;
+use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{
     Admitted, BufferedResponse, Exchange, RequestHead, Responded,
 };
@@ -61,7 +61,7 @@
                 head.request_id,
                 endpoint.id
             );
-            crash::report_if_crashed(state, head, &admitted, &endpoint).await;
+            crash::report_if_crashed(state, head, &admitted, &endpoint, Output::None).await;
             record_failed_attempt(state, &mut admitted, &endpoint.id, UnknownCode::EndpointLost);
             return CheckOutcome::Retry(Box::new(admitted));
         }
@@ -81,7 +81,9 @@
         record_refusal(state, &mut admitted, &endpoint, response);
         return CheckOutcome::Retry(Box::new(admitted));
     }
-    state.record_completion(admitted.fingerprint);
+    for fingerprint in admitted.fingerprints() {
+        state.record_completion(fingerprint);
+    }
     if status.is_server_error() && admitted.may_repeat() {
         state.metrics.attempts.with_label_values(&["server_error"]).inc();
         log::info!("endpoint error id={} server={} status={status}", head.request_id, endpoint.id);
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -39,6 +39,8 @@
     pub(crate) request_id: String,
     /// The caller's key, if it sent one.
     pub(crate) key: Option<String>,
+    /// Parts of the prompt that other requests may share, if the caller names them.
+    pub(crate) shared_prompt_parts: Vec<String>,
     /// How long the caller waits, in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
     /// The `Last-Event-ID` of a caller that resumes a stream.
@@ -129,8 +131,10 @@
     pub(crate) body: Bytes,
     /// Recognizes the request when its caller sends it again.
     pub(crate) fingerprint: Fingerprint,
-    /// Set while the request runs as a trial, because it is a suspect.
-    pub(crate) trial: Option<Trial>,
+    /// Fingerprints of the prompt parts that other requests may share.
+    pub(crate) prompt_parts: Arc<[Fingerprint]>,
+    /// The trials that the request runs, because it or some of its prompt parts are suspects.
+    pub(crate) trials: Vec<Trial>,
     /// Maximum number of requests at one endpoint for which event gaps stay within the route's target, if it has
     /// one.
     pub(crate) max_batch: Option<u32>,
@@ -177,6 +181,11 @@
         }
     }
 
+    /// The fingerprints by which the request may be recognized at a crash.
+    pub(crate) fn fingerprints(&self) -> Vec<Fingerprint> {
+        [&[self.fingerprint], &*self.prompt_parts].concat()
+    }
+
     /// Whether the request may move to another endpoint: it may run twice, and an attempt is left.
     pub(crate) fn may_fail_over(&self) -> bool {
         self.may_repeat() && self.attempts < self.route.max_attempts
--- a/crates/lycheewood/src/filters/forward/quarantine.rs
+++ b/crates/lycheewood/src/filters/forward/quarantine.rs
@@ -53,20 +53,28 @@
     admitted: &mut Admitted,
     attempt: AttemptId,
 ) -> Result<(), Timestamp> {
-    let (now, fingerprint) = (state.clock.now(), admitted.fingerprint);
+    let now = state.clock.now();
     match decide(state, admitted, Some(attempt), now) {
         QuarantineDecision::Run | QuarantineDecision::RunAlone { .. } => return Ok(()),
         QuarantineDecision::RefuseUntil(until) => return Err(until),
         QuarantineDecision::NeedsTrial => {}
     }
     let Some(quarantine) = state.quarantine() else { return Ok(()) };
-    let (reply, granted) = oneshot::channel();
+    let trial_attempt = admitted.trials.first().map_or(attempt, |trial| trial.attempt);
     let duration_ms = admitted.deadline.ms_since(now);
-    let request = RequestTrial { fingerprint, attempt, version: None, duration_ms, reply };
-    let _ = quarantine.tell(request).try_send();
-    // The controller lives as long as the process, so it replies.
-    granted.await.unwrap_or(Err(now))?;
-    admitted.trial = Some(Trial { state: Arc::clone(state), fingerprint, attempt });
+    for fingerprint in admitted.fingerprints() {
+        let decision = state.quarantined.load().decide(&fingerprint, None, trial_attempt, now);
+        if decision != QuarantineDecision::NeedsTrial {
+            continue;
+        }
+        let (reply, granted) = oneshot::channel();
+        let attempt = trial_attempt;
+        let request = RequestTrial { fingerprint, attempt, version: None, duration_ms, reply };
+        let _ = quarantine.tell(request).try_send();
+        // The controller lives as long as the process, so it replies.
+        granted.await.unwrap_or(Err(now))?;
+        admitted.trials.push(Trial { state: Arc::clone(state), fingerprint, attempt });
+    }
     Ok(())
 }
 
@@ -76,9 +84,9 @@
     attempt: Option<AttemptId>,
     now: Timestamp,
 ) -> QuarantineDecision {
-    let trial = admitted.trial.as_ref().map(|trial| trial.attempt);
+    let trial = admitted.trials.first().map(|trial| trial.attempt);
     // Without a trial or an attempt, no trial is its own.
     let none = AttemptId { incarnation: state.incarnation, sequence: 0 };
     let attempt = trial.or(attempt).unwrap_or(none);
-    state.quarantined.load().decide(&admitted.fingerprint, None, attempt, now)
+    state.quarantined.load().decide_all(&admitted.fingerprints(), None, attempt, now)
 }
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -48,6 +48,9 @@
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
     let fingerprint = Fingerprint::of(&WorkspaceName::new(caller), service.as_str(), &call, &body);
+    let parts = head.shared_prompt_parts.iter();
+    let prompt_parts =
+        parts.map(|part| Fingerprint::of_prompt_part(service.as_str(), part)).collect();
     let admitted = Admitted {
         route: route.clone(),
         max_batch: engine.map(|(engine, gap_ms)| max_batch(engine, gap_ms)),
@@ -56,7 +59,8 @@
         strips_key: routes.table.requires_keys(),
         body,
         fingerprint,
-        trial: None,
+        prompt_parts,
+        trials: Vec::new(),
         deadline,
         attempts: 0,
         misdirected: 0,
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -11,7 +11,7 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
-use crate::filters::forward::crash;
+use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{Admitted, RequestHead, Responded};
 use crate::filters::forward::{ForwardedResponse, attempt};
 use crate::gateway::GatewayState;
@@ -58,6 +58,8 @@
     endpoint: Arc<EndpointEntry>,
     response: Box<UpstreamResponse>,
     splitter: EventSplitter,
+    /// Whether this upstream has sent an event.
+    output: Output,
     _in_flight: InFlightGuard,
 }
 
@@ -69,6 +71,7 @@
             endpoint,
             response,
             splitter: EventSplitter::default(),
+            output: Output::None,
             _in_flight: in_flight,
         }
     }
@@ -106,6 +109,7 @@
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         loop {
             while let Some(event) = self.source.splitter.next_event() {
+                self.record_output();
                 if self.accept_event(&event) {
                     self.events += 1;
                     return Some(Ok(event));
@@ -134,8 +138,8 @@
                 }
                 None => "the stream ends within an event".to_owned(),
             };
-            let Source { admitted, endpoint, .. } = &self.source;
-            crash::report_if_crashed(&self.state, &self.head, admitted, endpoint).await;
+            let Source { admitted, endpoint, output, .. } = &self.source;
+            crash::report_if_crashed(&self.state, &self.head, admitted, endpoint, *output).await;
             if !self.resume(&reason).await {
                 return Some(Err(StreamError::Broken));
             }
@@ -179,6 +183,15 @@
         }
     }
 
+    /// Records at the first event of an upstream that the endpoint has processed the prompt.
+    fn record_output(&mut self) {
+        if std::mem::replace(&mut self.source.output, Output::Sent) == Output::None {
+            for part in self.source.admitted.prompt_parts.iter() {
+                self.state.record_completion(*part);
+            }
+        }
+    }
+
     /// Records the id of an event. Returns `false` for an event that the caller already has.
     fn accept_event(&mut self, event: &[u8]) -> bool {
         let Some(id) = event_id(event) else { return true };
@@ -209,7 +222,8 @@
             body: admitted.body.clone(),
             avoid: std::mem::take(&mut admitted.avoid),
             refused_by: std::mem::take(&mut admitted.refused_by),
-            trial: admitted.trial.take(),
+            prompt_parts: Arc::clone(&admitted.prompt_parts),
+            trials: std::mem::take(&mut admitted.trials),
             may_have_run: Some(UnknownCode::EndpointLost),
             last_response: None,
             ..*admitted
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -7,7 +7,7 @@
 
 use crate::adapters::forward::upstream::{self, UpstreamError, UpstreamRequest, UpstreamResponse};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
-use crate::filters::forward::crash;
+use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
@@ -78,7 +78,7 @@
             return SendOutcome::Responded(Exchange { head, view, now, stage: responded });
         }
         WaitOutcome::Response(Err(error)) => {
-            crash::report_if_crashed(state, head, &admitted, &endpoint).await;
+            crash::report_if_crashed(state, head, &admitted, &endpoint, Output::None).await;
             (UnknownCode::EndpointLost, error.to_string())
         }
         WaitOutcome::Stalled => {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -43,6 +43,9 @@
     pub signature: HeaderName,
     /// Set by an endpoint that has not run the request.
     pub not_run: HeaderName,
+    /// Parts of the request's prompt in order, as `id:tokens` entries separated by commas. Requests may share all
+    /// parts but the last one.
+    pub prompt_parts: HeaderName,
     /// The endpoint whose failure caused the response.
     pub failed_endpoint: HeaderName,
 }
@@ -126,7 +129,7 @@
     pub(crate) is_reader: watch::Sender<bool>,
     /// Requests that are suspected to crash endpoints.
     pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
-    /// Requests that endpoints have completed lately.
+    /// Requests that endpoints have completed lately, and prompt parts for which they have sent output.
     completions: Mutex<CompletionTable>,
     /// Set when the controllers start, before any request is served.
     quarantine: OnceLock<ActorRef<GatewayQuarantine>>,
@@ -255,7 +258,8 @@
         self.completions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an endpoint has completed a request, and clears the request if it is a suspect.
+    /// Records that an endpoint has completed a request or sent output for a prompt part, and clears it if it is a
+    /// suspect.
     pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
         self.lock_completions().record(fingerprint, self.clock.now());
         if self.quarantined.load().is_suspect(&fingerprint)
@@ -265,7 +269,7 @@
         }
     }
 
-    /// Whether an endpoint has completed a request lately.
+    /// Whether an endpoint has lately completed a request or sent output for a prompt part.
     pub(crate) fn has_completed(&self, fingerprint: &Fingerprint) -> bool {
         self.lock_completions().contains(fingerprint, self.clock.now())
     }
--- a/crates/lycheewood/src/wire/message.rs
+++ b/crates/lycheewood/src/wire/message.rs
@@ -259,6 +259,7 @@
         Self {
             report: ReportId { incarnation: suspects.incarnation, sequence: suspects.sequence },
             fingerprints: suspects.fingerprints.into_iter().map(Fingerprint::from).collect(),
+            prompt_parts: Vec::new(),
             ran_alone: suspects.ran_alone,
             version: suspects.version,
             quarantine_ms: suspects.quarantine_ms,
--- a/crates/lycheewood/tests/gateway/crashes.rs
+++ b/crates/lycheewood/tests/gateway/crashes.rs
@@ -85,3 +85,48 @@
     }
     assert!(failures <= 1, "{failures} of 80 requests failed");
 }
+
+/// A request with these shared prompt parts, and a last part of its own.
+fn prompt(path: &str, shared: &str, id: &str) -> String {
+    let parts = format!("X-Parts: {shared},own-{id}:600\r\nX-Deadline");
+    request(path, id).replace("X-Deadline", &parts)
+}
+
+/// Crashes on a request with the prompt part `deadly`, and answers others.
+fn crash_on_deadly_part(received: &ReceivedRequest) -> Action {
+    if received.head.contains("deadly:") {
+        Action::Crash
+    } else {
+        Action::Write(ok_response(received, "ok"))
+    }
+}
+
+/// Guards against endpoints that end one after the other under different requests with the same prompt part, and
+/// against refusing sound requests that share their caller and their other parts.
+#[test]
+fn a_prompt_part_that_crashes_endpoints_is_not_sent_on_and_on() {
+    for kind in ["read", "once", "stream"] {
+        let (first, second) = two_gateways(crash_on_deadly_part);
+        let gateways = [("first", &first), ("second", &second)];
+        for (name, gateway) in gateways {
+            let reply = gateway.call(&prompt("/read/warm", "shared:40", name));
+            assert_eq!(reply.status, 200, "{kind}: {reply:?}");
+        }
+        let mut last = None;
+        for number in 0..10 {
+            for (name, gateway) in gateways {
+                let id = format!("{name}-{number}");
+                let path = format!("/{kind}/{id}");
+                last = Some(gateway.call(&prompt(&path, "shared:40,deadly:165", &id)));
+                let sound = prompt(&format!("/read/sound-{id}"), "shared:40", &id);
+                assert_eq!(gateway.call(&sound).status, 200, "{kind} {id}: a sound request");
+            }
+        }
+        let is_deadly = |received: &&ReceivedRequest| received.head.contains("deadly:");
+        let crashes = first.received().iter().filter(is_deadly).count();
+        assert!(crashes <= 5, "{kind}: the prompt part crashed {crashes} endpoints");
+        let reply = last.expect("a reply");
+        assert_eq!(reply.status, 503, "{kind}: {reply:?}");
+        assert!(header_value(&reply.head, "retry-after").is_some(), "{kind}: {reply:?}");
+    }
+}
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -70,6 +70,7 @@
                 expected_endpoint: header("x-expect"),
                 signature: header("x-seal"),
                 not_run: header("x-not-run"),
+                prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
             },
             retry_limits: RetryLimits { ratio: 0.2, slack: 1_000.0 },
--- a/crates/lycheewood/tests/quarantine.rs
+++ b/crates/lycheewood/tests/quarantine.rs
@@ -33,6 +33,7 @@
     SuspectReport {
         report: ReportId { incarnation: Incarnation(crash), sequence: 1 },
         fingerprints: requests.iter().map(|n| request(*n)).collect(),
+        prompt_parts: Vec::new(),
         ran_alone,
         version: version.map(VersionName::new),
         quarantine_ms: QUARANTINE_MS,
