Send no further request to an endpoint that says that it leaves

The gateway did not read the header, so it went on sending requests until the endpoint list said the same, which a store that is away may never do.

The load tracker now remembers leaving endpoints by identifier and start, for an hour and whether listed or not, since a lapsed entry may come back; an endpoint that has started again under its former identifier is not affected.

--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -168,6 +168,7 @@
     let loads: Vec<_> = entries
         .iter()
         .filter(|entry| !state.loads.is_misdirected(&entry.id, now))
+        .filter(|entry| !state.loads.is_leaving(entry))
         .filter(|entry| {
             let group = entry.group.as_ref();
             !group.is_some_and(|group| state.loads.is_group_paused(&group.name, now))
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -6,6 +6,7 @@
 use tokio::time::timeout;
 
 use crate::adapters::forward::upstream::{self, UpstreamError, UpstreamRequest, UpstreamResponse};
+use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
@@ -67,6 +68,7 @@
     let (code, reason) = match response {
         WaitOutcome::Response(Ok(response)) => {
             let response = Box::new(response);
+            record_leaving(state, &endpoint, &response);
             if response.status().is_success() {
                 state.loads.record_activity(&endpoint.id, state.clock.now());
                 if let Some(group) = &endpoint.group {
@@ -99,6 +101,16 @@
     SendOutcome::Retry(admitted)
 }
 
+/// Excludes an endpoint that says in its response that it is about to stop, before the platform's list says so.
+fn record_leaving(state: &GatewayState, endpoint: &EndpointEntry, response: &UpstreamResponse) {
+    let leaving = response.headers().get(&state.settings.headers.leaving);
+    if leaving.is_some_and(|value| value.as_bytes() == b"1")
+        && state.loads.record_leaving(endpoint, state.clock.now())
+    {
+        log::info!("endpoint leaving server={} started_ms={}", endpoint.id, endpoint.started_ms);
+    }
+}
+
 /// Outcome of waiting for the head of a response.
 enum WaitOutcome {
     Response(Result<UpstreamResponse, UpstreamError>),
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -43,6 +43,8 @@
     pub signature: HeaderName,
     /// Set by an endpoint that has not run the request.
     pub not_run: HeaderName,
+    /// Set to `1` by an endpoint that is about to stop.
+    pub leaving: HeaderName,
     /// Parts of the request's prompt in order, as `id:tokens` entries separated by commas. Requests may share all
     /// parts but the last one.
     pub prompt_parts: HeaderName,
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Timestamp;
+use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::units::decay;
 use crate::ids::InstanceId;
 
@@ -31,6 +32,9 @@
 /// has corrected or removed its entry.
 const MISDIRECTED_EXCLUSION_MS: u64 = 5_000;
 
+/// Time for which a leaving endpoint is remembered, in milliseconds. Longer than any endpoint takes to stop.
+const LEAVING_MEMORY_MS: u64 = 3_600_000;
+
 /// Interval between the requests that probe a refusing group, in milliseconds. A group forms again in about
 /// 600 ms, and each refused request uses retry budget.
 const GROUP_PROBE_INTERVAL_MS: u64 = 200;
@@ -46,11 +50,19 @@
     /// Groups that refuse requests, with the time of their next probe.
     refusing_groups: Mutex<HashMap<String, Timestamp>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
+    /// Endpoints that have said in a response that they are about to stop, by identifier and start, with the time
+    /// of the last such response. Kept while an entry is not listed, since a lapsed entry may come back.
+    leaving: Mutex<HashMap<(InstanceId, u64), Timestamp>>,
 }
 
 impl LoadTracker {
     pub(crate) fn new(capacity_changed: Arc<Notify>) -> Self {
-        Self { capacity_changed, refusing_groups: Mutex::default(), loads: Mutex::default() }
+        Self {
+            capacity_changed,
+            refusing_groups: Mutex::default(),
+            loads: Mutex::default(),
+            leaving: Mutex::default(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, EndpointLoad>> {
@@ -83,6 +95,23 @@
         self.lock().get(endpoint).is_some_and(|load| now < load.misdirected_until)
     }
 
+    fn lock_leaving(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Timestamp>> {
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that an endpoint has said that it is about to stop. Returns whether this is news.
+    pub(crate) fn record_leaving(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
+        let mut leaving = self.lock_leaving();
+        leaving.retain(|_, last| now.ms_since(*last) < LEAVING_MEMORY_MS);
+        leaving.insert((endpoint.id.clone(), endpoint.started_ms), now).is_none()
+    }
+
+    /// Whether an endpoint has said that it is about to stop.
+    pub(crate) fn is_leaving(&self, endpoint: &EndpointEntry) -> bool {
+        let leaving = self.lock_leaving();
+        !leaving.is_empty() && leaving.contains_key(&(endpoint.id.clone(), endpoint.started_ms))
+    }
+
     fn lock_refusing_groups(&self) -> MutexGuard<'_, HashMap<String, Timestamp>> {
         self.refusing_groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -44,6 +44,8 @@
     pub(crate) closed: Receiver<String>,
     closed_tx: Sender<String>,
     next_offset: u64,
+    /// Start of the endpoints that are listed next, in Unix milliseconds.
+    started_ms: u64,
 }
 
 impl Harness {
@@ -70,6 +72,7 @@
                 expected_endpoint: header("x-expect"),
                 signature: header("x-seal"),
                 not_run: header("x-not-run"),
+                leaving: header("x-leaving"),
                 prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
             },
@@ -81,7 +84,14 @@
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let (closed_tx, closed) = channel();
-        Self { gateway: Some(gateway), received: Arc::default(), closed, closed_tx, next_offset: 0 }
+        Self {
+            gateway: Some(gateway),
+            received: Arc::default(),
+            closed,
+            closed_tx,
+            next_offset: 0,
+            started_ms: 0,
+        }
     }
 
     /// Starts a gateway with the route table of [`routes`].
@@ -148,6 +158,17 @@
         self.list_entry(id, address, state, None);
     }
 
+    /// Lists an endpoint that has started again under the identifier that it had.
+    pub(crate) fn list_restarted_endpoint(&mut self, id: &str, address: SocketAddr) {
+        self.started_ms += 1;
+        self.list_entry(id, address, EndpointAvailability::Ready, None);
+    }
+
+    /// Removes an endpoint from the endpoint list.
+    pub(crate) fn remove_endpoint(&mut self, id: &str) {
+        self.apply_record(id, EndpointRecord::Removed);
+    }
+
     fn list_entry(
         &mut self,
         id: &str,
@@ -163,15 +184,15 @@
             state,
             slots: 4,
             group,
-            started_ms: 0,
+            started_ms: self.started_ms,
         };
+        self.apply_record(id, EndpointRecord::Entry(entry));
+    }
+
+    fn apply_record(&mut self, id: &str, record: EndpointRecord) {
         let offset = Offset(self.next_offset);
         self.next_offset += 1;
-        let change = EndpointChange {
-            offset,
-            id: InstanceId::new(id),
-            record: EndpointRecord::Entry(entry),
-        };
+        let change = EndpointChange { offset, id: InstanceId::new(id), record };
         self.gateway().handle().apply_endpoints(vec![change], offset.next());
     }
 
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -4,5 +4,6 @@
 mod callers;
 mod crashes;
 mod harness;
+mod leaving;
 mod retries;
 mod streams;
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -109,6 +109,7 @@
                 expected_endpoint: header("x-expect"),
                 signature: header("x-seal"),
                 not_run: header("x-not-run"),
+                leaving: header("x-leaving"),
                 prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
             },
