Leave an endpoint alone for as long as it asks in Retry-After

The gateway ignored that and sent requests on, and it passed the value on to callers, whom it does not concern.

The endpoint is now excluded until then, by identifier and start and whether listed or not, ten minutes at most. If all endpoints of a service pause for longer than a request may queue, the request is refused at once, with the end of the first pause as the time to come back; a shorter pause is waited for.

With the pause off, an_endpoint_that_asks_for_a_pause_gets_no_request_until_its_end fails (a request that was sent on, and Retry-After 1 instead of 30 for the caller); with it the endpoint gets one request of ten. The other new tests, of a short pause and of values that are no seconds, guard against excluding too much and pass.

--- a/crates/lycheewood/src/decisions/queue.rs
+++ b/crates/lycheewood/src/decisions/queue.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// When the request leaves the queue.
+    #[must_use]
+    pub const fn expires(&self) -> Timestamp {
+        self.late_until
+    }
+
     /// The end of the phase that is current at `now`.
     #[must_use]
     pub fn phase_end(&self, now: Timestamp) -> Timestamp {
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -110,11 +110,11 @@
 }
 
 impl BufferedResponse {
-    /// Adds a `Retry-After` header unless the endpoint has set one.
+    /// Sets the `Retry-After` header. A value of the endpoint concerns only that endpoint and this instance.
     fn with_retry_after(mut self, retry_after_ms: u64) -> Self {
         let seconds = Duration::from_millis(retry_after_ms).as_secs_f64().to_string();
         if let Ok(value) = HeaderValue::from_str(&seconds) {
-            self.headers.entry(RETRY_AFTER).or_insert(value);
+            self.headers.insert(RETRY_AFTER, value);
         }
         self
     }
@@ -169,9 +169,7 @@
         match (self.last_response, self.may_have_run) {
             // An error response of an endpoint is passed on whatever the earlier attempts did.
             (Some((response, false)), _) => Ok(response),
-            (Some((response, true)), None) => {
-                Ok(response.with_retry_after(NO_ENDPOINT_RETRY_AFTER_MS))
-            }
+            (Some((response, true)), None) => Ok(response.with_retry_after(self.retry_after_ms)),
             (_, Some(code)) => Err(RequestError::Unknown(UnknownOutcome { code, key: None })),
             (None, None) if state.clock.now() >= self.deadline => Err(RequestError::not_run(
                 NotRunCode::DeadlineUnreachable,
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -9,7 +9,9 @@
 use crate::decisions::balance::{BalancingCandidate, choose_by_load};
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::queue::{QueueDeadlines, QueuePhase, in_flight_limit, queue_phase};
-use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
+use crate::filters::forward::exchange::{
+    Admitted, Exchange, NO_ENDPOINT_RETRY_AFTER_MS, RequestHead, Selected, View,
+};
 use crate::filters::forward::quarantine;
 use crate::gateway::GatewayState;
 use crate::ids::{InstanceId, TargetName};
@@ -26,6 +28,12 @@
 /// Interval of checks whether a refusing group is due for a probe, in milliseconds.
 const GROUP_POLL_MS: u64 = 50;
 
+/// No endpoint can take the request.
+struct NoEndpoint {
+    /// When the caller may come back, in milliseconds.
+    retry_after_ms: u64,
+}
+
 /// Outcome of the selection.
 pub(crate) enum Selection<'r> {
     /// An endpoint is chosen.
@@ -54,9 +62,13 @@
         record_quarantined(state, head, &mut admitted, until);
         return Selection::None(admitted);
     }
-    let Some(endpoint) = wait_for_endpoint(state, &admitted, head.received).await else {
-        record_no_endpoint(state, head, &mut admitted);
-        return Selection::None(admitted);
+    let endpoint = match wait_for_endpoint(state, &admitted, head.received).await {
+        Ok(endpoint) => endpoint,
+        Err(NoEndpoint { retry_after_ms }) => {
+            admitted.retry_after_ms = retry_after_ms;
+            record_no_endpoint(state, head, &mut admitted);
+            return Selection::None(admitted);
+        }
     };
     // Checked again, because an endpoint may have crashed while the request waited.
     if let Err(until) = quarantine::permit(state, &mut admitted, attempt.id()).await {
@@ -122,7 +134,7 @@
     state: &GatewayState,
     admitted: &Admitted,
     received: Timestamp,
-) -> Option<Arc<EndpointEntry>> {
+) -> Result<Arc<EndpointEntry>, NoEndpoint> {
     let deadlines = QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline);
     loop {
         // Registered before the choice, so that no change in between is missed.
@@ -131,14 +143,20 @@
         let phase = queue_phase(&deadlines, now);
         let bound = admitted.max_batch.map(|max_batch| in_flight_limit(max_batch, phase));
         if let Some(endpoint) = choose(state, admitted, bound, now) {
-            return Some(endpoint);
+            return Ok(endpoint);
+        }
+        let pause_end = pause_end(state, &admitted.service, now);
+        if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
+            return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
         let is_refused = has_refusing_group(state, &admitted.service);
-        let may_wait = bound.is_some() || is_refused;
+        let may_wait = bound.is_some() || is_refused || pause_end.is_some();
         if !may_wait || phase == QueuePhase::Expired {
-            return None;
+            return Err(NoEndpoint { retry_after_ms: NO_ENDPOINT_RETRY_AFTER_MS });
         }
-        let mut remaining_ms = deadlines.phase_end(now).ms_since(now).max(1);
+        let phase_end = deadlines.phase_end(now);
+        let mut remaining_ms =
+            pause_end.map_or(phase_end, |end| end.min(phase_end)).ms_since(now).max(1);
         if is_refused {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
@@ -148,6 +166,15 @@
     }
 }
 
+/// When the first endpoint of the service wants requests again, if none wants any now.
+fn pause_end(state: &GatewayState, service: &TargetName, now: Timestamp) -> Option<Timestamp> {
+    let endpoints = state.endpoints.load();
+    let entries = endpoints.table.endpoints(service).iter();
+    let exclusions = state.loads.exclusions();
+    // An endpoint that is not excluded ends the search with `None`, which is less than any time.
+    entries.map(|entry| exclusions.until(entry, now)).min().flatten()
+}
+
 /// Whether a group of the service refuses requests, as it does while it forms.
 fn has_refusing_group(state: &GatewayState, service: &TargetName) -> bool {
     let endpoints = state.endpoints.load();
@@ -165,10 +192,11 @@
 ) -> Option<Arc<EndpointEntry>> {
     let view = View::load(state);
     let entries = view.endpoints.table.endpoints(&admitted.service);
+    let exclusions = state.loads.exclusions();
     let loads: Vec<_> = entries
         .iter()
         .filter(|entry| !state.loads.is_misdirected(&entry.id, now))
-        .filter(|entry| !state.loads.is_leaving(entry))
+        .filter(|entry| exclusions.until(entry, now).is_none())
         .filter(|entry| {
             let group = entry.group.as_ref();
             !group.is_some_and(|group| state.loads.is_group_paused(&group.name, now))
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use tokio::time::timeout;
 
 use crate::adapters::forward::upstream::{self, UpstreamError, UpstreamRequest, UpstreamResponse};
@@ -68,7 +70,7 @@
     let (code, reason) = match response {
         WaitOutcome::Response(Ok(response)) => {
             let response = Box::new(response);
-            record_leaving(state, &endpoint, &response);
+            record_exclusion(state, &endpoint, &response);
             if response.status().is_success() {
                 state.loads.record_activity(&endpoint.id, state.clock.now());
                 if let Some(group) = &endpoint.group {
@@ -101,14 +103,30 @@
     SendOutcome::Retry(admitted)
 }
 
-/// Excludes an endpoint that says in its response that it is about to stop, before the platform's list says so.
-fn record_leaving(state: &GatewayState, endpoint: &EndpointEntry, response: &UpstreamResponse) {
-    let leaving = response.headers().get(&state.settings.headers.leaving);
+/// Excludes an endpoint that says in its response that it is about to stop, before the platform's list says so, or
+/// that refuses the request and wants no other one for a while.
+fn record_exclusion(state: &GatewayState, endpoint: &EndpointEntry, response: &UpstreamResponse) {
+    let (headers, now) = (response.headers(), state.clock.now());
+    let leaving = headers.get(&state.settings.headers.leaving);
     if leaving.is_some_and(|value| value.as_bytes() == b"1")
-        && state.loads.record_leaving(endpoint, state.clock.now())
+        && state.loads.record_leaving(endpoint, now)
     {
         log::info!("endpoint leaving server={} started_ms={}", endpoint.id, endpoint.started_ms);
     }
+    let pause_ms = headers.get(RETRY_AFTER).and_then(retry_after_ms);
+    if let Some(pause_ms) =
+        pause_ms.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE)
+        && state.loads.record_pause(endpoint, pause_ms, now)
+    {
+        log::info!("endpoint pauses server={} pause_ms={pause_ms}", endpoint.id);
+    }
+}
+
+/// The value of a `Retry-After` header in milliseconds. Dates are not supported, because clocks may differ.
+fn retry_after_ms(value: &HeaderValue) -> Option<u64> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let duration = Duration::try_from_secs_f64(seconds).ok()?;
+    Some(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
 
 /// Outcome of waiting for the head of a response.
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -34,6 +34,8 @@
 
 /// Time for which a leaving endpoint is remembered, in milliseconds. Longer than any endpoint takes to stop.
 const LEAVING_MEMORY_MS: u64 = 3_600_000;
+/// Longest pause that an endpoint can ask for, in milliseconds, so that a wrong value does not exclude it for good.
+const MAX_PAUSE_MS: u64 = 600_000;
 
 /// Interval between the requests that probe a refusing group, in milliseconds. A group forms again in about
 /// 600 ms, and each refused request uses retry budget.
@@ -50,9 +52,10 @@
     /// Groups that refuse requests, with the time of their next probe.
     refusing_groups: Mutex<HashMap<String, Timestamp>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
-    /// Endpoints that have said in a response that they are about to stop, by identifier and start, with the time
-    /// of the last such response. Kept while an entry is not listed, since a lapsed entry may come back.
-    leaving: Mutex<HashMap<(InstanceId, u64), Timestamp>>,
+    /// Endpoints that have said in a response that they are about to stop or want no request for a while, by
+    /// identifier and start, with the time until which they get none. Kept while an entry is not listed, since a
+    /// lapsed entry may come back.
+    excluded: Mutex<HashMap<(InstanceId, u64), Timestamp>>,
 }
 
 impl LoadTracker {
@@ -61,7 +64,7 @@
             capacity_changed,
             refusing_groups: Mutex::default(),
             loads: Mutex::default(),
-            leaving: Mutex::default(),
+            excluded: Mutex::default(),
         }
     }
 
@@ -95,21 +98,38 @@
         self.lock().get(endpoint).is_some_and(|load| now < load.misdirected_until)
     }
 
-    fn lock_leaving(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Timestamp>> {
-        self.leaving.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Timestamp>> {
+        self.excluded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an endpoint has said that it is about to stop. Returns whether this is news.
+    /// Excludes an endpoint that has said that it is about to stop. Returns whether this is news.
     pub(crate) fn record_leaving(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
-        let mut leaving = self.lock_leaving();
-        leaving.retain(|_, last| now.ms_since(*last) < LEAVING_MEMORY_MS);
-        leaving.insert((endpoint.id.clone(), endpoint.started_ms), now).is_none()
+        self.exclude(endpoint, LEAVING_MEMORY_MS, now)
     }
 
-    /// Whether an endpoint has said that it is about to stop.
-    pub(crate) fn is_leaving(&self, endpoint: &EndpointEntry) -> bool {
-        let leaving = self.lock_leaving();
-        !leaving.is_empty() && leaving.contains_key(&(endpoint.id.clone(), endpoint.started_ms))
+    /// Excludes an endpoint for the time for which it wants no request. Returns whether this is news.
+    pub(crate) fn record_pause(
+        &self,
+        endpoint: &EndpointEntry,
+        pause_ms: u64,
+        now: Timestamp,
+    ) -> bool {
+        self.exclude(endpoint, pause_ms.min(MAX_PAUSE_MS), now)
+    }
+
+    fn exclude(&self, endpoint: &EndpointEntry, duration_ms: u64, now: Timestamp) -> bool {
+        let mut excluded = self.lock_excluded();
+        excluded.retain(|_, until| now < *until);
+        let until = excluded.entry((endpoint.id.clone(), endpoint.started_ms));
+        let until = until.or_insert(now);
+        let is_news = *until == now;
+        *until = now.plus_ms(duration_ms).max(*until);
+        is_news
+    }
+
+    /// The endpoints that have said that they want no request now.
+    pub(crate) fn exclusions(&self) -> Exclusions {
+        Exclusions(self.lock_excluded().clone())
     }
 
     fn lock_refusing_groups(&self) -> MutexGuard<'_, HashMap<String, Timestamp>> {
@@ -206,6 +226,21 @@
     }
 }
 
+/// Endpoints that have said that they want no request, with the time until which they get none. Usually empty.
+#[derive(Debug)]
+pub(crate) struct Exclusions(HashMap<(InstanceId, u64), Timestamp>);
+
+impl Exclusions {
+    /// Time until which an endpoint gets no request, if that is later than `now`.
+    pub(crate) fn until(&self, endpoint: &EndpointEntry, now: Timestamp) -> Option<Timestamp> {
+        if self.0.is_empty() {
+            return None;
+        }
+        let until = self.0.get(&(endpoint.id.clone(), endpoint.started_ms)).copied();
+        until.filter(|until| now < *until)
+    }
+}
+
 /// Counts a request as in flight until it is dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
