Keep the processes running when the endpoint list has odd entries

Reported by other operators: another writer left one odd entry among those of the servers, and the machines that read the list ended again and again, or stopped following it. It could happen here: an entry whose group states a size of 2^40 made the holder of the lease allocate a list of that size before it compared the size with the number of entries.

--- a/crates/lycheewood/src/controllers/expert_groups.rs
+++ b/crates/lycheewood/src/controllers/expert_groups.rs
@@ -202,8 +202,12 @@
 ) -> Option<ListedGroup> {
     let places = || entries.iter().filter_map(|entry| entry.group.as_ref());
     let first = places().next()?;
+    // Checked before the ranks are collected, because an entry may state any size.
     let is_whole = entries.len() == first.size
         && places().all(|place| place.is_open && place.epoch == first.epoch);
+    if !is_whole {
+        return None;
+    }
     let mut ranks: Vec<Option<RankAddress>> = vec![None; first.size];
     for entry in entries {
         let place = entry.group.as_ref()?;
@@ -211,5 +215,5 @@
         *ranks.get_mut(place.rank)? = Some(rank);
     }
     let ranks = ranks.into_iter().collect::<Option<Vec<_>>>()?;
-    is_whole.then(|| ListedGroup { name: name.to_owned(), epoch: first.epoch, shape, ranks })
+    Some(ListedGroup { name: name.to_owned(), epoch: first.epoch, shape, ranks })
 }
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -239,3 +239,21 @@
     harness.gateway.handle().apply_endpoints(hanging.collect(), Offset(20));
     harness.wait_for_status_reads(30);
 }
+
+/// Guards against a process that ends, or groups that nobody controls, because of one entry whose group has an
+/// absurd size. Another writer may have left it, and another instance may pass it on.
+#[test]
+fn an_entry_of_an_absurd_group_stops_no_other_group() {
+    for (size, rank) in [(usize::MAX, 0), (1 << 40, 1 << 39), (0, 0), (1, 7)] {
+        let harness = TestGateway::start(&[]);
+        harness.wait_for_status_reads(1);
+        let mut odd = endpoint("odd", "a", 0);
+        odd.offset = Offset(10);
+        let EndpointRecord::Entry(entry) = &mut odd.record else { unreachable!() };
+        let group = entry.group.as_mut().expect("a group");
+        (group.size, group.rank) = (size, rank);
+        harness.gateway.handle().apply_endpoints(vec![odd], Offset(11));
+        harness.wait_for_status_reads(10);
+        harness.gateway.shutdown();
+    }
+}
