Give up answers without end before their head

Most cases already ended early: the HTTP library bounds a head, and bodies and events have limits here. Informational responses are skipped without a limit, so a gateway read them until the caller's deadline, on its only traffic thread.

--- a/crates/lycheewood/src/adapters/forward.rs
+++ b/crates/lycheewood/src/adapters/forward.rs
@@ -2,4 +2,6 @@
 
 pub(crate) mod caller;
 pub(crate) mod headers;
+pub(crate) mod limited_read;
+
 pub(crate) mod upstream;
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::adapters::forward::headers::end_to_end;
+use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead};
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::HeaderNames;
 use crate::ids::{InstanceId, WorkspaceName};
@@ -76,6 +77,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: ConnectionTask,
+    head_arrived: HeadArrived,
 }
 
 /// Opens a connection to an endpoint.
@@ -97,13 +99,14 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(&tcp);
     let _ = socket.set_tcp_keepalive(&probes);
+    let (tcp, head_arrived) = LimitedRead::new(tcp);
     let (sender, connection) =
         http1::handshake(TokioIo::new(tcp)).await.map_err(UpstreamError::Connection)?;
     let task = tokio::spawn(async move {
         // A failure also reaches the request on the connection, which reports it.
         let _ = connection.await;
     });
-    Ok(Connection { sender, task: ConnectionTask(task.abort_handle()) })
+    Ok(Connection { sender, task: ConnectionTask(task.abort_handle()), head_arrived })
 }
 
 /// Whether the machine at `address` refuses connections, which shows that nothing listens there. `false` if it
@@ -122,6 +125,7 @@
         let request = request(upstream_request).map_err(UpstreamError::Request)?;
         let response =
             self.sender.send_request(request).await.map_err(UpstreamError::Connection)?;
+        self.head_arrived.set();
         let (parts, body) = response.into_parts();
         Ok(UpstreamResponse { parts, body, _sender: self.sender, _task: self.task })
     }
--- a/crates/lycheewood/tests/gateway/answers.rs
+++ b/crates/lycheewood/tests/gateway/answers.rs
@@ -6,7 +6,9 @@
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-use crate::harness::{Action, Harness, ReceivedRequest, ok_response, request, response};
+use crate::harness::{
+    Action, Harness, ReceivedRequest, header_value, ok_response, request, response, routes,
+};
 
 /// Guards against forwarding a response to another request, an unsigned or encoded body, or a truncated body as
 /// a success.
@@ -184,3 +186,82 @@
         assert_eq!(harness.received().len(), 0, "{request:?}");
     }
 }
+
+/// Guards against reading without end what is no response: the memory of the instance would run out, or its only
+/// traffic thread would do nothing else, until the caller's deadline.
+#[test]
+fn an_answer_without_end_is_given_up() {
+    let head = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Seal: s\r\n";
+    let chunk = format!("1000\r\n{}\r\n", "a".repeat(0x1000));
+    let table: [(&str, &str, String, String); 8] = [
+        ("no HTTP", "once", String::new(), "what is this ".repeat(400)),
+        ("a header line", "once", format!("{head}X-Long: "), "a".repeat(4_000)),
+        ("header lines", "once", head.to_owned(), "X-Line: a\r\n".repeat(400)),
+        ("empty lines", "once", String::new(), "\r\n".repeat(2_000)),
+        ("informational", "once", String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(200)),
+        (
+            "a chunked body",
+            "once",
+            format!("{head}Transfer-Encoding: chunked\r\n\r\n"),
+            chunk.clone(),
+        ),
+        ("an unframed body", "once", format!("{head}\r\n"), "a".repeat(4_000)),
+        ("one event", "stream", format!("{head}Transfer-Encoding: chunked\r\n\r\n"), chunk),
+    ];
+    for (name, kind, first, repeated) in table {
+        let mut harness = Harness::start();
+        let mut routes = routes(1);
+        for route in &mut routes.routes {
+            // Longer than the harness reads, so that a request that waits for its deadline fails the test.
+            route.timeout_ms = 60_000;
+        }
+        harness.offer_routes(routes);
+        let answer = move |received: &ReceivedRequest| {
+            if received.head.contains("/bad ") {
+                Action::Endless(first.clone().into_bytes(), repeated.clone().into_bytes())
+            } else {
+                Action::Write(ok_response(received, "ok"))
+            }
+        };
+        harness.start_endpoint("s1", answer);
+        let bad = request(&format!("/{kind}/bad"), "id-1")
+            .replace("X-Deadline: 3000", "X-Deadline: 60000");
+        let reply = harness.call(&bad);
+        let is_cut_stream = reply.status == 200 && kind == "stream" && !reply.is_complete;
+        assert!(reply.status == 502 || is_cut_stream, "{name}: {}", reply.head);
+        assert_eq!(harness.wait_for_close(), "s1", "{name}");
+        assert_eq!(harness.received().len(), 1, "{name}: sent again although it may have run");
+        assert_eq!(harness.call(&request("/read/good", "id-2")).status, 200, "{name}");
+    }
+}
+
+/// Guards against telling a caller 'not run' because of an earlier refusal that an endpoint has written once more:
+/// the endpoint may run the request, and a second one would run it too.
+#[test]
+fn an_earlier_refusal_is_no_answer_to_a_later_request() {
+    let id = |received: &ReceivedRequest| header_value(&received.head, "x-id").unwrap_or_default();
+    let refusal = |id_line: &str| {
+        let lines = "X-Not-Run: 1\r\nContent-Length: 0\r\n";
+        format!("HTTP/1.1 503 Service Unavailable\r\n{id_line}{lines}\r\n").into_bytes()
+    };
+    for (name, earlier) in [("its id", "X-Id: id-1\r\n"), ("no id", "")] {
+        let mut harness = Harness::with_routes();
+        let answer = move |received: &ReceivedRequest| {
+            let is_first = id(received) == "id-1";
+            let mut bytes = refusal(if is_first { "X-Id: id-1\r\n" } else { earlier });
+            if is_first {
+                // Once more on the same connection, where a later request might be.
+                bytes.extend(refusal("X-Id: id-1\r\n"));
+            } else {
+                bytes.extend(ok_response(received, "ran"));
+            }
+            Action::Write(bytes)
+        };
+        harness.start_endpoint("s1", answer);
+        assert_eq!(harness.call(&request("/once/x", "id-1")).status, 503, "{name}");
+        harness.start_endpoint("s2", answer);
+        let reply = harness.call(&request("/once/x", "id-2"));
+        assert_eq!(reply.status, 502, "{name}: {reply:?}");
+        assert_eq!(harness.received().len(), 2, "{name}: sent again although it may have run");
+    }
+}
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -22,6 +22,8 @@
     Write(Vec<u8>),
     /// Writes these bytes and sends nothing more until the gateway closes the connection.
     Hang(Vec<u8>),
+    /// Writes the first bytes once and the others again and again, until the gateway closes the connection.
+    Endless(Vec<u8>, Vec<u8>),
     /// Ends the endpoint: no connection is accepted any more, and this one is closed.
     Crash,
 }
@@ -285,6 +287,11 @@
             let _ = tcp.read_to_end(&mut Vec::new());
             let _ = closed_tx.send(name.to_owned());
         }
+        Action::Endless(first, repeated) => {
+            let _ = tcp.write_all(&first);
+            while tcp.write_all(&repeated).is_ok() {}
+            let _ = closed_tx.send(name.to_owned());
+        }
         Action::Crash => {
             socket2::SockRef::from(listener).shutdown(Shutdown::Both).expect("a listener");
         }
