--- a/crates/lycheewood/src/adapters/backend.rs
+++ b/crates/lycheewood/src/adapters/backend.rs
@@ -18,6 +18,9 @@
 /// The most bytes of one server-sent event; a longer one is a protocol error.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
+/// The most bytes of a reply of a plain service, which is held in memory until its entry has it.
+const MAX_SERVICE_REPLY_BYTES: usize = 16 * 1024 * 1024;
+
 #[derive(Serialize)]
 struct CompletionBody<'a> {
     request_id: String,
@@ -211,7 +214,8 @@
 
 impl ServiceClient {
     pub(crate) fn new(address: SocketAddr, connect_ms: u64) -> Self {
-        Self { http: HttpClient::new(address, connect_ms) }
+        let http = HttpClient::new(address, connect_ms);
+        Self { http: http.with_max_reply_bytes(MAX_SERVICE_REPLY_BYTES) }
     }
 
     /// Makes one call and reads the whole reply within `timeout_ms`.
@@ -238,8 +242,7 @@
                 .and_then(|value| value.to_str().ok())
                 .unwrap_or_default()
                 .to_owned();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|_| HttpError::Cut { address })?.to_bytes();
+            let body = self.http.read_body(response).await?;
             Ok(ServiceReply { status, content_type, body })
         };
         match timeout(Duration::from_millis(timeout_ms), exchange).await {
--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::client::legacy::Client;
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 use tokio::time::timeout;
 
-/// The most bytes accepted in one reply that is read as a whole.
+/// The most bytes accepted in one reply that is read as a whole, unless the client has another limit.
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Why an HTTP exchange failed.
@@ -77,6 +77,7 @@
 pub struct HttpClient {
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    max_reply_bytes: usize,
 }
 
 impl HttpClient {
@@ -107,7 +108,13 @@
             .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
             .build(connector);
-        Self { address, client }
+        Self { address, client, max_reply_bytes: MAX_REPLY_BYTES }
+    }
+
+    /// Accepts at most `max_reply_bytes` in one reply that is read as a whole.
+    #[must_use]
+    pub fn with_max_reply_bytes(self, max_reply_bytes: usize) -> Self {
+        Self { max_reply_bytes, ..self }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -159,7 +166,7 @@
         let exchange = async {
             let response = self.open(method, path, headers, body, timeout_ms).await?;
             let status = response.status();
-            let body = read_body(response).await.ok_or(HttpError::Cut { address })?;
+            let body = self.read_body(response).await?;
             Ok((status, body))
         };
         match timeout(Duration::from_millis(timeout_ms), exchange).await {
@@ -168,6 +175,12 @@
         }
     }
 
+    /// Reads a reply to its end. A reply over the limit is not read on.
+    pub(crate) async fn read_body(&self, response: Response<Incoming>) -> Result<Bytes, HttpError> {
+        let body = Limited::new(response.into_body(), self.max_reply_bytes).collect().await;
+        body.map(Collected::to_bytes).map_err(|_| HttpError::Cut { address: self.address })
+    }
+
     /// Sends a request and reads the whole reply, which must have a 2xx status.
     ///
     /// # Errors
@@ -186,11 +199,6 @@
     }
 }
 
-async fn read_body(response: Response<Incoming>) -> Option<Bytes> {
-    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
-    Some(body.collect().await.ok()?.to_bytes())
-}
-
 fn check_status(address: SocketAddr, status: StatusCode, body: Bytes) -> Result<Bytes, HttpError> {
     if status.is_success() {
         return Ok(body);
