Tell callers nothing of how long a leaving endpoint is remembered

Found on reading the change again: a service whose only endpoint leaves told its callers to come back in an hour, the time for which the leaving is remembered. Leaving and pausing are separate fields now; only a pause that ends is told to callers or waited for. an_endpoint_that_has_started_again_is_not_leaving checks the value (1 s).

--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -166,13 +166,15 @@
     }
 }
 
-/// When the first endpoint of the service wants requests again, if none wants any now.
+/// When the first endpoint of the service that pauses wants requests again, if no endpoint wants any now.
 fn pause_end(state: &GatewayState, service: &TargetName, now: Timestamp) -> Option<Timestamp> {
     let endpoints = state.endpoints.load();
-    let entries = endpoints.table.endpoints(service).iter();
+    let entries = || endpoints.table.endpoints(service).iter();
     let exclusions = state.loads.exclusions();
-    // An endpoint that is not excluded ends the search with `None`, which is less than any time.
-    entries.map(|entry| exclusions.until(entry, now)).min().flatten()
+    if !entries().all(|entry| exclusions.contains(entry, now)) {
+        return None;
+    }
+    entries().filter_map(|entry| exclusions.pause_end(entry, now)).min()
 }
 
 /// Whether a group of the service refuses requests, as it does while it forms.
@@ -196,7 +198,7 @@
     let loads: Vec<_> = entries
         .iter()
         .filter(|entry| !state.loads.is_misdirected(&entry.id, now))
-        .filter(|entry| exclusions.until(entry, now).is_none())
+        .filter(|entry| !exclusions.contains(entry, now))
         .filter(|entry| {
             let group = entry.group.as_ref();
             !group.is_some_and(|group| state.loads.is_group_paused(&group.name, now))
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -52,10 +52,9 @@
     /// Groups that refuse requests, with the time of their next probe.
     refusing_groups: Mutex<HashMap<String, Timestamp>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
-    /// Endpoints that have said in a response that they are about to stop or want no request for a while, by
-    /// identifier and start, with the time until which they get none. Kept while an entry is not listed, since a
-    /// lapsed entry may come back.
-    excluded: Mutex<HashMap<(InstanceId, u64), Timestamp>>,
+    /// Endpoints that have said in a response that they want no request, by identifier and start. Kept while an
+    /// entry is not listed, since a lapsed entry may come back.
+    excluded: Mutex<HashMap<(InstanceId, u64), Exclusion>>,
 }
 
 impl LoadTracker {
@@ -98,13 +97,15 @@
         self.lock().get(endpoint).is_some_and(|load| now < load.misdirected_until)
     }
 
-    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Timestamp>> {
+    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Exclusion>> {
         self.excluded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Excludes an endpoint that has said that it is about to stop. Returns whether this is news.
     pub(crate) fn record_leaving(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
-        self.exclude(endpoint, LEAVING_MEMORY_MS, now)
+        self.exclude(endpoint, now, |exclusion| {
+            exclusion.leaving_until = now.plus_ms(LEAVING_MEMORY_MS);
+        })
     }
 
     /// Excludes an endpoint for the time for which it wants no request. Returns whether this is news.
@@ -114,16 +115,23 @@
         pause_ms: u64,
         now: Timestamp,
     ) -> bool {
-        self.exclude(endpoint, pause_ms.min(MAX_PAUSE_MS), now)
+        let paused_until = now.plus_ms(pause_ms.min(MAX_PAUSE_MS));
+        self.exclude(endpoint, now, |exclusion| {
+            exclusion.paused_until = exclusion.paused_until.max(paused_until);
+        })
     }
 
-    fn exclude(&self, endpoint: &EndpointEntry, duration_ms: u64, now: Timestamp) -> bool {
+    fn exclude(
+        &self,
+        endpoint: &EndpointEntry,
+        now: Timestamp,
+        change: impl FnOnce(&mut Exclusion),
+    ) -> bool {
         let mut excluded = self.lock_excluded();
-        excluded.retain(|_, until| now < *until);
-        let until = excluded.entry((endpoint.id.clone(), endpoint.started_ms));
-        let until = until.or_insert(now);
-        let is_news = *until == now;
-        *until = now.plus_ms(duration_ms).max(*until);
+        excluded.retain(|_, exclusion| exclusion.is_in_force(now));
+        let key = (endpoint.id.clone(), endpoint.started_ms);
+        let is_news = !excluded.contains_key(&key);
+        change(excluded.entry(key).or_default());
         is_news
     }
 
@@ -226,18 +234,43 @@
     }
 }
 
-/// Endpoints that have said that they want no request, with the time until which they get none. Usually empty.
+/// Why an endpoint gets no request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Exclusion {
+    /// Time until which it is remembered that the endpoint is about to stop.
+    leaving_until: Timestamp,
+    /// Time until which the endpoint wants no request.
+    paused_until: Timestamp,
+}
+
+impl Exclusion {
+    fn is_in_force(&self, now: Timestamp) -> bool {
+        now < self.leaving_until.max(self.paused_until)
+    }
+}
+
+/// Endpoints that have said that they want no request. Usually empty.
 #[derive(Debug)]
-pub(crate) struct Exclusions(HashMap<(InstanceId, u64), Timestamp>);
+pub(crate) struct Exclusions(HashMap<(InstanceId, u64), Exclusion>);
 
 impl Exclusions {
-    /// Time until which an endpoint gets no request, if that is later than `now`.
-    pub(crate) fn until(&self, endpoint: &EndpointEntry, now: Timestamp) -> Option<Timestamp> {
+    fn get(&self, endpoint: &EndpointEntry, now: Timestamp) -> Option<&Exclusion> {
         if self.0.is_empty() {
             return None;
         }
-        let until = self.0.get(&(endpoint.id.clone(), endpoint.started_ms)).copied();
-        until.filter(|until| now < *until)
+        let exclusion = self.0.get(&(endpoint.id.clone(), endpoint.started_ms));
+        exclusion.filter(|exclusion| exclusion.is_in_force(now))
+    }
+
+    /// Whether an endpoint gets no request.
+    pub(crate) fn contains(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
+        self.get(endpoint, now).is_some()
+    }
+
+    /// When an endpoint that pauses wants requests again, unless it is about to stop.
+    pub(crate) fn pause_end(&self, endpoint: &EndpointEntry, now: Timestamp) -> Option<Timestamp> {
+        let exclusion = self.get(endpoint, now).filter(|e| now >= e.leaving_until);
+        exclusion.map(|exclusion| exclusion.paused_until)
     }
 }
 
--- a/crates/lycheewood/tests/gateway/leaving.rs
+++ b/crates/lycheewood/tests/gateway/leaving.rs
@@ -34,7 +34,8 @@
     assert_eq!(arrivals(&harness, "s1"), 1);
 }
 
-/// Guards against excluding an endpoint for good that has started again under the identifier that it had.
+/// Guards against excluding an endpoint for good that has started again under the identifier that it had, and against
+/// sending callers away for as long as a leaving endpoint is remembered.
 #[test]
 fn an_endpoint_that_has_started_again_is_not_leaving() {
     let mut harness = Harness::with_routes();
@@ -42,7 +43,9 @@
         Action::Write(response(received, "200 OK", "X-Seal: s\r\nX-Leaving: 1\r\n", "ok"))
     });
     assert_eq!(harness.call(&request("/read/x", "id-1")).status, 200);
-    assert_eq!(harness.call(&request("/read/x", "id-2")).status, 503);
+    let reply = harness.call(&request("/read/x", "id-2"));
+    let retry_after = header_value(&reply.head, "retry-after").expect("a time to come back");
+    assert!(reply.status == 503 && retry_after == "1", "{reply:?}");
     harness.list_restarted_endpoint("s1", address);
     assert_eq!(harness.call(&request("/read/x", "id-3")).status, 200);
 }
