Send quarantine datagrams that every receiver can read

Found on reading the change again: forty reports with the most prompt parts would exceed the 16 KiB that a receiver reads; six fit. A crash without suspects sends no empty report, and peers are not compared while nothing is suspect.

--- a/crates/lycheewood/src/controllers/gateway_quarantine.rs
+++ b/crates/lycheewood/src/controllers/gateway_quarantine.rs
@@ -21,6 +21,7 @@
 use crate::adapters::gossip;
 use crate::clock::Timestamp;
 use crate::controllers::quarantine::{RequestTrial, WithdrawTrial};
+use crate::decisions::digest::Fingerprint;
 use crate::decisions::quarantine::record::{QuarantineEntry, SuspectReport};
 use crate::decisions::quarantine::{QuarantineDecision, QuarantineSettings, QuarantineTable};
 use crate::gateway::GatewayState;
@@ -36,8 +37,9 @@
 const REPEATS_AFTER: [u64; 2] = [1, 3];
 /// Heartbeat intervals between later copies of an instance's own reports, for instances that were cut off.
 const REPEAT_INTERVAL: u64 = 9;
-/// Maximum number of entries in a datagram. One with a report has about 200 bytes.
-const MAX_ENTRIES_PER_DATAGRAM: usize = 40;
+/// Maximum number of entries in a datagram. A report with the most prompt parts has about 2,500 bytes, and a datagram
+/// of more than 16 KiB is not read.
+const MAX_ENTRIES_PER_DATAGRAM: usize = 6;
 
 /// Reports a crash that this instance has observed. Replies once the report is in force here and has been sent.
 pub(crate) struct ReportCrash {
@@ -46,7 +48,7 @@
 }
 
 /// Records that an endpoint has completed a suspect.
-pub(crate) struct RecordCompletion(pub(crate) crate::decisions::digest::Fingerprint);
+pub(crate) struct RecordCompletion(pub(crate) Fingerprint);
 
 /// Entries have arrived from another instance.
 pub(crate) struct EntriesReceived(pub(crate) Vec<QuarantineEntry>);
@@ -259,10 +261,11 @@
     type Reply = ();
 
     async fn handle(&mut self, _: SendRepeats, _: &mut Context<Self, ()>) {
-        let uninformed = self.uninformed();
         if self.kept.is_empty() {
+            self.informed.clear();
             return;
         }
+        let uninformed = self.uninformed();
         for kept in &mut self.kept {
             kept.age += 1;
         }
--- a/crates/lycheewood/src/filters/forward/crash.rs
+++ b/crates/lycheewood/src/filters/forward/crash.rs
@@ -60,6 +60,9 @@
         head.shared_prompt_parts,
         fingerprints.len() + prompt_parts.len()
     );
+    if fingerprints.is_empty() && prompt_parts.is_empty() {
+        return;
+    }
     let Some(quarantine) = state.quarantine() else { return };
     let report = SuspectReport {
         report: ReportId::of_incarnation(&endpoint.id, endpoint.started_ms),
