--- a/crates/lycheewood/src/decisions/quarantine.rs
+++ b/crates/lycheewood/src/decisions/quarantine.rs
@@ -85,7 +85,8 @@
     }
 }
 
-/// Part of the quarantine for which a prompt part is refused after its first crash.
+/// Divisor of the quarantine for which a prompt part is refused after its first crash. A sound part that was in flight
+/// at an unrelated crash is tried again sooner than one that was at two.
 const FIRST_PART_QUARANTINE_DIVISOR: u64 = 2;
 
 /// What a fingerprint stands for.
