Review case 1: a late second answer makes an agent report an order as done

Looked for: orders that count as confirmed although the rank has not carried them out. Agents keep one connection to their rank and match no answer to its call, so a late copy of an earlier answer is taken for that of an order. If the rank carries that order out late, the group is released with one rank unarmed (MAP).

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,26 @@
+//! Stand-ins and checks of the review's cases. `main CASE RECORD` plays one case and exits with 1 if its rule was
+//! broken, 0 if it held, and 2 if the case could not run.
+
+mod case_map;
+mod deployment;
+mod http;
+mod store;
+
+use deployment::Record;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (case, path) = (arguments.next(), arguments.next());
+    let (Some(case), Some(path)) = (case, path) else {
+        eprintln!("usage: main CASE RECORD");
+        std::process::exit(2);
+    };
+    let record = Record::create(&path);
+    match case.as_str() {
+        "map" => case_map::play(record),
+        _ => {
+            eprintln!("unknown case {case}");
+            std::process::exit(2);
+        }
+    }
+}
