--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, and 2 if the case could not run.
 
 mod case_map;
+mod case_stall;
 mod deployment;
 mod http;
 mod store;
@@ -18,6 +19,7 @@
     let record = Record::create(&path);
     match case.as_str() {
         "map" => case_map::play(record),
+        "stall" => case_stall::play(record),
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
