--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod case_forged;
 mod case_map;
+mod case_memory;
 mod case_stall;
 mod deployment;
 mod http;
@@ -22,6 +23,7 @@
         "map" => case_map::play(record),
         "forged" => case_forged::play(record),
         "stall" => case_stall::play(record),
+        "memory" => case_memory::play(record),
         _ => {
             eprintln!("unknown case {case}");
             std::process::exit(2);
