Review case 5: a gateway that is ready takes no connection

Looked for: limits that callers can reach and that readiness does not know. Idle connections hold all slots of the accept loop, so a burst of users leaves the gateway ready and deaf (RECOVER).

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and checks of the review's cases. `main CASE RECORD` plays one case and exits with 1 if its rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
+mod case_accept;
 mod case_forged;
 mod case_map;
 mod case_memory;
@@ -22,6 +23,7 @@
     match case.as_str() {
         "map" => case_map::play(record),
         "forged" => case_forged::play(record),
+        "accept" => case_accept::play(record),
         "stall" => case_stall::play(record),
         "memory" => case_memory::play(record),
         _ => {
