--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -13,8 +14,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// Option of `prctl` that names the signal for the end of the parent.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 
@@ -126,7 +131,15 @@
         let path = self.folder.join(format!("{name}.conf"));
         fs::write(&path, settings).expect("a settings file");
         let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log file");
-        let child = Command::new("target/release/lycheewood-platform")
+        let mut command = Command::new("target/release/lycheewood-platform");
+        // No process outlives the run, however that ends. Only this call is made between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .arg(role)
             .env_clear()
             .env("LYCHEEWOOD_CONFIG", &path)
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,6 +13,10 @@
 use deployment::Record;
 
 fn main() {
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("the case could not run: {panic}");
+        std::process::exit(2);
+    }));
     let mut arguments = std::env::args().skip(1);
     let (case, path) = (arguments.next(), arguments.next());
     let (Some(case), Some(path)) = (case, path) else {
