Review: keep the stand-ins' sources beside the cases

A folder in review/ is a case, so the sources that all cases share move from review/standin/ to review/ itself. No line of them has changed; only their path in build.sh has.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/standin/main.rs -o target/review/standin
+rustc --edition 2024 -O review/main.rs -o target/review/standin
