--- a/crates/lycheewood/src/adapters/gossip.rs
+++ b/crates/lycheewood/src/adapters/gossip.rs
@@ -65,14 +65,14 @@
 
 /// A datagram of another instance.
 pub(crate) enum Datagram {
-    Heartbeat(Heartbeat),
+    Heartbeat(Box<Heartbeat>),
     Quarantine(QuarantineNotice),
 }
 
 impl Datagram {
     fn decode(bytes: &[u8]) -> Option<Self> {
         // A heartbeat is an array and a notice is a map, so no datagram can be read as both.
-        let heartbeat = decode(bytes).map(Self::Heartbeat);
+        let heartbeat = decode(bytes).map(Box::new).map(Self::Heartbeat);
         heartbeat.or_else(|| decode(bytes).map(Self::Quarantine))
     }
 }
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -20,7 +20,7 @@
 use crate::decisions::peers::PeerTracker;
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
-use crate::wire::heartbeat::{About, Heartbeat, SharedState, endpoint_tag};
+use crate::wire::heartbeat::{About, Heartbeat, HeartbeatExtension, SharedState, endpoint_tag};
 
 /// Number of heartbeats after the start that contain `about` and are sent to all instances.
 const INITIAL_FULL_HEARTBEATS: u64 = 4;
@@ -150,6 +150,7 @@
             endpoints_next: state.endpoints.load().table.next,
             reads: *state.is_reader.borrow() && state.is_healthy_reader(),
             in_flight: in_flight.iter().map(|(id, count)| (endpoint_tag(id), *count)).collect(),
+            extension: HeartbeatExtension::default(),
         }
     }
 
@@ -315,7 +316,7 @@
                 }
             }
             Ok((from, Datagram::Heartbeat(heartbeat))) => {
-                if actor.tell(HeartbeatReceived { from, heartbeat }).await.is_err() {
+                if actor.tell(HeartbeatReceived { from, heartbeat: *heartbeat }).await.is_err() {
                     return;
                 }
             }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -178,7 +178,9 @@
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
 };
 pub use wire::codec::{DecodeError, decode, encode};
-pub use wire::heartbeat::{About, Heartbeat, SharedEndpoints, SharedState};
+pub use wire::heartbeat::{
+    About, Evacuations, Heartbeat, HeartbeatExtension, SharedEndpoints, SharedState,
+};
 pub use wire::message::{
     Ask, Chunk, DocumentAsk, DocumentState, End, Failed, Frame, Head, Hello, Load, RankReport,
     Recover, Refused, RefusedReason, Role, StageAsk, StageDone, StageRefused, Start, Suspects,
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -1,5 +1,7 @@
 //! What entry instances tell each other in datagrams, and the state that one asks another for.
 
+mod packed;
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -38,8 +40,7 @@
 ///
 /// Bytes between failure domains have a price, so it is encoded without field names, says what does not
 /// change only now and then, and names endpoints by [`endpoint_tag`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(from = "Packed", into = "Packed")]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
     /// What does not change, in some of the heartbeats.
     pub about: Option<About>,
@@ -54,12 +55,50 @@
     /// Version of its route table.
     pub route_version: Option<u64>,
     /// The first offset of the endpoint list that it has not read.
-    #[serde(rename = "servers_next")]
     pub endpoints_next: Offset,
     /// Whether it reads the platform's topics, and its last calls were answered.
     pub reads: bool,
     /// Requests in flight from it, by tag of the endpoint.
     pub in_flight: Vec<(u32, u32)>,
+    /// State that only some deployments have. Left out of the datagram while it is empty.
+    pub extension: HeartbeatExtension,
+}
+
+/// Optional state of an instance. A reader ignores fields that it does not know, so that builds with different
+/// fields read each other's heartbeats.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatExtension {
+    /// Estimated work left of the requests from this instance, by tag of the endpoint, in milliseconds.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub work_ms: Vec<(u32, u32)>,
+    /// Failure domains whose endpoints must get no requests.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Evacuations>,
+    /// Imbalance of the expert map of each group, in percent of a balanced map. Only the holder of the lease knows it.
+    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
+    pub imbalance_percent: Vec<(String, u32)>,
+    /// Requests that wait at this instance for a place at an endpoint, by priority.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<(u8, u32)>,
+}
+
+/// The failure domains that the operator has evacuated.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// Offset up to which the operator's records were read. State with a lower offset is older.
+    #[serde(rename = "o")]
+    pub next: Offset,
+    /// The evacuated domains, sorted by name.
+    #[serde(rename = "d")]
+    pub domains: Vec<FailureDomain>,
+}
+
+impl HeartbeatExtension {
+    /// Whether there is nothing to send.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
 }
 
 impl Heartbeat {
@@ -82,73 +121,6 @@
     u32::from_be_bytes([a, b, c, d])
 }
 
-/// The fields of a heartbeat in order.
-type Packed = (
-    Option<About>,
-    Incarnation,
-    u64,
-    bool,
-    Option<Leading>,
-    Option<u64>,
-    Offset,
-    bool,
-    Vec<(u32, u32)>,
-);
-
-impl From<Packed> for Heartbeat {
-    fn from(packed: Packed) -> Self {
-        let (
-            about,
-            incarnation,
-            sequence,
-            is_ready,
-            leading,
-            route_version,
-            endpoints_next,
-            reads,
-            in_flight,
-        ) = packed;
-        Self {
-            about,
-            incarnation,
-            sequence,
-            is_ready,
-            leading,
-            route_version,
-            endpoints_next,
-            reads,
-            in_flight,
-        }
-    }
-}
-
-impl From<Heartbeat> for Packed {
-    fn from(heartbeat: Heartbeat) -> Self {
-        let Heartbeat {
-            about,
-            incarnation,
-            sequence,
-            is_ready,
-            leading,
-            route_version,
-            endpoints_next,
-            reads,
-            in_flight,
-        } = heartbeat;
-        (
-            about,
-            incarnation,
-            sequence,
-            is_ready,
-            leading,
-            route_version,
-            endpoints_next,
-            reads,
-            in_flight,
-        )
-    }
-}
-
 /// What an instance that does not read the platform asks another one for.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SharedState {
--- a/crates/lycheewood/tests/adoption.rs
+++ b/crates/lycheewood/tests/adoption.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use lycheewood::{
-    About, FailureDomain, Heartbeat, Incarnation, InstanceId, LagMonitor, LocalState, Offset,
-    PeerTracker, Timestamp,
+    About, FailureDomain, Heartbeat, HeartbeatExtension, Incarnation, InstanceId, LagMonitor,
+    LocalState, Offset, PeerTracker, Timestamp,
 };
 use proptest::prelude::*;
 
@@ -49,6 +49,7 @@
             endpoints_next: Offset(0),
             reads: false,
             in_flight: Vec::new(),
+            extension: HeartbeatExtension::default(),
         }
     }
 }
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -3,10 +3,10 @@
 use lycheewood::{
     About, BalancingCandidate, CountTracker, EndpointAvailability, EndpointChange, EndpointEntry,
     EndpointList, EndpointRecord, EngineProfile, EntryView, EventSplitter, FailureDomain,
-    Heartbeat, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines, QueuePhase,
-    RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind,
-    RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, event_id, in_flight_limit,
-    max_batch, nearest_entries, queue_phase, switch_lead_ms, switch_step,
+    Heartbeat, HeartbeatExtension, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines,
+    QueuePhase, RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare,
+    RequestKind, RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, event_id,
+    in_flight_limit, max_batch, nearest_entries, queue_phase, switch_lead_ms, switch_step,
 };
 use proptest::prelude::*;
 
@@ -181,6 +181,7 @@
         endpoints_next: Offset(7),
         reads: false,
         in_flight: Vec::new(),
+        extension: HeartbeatExtension::default(),
     }
 }
 
--- a/crates/lycheewood/tests/readers.rs
+++ b/crates/lycheewood/tests/readers.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use lycheewood::{
-    About, FailureDomain, Heartbeat, Incarnation, InstanceId, LagMonitor, LocalState, Offset,
-    PeerTracker, ReaderCandidate, ReaderElection, StateFetch, Timestamp,
+    About, FailureDomain, Heartbeat, HeartbeatExtension, Incarnation, InstanceId, LagMonitor,
+    LocalState, Offset, PeerTracker, ReaderCandidate, ReaderElection, StateFetch, Timestamp,
 };
 use proptest::prelude::*;
 
@@ -43,6 +43,7 @@
         endpoints_next: Offset(7),
         reads,
         in_flight: Vec::new(),
+        extension: HeartbeatExtension::default(),
     }
 }
 
--- a/crates/lycheewood/tests/wire.rs
+++ b/crates/lycheewood/tests/wire.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use ciborium::Value;
 use lycheewood::{
-    Ask, AttemptId, Chunk, DocumentAsk, End, Failed, Frame, Head, Hello, Incarnation, InstanceId,
-    Load, Offset, Recover, Refused, RefusedReason, RequestKey, Role, Start, Suspects, TargetName,
-    Timestamp, VersionName, Work, common_version, decode, encode,
+    Ask, AttemptId, Chunk, DocumentAsk, End, Failed, Frame, Head, Heartbeat, HeartbeatExtension,
+    Hello, Incarnation, InstanceId, Load, Offset, Recover, Refused, RefusedReason, RequestKey,
+    Role, Start, Suspects, TargetName, Timestamp, VersionName, Work, common_version, decode,
+    encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -162,3 +163,53 @@
         })
         .expect("no panic");
 }
+
+/// A heartbeat as a build without the extension reads it.
+type OlderHeartbeat = (Value, u64, u64, bool, Value, Option<u64>, u64, bool, Vec<(u32, u32)>);
+
+/// Guards against a rolling update in which instances cannot read each other's heartbeats: builds without the
+/// extension expect nine elements, and builds with more fields send some that this one does not know.
+#[test]
+fn heartbeats_of_builds_with_and_without_an_extension_are_read() {
+    let heartbeat = Heartbeat {
+        about: None,
+        incarnation: Incarnation(4),
+        sequence: 9,
+        is_ready: true,
+        leading: None,
+        route_version: Some(3),
+        endpoints_next: Offset(7),
+        reads: false,
+        in_flight: vec![(1, 2)],
+        extension: HeartbeatExtension::default(),
+    };
+    let elements = |heartbeat: &Heartbeat| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(heartbeat, &mut bytes).expect("write CBOR");
+        let value: Value = ciborium::from_reader(&bytes[..]).expect("CBOR");
+        value.into_array().expect("an array")
+    };
+    let read = |elements: Vec<Value>| -> Heartbeat {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&Value::Array(elements), &mut bytes).expect("write CBOR");
+        ciborium::from_reader(&bytes[..]).expect("a heartbeat")
+    };
+    let plain = elements(&heartbeat);
+    assert_eq!(plain.len(), 9, "an empty extension is left out");
+    assert_eq!(read(plain.clone()), heartbeat);
+
+    let work_ms = vec![(1, 30)];
+    let extension = HeartbeatExtension { work_ms, ..HeartbeatExtension::default() };
+    let extended = Heartbeat { extension, ..heartbeat };
+    let mut newer = elements(&extended);
+    let Some(Value::Map(fields)) = newer.last_mut() else { panic!("an extension") };
+    fields.push((Value::from("unknown"), Value::from(1)));
+    newer.push(Value::from("a further element"));
+    assert_eq!(read(newer.clone()), extended);
+
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Value::Array(newer), &mut bytes).expect("write CBOR");
+    let older: OlderHeartbeat =
+        ciborium::from_reader(&bytes[..]).expect("a tuple of nine elements");
+    assert_eq!((older.1, older.8), (4, vec![(1, 2)]));
+}
