Plan the batch of a group for shifts of demand

Change: the holder of the lease tracks the shifts of each group and reports the expected one in its heartbeats; gateways bound the batch so that streams stay on time during a shift where that serves more than a full batch with late streams.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -15,6 +15,7 @@
 pub(crate) mod events;
 pub(crate) mod expert_groups;
 pub(crate) mod groups;
+pub(crate) mod imbalance;
 pub(crate) mod leases;
 pub(crate) mod limits;
 pub(crate) mod log_lease;
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::clock::Timestamp;
+use crate::decisions::imbalance::ExpectedShift;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::wire::heartbeat::{About, Heartbeat, endpoint_tag};
 
@@ -45,9 +46,16 @@
     /// Work time of the endpoints that the holder of the expert group lease reports as slow, in percent of the usual
     /// time, by tag.
     slow: HashMap<u32, u32>,
+    /// Shifts of demand that the holder of the expert group lease expects.
+    expected_shifts: Vec<ExpectedShift>,
 }
 
 impl PeerTable {
+    /// Shifts of demand that the holder of the expert group lease expects.
+    pub(crate) fn expected_shifts(&self) -> &[ExpectedShift] {
+        &self.expected_shifts
+    }
+
     /// Work time of an endpoint that the holder of the expert group lease reports as slow, in percent of the usual
     /// time.
     pub(crate) fn slowdown_percent(&self, tag: u32) -> Option<u32> {
@@ -131,12 +139,14 @@
         let mut in_flight: HashMap<u32, u32> = HashMap::new();
         let fresh =
             || self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
-        let leading = fresh().filter_map(|peer| peer.heartbeat.leading.as_ref());
-        let slow = leading.flat_map(|leading| &leading.slow).copied().collect();
+        let leading = || fresh().filter_map(|peer| peer.heartbeat.leading.as_ref());
+        let slow = leading().flat_map(|leading| &leading.slow).copied().collect();
+        let expected_shifts =
+            leading().flat_map(|leading| &leading.expected_shifts).cloned().collect();
         for (endpoint, count) in fresh().flat_map(|peer| &peer.heartbeat.in_flight) {
             *in_flight.entry(*endpoint).or_default() += count;
         }
-        PeerTable { peers: self.peers.clone(), in_flight, slow }
+        PeerTable { peers: self.peers.clone(), in_flight, slow, expected_shifts }
     }
 }
 
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
+use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
@@ -222,8 +223,8 @@
     /// Sets the end of the lease's log, or `None` when this instance does not hold the lease.
     pub(crate) fn set_lease_end(&self, end: Option<u64>) {
         let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
-        let slow = leading.take().map(|leading| leading.slow).unwrap_or_default();
-        *leading = end.map(|lease_end| Leading { lease_end, slow });
+        let former = leading.take().unwrap_or_default();
+        *leading = end.map(|lease_end| Leading { lease_end, ..former });
     }
 
     /// Records the work time of an endpoint in percent of the usual time. Has no effect unless this instance
@@ -238,6 +239,14 @@
         }
     }
 
+    /// Records the shift of demand that is expected in a group. Has no effect unless this instance holds the lease.
+    pub(crate) fn record_expected_shift(&self, group: &str, shift: Option<ExpectedShift>) {
+        let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(leading) = leading.as_mut() else { return };
+        leading.expected_shifts.retain(|former| former.group != group);
+        leading.expected_shifts.extend(shift);
+    }
+
     /// Records whether the last read of a platform topic succeeded.
     pub(crate) fn record_topic_reply(&self, topic: PlatformTopic, is_answered: bool) {
         let was_answered = self.topic_health.flag(topic).swap(is_answered, Ordering::Relaxed);
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -101,6 +101,9 @@
     /// Tokens of a typical prompt.
     #[serde(rename = "usual_prompt")]
     pub typical_prompt_tokens: f64,
+    /// Tokens of a typical answer; 0 if it is not known.
+    #[serde(rename = "usual_answer", default)]
+    pub typical_answer_tokens: f64,
     /// Share of the work that experts do, 0 to 1.
     pub expert_share: f64,
 }
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -8,6 +8,7 @@
 
 use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::EndpointChange;
+use crate::decisions::imbalance::ExpectedShift;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
@@ -34,6 +35,9 @@
     /// Slow endpoints, by tag, and the time that their work takes, in percent of the usual.
     #[serde(rename = "s")]
     pub slow: Vec<(u32, u32)>,
+    /// Shifts of demand that it expects, by group.
+    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
+    pub expected_shifts: Vec<ExpectedShift>,
 }
 
 /// The state of one entry instance, sent to all others several times a second.
@@ -74,9 +78,6 @@
     /// Failure domains whose endpoints must get no requests.
     #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<Evacuations>,
-    /// Imbalance of the expert map of each group, in percent of a balanced map. Only the holder of the lease knows it.
-    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
-    pub imbalance_percent: Vec<(String, u32)>,
     /// Requests that wait at this instance for a place at an endpoint, by priority.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub waiting: Vec<(u8, u32)>,
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -231,6 +231,7 @@
         tokens_per_event: 4,
         prefill_tokens_per_s: 61_400.0,
         typical_prompt_tokens: 835.0,
+        typical_answer_tokens: 0.0,
         expert_share: 0.85,
     };
     assert_eq!(max_batch(&engine, 10_000), 12);
--- a/crates/lycheewood/tests/load_patterns/model.rs
+++ b/crates/lycheewood/tests/load_patterns/model.rs
@@ -249,7 +249,7 @@
                 let batch = f64::from(running) / f64::from(u32::try_from(RANKS).unwrap());
                 let slowdown = (self.pattern.slowdown)(self.now_ms);
                 let pace = GroupPace { gap_ms, batch, slowdown };
-                Some(paced_batch(&ENGINE, GAP_MS, limit, &pace))
+                Some(paced_batch(&ENGINE, GAP_MS, f64::from(limit), &pace))
             }
         }
     }
--- a/crates/lycheewood/tests/support/engine_profile.rs
+++ b/crates/lycheewood/tests/support/engine_profile.rs
@@ -9,5 +9,6 @@
     tokens_per_event: 6,
     prefill_tokens_per_s: 61_400.0,
     typical_prompt_tokens: 830.0,
+    typical_answer_tokens: 0.0,
     expert_share: 0.85,
 };
