Accept a reply of a rank only for the call whose id it echoes

Cause: the agent kept a connection to its rank and took any 2xx on it for the reply to the call in progress.

Change: calls to ranks carry X-Lycheewood-Request-Id. IdentifiedClient replaces the pooled client: a reply counts only if it echoes the id, and a connection is kept only after such a reply. On a new connection a reply without an id is accepted once, and the connection is closed. The decision is decisions/replies.rs, without a network. No other kept connection of the HTTP client is left, so HttpClient::keeping is removed.

--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -1,5 +1,7 @@
 //! A small HTTP client over hyper with a deadline on every reply.
 
+pub(crate) mod identified;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,6 +42,14 @@
         /// The deadline.
         timeout_ms: u64,
     },
+    /// A reply that does not carry the id of the request.
+    #[error(
+        "{address} replied to another request or without the request's id; the request may have taken effect"
+    )]
+    OtherRequest {
+        /// The peer.
+        address: SocketAddr,
+    },
     /// A reply with an unexpected status.
     #[error("{address} replied with status {status}: {body}")]
     Status {
@@ -84,28 +94,17 @@
     /// A client of the endpoint at `address`, to which connecting takes at most `connect_ms`.
     #[must_use]
     pub fn new(address: SocketAddr, connect_ms: u64) -> Self {
-        // No connection is kept for later: one that went silent while idle would swallow the next
-        // request, and nobody could tell whether it arrived.
-        Self::with_idle(address, connect_ms, 0)
-    }
-
-    /// A client that keeps a connection for later calls. Fit for calls that are made again after an error,
-    /// whatever became of the first.
-    #[must_use]
-    pub fn keeping(address: SocketAddr, connect_ms: u64) -> Self {
-        Self::with_idle(address, connect_ms, 1)
-    }
-
-    fn with_idle(address: SocketAddr, connect_ms: u64, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
         connector.set_keepalive(Some(Duration::from_secs(KEEPALIVE_S)));
         connector.set_keepalive_interval(Some(Duration::from_secs(KEEPALIVE_S)));
         connector.set_keepalive_retries(Some(2));
-        // A request that failed after it was sent must not be sent again by the library.
+        // No connection is kept for later: one that went silent while idle would swallow the next request, and
+        // nobody could tell whether it arrived. A request that failed after it was sent must not be sent again by
+        // the library.
         let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(max_idle)
+            .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
         Self { address, client, max_reply_bytes: MAX_REPLY_BYTES }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -40,6 +40,7 @@
 mod wire;
 
 pub use adapters::agent::client::AgentRanks;
+pub use adapters::http::identified::IdentifiedClient;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
@@ -116,6 +117,7 @@
     QueueDeadlines, QueuePhase, in_flight_limit, queue_phase, startup_wait_ms,
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
+pub use decisions::replies::{ReplyDecision, judge_reply};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
 pub use decisions::routing::{
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
