Release a group only after the status of each rank shows it armed

Cause: the holder took a success of the order to arm as the proof that a rank is armed, and released the group. A rank may reply to another call, or carry the order out seconds later; the pass then begins with two maps.

Change: MapSwitch<Held> confirms a rank by its RankStatus alone (armed for this version and pass, or using the map), so a release without the statuses does not compile. The holder arms and reads all ranks in one concurrent round, each rank read as soon as it has replied, since the group is held meanwhile; ranks that are not confirmed are armed and read again. The model of the switch now has orders to arm whose reply belongs to another call.

Measured: rank_confirmation on the code before fails 2 of 2: "released while armed for [Some((1048577, 11)), None]", and a release without any arm carried out. With the change 2 of 2 pass; map_switch_model and group_control pass.

--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -12,7 +12,7 @@
 use crate::controllers::expert_groups::lease::LeaseHandle;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
 use crate::decisions::expert_groups::{
-    OrderReply, RankOrder, held_steps, imbalance, next_map, switch_lead_ms, switch_step,
+    OrderReply, RankOrder, RankStatus, held_steps, imbalance, next_map, switch_lead_ms, switch_step,
 };
 use crate::decisions::log_lease::holding_rank;
 use crate::decisions::placement::ExpertMap;
@@ -120,6 +120,21 @@
         Ok(())
     }
 
+    /// Sends the order to arm to a rank and reads its status. Returns `None` if there is no reply to either.
+    async fn arm_and_read(
+        &self,
+        epoch: u64,
+        order: &RankOrder,
+        rank: usize,
+    ) -> Result<Option<RankStatus>, SwitchError> {
+        match self.send_order(epoch, order, rank).await {
+            OrderReply::Done => {}
+            OrderReply::Unknown => return Ok(None),
+            OrderReply::Refused | OrderReply::OtherServer => return Err(SwitchError::Refused),
+        }
+        Ok(self.ports.ranks.status(&self.listed.ranks[rank]).await)
+    }
+
     /// The instance that relays a hold order, or `None` for other orders and if no instance is ready. The
     /// machine that sends a hold may fail right after it, and the held group must not depend on that machine.
     /// So it is neither this instance, which completes the switch, nor the machine of a rank.
@@ -360,18 +375,36 @@
     (now.ms_since(at) / (current_step - step)).clamp(MIN_PASS_MS, MAX_PASS_MS)
 }
 
-/// Arms every rank of a held group, and then releases the group.
+/// Arms every rank of a held group, and releases the group once the status of every rank shows that it is armed.
 async fn arm_and_release(
     context: &mut SwitchContext<'_>,
     mut switch: MapSwitch<Held>,
 ) -> Result<(), SwitchError> {
-    let pending: Vec<usize> = switch.pending_ranks().collect();
-    context.send_to_all(switch.epoch(), &switch.arm_order(), pending.clone()).await?;
-    for rank in pending {
-        switch.record_armed(rank);
-    }
-    // All ranks are recorded as armed above, so the switch is complete.
-    let Ok(armed) = switch.complete() else { return Err(SwitchError::Refused) };
+    let armed = loop {
+        context.check_lease()?;
+        let pending: Vec<usize> = switch.pending_ranks().collect();
+        let (epoch, order) = (switch.epoch(), switch.arm_order());
+        // Each rank is read as soon as it has replied, since the held group waits for the slowest rank only.
+        let arming = pending.iter().map(|rank| context.arm_and_read(epoch, &order, *rank));
+        let statuses = join_all(arming).await.into_iter().collect::<Result<Vec<_>, _>>()?;
+        for (rank, status) in pending.into_iter().zip(statuses) {
+            let is_confirmed = status.as_ref().is_some_and(|status| switch.confirm(rank, status));
+            if !is_confirmed {
+                context.unanswered += 1;
+                log::info!(
+                    "rank not armed group={} server={} version={} status={status:?}",
+                    context.listed.name,
+                    context.listed.ranks[rank].endpoint,
+                    switch.version()
+                );
+            }
+        }
+        switch = match switch.complete() {
+            Ok(armed) => break armed,
+            Err(switch) => switch,
+        };
+        sleep(Duration::from_millis(ORDER_RETRY_MS)).await;
+    };
     context.send_to_all(armed.epoch(), &armed.release_order(), vec![armed.rank()]).await
 }
 
--- a/crates/lycheewood/src/lifecycle/map_switch.rs
+++ b/crates/lycheewood/src/lifecycle/map_switch.rs
@@ -1,11 +1,12 @@
 //! The life cycle of a switch of a group's expert map, on engines that accept orders for each rank.
 //!
 //! An armed rank switches when a given forward pass begins. A pass must never begin while some ranks
-//! are armed for it and others are not, so the group is held before that pass until every rank has
-//! confirmed that it is armed. An order without a reply may be executed seconds later. The states
-//! below make that harmless: the hold commits the group to the switch, and nothing reverts it.
+//! are armed for it and others are not, so the group is held before that pass until the status of every
+//! rank shows that it is armed. A reply to the order to arm is not enough: a faulty rank may reply to another
+//! call, or carry an order out seconds later. The states below make a late order harmless: the hold commits
+//! the group to the switch, and nothing reverts it.
 
-use crate::decisions::expert_groups::RankOrder;
+use crate::decisions::expert_groups::{RankOrder, RankStatus};
 use crate::decisions::placement::ExpertMap;
 
 /// Ranks copy weights. The map in use is not affected.
@@ -34,7 +35,7 @@
     armed: Vec<bool>,
 }
 
-/// Every rank is armed to switch when the pass begins.
+/// The status of every rank shows that it is armed to switch when the pass begins, or that it uses the map.
 #[derive(Debug)]
 pub struct Armed {
     step: u64,
@@ -43,8 +44,8 @@
 
 /// A switch of one group to one map, in the state `S`.
 ///
-/// No rank can be armed before the group is held, and the group cannot be released before every rank
-/// is armed:
+/// No rank can be armed before the group is held, and the group cannot be released before the status of every
+/// rank has shown that it is armed:
 ///
 /// ```compile_fail
 /// use lycheewood::{MapSwitch, SwitchPrepared};
@@ -61,6 +62,15 @@
 ///     let _ = switch.release_order();
 /// }
 /// ```
+///
+/// ```compile_fail
+/// use lycheewood::{MapSwitch, OrderReply, SwitchHeld};
+///
+/// fn confirm(switch: &mut MapSwitch<SwitchHeld>) {
+///     // A reply to the order to arm confirms nothing.
+///     switch.confirm(0, &OrderReply::Done);
+/// }
+/// ```
 #[derive(Debug)]
 pub struct MapSwitch<S> {
     version: u64,
@@ -190,23 +200,27 @@
         RankOrder::Arm { version: self.version, step: self.state.step }
     }
 
-    /// Records that a rank has confirmed that it is armed.
-    pub fn record_armed(&mut self, rank: usize) {
-        if let Some(armed) = self.state.armed.get_mut(rank) {
+    /// Confirms a rank whose status shows that it is armed for this version and pass, or that it uses the map.
+    /// Returns whether it does.
+    pub fn confirm(&mut self, rank: usize, status: &RankStatus) -> bool {
+        let switch = Some((self.version, self.state.step));
+        let is_ready = status.armed_switch == switch || status.map_version == self.version;
+        if is_ready && let Some(armed) = self.state.armed.get_mut(rank) {
             *armed = true;
         }
+        is_ready
     }
 
-    /// Ranks that have not confirmed that they are armed.
+    /// Ranks whose status has not shown that they are armed.
     pub fn pending_ranks(&self) -> impl Iterator<Item = usize> {
         (0..self.ranks).filter(|rank| !self.state.armed[*rank])
     }
 
-    /// Completes the arming once every rank is armed.
+    /// Completes the arming once every rank is confirmed.
     ///
     /// # Errors
     ///
-    /// Returns the switch while a rank is not armed.
+    /// Returns the switch while a rank is not confirmed.
     pub fn complete(self) -> Result<MapSwitch<Armed>, Self> {
         if self.state.armed.iter().any(|armed| !armed) {
             return Err(self);
--- a/crates/lycheewood/tests/map_switch_model.rs
+++ b/crates/lycheewood/tests/map_switch_model.rs
@@ -1,12 +1,13 @@
 //! Explores every interleaving of events in a switch of a small group's map: two successive lease holders,
-//! orders whose reply is lost or which are executed late, and a first holder that stops at any point.
+//! orders whose reply is lost or which are executed late, orders to arm whose reply belongs to another call, and a
+//! first holder that stops at any point.
 //!
 //! Guards against a pass that begins while two ranks have different maps, and against a group that is
 //! held forever.
 
 use std::collections::HashSet;
 
-use lycheewood::{RankStatus, UnfinishedSwitch, find_unfinished_switch, held_steps};
+use lycheewood::{MapSwitch, RankStatus, UnfinishedSwitch, find_unfinished_switch, held_steps};
 
 const RANKS: usize = 2;
 /// Pass at which a run ends.
@@ -206,14 +207,8 @@
             }
             // The pass has begun already, so a later one is held.
             Phase::Hold { .. } => Phase::Hold { step: next_pass },
-            Phase::Arm { step, mut done, version, rank: held } if is_done => {
-                done[rank] = true;
-                if done == [true; RANKS] {
-                    Phase::Release { step, version, rank: held }
-                } else {
-                    Phase::Arm { step, done, version, rank: held }
-                }
-            }
+            // Only the status of a rank confirms that it is armed.
+            Phase::Arm { .. } if is_done => *phase,
             Phase::Release { version, .. } | Phase::AwaitSwitch { version } => {
                 Phase::AwaitSwitch { version }
             }
@@ -223,6 +218,20 @@
         };
     }
 
+    /// A holder that arms the ranks reads the status of one of them.
+    fn read_armed(&mut self, holder: usize, rank: usize) {
+        let Phase::Arm { step, mut done, version, rank: held } = self.holders[holder] else {
+            return;
+        };
+        let status = &self.statuses()[rank];
+        done[rank] |= MapSwitch::resume(version, 1, RANKS, step, held).confirm(rank, status);
+        self.holders[holder] = if done == [true; RANKS] {
+            Phase::Release { step, version, rank: held }
+        } else {
+            Phase::Arm { step, done, version, rank: held }
+        };
+    }
+
     /// A holder reads the status of all ranks and chooses its next action.
     fn inspect_ranks(&mut self, holder: usize) {
         self.holders[holder] = match find_unfinished_switch(&self.statuses()) {
@@ -256,8 +265,21 @@
                     delayed.delayed.push((rank, order));
                     delayed.delayed.sort_by_key(|delayed| format!("{delayed:?}"));
                     states.push(delayed);
+                    if matches!(order, Order::Arm(..)) {
+                        // The holder takes the reply to another call for the reply to this order.
+                        let mut misread = self.clone();
+                        misread.delayed.push((rank, order));
+                        misread.delayed.sort_by_key(|delayed| format!("{delayed:?}"));
+                        misread.handle_reply(holder, rank, true);
+                        states.push(misread);
+                    }
                 }
             }
+            for rank in 0..RANKS {
+                let mut read = self.clone();
+                read.read_armed(holder, rank);
+                states.push(read);
+            }
             match self.holders[holder] {
                 Phase::Inspect => {
                     let mut inspected = self.clone();
