Fence orders that a relay forwards like direct ones

Cause: a relay passed every order on; only agents refused an earlier term of the lease. A replaced holder could hold a group through a relay.

Change: a relay keeps the highest term that it was called under and refuses lower ones, as agents do. It may not have been called in the present term, so before it forwards an order it asks the agent of the rank with the same term's number (at most 60 ms; the group is not held yet). The order itself still does not pass through the machine of the rank, and a missing agent is passed over, as with direct orders. Calls carry the number already, so builds from before this work are served as before.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -2,7 +2,7 @@
 //!
 //! An agent makes them beside its rank, where reports are fresh and orders are free. A gateway relays
 //! single orders to any rank, so that the machine that gives an order is not one that the next order needs.
-//! [`client`] makes the calls to both.
+//! Both refuse calls under an earlier term of the lease than they know of. [`client`] makes the calls to both.
 
 pub(crate) mod client;
 
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
+use crate::adapters::agent::client::is_superseded_at;
 use crate::adapters::gossip::{decode, encode};
 use crate::decisions::expert_groups::{OrderReply, RankCounts, RankOrder};
 use crate::group_ports::{RankAddress, RankClient};
@@ -38,12 +39,17 @@
 /// takes a small machine with a slow link several hundred milliseconds for 64 ranks. The group is not held meanwhile.
 const MAP_CALL_MS: u64 = 1_500;
 
-/// Serves calls for the rank at `endpoint`, or for those that the calls name.
-pub(crate) async fn serve(
-    listener: TcpListener,
-    ranks: Arc<dyn RankClient>,
-    endpoint: Option<SocketAddr>,
-) {
+/// The ranks for which calls are served.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ServedRanks {
+    /// The rank that listens at this address, beside its agent.
+    Beside(SocketAddr),
+    /// Those that the calls name, for a relay. Their agents listen on `agent_port`.
+    Named { agent_port: u16 },
+}
+
+/// Serves calls for ranks.
+pub(crate) async fn serve(listener: TcpListener, ranks: Arc<dyn RankClient>, served: ServedRanks) {
     let fence = Arc::new(AtomicU64::new(0));
     let last_reading = Arc::new(LastReading::new());
     loop {
@@ -56,7 +62,7 @@
                 let (ranks, fence) = (Arc::clone(&ranks), Arc::clone(&fence));
                 let last_reading = Arc::clone(&last_reading);
                 async move {
-                    let reply = reply(ranks.as_ref(), endpoint, &fence, &last_reading, request);
+                    let reply = reply(ranks.as_ref(), served, &fence, &last_reading, request);
                     Ok::<_, Infallible>(reply.await)
                 }
             });
@@ -71,7 +77,7 @@
 
 async fn reply(
     ranks: &dyn RankClient,
-    own: Option<SocketAddr>,
+    served: ServedRanks,
     highest: &AtomicU64,
     last_reading: &LastReading,
     request: Request<Incoming>,
@@ -84,10 +90,26 @@
     let Some(RankRequest { endpoint, fence, address, call }) = decode(&body.to_bytes()) else {
         return refused;
     };
-    if own.is_some() && highest.fetch_max(fence, Ordering::Relaxed) > fence {
-        return Response::new(Full::new(encode(&RankReply::Superseded)));
+    let superseded = || Response::new(Full::new(encode(&RankReply::Superseded)));
+    let known = highest.fetch_max(fence, Ordering::Relaxed);
+    if known > fence {
+        log::info!("call refused server={endpoint} fence={fence} highest={known}");
+        return superseded();
+    }
+    let address = match served {
+        ServedRanks::Beside(own) => own,
+        ServedRanks::Named { .. } => address,
+    };
+    let rank = RankAddress { endpoint, address };
+    // A relay may not have been called in a later term, but the agent of each rank has: a holder reads the status of
+    // all ranks before its first order.
+    if let ServedRanks::Named { agent_port } = served
+        && matches!(call, RankCall::Order { .. })
+        && is_superseded_at(SocketAddr::new(rank.address.ip(), agent_port), &rank, fence).await
+    {
+        log::info!("relayed order refused server={} fence={fence}", rank.endpoint);
+        return superseded();
     }
-    let rank = RankAddress { endpoint, address: own.unwrap_or(address) };
     let reply = match call {
         RankCall::Status => RankReply::Status(ranks.status(&rank).await),
         RankCall::Counts { experts, base } => {
--- a/crates/lycheewood/src/adapters/agent/client.rs
+++ b/crates/lycheewood/src/adapters/agent/client.rs
@@ -20,6 +20,21 @@
 /// order is repeated, and the machine of the agent may be frozen.
 const SILENT_MS: u64 = 5_000;
 
+/// The longest wait of a relay for the agent of a rank, in milliseconds. Together with an order to the rank it stays
+/// below [`CALL_MS`], the wait of the holder for the relay.
+const FENCE_CHECK_MS: u64 = 60;
+
+/// Whether the agent at `address` refuses calls under the term `fence`, because it has been called under a later one.
+/// `false` if it gives no reply: an order of the holder itself also passes over an agent that is missing.
+pub(super) async fn is_superseded_at(address: SocketAddr, rank: &RankAddress, fence: u64) -> bool {
+    let (endpoint, to) = (rank.endpoint.clone(), rank.address);
+    let request = RankRequest { endpoint, fence, address: to, call: RankCall::Status };
+    let client = HttpClient::new(address, FENCE_CHECK_MS);
+    let reply = client.call(Method::POST, RANK_PATH, encode(&request), FENCE_CHECK_MS).await;
+    let reply = reply.ok().and_then(|bytes| decode::<RankReply>(&bytes));
+    matches!(reply, Some(RankReply::Superseded))
+}
+
 /// Speaks to ranks through their agents, and directly to those whose agent is missing or silent.
 pub struct AgentRanks {
     direct: Arc<dyn RankClient>,
--- a/crates/lycheewood/src/roles/agent.rs
+++ b/crates/lycheewood/src/roles/agent.rs
@@ -7,7 +7,7 @@
 
 use tokio::runtime::{Builder, Runtime};
 
-use crate::adapters::agent;
+use crate::adapters::agent::{self, ServedRanks};
 use crate::group_ports::RankClient;
 use crate::roles::{StartError, listen};
 
@@ -30,23 +30,28 @@
         endpoint: SocketAddr,
         ranks: Arc<dyn RankClient>,
     ) -> Result<Self, StartError> {
-        Self::open(address, Some(endpoint), ranks)
+        Self::open(address, ServedRanks::Beside(endpoint), ranks)
     }
 
-    /// Starts a relay that listens at `address` for calls to any rank.
+    /// Starts a relay that listens at `address` for calls to any rank. The agents beside the ranks listen on
+    /// `agent_port`; a relay asks them whether the term of an order has ended.
     ///
     /// Must not be called from async code, because it blocks.
     ///
     /// # Errors
     ///
     /// When the listener or the runtime cannot be started.
-    pub fn relay(address: SocketAddr, ranks: Arc<dyn RankClient>) -> Result<Self, StartError> {
-        Self::open(address, None, ranks)
+    pub fn relay(
+        address: SocketAddr,
+        agent_port: u16,
+        ranks: Arc<dyn RankClient>,
+    ) -> Result<Self, StartError> {
+        Self::open(address, ServedRanks::Named { agent_port }, ranks)
     }
 
     fn open(
         address: SocketAddr,
-        endpoint: Option<SocketAddr>,
+        served: ServedRanks,
         ranks: Arc<dyn RankClient>,
     ) -> Result<Self, StartError> {
         let runtime = Builder::new_current_thread()
@@ -54,8 +59,8 @@
             .build()
             .map_err(|source| StartError::Runtime { source })?;
         let (listener, address) = runtime.block_on(listen("peer_address", address))?;
-        runtime.spawn(agent::serve(listener, ranks, endpoint));
-        log::info!("agent started address={address} server_address={endpoint:?}");
+        runtime.spawn(agent::serve(listener, ranks, served));
+        log::info!("agent started address={address} serves={served:?}");
         Ok(Self { runtime, address })
     }
 
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::runtime::{Handle, Runtime};
 use tokio::task::JoinHandle;
 
+use crate::adapters::agent::ServedRanks;
 use crate::adapters::agent::client::AgentRanks;
 use crate::adapters::forward::caller;
 use crate::adapters::{agent, gossip, metrics};
@@ -216,8 +217,9 @@
         let state = Arc::clone(&self.handle.state);
         let control = self.control.handle();
         let (relay, _) = control.block_on(listen("relay_address", state.settings.relay_address))?;
-        control.spawn(agent::serve(relay, Arc::clone(&ranks), None));
         let port = state.settings.peer_address.port();
+        let served = ServedRanks::Named { agent_port: port };
+        control.spawn(agent::serve(relay, Arc::clone(&ranks), served));
         let ranks = Arc::new(AgentRanks::new(ranks, port, state.clock));
         control.spawn(expert_groups::run(state, GroupPorts { ranks, log }));
         Ok(())
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -36,8 +36,8 @@
     /// The endpoint. The rank refuses a call for another one.
     #[serde(rename = "server")]
     pub endpoint: InstanceId,
-    /// The number of the caller's term of the lease, or 0 of a call that is relayed. An agent refuses a
-    /// lower number than it has seen.
+    /// The number of the caller's term of the lease, or 0 outside a term. An agent or a relay refuses a lower number
+    /// than it has seen.
     pub fence: u64,
     /// Where the endpoint listens. An agent calls the endpoint beside it whatever stands here.
     pub address: SocketAddr,
--- a/crates/lycheewood/tests/agents.rs
+++ b/crates/lycheewood/tests/agents.rs
@@ -43,6 +43,20 @@
     RankAddress { endpoint: InstanceId::new("s"), address: (Ipv4Addr::LOCALHOST, 1).into() }
 }
 
+/// Starts a relay that reaches ranks through `ranks`, whose agents listen on `agent_port`.
+fn start_relay(agent_port: u16, ranks: &Arc<CountingRankClient>) -> Agent {
+    let ranks = Arc::clone(ranks) as Arc<dyn RankClient>;
+    Agent::relay((Ipv4Addr::LOCALHOST, 0).into(), agent_port, ranks).expect("a relay")
+}
+
+/// A client under the term `fence`, whose direct orders count for nothing.
+fn holder(fence: u64, agent_port: u16) -> AgentRanks {
+    let direct = Arc::new(CountingRankClient::default());
+    let ranks = AgentRanks::new(direct, agent_port, Clock::system());
+    ranks.set_fence(fence);
+    ranks
+}
+
 /// Sends an order twice through the agent at `port`. Returns both replies and the number of orders that were
 /// sent directly.
 fn send_order_twice(port: u16) -> (OrderReply, OrderReply, usize) {
@@ -83,9 +97,7 @@
     let unresponsive = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
     let port = unresponsive.local_addr().expect("an address").port();
     let relayed = Arc::new(CountingRankClient::default());
-    let relay =
-        Agent::relay((Ipv4Addr::LOCALHOST, 0).into(), Arc::clone(&relayed) as Arc<dyn RankClient>)
-            .expect("a relay");
+    let relay = start_relay(port, &relayed);
     let direct = Arc::new(CountingRankClient::default());
     let ranks = AgentRanks::new(Arc::clone(&direct) as Arc<dyn RankClient>, port, Clock::system());
     let order = RankOrder::Hold { step: 5 };
@@ -117,13 +129,8 @@
     let rank_client = Arc::new(CountingRankClient::default());
     let address = (Ipv4Addr::LOCALHOST, 0).into();
     let agent = Agent::start(address, rank().address, rank_client.clone()).expect("an agent");
-    let holder = |fence| {
-        let direct = Arc::new(CountingRankClient::default());
-        let ranks = AgentRanks::new(direct, agent.address().port(), Clock::system());
-        ranks.set_fence(fence);
-        ranks
-    };
-    let (previous, current) = (holder(4), holder(6));
+    let port = agent.address().port();
+    let (previous, current) = (holder(4, port), holder(6, port));
     let order = RankOrder::Arm { version: 1, step: 5 };
     agent.run_until(async {
         assert_eq!(previous.order(&rank(), 1, &order).await, OrderReply::Done);
@@ -136,6 +143,57 @@
     assert_eq!(rank_client.orders.load(Ordering::Relaxed), 2);
 }
 
+/// Guards against a hold that a former holder of the lease sends through a relay after its successor has used that
+/// relay.
+#[test]
+fn a_relay_refuses_orders_under_an_earlier_lease() {
+    let closed = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let port = closed.local_addr().expect("an address").port();
+    drop(closed);
+    let relayed = Arc::new(CountingRankClient::default());
+    let relay = start_relay(port, &relayed);
+    let (previous, current) = (holder(4, port), holder(6, port));
+    let order = RankOrder::Hold { step: 5 };
+    relay.run_until(async {
+        for (ranks, expected) in [
+            (&previous, OrderReply::Done),
+            (&current, OrderReply::Done),
+            (&previous, OrderReply::Unknown),
+        ] {
+            let reply = ranks.order_through(relay.address(), &rank(), 1, &order).await;
+            assert_eq!(reply, expected);
+        }
+        assert!(previous.is_superseded() && !current.is_superseded());
+    });
+    assert_eq!(relayed.orders.load(Ordering::Relaxed), 2);
+}
+
+/// Guards against a hold that a former holder of the lease sends through a relay that its successor has not used. The
+/// successor has called the agent of each rank.
+#[test]
+fn a_relay_refuses_orders_that_the_agent_of_the_rank_would_refuse() {
+    let beside = Arc::new(CountingRankClient::default());
+    let address = (Ipv4Addr::LOCALHOST, 0).into();
+    let agent = Agent::start(address, rank().address, beside.clone()).expect("an agent");
+    let port = agent.address().port();
+    std::thread::spawn(move || agent.run_until(std::future::pending::<()>()));
+    let relayed = Arc::new(CountingRankClient::default());
+    let relay = start_relay(port, &relayed);
+    let (previous, current) = (holder(4, port), holder(6, port));
+    let order = RankOrder::Hold { step: 5 };
+    relay.run_until(async {
+        assert!(current.status(&rank()).await.is_some());
+        let reply = previous.order_through(relay.address(), &rank(), 1, &order).await;
+        assert_eq!(reply, OrderReply::Unknown);
+        assert!(previous.is_superseded());
+        let reply = current.order_through(relay.address(), &rank(), 1, &order).await;
+        assert_eq!(reply, OrderReply::Done);
+    });
+    assert_eq!(relayed.orders.load(Ordering::Relaxed), 1);
+    // The relayed order itself does not pass through the machine of the rank.
+    assert_eq!(beside.orders.load(Ordering::Relaxed), 0);
+}
+
 /// Guards against an order that bypasses the agents, from a holder that cannot reach the log and may have
 /// been replaced. Only agents refuse such an order.
 #[test]
