--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -6,6 +6,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -80,6 +81,10 @@
     head_arrived: HeadArrived,
 }
 
+/// A response whose head has not arrived.
+pub(crate) type PendingResponse =
+    Pin<Box<dyn Future<Output = Result<UpstreamResponse, UpstreamError>> + Send>>;
+
 /// Opens a connection to an endpoint.
 pub(crate) async fn connect(
     address: SocketAddr,
@@ -117,17 +122,20 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the head of the response.
-    pub(crate) async fn send(
+    /// Encodes a request and gives the future that sends it and waits for the head of the response. Dropping the
+    /// future closes the connection.
+    pub(crate) fn send(
         mut self,
         upstream_request: &UpstreamRequest<'_>,
-    ) -> Result<UpstreamResponse, UpstreamError> {
+    ) -> Result<PendingResponse, UpstreamError> {
         let request = request(upstream_request).map_err(UpstreamError::Request)?;
-        let response =
-            self.sender.send_request(request).await.map_err(UpstreamError::Connection)?;
-        self.head_arrived.set();
-        let (parts, body) = response.into_parts();
-        Ok(UpstreamResponse { parts, body, _sender: self.sender, _task: self.task })
+        Ok(Box::pin(async move {
+            let response =
+                self.sender.send_request(request).await.map_err(UpstreamError::Connection)?;
+            self.head_arrived.set();
+            let (parts, body) = response.into_parts();
+            Ok(UpstreamResponse { parts, body, _sender: self.sender, _task: self.task })
+        }))
     }
 }
 
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -27,6 +27,7 @@
 pub(crate) mod queue;
 pub(crate) mod readers;
 pub(crate) mod replies;
+pub(crate) mod resume;
 pub(crate) mod retries;
 pub(crate) mod routing;
 pub(crate) mod shares;
--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -1,6 +1,6 @@
 //! The filter chain of forwarded requests: plain HTTP requests that are routed to an endpoint by host and path.
 //!
-//! Only [`run`] and [`attempt`] define the order of the filters, and a wrong order does not compile.
+//! Only [`run`] and [`attempt_to_end`] define the order of the filters, and a wrong order does not compile.
 
 pub(crate) mod authenticate;
 pub(crate) mod check;
@@ -14,6 +14,7 @@
 pub(crate) mod send;
 pub(crate) mod startup;
 
+use std::pin::Pin;
 use std::sync::Arc;
 
 use hyper::body::Incoming;
@@ -21,7 +22,7 @@
 use crate::filters::forward::check::CheckOutcome;
 use crate::filters::forward::exchange::{Admitted, BufferedResponse, Exchange, RequestHead, View};
 use crate::filters::forward::relay::StreamingResponse;
-use crate::filters::forward::send::SendOutcome;
+use crate::filters::forward::send::{SendOutcome, Waiting};
 use crate::gateway::GatewayState;
 use crate::outcome::RequestError;
 
@@ -50,48 +51,125 @@
 }
 
 /// Makes attempts until one yields a response or no further attempt is allowed.
-pub(crate) async fn attempt(
+async fn attempt(
     state: &Arc<GatewayState>,
     head: &Arc<RequestHead>,
-    mut admitted: Admitted,
+    admitted: Admitted,
 ) -> Result<ForwardedResponse, RequestError> {
-    loop {
-        // Each attempt loads the current state, which reflects the failure of the one before.
-        let view = View::load(state);
-        let exchange = Exchange { head, view: &view, now: state.clock.now(), stage: admitted };
-        match attempt_once(state, exchange).await? {
-            AttemptOutcome::Respond(response) => return Ok(response),
-            AttemptOutcome::Retry(retry) => admitted = *retry,
+    match attempt_to_end(Arc::clone(state), Arc::clone(head), admitted).await {
+        AttemptEnd::Response(response) => Ok(response),
+        AttemptEnd::Exhausted(admitted) => {
+            admitted.conclude(state).map(ForwardedResponse::Buffered)
         }
     }
 }
 
+/// End of the attempts of a request.
+pub(crate) enum AttemptEnd {
+    /// A response for the caller.
+    Response(ForwardedResponse),
+    /// No endpoint is available or no attempt is left: the result of the earlier attempts is final.
+    Exhausted(Box<Admitted>),
+}
+
+/// A future that is boxed because attempts can contain attempts.
+pub(crate) type Attempts = Pin<Box<dyn Future<Output = AttemptEnd> + Send>>;
+
+/// Makes attempts until one yields a response or no further attempt is allowed. Dropping the future closes the
+/// connections of the attempts in progress.
+pub(crate) fn attempt_to_end(
+    state: Arc<GatewayState>,
+    head: Arc<RequestHead>,
+    mut admitted: Admitted,
+) -> Attempts {
+    Box::pin(async move {
+        loop {
+            // Each attempt loads the current state, which reflects the failure of the one before.
+            let view = View::load(&state);
+            let now = state.clock.now();
+            let exchange = Exchange { head: &head, view: &view, now, stage: admitted };
+            match attempt_once(&state, exchange).await {
+                AttemptOutcome::Respond(response) => return AttemptEnd::Response(response),
+                AttemptOutcome::Retry(retry) => admitted = *retry,
+                AttemptOutcome::Exhausted(last) => return AttemptEnd::Exhausted(last),
+            }
+        }
+    })
+}
+
 /// Outcome of one attempt.
 enum AttemptOutcome {
     /// The response for the caller.
     Respond(ForwardedResponse),
     /// The request may be attempted again, as far as its limits allow.
     Retry(Box<Admitted>),
+    /// No further attempt is allowed.
+    Exhausted(Box<Admitted>),
 }
 
 async fn attempt_once(
     state: &Arc<GatewayState>,
     exchange: Exchange<'_, Admitted>,
-) -> Result<AttemptOutcome, RequestError> {
-    let selected = match select::apply(state, exchange).await {
-        select::Selection::Selected(selected) => selected,
-        // No endpoint is available: the result of the earlier attempts is final.
-        select::Selection::None(admitted) => {
-            return admitted
-                .conclude(state)
-                .map(|buffered| AttemptOutcome::Respond(ForwardedResponse::Buffered(buffered)));
+) -> AttemptOutcome {
+    match select::apply(state, exchange).await {
+        select::Selection::Selected(selected) => {
+            let sent = send::apply(state, selected).await;
+            match sent {
+                SendOutcome::Responded(responded) => match check::apply(state, responded).await {
+                    CheckOutcome::Respond(response) => AttemptOutcome::Respond(response),
+                    CheckOutcome::Retry(retry) => AttemptOutcome::Retry(retry),
+                },
+                SendOutcome::Retry(retry) => AttemptOutcome::Retry(Box::new(retry)),
+                SendOutcome::Stalled(waiting) => race(state, waiting).await,
+            }
         }
-    };
-    match send::apply(state, selected).await {
-        SendOutcome::Responded(responded) => match check::apply(state, responded).await {
-            CheckOutcome::Respond(response) => Ok(AttemptOutcome::Respond(response)),
-            CheckOutcome::Retry(retry) => Ok(AttemptOutcome::Retry(retry)),
-        },
-        SendOutcome::Retry(retry) => Ok(AttemptOutcome::Retry(Box::new(retry))),
+        select::Selection::None(admitted) => AttemptOutcome::Exhausted(Box::new(admitted)),
     }
 }
+
+/// Asks another endpoint while one is silent, and keeps waiting for the first one until another has responded. The
+/// loser's connection is closed.
+async fn race(state: &Arc<GatewayState>, mut waiting: Exchange<'_, Waiting>) -> AttemptOutcome {
+    let (head, endpoint) = (Arc::clone(waiting.head), waiting.stage.endpoint.id.clone());
+    let retry = waiting.stage.admitted.split_retry(&endpoint);
+    let mut second = attempt_to_end(Arc::clone(state), Arc::clone(&head), retry);
+    let mut first = Box::pin(async {
+        let sent = send::wait_to_end(state, waiting).await;
+        match sent {
+            SendOutcome::Responded(responded) => match check::apply(state, responded).await {
+                CheckOutcome::Respond(response) => Ok(response),
+                CheckOutcome::Retry(retry) => Err(retry),
+            },
+            SendOutcome::Retry(retry) => Err(Box::new(retry)),
+            SendOutcome::Stalled(waiting) => Err(Box::new(waiting.stage.admitted)),
+        }
+    });
+    let outcome = tokio::select! {
+        biased;
+        first = &mut first => match first {
+            Ok(response) => ("returned", AttemptOutcome::Respond(response)),
+            // The first endpoint has failed, so the other one decides.
+            Err(_) => match second.await {
+                AttemptEnd::Response(response) => ("moved", AttemptOutcome::Respond(response)),
+                AttemptEnd::Exhausted(admitted) => ("refused", AttemptOutcome::Exhausted(admitted)),
+            },
+        },
+        second = &mut second => match second {
+            AttemptEnd::Response(response) => {
+                state.metrics.attempts.with_label_values(&["failed"]).inc();
+                ("moved", AttemptOutcome::Respond(response))
+            }
+            AttemptEnd::Exhausted(other) => match first.await {
+                Ok(response) => ("refused", AttemptOutcome::Respond(response)),
+                Err(mut admitted) => {
+                    admitted.rejoin(*other);
+                    ("refused", AttemptOutcome::Retry(admitted))
+                }
+            },
+        },
+    };
+    let (result, outcome) = outcome;
+    state.metrics.silences.with_label_values(&[result]).inc();
+    log::info!("silence ended id={} server={endpoint} result={result}", head.request_id);
+    outcome
+}
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -107,7 +107,7 @@
     let now = state.clock.now();
     let status = response.status;
     if status == StatusCode::SERVICE_UNAVAILABLE && record_group_refusal(state, endpoint) {
-        admitted.attempts -= 1;
+        admitted.attempts.take_back();
         admitted.refused_by.push(endpoint.id.clone());
         admitted.last_response = Some((response, true));
         return;
@@ -116,7 +116,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         state.loads.record_misdirected(&endpoint.id, now);
         state.endpoint_list_stale.notify_one();
-        admitted.attempts -= 1;
+        admitted.attempts.take_back();
         admitted.misdirected += 1;
     } else {
         state.loads.record_failure(&endpoint.id, now);
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -1,6 +1,7 @@
 //! A forwarded request on its way through the chain, typed by the stage that it has reached.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use bytes::Bytes;
 use hyper::header::{HeaderValue, RETRY_AFTER};
@@ -129,6 +130,26 @@
     pub(crate) max_batch: u32,
 }
 
+/// Number of endpoints that a request was sent to, shared by its concurrent attempts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AttemptCount(Arc<AtomicU32>);
+
+impl AttemptCount {
+    pub(crate) fn get(&self) -> u32 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that is sent.
+    pub(crate) fn add(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Takes back a request that an endpoint has not run and that does not count as an attempt.
+    pub(crate) fn take_back(&self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Stage in which the whole request has been read and is within its limits. Nothing has been sent for its next
 /// attempt.
 pub(crate) struct Admitted {
@@ -149,7 +170,7 @@
     /// Time by which the caller must have the whole response.
     pub(crate) deadline: Timestamp,
     /// Number of endpoints that the request was sent to.
-    pub(crate) attempts: u32,
+    pub(crate) attempts: AttemptCount,
     /// Number of times that another endpoint answered at the address. These do not count as attempts.
     pub(crate) misdirected: u32,
     /// Ranks that refused the request while their whole group refused, once per refusal. These do not count as
@@ -191,9 +212,44 @@
         [&[self.fingerprint], &*self.prompt_parts].concat()
     }
 
+    /// Whether another endpoint may be asked while one is silent. A suspect is tried in one place at a time.
+    pub(crate) fn may_race(&self) -> bool {
+        self.may_fail_over() && self.trials.is_empty()
+    }
+
     /// Whether the request may move to another endpoint: it may run twice, and an attempt is left.
     pub(crate) fn may_fail_over(&self) -> bool {
-        self.may_repeat() && self.attempts < self.route.max_attempts
+        self.may_repeat() && self.attempts.get() < self.route.max_attempts
+    }
+
+    /// The request for an attempt at another endpoint, while the attempt at `endpoint` may go on.
+    pub(crate) fn split_retry(&mut self, endpoint: &InstanceId) -> Self {
+        let mut retry = Self {
+            route: self.route.clone(),
+            service: self.service.clone(),
+            workspace: self.workspace.clone(),
+            body: self.body.clone(),
+            avoid: self.avoid.clone(),
+            refused_by: self.refused_by.clone(),
+            prompt_parts: Arc::clone(&self.prompt_parts),
+            trials: std::mem::take(&mut self.trials),
+            attempts: self.attempts.clone(),
+            may_have_run: Some(UnknownCode::EndpointLost),
+            last_response: None,
+            ..*self
+        };
+        retry.avoid.push(endpoint.clone());
+        retry
+    }
+
+    /// Takes over what an attempt at another endpoint has found out, which has ended without a response.
+    pub(crate) fn rejoin(&mut self, retry: Self) {
+        self.avoid = retry.avoid;
+        self.refused_by = retry.refused_by;
+        self.misdirected = retry.misdirected;
+        self.trials.extend(retry.trials);
+        self.may_have_run = self.may_have_run.or(retry.may_have_run);
+        self.last_response = self.last_response.take().or(retry.last_response);
     }
 
     /// Whether another endpoint may get the request after one that may already have run it.
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -9,7 +9,9 @@
 use crate::decisions::batch::max_batch;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
-use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange, GapLimit};
+use crate::filters::forward::exchange::{
+    Admitted, AttemptCount, Authenticated, Exchange, GapLimit,
+};
 use crate::gateway::GatewayState;
 use crate::ids::WorkspaceName;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError};
@@ -65,7 +67,7 @@
         prompt_parts,
         trials: Vec::new(),
         deadline,
-        attempts: 0,
+        attempts: AttemptCount::default(),
         misdirected: 0,
         refused_by: Vec::new(),
         avoid: Vec::new(),
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -1,24 +1,26 @@
-//! Forwards an endpoint's event stream event by event, and resumes a broken one at another endpoint.
+//! Forwards an endpoint's event stream event by event, and continues a broken or silent one at another endpoint.
+//!
+//! The connection to a silent endpoint stays open and is read while another endpoint is asked for the rest of the
+//! stream. Whichever sends the next whole event first continues the stream, and the other connection is closed.
+
+mod challenger;
+mod source;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
-use tokio::time::timeout;
+use tokio::time::sleep;
 
-use crate::adapters::forward::upstream::{UpstreamError, UpstreamResponse};
-use crate::clock::Timestamp;
-use crate::decisions::endpoint_list::EndpointEntry;
-use crate::decisions::events::{EventSplitter, event_id};
+use crate::decisions::resume::EventSequence;
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
-use crate::filters::forward::crash::{self, Output};
-use crate::filters::forward::exchange::{Admitted, RequestHead, Responded};
-use crate::filters::forward::{ForwardedResponse, attempt};
+use crate::filters::forward::crash;
+use crate::filters::forward::exchange::{RequestHead, Responded};
+use crate::filters::forward::relay::challenger::{Challenger, Progress};
+use crate::filters::forward::relay::source::{NewEvent, Read, Source};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
-use crate::load_tracker::InFlightGuard;
-use crate::outcome::UnknownCode;
 
 /// Why a stream ends before its last event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,65 +45,46 @@
         responded: Responded,
     ) -> Self {
         let (status, headers) = (responded.response.status(), responded.response.headers().clone());
+        let sequence = EventSequence::after(responded.admitted.last_event_id);
         let relay = Relay {
             state: Arc::clone(state),
             head: Arc::clone(head),
-            source: Source::new(responded),
+            source: Source::new(responded, state.clock.now()),
+            is_broken: false,
+            challenger: None,
+            may_challenge: true,
+            sequence,
             events: 0,
         };
         Self { status, headers, relay }
     }
 }
 
-/// The present upstream of a stream.
-struct Source {
-    admitted: Admitted,
-    endpoint: Arc<EndpointEntry>,
-    response: Box<UpstreamResponse>,
-    splitter: EventSplitter,
-    /// Whether this upstream has sent an event.
-    output: Output,
-    /// When the last event of this upstream was read.
-    last_event_at: Option<Timestamp>,
-    /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
-    /// sent.
-    has_waited: bool,
-    _in_flight: InFlightGuard,
-}
-
-impl Source {
-    fn new(responded: Responded) -> Self {
-        let Responded { admitted, endpoint, in_flight, response, .. } = responded;
-        Self {
-            admitted,
-            endpoint,
-            response,
-            splitter: EventSplitter::default(),
-            output: Output::None,
-            last_event_at: None,
-            has_waited: false,
-            _in_flight: in_flight,
-        }
-    }
-}
-
-/// Outcome of waiting for more bytes of a stream.
-enum WaitOutcome {
-    /// The next bytes, an error, or the end of the stream.
-    Bytes(Option<Result<Bytes, UpstreamError>>),
-    /// The endpoint sends nothing while others of its service do.
-    Stalled,
-    Deadline,
-}
-
-/// The rest of an event stream. Dropping it closes the connection to the endpoint.
+/// The rest of an event stream. Dropping it closes the connections to endpoints.
 pub(crate) struct Relay {
     state: Arc<GatewayState>,
     head: Arc<RequestHead>,
+    /// The endpoint that the stream presently comes from.
     source: Source,
+    /// Whether the response of `source` broke off.
+    is_broken: bool,
+    /// The attempt to continue the stream elsewhere, if one is in progress.
+    challenger: Option<Challenger>,
+    /// Whether no challenger has failed since the last event of a silent source.
+    may_challenge: bool,
+    /// The events that the caller has.
+    sequence: EventSequence,
     events: u64,
 }
 
+/// What a stream waited for has happened.
+enum Progressed {
+    Source(Read),
+    Challenger(Progress),
+    /// Time to check whether an endpoint stalls, or the deadline.
+    Due,
+}
+
 impl Relay {
     /// Number of events forwarded so far.
     pub(crate) const fn events(&self) -> u64 {
@@ -115,151 +98,228 @@
 
     /// The next event, or `None` after the last one.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
+        self.source.quiet_since = self.state.clock.now();
         loop {
-            while let Some(event) = self.source.splitter.next_event() {
-                self.record_output();
-                self.record_gap();
-                if self.accept_event(&event) {
-                    self.events += 1;
-                    return Some(Ok(event));
+            match self.progress().await {
+                Progressed::Source(Read::Event(event)) => {
+                    self.drop_challenger();
+                    return Some(Ok(self.accept(event)));
                 }
-            }
-            let next = match self.wait_for_bytes().await {
-                WaitOutcome::Bytes(next) => next,
-                WaitOutcome::Stalled => {
-                    if !self.resume("silent while other endpoints respond").await {
-                        return Some(Err(StreamError::Broken));
-                    }
-                    continue;
-                }
-                WaitOutcome::Deadline => return Some(Err(StreamError::Deadline)),
-            };
-            let reason = match next {
-                Some(Ok(bytes)) => match self.source.splitter.push(&bytes) {
-                    Ok(()) => continue,
-                    Err(error) => error.to_string(),
-                },
-                Some(Err(error)) => error.to_string(),
-                None if !self.source.splitter.has_partial() => {
+                Progressed::Source(Read::End) => {
+                    self.drop_challenger();
                     self.state.loads.record_success(&self.source.endpoint.id);
                     self.state.record_completion(self.source.admitted.fingerprint);
                     return None;
                 }
-                None => "the stream ends within an event".to_owned(),
-            };
-            let Source { admitted, endpoint, output, .. } = &self.source;
-            crash::report_if_crashed(&self.state, &self.head, admitted, endpoint, *output).await;
-            if !self.resume(&reason).await {
+                Progressed::Source(Read::Broken(reason)) => self.on_broken(&reason).await,
+                Progressed::Challenger(progress) => {
+                    if let Some(event) = self.on_challenger(progress).await {
+                        return Some(Ok(self.accept(event)));
+                    }
+                }
+                Progressed::Due => {
+                    if self.state.clock.now() >= self.source.admitted.deadline {
+                        return Some(Err(StreamError::Deadline));
+                    }
+                    self.check_stall();
+                }
+            }
+            if self.is_broken && self.challenger.is_none() {
                 return Some(Err(StreamError::Broken));
             }
         }
     }
 
-    /// Waits for more bytes until the deadline, or until the endpoint stalls and the stream may move to
-    /// another one.
-    async fn wait_for_bytes(&mut self) -> WaitOutcome {
-        let since = self.state.clock.now();
-        loop {
-            let Source { admitted, endpoint, response, .. } = &mut self.source;
-            let now = self.state.clock.now();
-            let remaining_ms = admitted.deadline.ms_since(now);
-            if remaining_ms == 0 {
-                return WaitOutcome::Deadline;
-            }
-            let wait_ms = if admitted.may_fail_over() {
-                stall_timeout_ms(ResponsePart::Event)
-            } else {
-                remaining_ms
-            };
-            match timeout(Duration::from_millis(wait_ms.min(remaining_ms)), response.next()).await {
-                Ok(next) => {
-                    let now = self.state.clock.now();
-                    self.state.loads.record_activity(&endpoint.id, now);
-                    self.source.has_waited |= now > since;
-                    return WaitOutcome::Bytes(next);
-                }
-                Err(_)
-                    if admitted.may_fail_over()
-                        && self.state.should_fail_over(
-                            ResponsePart::Event,
-                            &admitted.service,
-                            endpoint,
-                            since,
-                        ) =>
-                {
-                    return WaitOutcome::Stalled;
-                }
-                Err(_) => {}
+    /// Waits for the source, the challenger, and the next check.
+    async fn progress(&mut self) -> Progressed {
+        let wait = Duration::from_millis(self.wait_ms());
+        let Self { state, source, is_broken, challenger, sequence, .. } = self;
+        let challenged = async {
+            match challenger {
+                Some(challenger) => challenger.progress(state, sequence).await,
+                None => std::future::pending().await,
             }
+        };
+        tokio::select! {
+            // What the first endpoint has sent goes before what another one has sent at the same time.
+            biased;
+            read = source.read(state, sequence), if !*is_broken => Progressed::Source(read),
+            progress = challenged => Progressed::Challenger(progress),
+            () = sleep(wait) => Progressed::Due,
         }
     }
 
-    /// Records at the first event of an upstream that the endpoint has processed the prompt.
-    fn record_output(&mut self) {
-        if std::mem::replace(&mut self.source.output, Output::Sent) == Output::None {
-            for part in self.source.admitted.prompt_parts.iter() {
-                self.state.record_completion(*part);
-            }
+    /// The endpoint whose silence is watched: the one that was asked last.
+    fn watched(&self) -> Option<&Source> {
+        match &self.challenger {
+            None => Some(&self.source),
+            Some(Challenger::Responding(source)) => Some(source),
+            // The attempt watches its own endpoints.
+            Some(Challenger::Attempting(_)) => None,
         }
     }
 
-    /// Records the time since the previous event of this upstream as a measure of its group's pace.
-    fn record_gap(&mut self) {
+    /// Time until the next check, at most until the deadline, in milliseconds.
+    fn wait_ms(&self) -> u64 {
         let now = self.state.clock.now();
-        let previous = self.source.last_event_at.replace(now);
-        let group = self.source.endpoint.group.as_ref();
-        // Several events that arrive together were waited for once.
-        let has_waited = std::mem::take(&mut self.source.has_waited);
-        if has_waited && let Some((previous, group)) = previous.zip(group) {
-            self.state.loads.record_gap(&group.name, now.ms_since(previous), now);
+        let remaining_ms = self.source.admitted.deadline.ms_since(now);
+        let Some(watched) = self.watched() else { return remaining_ms };
+        let stall_ms = stall_timeout_ms(ResponsePart::Event);
+        let due_ms = stall_ms.saturating_sub(now.ms_since(watched.quiet_since));
+        // A silence that was not a stall at the last check is checked again later.
+        remaining_ms.min(if due_ms == 0 { stall_ms } else { due_ms })
+    }
+
+    /// Asks another endpoint for the rest of the stream if the watched one stalls.
+    fn check_stall(&mut self) {
+        let Some(watched) = self.watched() else { return };
+        let (part, service) = (ResponsePart::Event, &watched.admitted.service);
+        if !watched.admitted.may_race()
+            || !self.may_challenge
+            || !self.sequence.can_resume()
+            || !self.state.should_fail_over(part, service, &watched.endpoint, watched.quiet_since)
+        {
+            return;
+        }
+        let reason = "silent while other endpoints respond";
+        match self.challenger.take() {
+            Some(Challenger::Responding(source)) => self.replace_challenger(*source, reason),
+            _ => self.challenge(reason),
+        }
+    }
+
+    /// Asks another endpoint for the rest of the stream. The source keeps its connection.
+    fn challenge(&mut self, reason: &str) {
+        self.log_failure(&self.source.endpoint.id, reason);
+        self.state.loads.record_failure(&self.source.endpoint.id, self.state.clock.now());
+        if !self.source.admitted.may_repeat() || !self.sequence.can_resume() {
+            return;
         }
+        let mut retry = self.source.admitted.split_retry(&self.source.endpoint.id);
+        retry.last_event_id = self.sequence.last_id();
+        self.challenger = Some(Challenger::start(&self.state, &self.head, retry));
+    }
+
+    /// Asks a further endpoint in place of a challenger that has not taken over.
+    fn replace_challenger(&mut self, challenger: Source, reason: &str) {
+        let endpoint = Arc::clone(&challenger.endpoint);
+        self.log_failure(&endpoint.id, reason);
+        self.state.loads.record_failure(&endpoint.id, self.state.clock.now());
+        let mut retry = challenger.into_admitted();
+        retry.avoid.push(endpoint.id.clone());
+        self.challenger = Some(Challenger::start(&self.state, &self.head, retry));
     }
 
-    /// Records the id of an event. Returns `false` for an event that the caller already has.
-    fn accept_event(&mut self, event: &[u8]) -> bool {
-        let Some(id) = event_id(event) else { return true };
-        if self.source.admitted.last_event_id.is_some_and(|last| id <= last) {
-            return false;
+    async fn on_broken(&mut self, reason: &str) {
+        self.is_broken = true;
+        let Source { admitted, endpoint, output, .. } = &self.source;
+        crash::report_if_crashed(&self.state, &self.head, admitted, endpoint, *output).await;
+        match self.challenger.take() {
+            // Nothing else can continue the stream any more.
+            Some(Challenger::Responding(source)) => {
+                self.log_failure(&self.source.endpoint.id, reason);
+                self.take_over(*source);
+            }
+            Some(attempting) => {
+                self.log_failure(&self.source.endpoint.id, reason);
+                self.challenger = Some(attempting);
+            }
+            None => self.challenge(reason),
         }
-        self.source.admitted.last_event_id = Some(id);
-        true
     }
 
-    /// Resumes the stream at another endpoint after the last event, if the route allows it.
-    async fn resume(&mut self, reason: &str) -> bool {
+    /// Handles the progress of the challenger. Returns the event with which it takes over.
+    async fn on_challenger(&mut self, progress: Progress) -> Option<NewEvent> {
+        match (progress, self.challenger.take()) {
+            (Progress::Accepted(source), _) if self.is_broken => self.take_over(*source),
+            (Progress::Accepted(source), _) => {
+                self.challenger = Some(Challenger::Responding(source));
+            }
+            (Progress::Read(Read::Event(event)), Some(Challenger::Responding(source))) => {
+                self.take_over(*source);
+                return Some(event);
+            }
+            (Progress::Read(read), Some(Challenger::Responding(source))) => {
+                let reason = match read {
+                    Read::Broken(reason) => reason,
+                    Read::End | Read::Event(_) => "the stream ends without a new event".to_owned(),
+                };
+                let Source { admitted, endpoint, output, .. } = &*source;
+                crash::report_if_crashed(&self.state, &self.head, admitted, endpoint, *output)
+                    .await;
+                self.replace_challenger(*source, &reason);
+            }
+            (Progress::Failed(admitted), _) => {
+                self.may_challenge = false;
+                log::info!(
+                    "stream not resumed id={} server={} events={}",
+                    self.head.request_id,
+                    self.source.endpoint.id,
+                    self.events
+                );
+                self.count_silence("refused");
+                if let Some(admitted) = admitted {
+                    self.source.admitted.rejoin(*admitted);
+                }
+            }
+            // Only an endpoint that has accepted the request is read.
+            (Progress::Read(_), _) => {}
+        }
+        None
+    }
+
+    /// Continues the stream at the endpoint of `source`, and closes the connection to the one before.
+    fn take_over(&mut self, source: Source) {
         log::info!(
-            "stream broken id={} server={} events={} reason=\"{reason}\"",
+            "stream resumed id={} from={} server={} events={}",
             self.head.request_id,
             self.source.endpoint.id,
+            source.endpoint.id,
             self.events
         );
-        let admitted = &mut self.source.admitted;
-        self.state.loads.record_failure(&self.source.endpoint.id, self.state.clock.now());
-        if !admitted.may_repeat() {
-            return false;
+        self.count_silence("moved");
+        self.source = source;
+        self.is_broken = false;
+        self.may_challenge = true;
+        self.state.metrics.resumed.inc();
+    }
+
+    /// Closes the connection to a challenger, because the source has gone on.
+    fn drop_challenger(&mut self) {
+        self.may_challenge = true;
+        let Some(challenger) = self.challenger.take() else { return };
+        if let Challenger::Responding(source) = challenger {
+            self.source.admitted.rejoin(source.into_admitted());
         }
-        let mut retry = Admitted {
-            route: admitted.route.clone(),
-            service: admitted.service.clone(),
-            workspace: admitted.workspace.clone(),
-            body: admitted.body.clone(),
-            avoid: std::mem::take(&mut admitted.avoid),
-            refused_by: std::mem::take(&mut admitted.refused_by),
-            prompt_parts: Arc::clone(&admitted.prompt_parts),
-            trials: std::mem::take(&mut admitted.trials),
-            may_have_run: Some(UnknownCode::EndpointLost),
-            last_response: None,
-            ..*admitted
-        };
-        retry.avoid.push(self.source.endpoint.id.clone());
-        // Boxed because the future of `attempt` contains this one.
-        match Box::pin(attempt(&self.state, &self.head, retry)).await {
-            Ok(ForwardedResponse::Streaming(stream)) => {
-                self.source = stream.relay.source;
-                self.state.metrics.resumed.inc();
-                true
-            }
-            Ok(ForwardedResponse::Buffered(_)) | Err(_) => false,
+        log::info!(
+            "stream goes on id={} server={} events={}",
+            self.head.request_id,
+            self.source.endpoint.id,
+            self.events
+        );
+        self.count_silence("returned");
+    }
+
+    /// Counts the end of an attempt to continue a silent stream.
+    fn count_silence(&self, result: &str) {
+        if !self.is_broken {
+            self.state.metrics.silences.with_label_values(&[result]).inc();
         }
     }
+
+    fn log_failure(&self, endpoint: &InstanceId, reason: &str) {
+        log::info!(
+            "stream broken id={} server={endpoint} events={} reason=\"{reason}\"",
+            self.head.request_id,
+            self.events
+        );
+    }
+
+    /// Records an event that the caller gets.
+    fn accept(&mut self, event: NewEvent) -> Bytes {
+        self.sequence.record(event.id);
+        self.source.admitted.last_event_id = self.sequence.last_id();
+        self.events += 1;
+        event.bytes
+    }
 }
--- /dev/null
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -0,0 +1,122 @@
+//! The response of one endpoint as a stream of whole events.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::adapters::forward::upstream::UpstreamResponse;
+use crate::clock::Timestamp;
+use crate::decisions::endpoint_list::EndpointEntry;
+use crate::decisions::events::{EventSplitter, event_id};
+use crate::decisions::resume::{EventDecision, EventSequence};
+use crate::filters::forward::crash::Output;
+use crate::filters::forward::exchange::{Admitted, Responded};
+use crate::gateway::GatewayState;
+use crate::load_tracker::InFlightGuard;
+
+/// An event that the caller does not have yet.
+#[derive(Debug)]
+pub(super) struct NewEvent {
+    pub(super) bytes: Bytes,
+    pub(super) id: Option<u64>,
+}
+
+/// Outcome of reading from a source.
+#[derive(Debug)]
+pub(super) enum Read {
+    Event(NewEvent),
+    /// The stream is complete.
+    End,
+    /// The response broke off or is not the rest of the stream.
+    Broken(String),
+}
+
+/// The response of an endpoint to an attempt. Dropping it closes the connection.
+pub(super) struct Source {
+    pub(super) admitted: Admitted,
+    pub(super) endpoint: Arc<EndpointEntry>,
+    /// Whether this endpoint has sent an event.
+    pub(super) output: Output,
+    /// When the endpoint last sent bytes, or when the caller began to wait for them.
+    pub(super) quiet_since: Timestamp,
+    response: Box<UpstreamResponse>,
+    splitter: EventSplitter,
+    /// When the last event of this endpoint was read.
+    last_event_at: Option<Timestamp>,
+    /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
+    /// sent.
+    has_waited: bool,
+    _in_flight: InFlightGuard,
+}
+
+impl Source {
+    pub(super) fn new(responded: Responded, now: Timestamp) -> Self {
+        let Responded { admitted, endpoint, in_flight, response, .. } = responded;
+        Self {
+            admitted,
+            endpoint,
+            output: Output::None,
+            quiet_since: now,
+            response,
+            splitter: EventSplitter::default(),
+            last_event_at: None,
+            has_waited: false,
+            _in_flight: in_flight,
+        }
+    }
+
+    /// Closes the connection and returns the request.
+    pub(super) fn into_admitted(self) -> Admitted {
+        self.admitted
+    }
+
+    /// Reads until the next event that follows `sequence`. May be cancelled at any time without losing bytes.
+    pub(super) async fn read(&mut self, state: &GatewayState, sequence: &EventSequence) -> Read {
+        loop {
+            while let Some(bytes) = self.splitter.next_event() {
+                let id = event_id(&bytes);
+                self.record_event(state);
+                match sequence.judge(id) {
+                    EventDecision::Forward => return Read::Event(NewEvent { bytes, id }),
+                    EventDecision::Repeated => {}
+                }
+            }
+            let waited_from = state.clock.now();
+            let next = self.response.next().await;
+            let now = state.clock.now();
+            state.loads.record_activity(&self.endpoint.id, now);
+            self.quiet_since = now;
+            self.has_waited |= now > waited_from;
+            match next {
+                Some(Ok(bytes)) => {
+                    if let Err(error) = self.splitter.push(&bytes) {
+                        return Read::Broken(error.to_string());
+                    }
+                }
+                Some(Err(error)) => return Read::Broken(error.to_string()),
+                None if self.splitter.has_partial() => {
+                    return Read::Broken("the stream ends within an event".to_owned());
+                }
+                None => return Read::End,
+            }
+        }
+    }
+
+    /// Records at the first event that the endpoint has processed the prompt, and at later ones the time since the
+    /// previous event as a measure of its group's pace.
+    fn record_event(&mut self, state: &GatewayState) {
+        if std::mem::replace(&mut self.output, Output::Sent) == Output::None {
+            for part in self.admitted.prompt_parts.iter() {
+                state.record_completion(*part);
+            }
+        }
+        let now = state.clock.now();
+        let previous = self.last_event_at.replace(now);
+        // Several events that arrive together were waited for once.
+        let has_waited = std::mem::take(&mut self.has_waited);
+        let group = self.endpoint.group.as_ref();
+        if has_waited && let Some((previous, group)) = previous.zip(group) {
+            state.loads.record_gap(&group.name, now.ms_since(previous), now);
+        }
+    }
+}
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -49,7 +49,7 @@
     exchange: Exchange<'r, Admitted>,
 ) -> Selection<'r> {
     let Exchange { head, view, now, stage: mut admitted } = exchange;
-    let is_exhausted = admitted.attempts >= admitted.route.max_attempts
+    let is_exhausted = admitted.attempts.get() >= admitted.route.max_attempts
         || admitted.misdirected >= MAX_MISDIRECTED
         || admitted.refused_by.len() >= MAX_GROUP_REFUSALS
         || now >= admitted.deadline;
@@ -75,7 +75,8 @@
         record_quarantined(state, head, &mut admitted, until);
         return Selection::None(admitted);
     }
-    let is_first = admitted.attempts + admitted.misdirected == 0 && admitted.refused_by.is_empty();
+    let is_first =
+        admitted.attempts.get() + admitted.misdirected == 0 && admitted.refused_by.is_empty();
     if !is_first {
         if !state.try_acquire_retry(&admitted.service) {
             state.metrics.retries_denied.inc();
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -7,13 +7,18 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use tokio::time::timeout;
 
-use crate::adapters::forward::upstream::{self, UpstreamError, UpstreamRequest, UpstreamResponse};
+use crate::adapters::forward::upstream::{
+    self, PendingResponse, UpstreamError, UpstreamRequest, UpstreamResponse,
+};
+use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
+use crate::lifecycle::attempt::{Attempt, Dispatched};
+use crate::load_tracker::InFlightGuard;
 use crate::outcome::UnknownCode;
 
 /// Timeout for connecting to an endpoint, in milliseconds. Endpoints are at most a few milliseconds away; one
@@ -26,9 +31,23 @@
     Responded(Exchange<'r, Responded>),
     /// No response; the request may be attempted again, as far as its limits allow.
     Retry(Admitted),
+    /// The endpoint sends nothing while others of its service do. It may still respond.
+    Stalled(Exchange<'r, Waiting>),
 }
 
-/// Connects, sends the request, and waits for the head of the response until the caller's deadline.
+/// Stage in which a request has been sent and the head of the response has not arrived. Dropping it closes the
+/// connection.
+pub(crate) struct Waiting {
+    pub(crate) admitted: Admitted,
+    pub(crate) endpoint: Arc<EndpointEntry>,
+    attempt: Attempt<Dispatched>,
+    in_flight: InFlightGuard,
+    response: PendingResponse,
+    sent: Timestamp,
+}
+
+/// Connects, sends the request, and waits for the head of the response until the caller's deadline, or until the
+/// endpoint stalls.
 pub(crate) async fn apply<'r>(
     state: &Arc<GatewayState>,
     exchange: Exchange<'r, Selected>,
@@ -63,11 +82,56 @@
         remaining_ms,
         last_event_id: admitted.last_event_id,
     };
-    admitted.attempts += 1;
-    let attempt = attempt.dispatch();
-    let response =
-        wait_for_head(state, &admitted, &endpoint, connection.send(&upstream_request)).await;
-    let (code, reason) = match response {
+    let response = match connection.send(&upstream_request) {
+        Ok(response) => response,
+        Err(error) => {
+            log::warn!("request cannot be encoded id={} reason=\"{error}\"", head.request_id);
+            admitted.avoid.push(endpoint.id.clone());
+            return SendOutcome::Retry(admitted);
+        }
+    };
+    admitted.attempts.add();
+    let (attempt, sent) = (attempt.dispatch(), state.clock.now());
+    let stage = Waiting { admitted, endpoint, attempt, in_flight, response, sent };
+    wait_for_head(state, Exchange { head, view, now: sent, stage }, StallCheck::On).await
+}
+
+/// Waits for the head of a response until the caller's deadline, however long the endpoint is silent.
+pub(crate) async fn wait_to_end<'r>(
+    state: &Arc<GatewayState>,
+    waiting: Exchange<'r, Waiting>,
+) -> SendOutcome<'r> {
+    wait_for_head(state, waiting, StallCheck::Off).await
+}
+
+/// Whether a wait ends when the endpoint stalls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StallCheck {
+    On,
+    Off,
+}
+
+/// Waits for the head of the response until the caller's deadline, or until the endpoint stalls and another one may
+/// be asked.
+async fn wait_for_head<'r>(
+    state: &Arc<GatewayState>,
+    mut exchange: Exchange<'r, Waiting>,
+    stall_check: StallCheck,
+) -> SendOutcome<'r> {
+    let waited = poll_head(state, &mut exchange.stage, stall_check).await;
+    let Exchange { head, view, .. } = exchange;
+    if matches!(waited, WaitOutcome::Stalled) {
+        log::info!(
+            "attempt silent id={} server={} waited_ms={}",
+            head.request_id,
+            exchange.stage.endpoint.id,
+            state.clock.now().ms_since(head.received)
+        );
+        state.loads.record_failure(&exchange.stage.endpoint.id, state.clock.now());
+        return SendOutcome::Stalled(exchange);
+    }
+    let Waiting { mut admitted, endpoint, attempt, in_flight, .. } = exchange.stage;
+    let (code, reason) = match waited {
         WaitOutcome::Response(Ok(response)) => {
             let response = Box::new(response);
             record_exclusion(state, &endpoint, &response);
@@ -85,10 +149,7 @@
             crash::report_if_crashed(state, head, &admitted, &endpoint, Output::None).await;
             (UnknownCode::EndpointLost, error.to_string())
         }
-        WaitOutcome::Stalled => {
-            (UnknownCode::EndpointLost, "silent while other endpoints respond".to_owned())
-        }
-        WaitOutcome::Deadline => {
+        WaitOutcome::Deadline | WaitOutcome::Stalled => {
             (UnknownCode::DeadlinePassed, "no response before the deadline".to_owned())
         }
     };
@@ -132,38 +193,31 @@
 /// Outcome of waiting for the head of a response.
 enum WaitOutcome {
     Response(Result<UpstreamResponse, UpstreamError>),
-    /// The endpoint sends nothing while others of its service do; the request goes to another one.
+    /// The endpoint sends nothing while others of its service do.
     Stalled,
     Deadline,
 }
 
-/// Waits for the head of the response until the caller's deadline, or until the endpoint stalls and the
-/// request may move to another one.
-async fn wait_for_head(
+async fn poll_head(
     state: &GatewayState,
-    admitted: &Admitted,
-    endpoint: &EndpointEntry,
-    response: impl Future<Output = Result<UpstreamResponse, UpstreamError>>,
+    waiting: &mut Waiting,
+    stall_check: StallCheck,
 ) -> WaitOutcome {
-    let sent = state.clock.now();
-    tokio::pin!(response);
+    let Waiting { admitted, endpoint, response, sent, .. } = waiting;
+    let checks_stall = stall_check == StallCheck::On && admitted.may_race();
     loop {
         let remaining_ms = admitted.deadline.ms_since(state.clock.now());
         if remaining_ms == 0 {
             return WaitOutcome::Deadline;
         }
-        let wait_ms = if admitted.may_fail_over() {
-            stall_timeout_ms(ResponsePart::Head)
-        } else {
-            remaining_ms
-        };
+        let wait_ms =
+            if checks_stall { stall_timeout_ms(ResponsePart::Head) } else { remaining_ms };
         let wait = Duration::from_millis(wait_ms.min(remaining_ms));
         if let Ok(response) = timeout(wait, response.as_mut()).await {
             return WaitOutcome::Response(response);
         }
-        if admitted.may_fail_over()
-            && state.should_fail_over(ResponsePart::Head, &admitted.service, endpoint, sent)
-        {
+        let (part, service) = (ResponsePart::Head, &admitted.service);
+        if checks_stall && state.should_fail_over(part, service, endpoint, *sent) {
             return WaitOutcome::Stalled;
         }
     }
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -17,6 +17,7 @@
     pub(crate) retries: IntCounter,
     pub(crate) retries_denied: IntCounter,
     pub(crate) resumed: IntCounter,
+    pub(crate) silences: IntCounterVec,
     pub(crate) endpoint_crashes: IntCounter,
     pub(crate) suspects: IntGauge,
     pub(crate) first_byte_seconds: Histogram,
@@ -60,6 +61,11 @@
                 "lycheewood_gateway_streams_resumed_total",
                 "Broken streams continued at another endpoint.",
             )?,
+            silences: metrics.counters(
+                "lycheewood_gateway_silent_answers_total",
+                "Silent answers for which another endpoint was asked, by result: moved, returned, refused.",
+                "result",
+            )?,
             endpoint_crashes: metrics.counter(
                 "lycheewood_gateway_endpoint_crashes_total",
                 "Requests whose endpoint ended while it may have run them.",
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -24,6 +25,10 @@
     Hang(Vec<u8>),
     /// Writes the first bytes once and the others again and again, until the gateway closes the connection.
     Endless(Vec<u8>, Vec<u8>),
+    /// Writes the first bytes, and the others once the flag is set, then closes the connection.
+    Pause(Vec<u8>, Arc<AtomicBool>, Vec<u8>),
+    /// Writes the first bytes once and the others every 50 ms, until the gateway closes the connection.
+    Trickle(Vec<u8>, Vec<u8>),
     /// Ends the endpoint: no connection is accepted any more, and this one is closed.
     Crash,
 }
@@ -277,11 +282,20 @@
     let request = ReceivedRequest { endpoint: name.to_owned(), head, body };
     received.lock().expect("no panic").push(request.clone());
     match script(&request) {
-        Action::Write(bytes) => {
-            let _ = tcp.write_all(&bytes);
-            let _ = tcp.shutdown(Shutdown::Write);
-            // Closing a socket with unread bytes would reset the connection.
-            let _ = tcp.read_to_end(&mut Vec::new());
+        Action::Write(bytes) => write_and_close(tcp, &bytes),
+        Action::Pause(first, goes_on, rest) => {
+            let _ = tcp.write_all(&first);
+            while !goes_on.load(Ordering::Relaxed) {
+                thread::park_timeout(Duration::from_millis(5));
+            }
+            write_and_close(tcp, &rest);
+        }
+        Action::Trickle(first, repeated) => {
+            let _ = tcp.write_all(&first);
+            while tcp.write_all(&repeated).is_ok() {
+                thread::park_timeout(Duration::from_millis(50));
+            }
+            let _ = closed_tx.send(name.to_owned());
         }
         Action::Hang(bytes) => {
             let _ = tcp.write_all(&bytes);
@@ -299,6 +313,13 @@
     }
 }
 
+fn write_and_close(mut tcp: TcpStream, bytes: &[u8]) {
+    let _ = tcp.write_all(bytes);
+    let _ = tcp.shutdown(Shutdown::Write);
+    // Closing a socket with unread bytes would reset the connection.
+    let _ = tcp.read_to_end(&mut Vec::new());
+}
+
 fn read_request(tcp: &mut TcpStream) -> Option<(String, Vec<u8>)> {
     let mut bytes = Vec::new();
     let mut byte = [0];
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -6,4 +6,5 @@
 mod harness;
 mod leaving;
 mod retries;
+mod silence;
 mod streams;
--- /dev/null
+++ b/crates/lycheewood/tests/gateway/silence.rs
@@ -0,0 +1,166 @@
+//! Answers of an endpoint that is silent while others of its service respond.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use crate::harness::{
+    Action, Harness, ReceivedRequest, Reply, header_value, ok_response, request, response,
+};
+use crate::streams::{chunk, events, head};
+
+/// Whether a request is one of those that only show that the endpoints respond.
+fn is_other(received: &ReceivedRequest) -> bool {
+    header_value(&received.head, "x-id").is_some_and(|id| id.starts_with("other"))
+}
+
+/// Starts endpoints that share a script for the watched request. Its first argument is the number of earlier attempts
+/// of that request. All endpoints answer other requests.
+fn start_endpoints(
+    harness: &mut Harness,
+    count: usize,
+    script: impl Fn(usize, &ReceivedRequest) -> Action + Send + Sync + 'static,
+) {
+    let (script, attempts) = (Arc::new(script), Arc::new(AtomicUsize::new(0)));
+    for number in 1..=count {
+        let (script, attempts) = (Arc::clone(&script), Arc::clone(&attempts));
+        harness.start_endpoint(&format!("s{number}"), move |received| {
+            if is_other(received) {
+                return Action::Write(ok_response(received, "ok"));
+            }
+            script(attempts.fetch_add(1, Ordering::Relaxed), received)
+        });
+    }
+}
+
+/// The endpoints that received the watched request, in order.
+fn attempts(harness: &Harness) -> Vec<String> {
+    let received = harness.received();
+    let watched = received.iter().filter(|received| !is_other(received));
+    watched.map(|received| received.endpoint.clone()).collect()
+}
+
+/// Sends the watched request, and other ones until it has a reply. Calls `between` after each of them.
+fn call_beside_others(harness: &Harness, watched: &str, mut between: impl FnMut()) -> Reply {
+    harness.wait_until_ready();
+    let (tcp, watched) = (harness.connect(), watched.to_owned());
+    let caller = std::thread::spawn(move || Reply::read(tcp, &watched));
+    for number in 0.. {
+        if caller.is_finished() {
+            break;
+        }
+        harness.call(&request("/read/x", &format!("other-{number}")));
+        between();
+    }
+    caller.join().expect("a reply")
+}
+
+fn refusal(received: &ReceivedRequest) -> Vec<u8> {
+    response(received, "503 Service Unavailable", "X-Not-Run: 1\r\n", "full")
+}
+
+/// Guards against an answer that is cut because its endpoint pauses while the only other one is full (review/2): the
+/// first endpoint goes on once the other one has refused and its connection is closed.
+#[test]
+fn a_silent_endpoint_keeps_its_answer_until_another_takes_over() {
+    for (path, events_before) in [("/stream/x", 3), ("/stream/x", 0), ("/read/x", 0)] {
+        let mut harness = Harness::with_routes();
+        let goes_on = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&goes_on);
+        start_endpoints(&mut harness, 2, move |attempt, received| {
+            if attempt > 0 {
+                return Action::Hang(refusal(received));
+            }
+            let (first, rest) = match (path, events_before) {
+                ("/read/x", _) => (Vec::new(), ok_response(received, "late")),
+                (_, 0) => {
+                    let rest = head(received) + &chunk(&events(1, 6)) + "0\r\n\r\n";
+                    (Vec::new(), rest.into_bytes())
+                }
+                (_, last) => {
+                    let first = head(received) + &chunk(&events(1, last));
+                    let rest = chunk(&events(last + 1, 6)) + "0\r\n\r\n";
+                    (first.into_bytes(), rest.into_bytes())
+                }
+            };
+            Action::Pause(first, Arc::clone(&flag), rest)
+        });
+        let reply = call_beside_others(&harness, &request(path, "id-1"), || {
+            if harness.closed.try_recv().is_ok() {
+                goes_on.store(true, Ordering::Relaxed);
+            }
+        });
+        let case = format!("{path} after {events_before} events");
+        assert_eq!((reply.status, reply.is_complete), (200, true), "{case}");
+        let expected = if path == "/read/x" { "late".to_owned() } else { events(1, 6) };
+        assert_eq!(reply.body, expected, "{case}");
+        assert_eq!(attempts(&harness).len(), 2, "{case}");
+    }
+}
+
+/// Guards against a stream that moves to an endpoint that accepts it and sends nothing, while the first endpoint goes
+/// on. The connection to the other endpoint is closed, so that it stops to work.
+#[test]
+fn a_stream_that_goes_on_stays_and_the_other_attempt_is_dropped() {
+    let mut harness = Harness::with_routes();
+    let goes_on = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&goes_on);
+    start_endpoints(&mut harness, 2, move |attempt, received| {
+        if attempt > 0 {
+            return Action::Hang(head(received).into_bytes());
+        }
+        let first = head(received) + &chunk(&events(1, 3)) + &chunk("id: 4\nda");
+        let rest = chunk("ta: piece 4\n\n") + &chunk(&events(5, 6)) + "0\r\n\r\n";
+        Action::Pause(first.into_bytes(), Arc::clone(&flag), rest.into_bytes())
+    });
+    let reply = call_beside_others(&harness, &request("/stream/x", "id-1"), || {
+        goes_on.fetch_or(attempts(&harness).len() > 1, Ordering::Relaxed);
+    });
+    assert_eq!((reply.body, reply.is_complete), (events(1, 6), true));
+    let attempts = attempts(&harness);
+    assert_eq!((attempts.len(), harness.wait_for_close()), (2, attempts[1].clone()));
+}
+
+/// Guards against a part of an event of the first endpoint within the events of the one that takes over, and against a
+/// first connection that stays open after that.
+#[test]
+fn the_endpoint_that_takes_over_continues_after_the_last_whole_event() {
+    let mut harness = Harness::with_routes();
+    start_endpoints(&mut harness, 2, |attempt, received| {
+        if attempt == 0 {
+            let first = head(received) + &chunk(&events(1, 3)) + &chunk("id: 4\nda");
+            return Action::Hang(first.into_bytes());
+        }
+        let rest = head(received) + &chunk(&events(2, 6)) + "0\r\n\r\n";
+        Action::Write(rest.into_bytes())
+    });
+    let reply = call_beside_others(&harness, &request("/stream/x", "id-1"), || {});
+    assert_eq!((reply.body, reply.is_complete), (events(1, 6), true));
+    assert_eq!(harness.wait_for_close(), attempts(&harness)[0]);
+}
+
+/// Guards against a stream that sends a byte now and then and lasts for ever, or that is taken for silent. It ends at
+/// its deadline, and no other endpoint is asked.
+#[test]
+fn a_stream_that_sends_a_byte_now_and_then_ends_at_its_deadline() {
+    let mut harness = Harness::with_routes();
+    start_endpoints(&mut harness, 2, |_, received| {
+        let first = head(received) + &chunk(&events(1, 1)) + &chunk("id: 2\ndata: ");
+        Action::Trickle(first.into_bytes(), chunk("x").into_bytes())
+    });
+    let reply = call_beside_others(&harness, &request("/stream/x", "id-1"), || {});
+    assert_eq!((reply.body, reply.is_complete), (events(1, 1), false));
+    let attempts = attempts(&harness);
+    assert_eq!((attempts.len(), harness.wait_for_close()), (1, attempts[0].clone()));
+}
+
+/// Guards against a second run of a request that may not repeat, and against more attempts than the route allows,
+/// while all endpoints are silent for that request.
+#[test]
+fn a_silent_request_starts_on_no_more_endpoints_than_allowed() {
+    for (path, allowed) in [("/once/x", 1), ("/read/x", 2)] {
+        let mut harness = Harness::with_routes();
+        start_endpoints(&mut harness, 3, |_, _| Action::Hang(Vec::new()));
+        let reply = call_beside_others(&harness, &request(path, "id-1"), || {});
+        assert_eq!((reply.status, attempts(&harness).len()), (504, allowed), "{path}");
+    }
+}
--- a/crates/lycheewood/tests/gateway/streams.rs
+++ b/crates/lycheewood/tests/gateway/streams.rs
@@ -6,7 +6,7 @@
 
 use crate::harness::{Action, Harness, ReceivedRequest, Reply, header_value, ok_response, request};
 
-fn head(received: &ReceivedRequest) -> String {
+pub(crate) fn head(received: &ReceivedRequest) -> String {
     let id = header_value(&received.head, "x-id").unwrap_or_default();
     let endpoint = &received.endpoint;
     format!(
@@ -15,7 +15,7 @@
     )
 }
 
-fn chunk(text: &str) -> String {
+pub(crate) fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
@@ -23,7 +23,7 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
-fn events(from: u32, to: u32) -> String {
+pub(crate) fn events(from: u32, to: u32) -> String {
     (from..=to).map(event).collect()
 }
 
