End a resumed stream as broken when the rest is not its rest

Cause: whatever a second endpoint sent with a 200 was passed on as the rest of a stream, and its end as the end of the stream.

Change: a resumed response must have the status and the media type that the caller was sent, at least one event that the caller lacks, and ids without a gap (where the ids of the stream are consecutive). Otherwise it counts as a failed attempt: a further endpoint is asked as far as the limits allow, and else the stream ends as broken. decisions/resume.rs decides.

--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::sleep;
 
-use crate::decisions::resume::EventSequence;
+use crate::decisions::resume::{EventSequence, is_same_media_type};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash;
 use crate::filters::forward::exchange::{RequestHead, Responded};
@@ -50,6 +51,8 @@
             state: Arc::clone(state),
             head: Arc::clone(head),
             source: Source::new(responded, state.clock.now()),
+            status,
+            content_type: headers.get(CONTENT_TYPE).cloned(),
             is_broken: false,
             challenger: None,
             may_challenge: true,
@@ -66,6 +69,10 @@
     head: Arc<RequestHead>,
     /// The endpoint that the stream presently comes from.
     source: Source,
+    /// The status that the caller was sent.
+    status: StatusCode,
+    /// The content type that the caller was sent.
+    content_type: Option<HeaderValue>,
     /// Whether the response of `source` broke off.
     is_broken: bool,
     /// The attempt to continue the stream elsewhere, if one is in progress.
@@ -231,9 +238,16 @@
     /// Handles the progress of the challenger. Returns the event with which it takes over.
     async fn on_challenger(&mut self, progress: Progress) -> Option<NewEvent> {
         match (progress, self.challenger.take()) {
-            (Progress::Accepted(source), _) if self.is_broken => self.take_over(*source),
-            (Progress::Accepted(source), _) => {
-                self.challenger = Some(Challenger::Responding(source));
+            (Progress::Accepted(source), _) if !self.is_rest(&source) => {
+                self.replace_challenger(*source, "the response is not an event stream");
+            }
+            (Progress::Accepted(mut source), _) => {
+                source.mark_resumed();
+                if self.is_broken {
+                    self.take_over(*source);
+                } else {
+                    self.challenger = Some(Challenger::Responding(source));
+                }
             }
             (Progress::Read(Read::Event(event)), Some(Challenger::Responding(source))) => {
                 self.take_over(*source);
@@ -268,6 +282,14 @@
         None
     }
 
+    /// Whether a response has the status and the media type of the one that the caller is receiving.
+    fn is_rest(&self, source: &Source) -> bool {
+        let response = source.response();
+        let first = self.content_type.as_ref().map(HeaderValue::as_bytes);
+        let resumed = response.headers().get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+        response.status() == self.status && is_same_media_type(first, resumed)
+    }
+
     /// Continues the stream at the endpoint of `source`, and closes the connection to the one before.
     fn take_over(&mut self, source: Source) {
         log::info!(
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -8,7 +8,7 @@
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
-use crate::decisions::resume::{EventDecision, EventSequence};
+use crate::decisions::resume::{EventDecision, EventOrigin, EventSequence};
 use crate::filters::forward::crash::Output;
 use crate::filters::forward::exchange::{Admitted, Responded};
 use crate::gateway::GatewayState;
@@ -39,6 +39,7 @@
     pub(super) output: Output,
     /// When the endpoint last sent bytes, or when the caller began to wait for them.
     pub(super) quiet_since: Timestamp,
+    origin: EventOrigin,
     response: Box<UpstreamResponse>,
     splitter: EventSplitter,
     /// When the last event of this endpoint was read.
@@ -57,6 +58,7 @@
             endpoint,
             output: Output::None,
             quiet_since: now,
+            origin: EventOrigin::First,
             response,
             splitter: EventSplitter::default(),
             last_event_at: None,
@@ -65,6 +67,15 @@
         }
     }
 
+    pub(super) fn response(&self) -> &UpstreamResponse {
+        &self.response
+    }
+
+    /// Marks this response as the rest of a stream that another endpoint began.
+    pub(super) fn mark_resumed(&mut self) {
+        self.origin = EventOrigin::Resumed { has_continued: false };
+    }
+
     /// Closes the connection and returns the request.
     pub(super) fn into_admitted(self) -> Admitted {
         self.admitted
@@ -76,9 +87,17 @@
             while let Some(bytes) = self.splitter.next_event() {
                 let id = event_id(&bytes);
                 self.record_event(state);
-                match sequence.judge(id) {
-                    EventDecision::Forward => return Read::Event(NewEvent { bytes, id }),
+                match sequence.judge(id, self.origin) {
+                    EventDecision::Forward => {
+                        if let EventOrigin::Resumed { has_continued } = &mut self.origin {
+                            *has_continued = true;
+                        }
+                        return Read::Event(NewEvent { bytes, id });
+                    }
                     EventDecision::Repeated => {}
+                    EventDecision::Gap => {
+                        return Read::Broken("the resumed stream lacks events".to_owned());
+                    }
                 }
             }
             let waited_from = state.clock.now();
@@ -97,6 +116,9 @@
                 None if self.splitter.has_partial() => {
                     return Read::Broken("the stream ends within an event".to_owned());
                 }
+                None if self.origin == (EventOrigin::Resumed { has_continued: false }) => {
+                    return Read::Broken("the resumed stream has no new event".to_owned());
+                }
                 None => return Read::End,
             }
         }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -118,7 +118,7 @@
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
 pub use decisions::replies::{ReplyDecision, judge_reply};
-pub use decisions::resume::{EventDecision, EventSequence};
+pub use decisions::resume::{EventDecision, EventOrigin, EventSequence, is_same_media_type};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
 pub use decisions::routing::{
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
--- a/crates/lycheewood/tests/gateway/silence.rs
+++ b/crates/lycheewood/tests/gateway/silence.rs
@@ -15,7 +15,7 @@
 
 /// Starts endpoints that share a script for the watched request. Its first argument is the number of earlier attempts
 /// of that request. All endpoints answer other requests.
-fn start_endpoints(
+pub(crate) fn start_endpoints(
     harness: &mut Harness,
     count: usize,
     script: impl Fn(usize, &ReceivedRequest) -> Action + Send + Sync + 'static,
@@ -33,7 +33,7 @@
 }
 
 /// The endpoints that received the watched request, in order.
-fn attempts(harness: &Harness) -> Vec<String> {
+pub(crate) fn attempts(harness: &Harness) -> Vec<String> {
     let received = harness.received();
     let watched = received.iter().filter(|received| !is_other(received));
     watched.map(|received| received.endpoint.clone()).collect()
--- a/crates/lycheewood/tests/gateway/streams.rs
+++ b/crates/lycheewood/tests/gateway/streams.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use crate::harness::{Action, Harness, ReceivedRequest, Reply, header_value, ok_response, request};
+use crate::silence::{attempts, start_endpoints};
 
 pub(crate) fn head(received: &ReceivedRequest) -> String {
     let id = header_value(&received.head, "x-id").unwrap_or_default();
@@ -68,6 +69,45 @@
     assert_eq!((reply.body, reply.is_complete), (events(1, 5), true));
 }
 
+/// Bodies that are not the rest of a stream after event 3, with their content type.
+fn wrong_rests() -> [(&'static str, &'static str, String); 4] {
+    [
+        ("another content type", "application/json", "{}\n\n".to_owned()),
+        ("no event", "text/event-stream", String::new()),
+        ("known events only", "text/event-stream", events(2, 3)),
+        ("a gap", "text/event-stream", events(5, 6)),
+    ]
+}
+
+/// Guards against a stream that looks complete to the caller although the endpoint that resumed it has not sent the
+/// rest of it.
+#[test]
+fn a_response_that_is_not_the_rest_of_a_stream_does_not_complete_it() {
+    for (case, content_type, body) in wrong_rests() {
+        for has_third in [false, true] {
+            let body = body.clone();
+            let mut harness = Harness::with_routes();
+            let count = if has_third { 3 } else { 2 };
+            start_endpoints(&mut harness, count, move |attempt, received| {
+                let text = match attempt {
+                    0 => head(received) + &chunk(&events(1, 3)),
+                    1 => {
+                        let body = if body.is_empty() { String::new() } else { chunk(&body) };
+                        let head = head(received).replace("text/event-stream", content_type);
+                        head + &body + "0\r\n\r\n"
+                    }
+                    _ => head(received) + &chunk(&events(4, 6)) + "0\r\n\r\n",
+                };
+                Action::Write(text.into_bytes())
+            });
+            let reply = harness.call(&request("/stream/x", "id-1"));
+            let last = if has_third { 6 } else { 3 };
+            assert_eq!((reply.body, reply.is_complete), (events(1, last), has_third), "{case}");
+            assert_eq!(attempts(&harness).len(), count, "{case}");
+        }
+    }
+}
+
 /// Guards against an aborted stream that looks complete to the caller.
 #[test]
 fn a_stream_that_cannot_continue_is_cut() {
