Let a 421 for an expected version concern its request only

Cause: every 421 counted as the sign that another endpoint had the address. A caller that expects a version which no endpoint has thereby excluded every endpoint that answered, for all callers, for 5 s, and made the gateway read the endpoint list again.

Change: a 421 for a request with the header of an expected version excludes no endpoint and does not put the list in doubt. The request itself goes on as before: it avoids the endpoint, and the 421 is no attempt. A counter tells these refusals.

--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -78,7 +78,7 @@
         let proof = NotRunProof::from_endpoint(attempt.id());
         let _ = attempt.not_run_with_proof(proof, NotRunCode::EndpointRefused);
         log::info!("attempt not run id={} server={} status={status}", head.request_id, endpoint.id);
-        record_refusal(state, &mut admitted, &endpoint, response);
+        record_refusal(state, head, &mut admitted, &endpoint, response);
         return CheckOutcome::Retry(Box::new(admitted));
     }
     for fingerprint in admitted.fingerprints() {
@@ -100,6 +100,7 @@
 /// Updates the load tracker and the request's attempts after a refusal of an endpoint.
 fn record_refusal(
     state: &GatewayState,
+    head: &RequestHead,
     admitted: &mut Admitted,
     endpoint: &EndpointEntry,
     response: BufferedResponse,
@@ -114,8 +115,14 @@
     }
     admitted.avoid.push(endpoint.id.clone());
     if status == StatusCode::MISDIRECTED_REQUEST {
-        state.loads.record_misdirected(&endpoint.id, now);
-        state.endpoint_list_stale.notify_one();
+        // The endpoint may be where the list says and have another version than the caller asks for, which says
+        // nothing about other requests.
+        if head.headers.contains_key(&state.settings.headers.expected_version) {
+            state.metrics.version_refusals.inc();
+        } else {
+            state.loads.record_misdirected(&endpoint.id, now);
+            state.endpoint_list_stale.notify_one();
+        }
         admitted.attempts.take_back();
         admitted.misdirected += 1;
     } else {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -39,6 +39,8 @@
     pub workspace: HeaderName,
     /// Endpoint that a request is addressed to.
     pub expected_endpoint: HeaderName,
+    /// Version that a caller expects its endpoint to have. Endpoints of another version answer 421.
+    pub expected_version: HeaderName,
     /// The endpoint's signature of its response.
     pub signature: HeaderName,
     /// Set by an endpoint that has not run the request.
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -18,6 +18,7 @@
     pub(crate) retries_denied: IntCounter,
     pub(crate) resumed: IntCounter,
     pub(crate) silences: IntCounterVec,
+    pub(crate) version_refusals: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
     pub(crate) suspects: IntGauge,
     pub(crate) first_byte_seconds: Histogram,
@@ -66,6 +67,10 @@
                 "Silent answers for which another endpoint was asked, by result: moved, returned, refused.",
                 "result",
             )?,
+            version_refusals: metrics.counter(
+                "lycheewood_gateway_version_refusals_total",
+                "Attempts answered with 421 for a request that expects a version.",
+            )?,
             endpoint_crashes: metrics.counter(
                 "lycheewood_gateway_endpoint_crashes_total",
                 "Requests whose endpoint ended while it may have run them.",
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -137,6 +137,33 @@
     assert!(misdirected <= 1, "{misdirected} requests went to the address of another endpoint");
 }
 
+/// Guards against one caller that excludes all endpoints for all callers, by a request for a version that none of them
+/// has.
+#[test]
+fn a_version_that_no_server_has_concerns_its_request_only() {
+    let mut harness = Harness::with_routes();
+    let script = |received: &crate::harness::ReceivedRequest| {
+        if header_value(&received.head, "x-version").is_some() {
+            Action::Write(response(received, "421 Misdirected Request", "", ""))
+        } else {
+            Action::Write(ok_response(received, "ok"))
+        }
+    };
+    for id in ["s1", "s2"] {
+        harness.start_endpoint(id, script);
+    }
+    let with_version = request("/once/x", "id-1").replace("X-Id", "X-Version: v9\r\nX-Id");
+    assert_eq!(harness.call(&with_version).status, 503);
+    assert_eq!(harness.received().len(), 2);
+    for id in 0..10 {
+        assert_eq!(harness.call(&request("/once/x", &format!("id-{id}"))).status, 200);
+    }
+    let endpoints = harness.received().into_iter().skip(2).map(|received| received.endpoint);
+    let endpoints: std::collections::BTreeSet<String> = endpoints.collect();
+    assert_eq!(endpoints.len(), 2, "an endpoint is excluded");
+    assert!(!harness.is_list_stale());
+}
+
 /// Guards against reading the endpoint list 1,500 ms late although 421 responses show that endpoints have
 /// restarted under other names.
 #[test]
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -107,6 +107,7 @@
                 deadline_ms: header("x-deadline"),
                 workspace: header("x-workspace"),
                 expected_endpoint: header("x-expect"),
+                expected_version: header("x-version"),
                 signature: header("x-seal"),
                 not_run: header("x-not-run"),
                 leaving: header("x-leaving"),
--- a/crates/lycheewood/tests/rank_confirmation.rs
+++ b/crates/lycheewood/tests/rank_confirmation.rs
@@ -125,6 +125,7 @@
             deadline_ms: header("x-deadline"),
             workspace: header("x-workspace"),
             expected_endpoint: header("x-expect"),
+            expected_version: header("x-version"),
             signature: header("x-seal"),
             not_run: header("x-not-run"),
             leaving: header("x-leaving"),
