Limit the head of a request by its size alone

Cause: the HTTP library accepts 100 header fields unless told otherwise, so a request with more got 431 whatever max_header_bytes says.

Change: both front ends accept as many fields as max_header_bytes can hold (a field has four bytes at least), at most 16,384.

Measured: gateway, only_the_size_of_a_head_limits_its_fields fails on the code before (431 for 101 fields) and passes now; 4,000 fields of four bytes are accepted, 4,200 and 1,200 longer ones get 431.

--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::adapters::forward::headers::max_header_fields;
 use crate::entry_state::EntryState;
 use crate::filters;
 use crate::filters::request::Request;
@@ -112,6 +113,7 @@
         .header_read_timeout(Duration::from_millis(bounds.header_timeout_ms))
         // hyper refuses buffers below 8 KiB.
         .max_buf_size(bounds.max_header_bytes.max(8 * 1024))
+        .max_headers(max_header_fields(bounds.max_header_bytes))
         .serve_connection(TokioIo::new(Box::pin(io)), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -21,6 +21,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::adapters::forward::caller::encode::{RequestRecord, ResponseBody};
+use crate::adapters::forward::headers::max_header_fields;
 use crate::filters::forward;
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::GatewayState;
@@ -99,6 +100,7 @@
         // both.
         .header_read_timeout(Duration::from_millis(idle_timeout_ms))
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(max_header_fields(max_header_bytes))
         .serve_connection(TokioIo::new(Box::pin(io)), service);
     tokio::pin!(connection);
     let mut phases = state.subscribe_phase();
--- a/crates/lycheewood/src/adapters/forward/headers.rs
+++ b/crates/lycheewood/src/adapters/forward/headers.rs
@@ -24,6 +24,17 @@
     CONTENT_LENGTH,
 ];
 
+/// Length of the shortest header field, `a:` with its line break, in bytes.
+const MIN_FIELD_BYTES: usize = 4;
+/// The most header fields of a request, whatever its size. [`HeaderMap`] panics above 24,576 fields.
+const MAX_FIELDS: usize = 16 * 1024;
+
+/// The most header fields of a request whose head has at most `max_header_bytes`. The number of fields is thus limited
+/// by their size only, while the HTTP library has a limit of 100.
+pub(crate) fn max_header_fields(max_header_bytes: usize) -> usize {
+    (max_header_bytes / MIN_FIELD_BYTES).clamp(1, MAX_FIELDS)
+}
+
 /// Copies `headers` without hop-by-hop headers and those that `Connection` names.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<HeaderName> = headers
--- a/crates/lycheewood/tests/gateway/callers.rs
+++ b/crates/lycheewood/tests/gateway/callers.rs
@@ -132,3 +132,28 @@
     assert!(text.to_ascii_lowercase().contains("connection: close"), "{text}");
     stopping.join().expect("the gateway stops");
 }
+
+/// Guards against a limit on the number of header fields beside the one on their size: requests with over 100 fields
+/// got 431.
+#[test]
+fn only_the_size_of_a_head_limits_its_fields() {
+    let mut harness = Harness::with_routes();
+    harness.start_endpoint("s1", |received| Action::Write(ok_response(received, "ok")));
+    let with_fields = |field: &str, count: usize| {
+        request("/read/x", "id-1").replace("X-Id", &(field.repeat(count) + "X-Id"))
+    };
+    // The limit is 16,384 bytes. The shortest field has four.
+    for (field, count, status) in [
+        ("X-Field: value\r\n", 101, 200),
+        ("X-Field: value\r\n", 900, 200),
+        ("a:\r\n", 4_000, 200),
+        ("X-Field: value\r\n", 1_200, 431),
+        ("a:\r\n", 4_200, 431),
+    ] {
+        let reply = harness.call(&with_fields(field, count));
+        assert_eq!(reply.status, status, "{count} fields {field:?}");
+    }
+    let received = harness.received();
+    let fields = received[1].head.lines().filter(|line| line.starts_with("x-field:"));
+    assert_eq!(fields.count(), 900);
+}
