Install signal handlers before anything else

Cause: the handlers were installed after the settings had been read and the gateway, agent or daemon had started. SIGTERM or SIGHUP before that ended the process at once.

--- a/crates/lycheewood-daemon/src/cmd/run.rs
+++ b/crates/lycheewood-daemon/src/cmd/run.rs
@@ -4,7 +4,7 @@
 use lycheewood::{Endpoint, Entry, RoleSettings};
 
 use crate::cmd::{DaemonError, read_settings, settings_arg};
-use crate::signals;
+use crate::signals::Signals;
 
 pub(crate) fn make_subcommand() -> Command {
     Command::new("run")
@@ -13,16 +13,17 @@
 }
 
 pub(crate) fn execute(matches: &ArgMatches) -> Result<(), DaemonError> {
+    let signals = Signals::install().map_err(DaemonError::Signals)?;
     let settings = read_settings(matches)?;
     match settings.role {
         RoleSettings::Entry { .. } => {
             let entry = Entry::start(&settings)?;
-            signals::wait_for_stop().map_err(DaemonError::Signals)?;
+            signals.block_until_stop();
             entry.shutdown();
         }
         RoleSettings::Endpoint { .. } => {
             let endpoint = Endpoint::start(&settings)?;
-            signals::wait_for_stop().map_err(DaemonError::Signals)?;
+            signals.block_until_stop();
             endpoint.shutdown();
         }
     }
