Release a late hold only if its pass begins with one map

Cause: a hold that takes effect late was released on the sight of the hold alone. If only some ranks were armed for that pass, it would begin with two maps.

Change: the holder reads the status of all ranks first and releases such a hold if no rank is armed for its pass or all use one map in it (may_release_hold). Otherwise it derives the state of the switch from the ranks and completes it. The model asserts that a hold without a switch can always be released.

--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -8,7 +8,8 @@
 use crate::controllers::expert_groups::switch::{self, SwitchContext, SwitchError};
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
 use crate::decisions::expert_groups::{
-    RankStatus, UnfinishedSwitch, find_unfinished_switch, idle_map, imbalance, next_map,
+    RankStatus, UnfinishedSwitch, find_unfinished_switch, idle_map, imbalance, may_release_hold,
+    next_map,
 };
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
@@ -64,8 +65,14 @@
         let Some(formation) = &mut self.formation else { return false };
         let update = formation.monitor.poll(state, ports, listed).await;
         if let Some((rank, step)) = formation.monitor.held_steps().first().copied() {
-            let mut context = SwitchContext { state, ports, lease, listed, unanswered: 0 };
-            switch::release_hold(&mut context, step, rank).await;
+            let Some(statuses) = read_statuses(ports, listed).await else { return false };
+            if may_release_hold(&statuses, step) {
+                let mut context = SwitchContext { state, ports, lease, listed, unanswered: 0 };
+                switch::release_hold(&mut context, &statuses, step, rank).await;
+            } else {
+                // The next poll derives the state of the switch from the ranks.
+                self.formation = None;
+            }
             return false;
         }
         if update == DemandUpdate::Missing {
@@ -154,7 +161,7 @@
             return None;
         }
         UnfinishedSwitch::Hold { step, rank } => {
-            switch::release_hold(&mut context, step, rank).await;
+            switch::release_hold(&mut context, &ranks, step, rank).await;
             return None;
         }
     }
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -12,7 +12,8 @@
 use crate::controllers::expert_groups::lease::LeaseHandle;
 use crate::controllers::expert_groups::{GroupPorts, ListedGroup};
 use crate::decisions::expert_groups::{
-    OrderReply, RankOrder, RankStatus, held_steps, imbalance, next_map, switch_lead_ms, switch_step,
+    OrderReply, RankOrder, RankStatus, held_steps, imbalance, may_release_hold, next_map,
+    switch_lead_ms, switch_step,
 };
 use crate::decisions::log_lease::holding_rank;
 use crate::decisions::placement::ExpertMap;
@@ -240,7 +241,7 @@
         }
         // A hold order without a reply may take effect after the release.
         for (rank, step) in held_steps(&statuses) {
-            release_hold(context, step, rank).await;
+            release_hold(context, &statuses, step, rank).await;
         }
         // Ranks refuse orders to an earlier formation, so the switch ends when the list shows another epoch.
         if context.state.endpoints.load().table.entries().iter().any(|entry| {
@@ -420,8 +421,18 @@
     wait_until_active(context, version, rank).await
 }
 
-/// Releases a hold. Either no rank or every rank must be armed for the held pass.
-pub(super) async fn release_hold(context: &mut SwitchContext<'_>, step: u64, rank: usize) {
+/// Releases a hold that belongs to no switch in progress, unless the statuses of all ranks show that the held pass would
+/// begin with two maps.
+pub(super) async fn release_hold(
+    context: &mut SwitchContext<'_>,
+    statuses: &[RankStatus],
+    step: u64,
+    rank: usize,
+) {
+    if !may_release_hold(statuses, step) {
+        log::warn!("group stays held group={} step={step} ranks={statuses:?}", context.listed.name);
+        return;
+    }
     let order = RankOrder::Release { step };
     let result = context.send_to_all(context.listed.epoch, &order, vec![rank]).await;
     log::info!("group released group={} step={step} result={result:?}", context.listed.name);
--- a/crates/lycheewood/src/decisions/expert_groups.rs
+++ b/crates/lycheewood/src/decisions/expert_groups.rs
@@ -318,6 +318,19 @@
     ranks.filter_map(|(rank, status)| Some((rank, status.held_step?))).collect()
 }
 
+/// Whether a hold before the pass `step` may be released without arming ranks: no rank is armed for that pass, or all
+/// ranks use the same map in it.
+#[must_use]
+pub fn may_release_hold(ranks: &[RankStatus], step: u64) -> bool {
+    let mut armed = ranks.iter().filter_map(|status| status.armed_switch);
+    let Some((version, _)) = armed.find(|(_, armed_step)| *armed_step == step) else {
+        return true;
+    };
+    ranks
+        .iter()
+        .all(|status| status.armed_switch == Some((version, step)) || status.map_version == version)
+}
+
 /// Derives the state of a switch from the statuses of all ranks after a lease takeover.
 ///
 /// The previous holder sent a hold only after every rank was prepared. So the switch of a held group is
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -92,8 +92,8 @@
     };
     admitted.attempts.add();
     let (attempt, sent) = (attempt.dispatch(), state.clock.now());
-    let stage = Waiting { admitted, endpoint, attempt, in_flight, response, sent };
-    wait_for_head(state, Exchange { head, view, now: sent, stage }, StallCheck::On).await
+    let waiting = Waiting { admitted, endpoint, attempt, in_flight, response, sent };
+    wait_for_head(state, Exchange { head, view, now: sent, stage: waiting }, StallCheck::On).await
 }
 
 /// Waits for the head of a response until the caller's deadline, however long the endpoint is silent.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -77,8 +77,8 @@
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountTracker, ExpertDemand, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
-    UnfinishedSwitch, find_unfinished_switch, held_steps, idle_map, imbalance, next_map,
-    switch_lead_ms, switch_step,
+    UnfinishedSwitch, find_unfinished_switch, held_steps, idle_map, imbalance, may_release_hold,
+    next_map, switch_lead_ms, switch_step,
 };
 pub use decisions::groups::{
     GroupEffect, GroupSnapshot, GroupSnapshotView, GroupState, MAX_RANKS, ReplayError,
--- a/crates/lycheewood/tests/map_switch_model.rs
+++ b/crates/lycheewood/tests/map_switch_model.rs
@@ -7,7 +7,9 @@
 
 use std::collections::HashSet;
 
-use lycheewood::{MapSwitch, RankStatus, UnfinishedSwitch, find_unfinished_switch, held_steps};
+use lycheewood::{
+    MapSwitch, RankStatus, UnfinishedSwitch, find_unfinished_switch, held_steps, may_release_hold,
+};
 
 const RANKS: usize = 2;
 /// Pass at which a run ends.
@@ -182,6 +184,7 @@
             // Any hold that is left at this point was executed late and must be released.
             Phase::AwaitSwitch { .. } | Phase::Done => held_steps(&self.statuses())
                 .into_iter()
+                .filter(|(_, step)| may_release_hold(&self.statuses(), *step))
                 .map(|(rank, step)| (rank, Order::Release(step)))
                 .collect(),
             Phase::Waiting | Phase::Inspect | Phase::Stopped => Vec::new(),
@@ -244,7 +247,10 @@
             UnfinishedSwitch::Switch { version, step, rank } => {
                 Phase::Arm { step, done: [false; RANKS], version, rank }
             }
-            UnfinishedSwitch::Hold { step, rank } => Phase::Release { step, version: 0, rank },
+            UnfinishedSwitch::Hold { step, rank } => {
+                assert!(may_release_hold(&self.statuses(), step), "held for ever: {self:?}");
+                Phase::Release { step, version: 0, rank }
+            }
         };
     }
 
--- a/crates/lycheewood/tests/rank_confirmation.rs
+++ b/crates/lycheewood/tests/rank_confirmation.rs
@@ -11,7 +11,7 @@
     Agent, AppendOutcome, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord,
     ExpertShape, FailureDomain, Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId,
     LeaseLog, Offset, OrderReply, RankAddress, RankClient, RankCounts, RankOrder, RankStatus,
-    RawRouteTable, RawService, RetryLimits, ShutdownSettings, TargetName,
+    RawRouteTable, RawService, RetryLimits, ShutdownSettings, TargetName, may_release_hold,
 };
 
 const RANKS: usize = 2;
@@ -49,6 +49,8 @@
     faulty_arms: usize,
     /// Versions and passes for which the ranks were armed at each release.
     releases: Vec<[Option<(u64, u64)>; RANKS]>,
+    /// Readings of a rank.
+    polls: usize,
 }
 
 struct SimulatedGroup {
@@ -64,13 +66,17 @@
 #[async_trait]
 impl RankClient for SimulatedGroup {
     async fn status(&self, rank: &RankAddress) -> Option<RankStatus> {
-        let state = self.state.lock().expect("no panic");
+        let mut state = self.state.lock().expect("no panic");
+        state.polls += 1;
         Some(RankStatus { step: STEP, ..state.ranks[rank_index(rank)].clone() })
     }
 
-    async fn counts(&self, _: &RankAddress, experts: usize) -> Option<RankCounts> {
+    async fn counts(&self, rank: &RankAddress, experts: usize) -> Option<RankCounts> {
         let counts = vec![vec![0; experts]];
-        Some(RankCounts { epoch: 1, slowdown_percent: 100, held_step: None, counts })
+        let mut state = self.state.lock().expect("no panic");
+        state.polls += 1;
+        let held_step = state.ranks[rank_index(rank)].held_step;
+        Some(RankCounts { epoch: 1, slowdown_percent: 100, held_step, counts })
     }
 
     async fn held_experts(&self, _: &RankAddress) -> Option<Vec<Vec<usize>>> {
@@ -232,3 +238,41 @@
     assert!(group.state.lock().expect("no panic").releases.is_empty());
     gateway.shutdown();
 }
+
+/// Guards against a release of a late hold while some ranks are armed for the held pass and others are not.
+#[test]
+fn a_hold_is_not_released_while_only_some_ranks_are_armed() {
+    let (gateway, group) = start(0);
+    // The switch that fills free slots is over.
+    wait_for(&group, |state| state.releases.len() == 1);
+    let polls = {
+        let mut state = group.state.lock().expect("no panic");
+        state.ranks[0].held_step = Some(STEP + 5);
+        state.ranks[1].armed_switch = Some((u64::MAX, STEP + 5));
+        state.polls
+    };
+    wait_for(&group, |state| state.polls > polls + 20);
+    assert_eq!(group.state.lock().expect("no panic").releases.len(), 1);
+    gateway.shutdown();
+}
+
+/// Guards against a group that stays held, and against one that is released into a pass with two maps.
+#[test]
+fn a_hold_may_be_released_when_all_ranks_switch_or_none() {
+    let rank = |map_version, armed_switch| RankStatus {
+        map_version,
+        armed_switch,
+        ..RankStatus::default()
+    };
+    for (ranks, expected) in [
+        ([rank(1, None), rank(1, None)], true),
+        ([rank(1, Some((2, 7))), rank(1, Some((2, 7)))], true),
+        ([rank(1, Some((2, 7))), rank(2, None)], true),
+        ([rank(1, Some((2, 9))), rank(1, None)], true),
+        ([rank(1, Some((2, 7))), rank(1, None)], false),
+        ([rank(1, Some((2, 7))), rank(1, Some((2, 8)))], false),
+        ([rank(1, Some((2, 7))), rank(1, Some((3, 7)))], false),
+    ] {
+        assert_eq!(may_release_hold(&ranks, 7), expected, "{ranks:?}");
+    }
+}
