--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -40,6 +40,7 @@
 mod wire;
 
 pub use adapters::agent::client::AgentRanks;
+pub use adapters::http::identified::IdentifiedClient;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
@@ -78,8 +79,8 @@
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountTracker, ExpertDemand, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
-    UnfinishedSwitch, find_unfinished_switch, held_steps, idle_map, imbalance, next_map,
-    switch_lead_ms, switch_step,
+    UnfinishedSwitch, find_unfinished_switch, held_steps, idle_map, imbalance, may_release_hold,
+    next_map, switch_lead_ms, switch_step,
 };
 pub use decisions::groups::{
     GroupEffect, GroupSnapshot, GroupSnapshotView, GroupState, MAX_RANKS, ReplayError,
@@ -119,6 +120,8 @@
     QueueDeadlines, QueuePhase, in_flight_limit, queue_phase, startup_wait_ms,
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
+pub use decisions::replies::{ReplyDecision, judge_reply};
+pub use decisions::resume::{EventDecision, EventOrigin, EventSequence, is_same_media_type};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
 pub use decisions::routing::{
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
