Send the effective priority of a request to engines

Cause: engines admit by a priority header that the gateway did not set, and a caller's own header of that name reached them.

Change: the priority (the workspace's if set, otherwise the route's) is computed once when the request is admitted. It is sent to services with an engine profile whose requests have more than one priority in the table in force. A caller's own header is always removed.

The tests use the new field of HeaderNames and do not compile before.

--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -57,6 +57,8 @@
     pub(crate) names: &'a HeaderNames,
     pub(crate) endpoint: &'a InstanceId,
     pub(crate) workspace: Option<&'a WorkspaceName>,
+    /// Priority for engines, where requests differ in it.
+    pub(crate) priority: Option<u8>,
     pub(crate) strips_key: bool,
     pub(crate) body: &'a Bytes,
     pub(crate) remaining_ms: u64,
@@ -138,12 +140,16 @@
     let mut headers = end_to_end(&head.headers);
     headers.remove(&names.workspace);
     headers.remove(&names.expected_endpoint);
+    headers.remove(&names.priority);
     if upstream_request.strips_key {
         headers.remove(AUTHORIZATION);
     }
     if let Some(workspace) = upstream_request.workspace {
         headers.insert(names.workspace.clone(), HeaderValue::from_str(workspace.as_str())?);
     }
+    if let Some(priority) = upstream_request.priority {
+        headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority)));
+    }
     headers.insert(
         names.expected_endpoint.clone(),
         HeaderValue::from_str(upstream_request.endpoint.as_str())?,
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -135,6 +135,10 @@
     pub(crate) route: Route,
     pub(crate) service: TargetName,
     pub(crate) workspace: Option<WorkspaceName>,
+    /// Priority of the request, 0 to 9; 0 is served first.
+    pub(crate) priority: u8,
+    /// Whether requests to the service have several priorities, which its engines heed.
+    pub(crate) has_priorities: bool,
     /// Whether the caller's key is removed before forwarding, because it identifies a workspace.
     pub(crate) strips_key: bool,
     pub(crate) body: Bytes,
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -43,6 +43,7 @@
     };
     let service = route.service(rand::random()).clone();
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
+    let priority = route.effective_priority(workspace);
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -57,8 +58,10 @@
             gap_ms,
             max_batch: max_batch(engine, gap_ms),
         }),
+        has_priorities: routes.table.has_priorities(&service),
         service,
         workspace,
+        priority,
         strips_key: routes.table.requires_keys(),
         body,
         fingerprint,
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -58,6 +58,7 @@
         names: &state.settings.headers,
         endpoint: &endpoint.id,
         workspace: admitted.workspace.as_ref(),
+        priority: admitted.has_priorities.then_some(admitted.priority),
         strips_key: admitted.strips_key,
         body: &admitted.body,
         remaining_ms,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -50,6 +50,8 @@
     pub prompt_parts: HeaderName,
     /// The endpoint whose failure caused the response.
     pub failed_endpoint: HeaderName,
+    /// Priority of a request at an engine, set by the gateway; 0 is admitted first.
+    pub priority: HeaderName,
 }
 
 /// Settings of a gateway.
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -1,6 +1,6 @@
 //! The validated route table, indexed for matching.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::decisions::digest::digest;
 use crate::ids::{TargetName, WorkspaceName};
@@ -36,6 +36,9 @@
     },
 }
 
+/// The priority that is served last.
+pub(crate) const MAX_PRIORITY: u8 = 9;
+
 /// One validated route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -64,6 +67,13 @@
 }
 
 impl Route {
+    /// The priority of a request of a workspace: that of the workspace if it sets one.
+    #[must_use]
+    pub fn effective_priority(&self, workspace: Option<&RouteWorkspace>) -> u8 {
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.priority).min(MAX_PRIORITY)
+    }
+
     /// Whether a request may run more than once.
     #[must_use]
     pub fn may_repeat(&self) -> bool {
@@ -143,6 +153,8 @@
     pub engine_profiles: HashMap<TargetName, EngineProfile>,
     /// Shapes of the expert groups by service.
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
+    /// Services of engines whose requests differ in priority.
+    prioritized: BTreeSet<TargetName>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Route>>,
     /// Index into `workspaces` by the digest of the key, so that keys are not compared byte by byte.
@@ -172,6 +184,12 @@
         self.workspaces.get(*index)
     }
 
+    /// Whether requests to a service have more than one priority, and its endpoints are engines.
+    #[must_use]
+    pub fn has_priorities(&self, service: &TargetName) -> bool {
+        self.prioritized.contains(service)
+    }
+
     /// The number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -215,23 +233,50 @@
             name: WorkspaceName::new(&workspace.name),
             priority: workspace.priority,
         });
+        let workspaces: Vec<RouteWorkspace> = workspaces.collect();
         let shapes = raw.services.iter();
         let shapes = shapes.filter_map(|s| Some((TargetName::new(&s.name), s.experts?)));
         let engine_profiles = raw.services.iter();
         let engine_profiles =
             engine_profiles.filter_map(|s| Some((TargetName::new(&s.name), s.engine_profile?)));
+        let engine_profiles: HashMap<TargetName, EngineProfile> = engine_profiles.collect();
+        let priorities = priorities_by_service(hosts.values().flatten(), &workspaces);
+        let prioritized = priorities.into_iter().filter(|(service, priorities)| {
+            priorities.len() > 1 && engine_profiles.contains_key(*service)
+        });
         Ok(Self {
-            engine_profiles: engine_profiles.collect(),
+            prioritized: prioritized.map(|(service, _)| service.clone()).collect(),
+            engine_profiles,
             version: raw.version,
             caller_limits: raw.caller_limits,
             expert_shapes: shapes.collect(),
             hosts,
             keys,
-            workspaces: workspaces.collect(),
+            workspaces,
         })
     }
 }
 
+/// The priorities that requests to each service may have.
+fn priorities_by_service<'a>(
+    routes: impl Iterator<Item = &'a Route>,
+    workspaces: &[RouteWorkspace],
+) -> HashMap<&'a TargetName, BTreeSet<u8>> {
+    let mut priorities: HashMap<&TargetName, BTreeSet<u8>> = HashMap::new();
+    for route in routes {
+        let mut callers: Vec<Option<&RouteWorkspace>> = workspaces.iter().map(Some).collect();
+        if callers.is_empty() || route.allows_anonymous {
+            callers.push(None);
+        }
+        let of_route = callers.into_iter().map(|caller| route.effective_priority(caller));
+        let of_route: BTreeSet<u8> = of_route.collect();
+        for (service, _) in &route.split {
+            priorities.entry(service).or_default().extend(&of_route);
+        }
+    }
+    priorities
+}
+
 fn index_keys(
     workspaces: &[RawRouteWorkspace],
 ) -> Result<HashMap<[u8; 16], usize>, RouteTableError> {
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -3,7 +3,10 @@
 mod answers;
 mod callers;
 mod crashes;
+#[path = "../support/engine_profile.rs"]
+mod engine_profile;
 mod harness;
 mod leaving;
+mod priorities;
 mod retries;
 mod streams;
