--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -150,7 +150,10 @@
             endpoints_next: state.endpoints.load().table.next,
             reads: *state.is_reader.borrow() && state.is_healthy_reader(),
             in_flight: in_flight.iter().map(|(id, count)| (endpoint_tag(id), *count)).collect(),
-            extension: HeartbeatExtension::default(),
+            extension: HeartbeatExtension {
+                waiting: state.waiting_room.waiting(),
+                ..HeartbeatExtension::default()
+            },
         }
     }
 
@@ -176,7 +179,10 @@
         }
         let ready = table.peers.values().filter(|peer| peer.is_advertisable(now)).count();
         self.state.metrics.peers_heard.set(i64::try_from(ready).unwrap_or(i64::MAX));
+        // Only the requests that are next in turn look at the endpoints then.
+        self.state.waiting_room.observe(table.waiting());
         self.state.peers.store(Arc::new(table));
+        self.state.waiting_room.wake();
         self.published_at = now;
     }
 
@@ -267,16 +273,19 @@
         let heartbeat = self.next_heartbeat();
         let settings = &self.state.settings;
         // A lease holder sends every heartbeat to all instances, because its silence allows a takeover.
+        let waiting = &heartbeat.extension.waiting;
         let is_broadcast = is_broadcast
+            || self.state.waiting_room.is_news(waiting)
             || heartbeat.leading.is_some()
             || self.sequence <= INITIAL_FULL_HEARTBEATS
             || self.sequence.is_multiple_of(HEARTBEATS_PER_CROSS_DOMAIN);
         let domain = Some(&settings.failure_domain).filter(|_| !is_broadcast);
         let addresses = self.tracker.addresses(domain).filter(|a| *a != settings.peer_address);
         gossip::send(&self.socket, &heartbeat, addresses);
+        if is_broadcast {
+            self.state.waiting_room.record_told(heartbeat.extension.waiting);
+        }
         self.publish();
-        // Not at each heartbeat that arrives: every waiting request looks at all endpoints then.
-        self.state.capacity_changed.notify_waiters();
         self.fetch_if_behind(context.actor_ref().clone());
     }
 }
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -31,4 +31,5 @@
 pub(crate) mod shares;
 pub(crate) mod stall;
 pub(crate) mod units;
+pub(crate) mod urgency;
 pub(crate) mod versions;
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::clock::Timestamp;
+use crate::decisions::urgency::WaitingCounts;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::wire::heartbeat::{About, Heartbeat, endpoint_tag};
 
@@ -45,6 +46,8 @@
     /// Work time of the endpoints that the holder of the expert group lease reports as slow, in percent of the usual
     /// time, by tag.
     slow: HashMap<u32, u32>,
+    /// Requests that wait at all other instances for a place at an endpoint.
+    waiting: WaitingCounts,
 }
 
 impl PeerTable {
@@ -54,6 +57,12 @@
         self.slow.get(&tag).copied()
     }
 
+    /// Requests that wait at all other instances for a place at an endpoint.
+    #[must_use]
+    pub const fn waiting(&self) -> &WaitingCounts {
+        &self.waiting
+    }
+
     /// Requests in flight from all other instances to an endpoint.
     #[must_use]
     pub fn in_flight(&self, endpoint: &InstanceId) -> u32 {
@@ -136,7 +145,9 @@
         for (endpoint, count) in fresh().flat_map(|peer| &peer.heartbeat.in_flight) {
             *in_flight.entry(*endpoint).or_default() += count;
         }
-        PeerTable { peers: self.peers.clone(), in_flight, slow }
+        let mut waiting = WaitingCounts::default();
+        fresh().for_each(|peer| waiting.add_pairs(&peer.heartbeat.extension.waiting));
+        PeerTable { peers: self.peers.clone(), in_flight, slow, waiting }
     }
 }
 
--- a/crates/lycheewood/src/decisions/queue.rs
+++ b/crates/lycheewood/src/decisions/queue.rs
@@ -20,6 +20,18 @@
     caller_ms.map_or(MAX_STARTUP_WAIT_MS, |ms| (ms * LATE_PERCENT / 100).min(MAX_STARTUP_WAIT_MS))
 }
 
+/// Time for which requests that have waited for the start of an instance gather before the first of them gets a place,
+/// in milliseconds. They are released together and pass the filters within a few milliseconds.
+const START_GATHER_MS: u64 = 20;
+
+/// When a request may look for its first place. Requests that arrived before the instance had `started` gather first,
+/// so that the most urgent of them is served first and not the one that passes the filters first.
+#[must_use]
+pub fn first_look(received: Timestamp, started: Option<Timestamp>) -> Timestamp {
+    let started = started.filter(|started| received < *started);
+    started.map_or(received, |started| started.plus_ms(START_GATHER_MS))
+}
+
 /// End times of the queue phases of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QueueDeadlines {
--- a/crates/lycheewood/src/decisions/stall.rs
+++ b/crates/lycheewood/src/decisions/stall.rs
@@ -12,6 +12,17 @@
 /// Maximum age of the last response from another endpoint that shows that the service works, in milliseconds.
 const OTHERS_ACTIVE_MS: u64 = 300;
 
+/// Multiple of the target latency after which the answer of a plain service counts as lost. Its work takes a fraction
+/// of the target, also with a short queue at the endpoint.
+const LOST_ANSWER_TARGETS: u64 = 2;
+
+/// Time without a response after which the answer to a request to a plain service counts as lost, in milliseconds. At
+/// least half of the time that its caller waits is left then, which is enough for another attempt.
+#[must_use]
+pub fn lost_answer_ms(target_ms: u64, timeout_ms: u64) -> u64 {
+    (target_ms * LOST_ANSWER_TARGETS).min(timeout_ms / 2).min(HEAD_STALL_MS)
+}
+
 /// The part of a response that a request waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponsePart {
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -20,7 +20,7 @@
 use crate::lifecycle::shutdown::Phase;
 use crate::load_tracker::InFlightGuard;
 use crate::outcome::{NotRunCode, RequestError, UnknownCode, UnknownOutcome};
-use crate::routes::checked::{Route, RouteWorkspace};
+use crate::routes::checked::{PriorityRange, Route, RouteWorkspace};
 use crate::routes::raw::EngineProfile;
 
 /// Value of a `Retry-After` header, in seconds with milliseconds.
@@ -137,8 +137,8 @@
     pub(crate) workspace: Option<WorkspaceName>,
     /// Priority of the request, 0 to 9; 0 is served first.
     pub(crate) priority: u8,
-    /// Whether requests to the service have several priorities, which its engines heed.
-    pub(crate) has_priorities: bool,
+    /// The priorities of requests to the service, if its endpoints are engines and there is more than one.
+    pub(crate) priorities: Option<PriorityRange>,
     /// Whether the caller's key is removed before forwarding, because it identifies a workspace.
     pub(crate) strips_key: bool,
     pub(crate) body: Bytes,
@@ -150,6 +150,8 @@
     pub(crate) trials: Vec<Trial>,
     /// Limit of the event gaps, if the route has one and its endpoints are engines.
     pub(crate) gap_limit: Option<GapLimit>,
+    /// Time without a response after which the answer counts as lost, in milliseconds, if the service is a plain one.
+    pub(crate) lost_answer_ms: Option<u64>,
     /// Time by which the caller must have the whole response.
     pub(crate) deadline: Timestamp,
     /// Number of endpoints that the request was sent to.
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -9,10 +9,12 @@
 use crate::decisions::batch::max_batch;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
+use crate::decisions::stall::lost_answer_ms;
 use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange, GapLimit};
 use crate::gateway::GatewayState;
 use crate::ids::WorkspaceName;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError};
+use crate::routes::raw::RequestKind;
 
 /// # Errors
 ///
@@ -42,6 +44,8 @@
         Err(_) => return Err(RequestError::not_run(NotRunCode::BodyLate, 0)),
     };
     let service = route.service(rand::random()).clone();
+    let is_plain = route.kind != RequestKind::Streaming
+        && !routes.table.engine_profiles.contains_key(&service);
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
     let priority = route.effective_priority(workspace);
     let workspace = workspace.map(|workspace| workspace.name.clone());
@@ -58,7 +62,7 @@
             gap_ms,
             max_batch: max_batch(engine, gap_ms),
         }),
-        has_priorities: routes.table.has_priorities(&service),
+        priorities: routes.table.priorities(&service),
         service,
         workspace,
         priority,
@@ -67,6 +71,7 @@
         fingerprint,
         prompt_parts,
         trials: Vec::new(),
+        lost_answer_ms: is_plain.then(|| lost_answer_ms(route.target_ms, timeout_ms)),
         deadline,
         attempts: 0,
         misdirected: 0,
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -5,19 +5,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
-use crate::decisions::queue::{QueueDeadlines, QueuePhase, queue_phase};
+use crate::decisions::queue::{QueueDeadlines, QueuePhase, first_look};
 use crate::decisions::retries::{RefusalCause, come_back_ms};
+use crate::decisions::urgency::{PlaceRequest, spread_return_ms, waiting_priority};
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
 use crate::filters::forward::quarantine;
 use crate::filters::forward::select::places::Places;
 use crate::gateway::GatewayState;
 use crate::ids::TargetName;
 use crate::lifecycle::attempt::Attempt;
+use crate::lifecycle::place_wait::PlaceWait;
+use crate::load_tracker::InFlightGuard;
 use crate::outcome::NotRunCode;
+use crate::waiting_room::{Turn, WaitTerms};
 
 /// Maximum number of misdirected sends of a request. Each costs a round trip and a retry, and a request reaches
 /// this number only if the whole endpoint list is out of date.
@@ -62,14 +66,15 @@
         record_quarantined(state, head, &mut admitted, until);
         return Selection::None(admitted);
     }
-    let endpoint = match wait_for_endpoint(state, &admitted, head.received).await {
-        Ok(endpoint) => endpoint,
-        Err(NoEndpoint { retry_after_ms }) => {
-            admitted.retry_after_ms = retry_after_ms;
-            record_no_endpoint(state, head, &mut admitted);
-            return Selection::None(admitted);
-        }
-    };
+    let Place { endpoint, in_flight } =
+        match wait_for_endpoint(state, &admitted, head.received).await {
+            Ok(place) => place,
+            Err(NoEndpoint { retry_after_ms }) => {
+                admitted.retry_after_ms = retry_after_ms;
+                record_no_endpoint(state, head, &mut admitted);
+                return Selection::None(admitted);
+            }
+        };
     // Checked again, because an endpoint may have crashed while the request waited.
     if let Err(until) = quarantine::permit(state, &mut admitted, attempt.id()).await {
         record_quarantined(state, head, &mut admitted, until);
@@ -86,7 +91,6 @@
     if let Some(group) = &endpoint.group {
         state.loads.record_group_probe(&group.name, state.clock.now());
     }
-    let in_flight = state.loads.start_request(&endpoint.id);
     let selected = Selected { admitted, endpoint, attempt, in_flight };
     Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
 }
@@ -127,24 +131,46 @@
     );
 }
 
+/// A place at an endpoint, counted as in flight.
+struct Place {
+    endpoint: Arc<EndpointEntry>,
+    in_flight: InFlightGuard,
+}
+
 /// Waits for an endpoint whose requests in flight are below a bound. The bound is lower once the response can no
 /// longer be on time, so that late requests use only capacity that others leave; after that phase the request
-/// is refused.
+/// is refused. Requests to engines look for a place in turn, the most urgent first.
 async fn wait_for_endpoint(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     admitted: &Admitted,
     received: Timestamp,
-) -> Result<Arc<EndpointEntry>, NoEndpoint> {
-    let deadlines = QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline);
+) -> Result<Place, NoEndpoint> {
+    let terms = wait_terms(admitted, received);
+    let deadlines = terms.request.deadlines;
+    let guard = state.waiting_room.enter(&admitted.service, terms);
+    if terms.least_urgent.is_some() {
+        let gather_ms = first_look(received, state.started()).ms_since(state.clock.now());
+        if gather_ms > 0 {
+            sleep(Duration::from_millis(gather_ms)).await;
+        }
+    }
+    let wait = PlaceWait::begin(terms.request);
+    let mut has_waited = false;
     loop {
-        // Registered before the choice, so that no change in between is missed.
-        let changed = state.capacity_changed.notified();
         let now = state.clock.now();
-        let phase = queue_phase(&deadlines, now);
+        let phase = wait.phase(now);
         let view = View::load(state);
-        let places = Places::find(state, &view, admitted, phase, now);
-        if let Some(endpoint) = places.choose(state, admitted) {
-            return Ok(endpoint);
+        if let Turn::Look { pressure } = guard.turn(view.peers.waiting(), now) {
+            let places = Places::find(state, &view, admitted, phase, pressure, now);
+            let instances = view.peers.peers.len() + 1;
+            let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
+            if may_claim && let Some(endpoint) = places.choose(state, admitted) {
+                // Counted before the next request in turn looks for a place.
+                let in_flight = state.loads.start_request(&endpoint);
+                guard.record_grant(now);
+                record_wait(state, has_waited, "granted", wait.grant(now).waited_ms());
+                return Ok(Place { endpoint, in_flight });
+            }
         }
         let pause_end = pause_end(state, &admitted.service, now);
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
@@ -152,9 +178,17 @@
         }
         let is_refused = has_refusing_group(state, &admitted.service);
         let may_wait = admitted.gap_limit.is_some() || is_refused || pause_end.is_some();
-        if !may_wait || phase == QueuePhase::Expired {
-            let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
-            return Err(NoEndpoint { retry_after_ms });
+        let is_hopeless = !is_refused && pause_end.is_none() && guard.is_hopeless(now);
+        if !may_wait || is_hopeless || phase == QueuePhase::Expired {
+            let end = if is_hopeless { "hopeless" } else { "expired" };
+            record_wait(state, has_waited || is_hopeless, end, now.ms_since(received));
+            let retry_after_ms = return_ms(admitted, now);
+            return Err(NoEndpoint {
+                retry_after_ms: wait.expire(retry_after_ms).retry_after_ms(),
+            });
+        }
+        if !std::mem::replace(&mut has_waited, true) {
+            guard.begin_to_wait(now);
         }
         let phase_end = deadlines.phase_end(now);
         let mut remaining_ms =
@@ -162,8 +196,49 @@
         if is_refused {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
-        // Chooses again after a timeout as after a change.
-        let _ = timeout(Duration::from_millis(remaining_ms), changed).await;
+        // Looks again after a timeout as after a change.
+        if timeout(Duration::from_millis(remaining_ms), guard.woken()).await.is_err()
+            && wait.phase(state.clock.now()) != phase
+        {
+            // Requests that can still be on time now come before this one.
+            guard.wake_others(state.clock.now());
+        }
+    }
+}
+
+/// How a request waits for a place.
+fn wait_terms(admitted: &Admitted, received: Timestamp) -> WaitTerms {
+    // Without a limit of the batch there is nothing to wait for.
+    let range = admitted.priorities.filter(|_| admitted.gap_limit.is_some());
+    let priority = range.map_or(admitted.priority, |range| {
+        waiting_priority(admitted.priority, range.most_urgent, rand::random())
+    });
+    let request = PlaceRequest {
+        priority,
+        received,
+        deadlines: QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline),
+        is_unrestricted: admitted.avoid.is_empty(),
+    };
+    WaitTerms {
+        request,
+        is_ordered: admitted.gap_limit.is_some(),
+        least_urgent: range.map(|range| range.least_urgent),
+    }
+}
+
+/// When a caller that gets no place may come back, in milliseconds.
+fn return_ms(admitted: &Admitted, now: Timestamp) -> u64 {
+    match admitted.priorities {
+        Some(_) => spread_return_ms(admitted.deadline.ms_since(now), rand::random()),
+        None => come_back_ms(RefusalCause::Full, rand::random()),
+    }
+}
+
+/// Counts how the wait of a request has ended.
+fn record_wait(state: &GatewayState, has_waited: bool, end: &str, waited_ms: u64) {
+    if has_waited {
+        state.metrics.waits.with_label_values(&[end]).inc();
+        state.metrics.wait_seconds.observe(Duration::from_millis(waited_ms).as_secs_f64());
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -9,6 +9,7 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::queue::{QueuePhase, in_flight_limit};
 use crate::decisions::units::mix;
+use crate::decisions::urgency::{PlaceTotals, reserved_limit, reserved_places};
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
 use crate::gateway::GatewayState;
 use crate::ids::TargetName;
@@ -27,30 +28,45 @@
 /// The endpoints with a free place for a request.
 pub(super) struct Places<'a> {
     available: Vec<Available<'a>>,
+    totals: PlaceTotals,
 }
 
 impl<'a> Places<'a> {
-    /// Finds the endpoints with fewer requests in flight than their batch allows in `phase`.
+    /// Finds the endpoints with fewer requests in flight than their batch allows in `phase`. Under the `pressure` of
+    /// more urgent requests, some places stay free for them.
     pub(super) fn find(
         state: &'a GatewayState,
         view: &'a View,
         admitted: &Admitted,
         phase: QueuePhase,
+        pressure: f64,
         now: Timestamp,
     ) -> Self {
         let mut available = available_endpoints(state, view, &admitted.service, now);
+        let mut totals = PlaceTotals::default();
         if let Some(limit) = &admitted.gap_limit {
             let batches = group_batches(state, limit, &available, now);
+            let endpoints = available.len();
             available.retain(|endpoint| {
                 let group = endpoint.entry.group.as_ref().map(|group| group.name.as_str());
                 let batch = group.and_then(|group| batches.get(group));
                 let batch = batch.map_or(limit.max_batch, |batch| {
                     endpoint_batch(*batch, mix(u64::from(endpoint.tag)))
                 });
-                endpoint.in_flight < in_flight_limit(batch, phase)
+                let reserved = reserved_places(pressure, endpoints, f64::from(batch));
+                let random = mix(mix(u64::from(endpoint.tag)));
+                let limit = reserved_limit(in_flight_limit(batch, phase), reserved, random);
+                totals.limit += limit;
+                totals.in_flight += endpoint.in_flight;
+                endpoint.in_flight < limit
             });
         }
-        Self { available }
+        Self { available, totals }
+    }
+
+    /// The places at all endpoints, if their batch is limited.
+    pub(super) const fn totals(&self) -> PlaceTotals {
+        self.totals
     }
 
     /// The best endpoint for the request.
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -14,6 +14,7 @@
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
+use crate::load_tracker::InFlightGuard;
 use crate::outcome::UnknownCode;
 
 /// Timeout for connecting to an endpoint, in milliseconds. Endpoints are at most a few milliseconds away; one
@@ -34,7 +35,7 @@
     exchange: Exchange<'r, Selected>,
 ) -> SendOutcome<'r> {
     let Exchange { head, view, stage, .. } = exchange;
-    let Selected { mut admitted, endpoint, attempt, in_flight } = stage;
+    let Selected { mut admitted, endpoint, attempt, mut in_flight } = stage;
     let remaining_ms = admitted.deadline.ms_since(state.clock.now());
     let connected = upstream::connect(endpoint.address, remaining_ms.min(CONNECT_TIMEOUT_MS)).await;
     let connection = match connected {
@@ -58,7 +59,7 @@
         names: &state.settings.headers,
         endpoint: &endpoint.id,
         workspace: admitted.workspace.as_ref(),
-        priority: admitted.has_priorities.then_some(admitted.priority),
+        priority: admitted.priorities.map(|_| admitted.priority),
         strips_key: admitted.strips_key,
         body: &admitted.body,
         remaining_ms,
@@ -66,8 +67,8 @@
     };
     admitted.attempts += 1;
     let attempt = attempt.dispatch();
-    let response =
-        wait_for_head(state, &admitted, &endpoint, connection.send(&upstream_request)).await;
+    let sending = connection.send(&upstream_request);
+    let response = wait_for_head(state, &admitted, &endpoint, &mut in_flight, sending).await;
     let (code, reason) = match response {
         WaitOutcome::Response(Ok(response)) => {
             let response = Box::new(response);
@@ -87,7 +88,7 @@
             (UnknownCode::EndpointLost, error.to_string())
         }
         WaitOutcome::Stalled => {
-            (UnknownCode::EndpointLost, "silent while other endpoints respond".to_owned())
+            (UnknownCode::EndpointLost, "no response in the expected time".to_owned())
         }
         WaitOutcome::Deadline => {
             (UnknownCode::DeadlinePassed, "no response before the deadline".to_owned())
@@ -144,24 +145,32 @@
     state: &GatewayState,
     admitted: &Admitted,
     endpoint: &EndpointEntry,
+    in_flight: &mut InFlightGuard,
     response: impl Future<Output = Result<UpstreamResponse, UpstreamError>>,
 ) -> WaitOutcome {
     let sent = state.clock.now();
+    let mut lost_at = admitted.lost_answer_ms.map(|lost_ms| sent.plus_ms(lost_ms));
     tokio::pin!(response);
     loop {
-        let remaining_ms = admitted.deadline.ms_since(state.clock.now());
+        let now = state.clock.now();
+        let remaining_ms = admitted.deadline.ms_since(now);
         if remaining_ms == 0 {
             return WaitOutcome::Deadline;
         }
-        let wait_ms = if admitted.may_fail_over() {
+        let stall_ms = if admitted.may_fail_over() {
             stall_timeout_ms(ResponsePart::Head)
         } else {
             remaining_ms
         };
-        let wait = Duration::from_millis(wait_ms.min(remaining_ms));
+        let lost_ms = lost_at.map_or(u64::MAX, |lost_at| lost_at.ms_since(now).max(1));
+        let wait = Duration::from_millis(stall_ms.min(lost_ms).min(remaining_ms));
         if let Ok(response) = timeout(wait, response.as_mut()).await {
             return WaitOutcome::Response(response);
         }
+        let is_lost = lost_at.take_if(|lost_at| state.clock.now() >= *lost_at).is_some();
+        if is_lost && record_lost(state, admitted, endpoint, in_flight) {
+            return WaitOutcome::Stalled;
+        }
         if admitted.may_fail_over()
             && state.should_fail_over(ResponsePart::Head, &admitted.service, endpoint, sent)
         {
@@ -170,6 +179,25 @@
     }
 }
 
+/// Records that the answer of a plain service is lost. The request is no longer counted as in flight, since the work
+/// takes a fraction of the time that has passed, and others must not avoid the endpoint's free place until the deadline
+/// of this one. Returns whether the request moves to another endpoint.
+fn record_lost(
+    state: &GatewayState,
+    admitted: &Admitted,
+    endpoint: &EndpointEntry,
+    in_flight: &mut InFlightGuard,
+) -> bool {
+    let moves = admitted.may_fail_over() && state.should_replace_lost(&admitted.service, endpoint);
+    state.metrics.answers_lost.inc();
+    in_flight.release();
+    if !moves {
+        // An attempt that moves is recorded as failed.
+        state.loads.record_failure(&endpoint.id, state.clock.now());
+    }
+    moves
+}
+
 /// Records that an attempt has brought no response and may have run.
 pub(crate) fn record_failed_attempt(
     state: &GatewayState,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::decisions::quarantine::completions::CompletionTable;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
+use crate::decisions::units::mix;
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
 use crate::lifecycle::shutdown::Phase;
 use crate::lifecycle::shutdown::ShutdownSettings;
@@ -26,6 +27,7 @@
 use crate::metrics::gateway::GatewayMetrics;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
+use crate::waiting_room::WaitingRoom;
 use crate::wire::heartbeat::{Leading, endpoint_tag};
 
 /// Names of the headers exchanged between callers, gateways and endpoints. The platform defines them.
@@ -129,10 +131,10 @@
     pub(crate) endpoint_list_stale: Notify,
     /// Notified when this instance has received routes or endpoints.
     pub(crate) state_received: Arc<Notify>,
-    /// Whether this instance has known both since its start.
-    has_started: AtomicBool,
-    /// Notified when an endpoint may have free capacity.
-    pub(crate) capacity_changed: Arc<Notify>,
+    /// When this instance first knew both.
+    started: OnceLock<Timestamp>,
+    /// Requests that wait for a place at an endpoint, woken when an endpoint may have free capacity.
+    pub(crate) waiting_room: Arc<WaitingRoom>,
     /// Notified to send a heartbeat before its interval ends, because other instances wait for a change that
     /// this one has read from the platform.
     pub(crate) early_heartbeat: Arc<Notify>,
@@ -187,22 +189,24 @@
 
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
-        let capacity_changed = Arc::new(Notify::new());
+        let (clock, early_heartbeat) = (Clock::system(), Arc::new(Notify::new()));
+        let seed = mix(u64::from(endpoint_tag(&settings.instance)));
+        let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
         Self {
             settings,
             incarnation: Incarnation::random(),
-            clock: Clock::system(),
+            clock,
             metrics,
             routes: Arc::default(),
             endpoints: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::new(LoadTracker::new(Arc::clone(&capacity_changed))),
+            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room))),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
-            has_started: AtomicBool::new(false),
-            capacity_changed,
+            started: OnceLock::new(),
+            waiting_room,
             endpoint_list_stale: Notify::new(),
-            early_heartbeat: Arc::default(),
+            early_heartbeat,
             is_reader: watch::Sender::new(true),
             quarantined: Arc::new(ArcSwap::from_pointee(GatewayQuarantine::empty_table())),
             completions: Mutex::default(),
@@ -320,12 +324,15 @@
 
     /// Whether this instance has known routes and endpoints since its start.
     pub(crate) fn is_started(&self) -> bool {
-        if self.has_started.load(Ordering::Relaxed) {
-            return true;
+        if self.started.get().is_none() && self.knows_state() {
+            self.started.get_or_init(|| self.clock.now());
         }
-        let knows_state = self.knows_state();
-        self.has_started.fetch_or(knows_state, Ordering::Relaxed);
-        knows_state
+        self.started.get().is_some()
+    }
+
+    /// When this instance first knew routes and endpoints, if a request has been read since.
+    pub(crate) fn started(&self) -> Option<Timestamp> {
+        self.started.get().copied()
     }
 
     /// Adds a caller's request to the retry budget of its service.
@@ -358,10 +365,7 @@
         since: Timestamp,
     ) -> bool {
         let now = self.clock.now();
-        let own = self.loads.loads(std::iter::once(&endpoint.id), now);
-        let own: u32 = own.iter().map(|load| load.in_flight).sum();
-        let in_flight = own + self.peers.load().in_flight(&endpoint.id);
-        if may_be_queued(part, in_flight, endpoint.slots) {
+        if self.may_queue_at(part, endpoint) {
             return false;
         }
         let endpoints = self.endpoints.load();
@@ -371,6 +375,23 @@
         is_stalled(part, now.ms_since(since), others_idle_ms) && self.has_retry(service)
     }
 
+    /// Whether another endpoint should get a request whose answer counts as lost. Unlike at [`Self::should_fail_over`],
+    /// no other endpoint need have answered lately: one gateway sees few requests of a plain service.
+    pub(crate) fn should_replace_lost(
+        &self,
+        service: &TargetName,
+        endpoint: &EndpointEntry,
+    ) -> bool {
+        !self.may_queue_at(ResponsePart::Head, endpoint) && self.has_retry(service)
+    }
+
+    fn may_queue_at(&self, part: ResponsePart, endpoint: &EndpointEntry) -> bool {
+        let own = self.loads.loads(std::iter::once(&endpoint.id), self.clock.now());
+        let own: u32 = own.iter().map(|load| load.in_flight).sum();
+        let in_flight = own + self.peers.load().in_flight(&endpoint.id);
+        may_be_queued(part, in_flight, endpoint.slots)
+    }
+
     fn with_budget<T>(
         &self,
         service: &TargetName,
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -37,6 +37,7 @@
 mod runtime;
 mod settings;
 mod telemetry;
+mod waiting_room;
 mod wire;
 
 pub use adapters::agent::client::AgentRanks;
@@ -113,7 +114,7 @@
 };
 pub use decisions::quarantine::{QuarantineDecision, QuarantineSettings, QuarantineTable};
 pub use decisions::queue::{
-    QueueDeadlines, QueuePhase, in_flight_limit, queue_phase, startup_wait_ms,
+    QueueDeadlines, QueuePhase, first_look, in_flight_limit, queue_phase, startup_wait_ms,
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
@@ -121,7 +122,14 @@
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
 };
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
-pub use decisions::stall::{ResponsePart, is_stalled, may_be_queued, stall_timeout_ms};
+pub use decisions::stall::{
+    ResponsePart, is_stalled, lost_answer_ms, may_be_queued, stall_timeout_ms,
+};
+pub use decisions::urgency::{
+    GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, Rivals, WaitingCounts,
+    begins_to_wait, is_hopeless, next_in_turn, reserved_limit, reserved_places, sends_early,
+    spread_return_ms, waiting_priority,
+};
 pub use decisions::versions::choose_version;
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
@@ -158,6 +166,10 @@
     Armed as SwitchArmed, Held as SwitchHeld, Holding as SwitchHolding, MapSwitch,
     Prepared as SwitchPrepared, Preparing as SwitchPreparing,
 };
+pub use lifecycle::place_wait::{
+    Expired as PlaceWaitExpired, Granted as PlaceWaitGranted, PlaceWait,
+    Waiting as PlaceWaitWaiting,
+};
 pub use lifecycle::shutdown::{
     Lingering as ShutdownLingering, Refusing as ShutdownRefusing, Serving as ShutdownServing,
     Shutdown, ShutdownSettings, Stopped as ShutdownStopped,
@@ -169,7 +181,7 @@
 pub use roles::endpoint::Endpoint;
 pub use roles::entry::Entry;
 pub use roles::gateway::{EntryAddresses, Gateway, GatewayHandle};
-pub use routes::checked::{Route, RouteTable, RouteTableError, RouteWorkspace};
+pub use routes::checked::{PriorityRange, Route, RouteTable, RouteTableError, RouteWorkspace};
 pub use routes::raw::{
     CallerLimits, EngineProfile, ExpertShape, RawRoute, RawRouteTable, RawRouteWorkspace,
     RawService, RawTrafficShare, RequestKind,
--- a/crates/lycheewood/src/lifecycle.rs
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -5,4 +5,5 @@
 pub(crate) mod lease;
 pub(crate) mod map_change;
 pub(crate) mod map_switch;
+pub(crate) mod place_wait;
 pub(crate) mod shutdown;
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -6,13 +6,12 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::Notify;
-
 use crate::clock::Timestamp;
 use crate::decisions::batch::GapAverage;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::units::decay;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, TargetName};
+use crate::waiting_room::WaitingRoom;
 
 /// Time constant of the exponential decay of failures, in milliseconds. The half-life is about two thirds
 /// of it.
@@ -59,8 +58,8 @@
 /// Loads of the endpoints that this instance has sent requests to.
 #[derive(Debug)]
 pub(crate) struct LoadTracker {
-    /// Notified when a request has ended or a group accepts requests again.
-    capacity_changed: Arc<Notify>,
+    /// Woken when a request has ended or a group accepts requests again.
+    waiting_room: Arc<WaitingRoom>,
     /// Groups that refuse requests, with the time of their next probe.
     refusing_groups: Mutex<HashMap<String, Timestamp>>,
     /// Gaps between the events of streams, by group.
@@ -72,9 +71,9 @@
 }
 
 impl LoadTracker {
-    pub(crate) fn new(capacity_changed: Arc<Notify>) -> Self {
+    pub(crate) fn new(waiting_room: Arc<WaitingRoom>) -> Self {
         Self {
-            capacity_changed,
+            waiting_room,
             refusing_groups: Mutex::default(),
             gaps: Mutex::default(),
             loads: Mutex::default(),
@@ -87,9 +86,14 @@
     }
 
     /// Counts a request as in flight until the guard is dropped.
-    pub(crate) fn start_request(self: &Arc<Self>, endpoint: &InstanceId) -> InFlightGuard {
-        self.lock().entry(endpoint.clone()).or_default().in_flight += 1;
-        InFlightGuard { tracker: Arc::clone(self), endpoint: endpoint.clone() }
+    pub(crate) fn start_request(self: &Arc<Self>, endpoint: &EndpointEntry) -> InFlightGuard {
+        self.lock().entry(endpoint.id.clone()).or_default().in_flight += 1;
+        InFlightGuard {
+            tracker: Arc::clone(self),
+            endpoint: endpoint.id.clone(),
+            service: endpoint.service.clone(),
+            is_counted: true,
+        }
     }
 
     /// Records that an endpoint failed a request.
@@ -174,7 +178,7 @@
     /// Records that an endpoint of a group has answered, and wakes the requests that wait for the group.
     pub(crate) fn record_group_answer(&self, group: &str) {
         if self.lock_refusing_groups().remove(group).is_some() {
-            self.capacity_changed.notify_waiters();
+            self.waiting_room.wake();
         }
     }
 
@@ -315,13 +319,25 @@
 pub(crate) struct InFlightGuard {
     tracker: Arc<LoadTracker>,
     endpoint: InstanceId,
+    service: TargetName,
+    is_counted: bool,
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
+impl InFlightGuard {
+    /// Stops counting the request, because its answer is lost and the endpoint no longer works on it.
+    pub(crate) fn release(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, false) {
+            return;
+        }
         if let Some(load) = self.tracker.lock().get_mut(&self.endpoint) {
             load.in_flight = load.in_flight.saturating_sub(1);
         }
-        self.tracker.capacity_changed.notify_waiters();
+        self.tracker.waiting_room.record_freed(&self.service);
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.release();
     }
 }
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -19,6 +19,9 @@
     pub(crate) resumed: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
     pub(crate) suspects: IntGauge,
+    pub(crate) answers_lost: IntCounter,
+    pub(crate) waits: IntCounterVec,
+    pub(crate) wait_seconds: Histogram,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_in_flight: IntGauge,
@@ -68,6 +71,20 @@
                 "lycheewood_gateway_suspects",
                 "Requests that are suspected to crash endpoints, or quarantined.",
             )?,
+            answers_lost: metrics.counter(
+                "lycheewood_gateway_answers_lost_total",
+                "Requests to plain services without a response in the expected time.",
+            )?,
+            waits: metrics.counters(
+                "lycheewood_gateway_waits_total",
+                "Requests that waited for a place at an endpoint, by end: granted, expired, hopeless.",
+                "end",
+            )?,
+            wait_seconds: metrics.histogram(
+                "lycheewood_gateway_wait_seconds",
+                "Time from a request that waited for a place to the end of its wait.",
+                &LATENCY_BUCKETS,
+            )?,
             first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -36,6 +36,15 @@
     },
 }
 
+/// The priorities of requests to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PriorityRange {
+    /// The priority that is served first.
+    pub most_urgent: u8,
+    /// The priority that is served last.
+    pub least_urgent: u8,
+}
+
 /// The priority that is served last.
 pub(crate) const MAX_PRIORITY: u8 = 9;
 
@@ -153,8 +162,8 @@
     pub engine_profiles: HashMap<TargetName, EngineProfile>,
     /// Shapes of the expert groups by service.
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
-    /// Services of engines whose requests differ in priority.
-    prioritized: BTreeSet<TargetName>,
+    /// Priorities of requests to services of engines, where requests differ in priority.
+    priorities: HashMap<TargetName, PriorityRange>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Route>>,
     /// Index into `workspaces` by the digest of the key, so that keys are not compared byte by byte.
@@ -184,10 +193,10 @@
         self.workspaces.get(*index)
     }
 
-    /// Whether requests to a service have more than one priority, and its endpoints are engines.
+    /// The priorities of requests to a service, if there is more than one and its endpoints are engines.
     #[must_use]
-    pub fn has_priorities(&self, service: &TargetName) -> bool {
-        self.prioritized.contains(service)
+    pub fn priorities(&self, service: &TargetName) -> Option<PriorityRange> {
+        self.priorities.get(service).copied()
     }
 
     /// The number of routes.
@@ -241,11 +250,16 @@
             engine_profiles.filter_map(|s| Some((TargetName::new(&s.name), s.engine_profile?)));
         let engine_profiles: HashMap<TargetName, EngineProfile> = engine_profiles.collect();
         let priorities = priorities_by_service(hosts.values().flatten(), &workspaces);
-        let prioritized = priorities.into_iter().filter(|(service, priorities)| {
-            priorities.len() > 1 && engine_profiles.contains_key(*service)
+        let ranges = priorities.into_iter().filter_map(|(service, priorities)| {
+            let range = PriorityRange {
+                most_urgent: *priorities.first()?,
+                least_urgent: *priorities.last()?,
+            };
+            let differ = range.most_urgent < range.least_urgent;
+            (differ && engine_profiles.contains_key(service)).then(|| (service.clone(), range))
         });
         Ok(Self {
-            prioritized: prioritized.map(|(service, _)| service.clone()).collect(),
+            priorities: ranges.collect(),
             engine_profiles,
             version: raw.version,
             caller_limits: raw.caller_limits,
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -205,6 +205,19 @@
     assert!(is_advertised(&tracker, at(320)));
 }
 
+/// Guards against holding back less urgent requests for urgent ones that an instance told of before it fell silent.
+#[test]
+fn waiting_requests_of_all_instances_with_recent_heartbeats_count() {
+    let mut tracker = PeerTracker::default();
+    for (port, received_ms) in [(5, 0), (6, 1_000)] {
+        let mut heartbeat = heartbeat(1, 1, true);
+        heartbeat.extension.waiting = vec![(0, 2), (200, 1)];
+        tracker.apply(([127, 0, 0, 1], port).into(), heartbeat, at(received_ms));
+    }
+    assert_eq!(tracker.table(at(1_000)).waiting().pairs(), [(0, 4), (9, 2)]);
+    assert_eq!(tracker.table(at(2_000)).waiting().pairs(), [(0, 2), (9, 1)]);
+}
+
 /// Guards against sending callers to another failure domain unnecessarily, and against advertising only one
 /// instance.
 #[test]
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod engine_profile;
 mod harness;
 mod leaving;
+mod lost_answers;
 mod priorities;
 mod retries;
 mod streams;
+mod waiting;
--- a/crates/lycheewood/tests/load_patterns/main.rs
+++ b/crates/lycheewood/tests/load_patterns/main.rs
@@ -12,6 +12,7 @@
 mod patterns;
 mod start_with_waiting_callers;
 mod steady;
+mod urgent_bursts;
 
 use model::{Outcome, Pattern, Policy, play};
 
@@ -24,15 +25,8 @@
 fn outcome(pattern: &Pattern, policy: Policy) -> Outcome {
     let mut sum = Outcome::default();
     for seed in SEEDS {
-        let outcome = play(pattern, policy, seed);
-        sum.asked += outcome.asked;
-        sum.on_time += outcome.on_time;
-        sum.late += outcome.late;
-        sum.unserved += outcome.unserved;
-        sum.rejected += outcome.rejected;
-        sum.sent_in_vain += outcome.sent_in_vain;
-        sum.longest_held_ms = sum.longest_held_ms.max(outcome.longest_held_ms);
+        sum.add(&play(pattern, policy, seed));
     }
-    println!("{policy:?} {sum:?}");
+    println!("{}", sum.summary(pattern.site, policy));
     sum
 }
--- a/crates/lycheewood/tests/load_patterns/model.rs
+++ b/crates/lycheewood/tests/load_patterns/model.rs
@@ -1,46 +1,45 @@
-//! A model of gateways before one group of engines, in steps of one millisecond and without a network.
+//! A model of gateways before engines that share their passes, in steps of one millisecond and without a network.
 //!
-//! All ranks of the group share their passes. A gateway knows its own requests in flight at once and those of the
-//! others as of its last refresh.
+//! A gateway knows its own requests in flight at once and those of the others as of its last refresh.
+
+mod engine;
+mod gateway;
+mod outcome;
+mod site;
 
 use std::collections::VecDeque;
 
-use lycheewood::RefusalCause;
 use lycheewood::{
-    BalancingCandidate, FailureDomain, GapAverage, GroupPace, InstanceId, QueueDeadlines,
-    QueuePhase, Timestamp, choose_by_load, come_back_ms, endpoint_batch, in_flight_limit,
-    max_batch, paced_batch, queue_phase,
+    FailureDomain, GapAverage, GrantRate, InstanceId, PlaceClaims, PlaceRequest, Pressure,
+    QueueDeadlines, Timestamp, WaitingCounts,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::engine_profile::ENGINE;
+pub(crate) use outcome::{CLASSES, Outcome, WORKSPACES};
+pub(crate) use site::{LARGE, Site, THREE_GROUPS};
 
+/// Number of ranks of [`LARGE`].
 pub(crate) const RANKS: usize = 64;
-const GATEWAYS: usize = 64;
-const REFRESH_MS: u64 = 300;
-const AIM_MS: u64 = 600;
-const GAP_MS: u64 = 200;
 const DEADLINE_MS: u64 = 8_000;
-/// Mean and largest number of events of a stream.
-const MEAN_EVENTS: f64 = 19.0;
-const MAX_EVENTS: f64 = 38.0;
 /// Time without an event after which a caller leaves.
 const PATIENCE_MS: u64 = 2_400;
-const ENGINE_QUEUE: usize = 12;
-/// Time between two passes of a group that does not run, until it is looked at again.
-const IDLE_STEP_MS: u64 = 1;
+/// Time between two copies of the counts of all gateways, in milliseconds.
+const COPY_MS: u64 = 50;
 
 /// What happens in a run, by milliseconds from its start.
 pub(crate) struct Pattern {
+    pub(crate) site: &'static Site,
     pub(crate) end_ms: u64,
-    /// Requests per second.
-    pub(crate) rate: fn(u64) -> f64,
+    /// Requests per second, by class. The class is the priority of its requests.
+    pub(crate) rates: fn(u64) -> [f64; CLASSES],
     /// Load of the most loaded rank relative to the mean.
     pub(crate) imbalance: fn(u64) -> f64,
     /// Time that the work of the slowest rank takes, as a multiple of the usual time; infinite while the group is
     /// away.
     pub(crate) slowdown: fn(u64) -> f64,
+    /// Number of ranks that get no requests.
+    pub(crate) ranks_lost: fn(u64) -> usize,
     /// Whether refused callers come back at once and three times, instead of once and when they are told.
     pub(crate) repeats_at_once: bool,
     /// Share of the callers that leave 300 ms after they have sent their request.
@@ -49,10 +48,12 @@
 
 impl Pattern {
     pub(crate) const CALM: Self = Self {
+        site: &LARGE,
         end_ms: 20_000,
-        rate: |_| 140.0,
+        rates: |_| [140.0, 0.0, 0.0],
         imbalance: |_| 1.3,
         slowdown: |_| 1.0,
+        ranks_lost: |_| 0,
         repeats_at_once: false,
         leave_early: 0.0,
     };
@@ -67,32 +68,12 @@
     FixedBatch,
     /// Requests go to the engines at once, which queue a few and reject the others.
     Unlimited,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Outcome {
-    pub(crate) asked: u32,
-    pub(crate) on_time: u32,
-    pub(crate) late: u32,
-    /// Requests that were refused or not completed by their deadline.
-    pub(crate) unserved: u32,
-    /// Sends that an engine rejected because its queue was full.
-    pub(crate) rejected: u32,
-    /// Requests that callers had left and that were still sent to an engine.
-    pub(crate) sent_in_vain: u32,
-    /// Longest time that a refused request was held, in milliseconds.
-    pub(crate) longest_held_ms: u64,
-}
-
-impl Outcome {
-    pub(crate) fn on_time_share(&self) -> f64 {
-        f64::from(self.on_time) / f64::from(self.asked.max(1))
-    }
-
-    /// Share of the credit where a late response counts half.
-    pub(crate) fn credit_share(&self) -> f64 {
-        (f64::from(self.on_time) + 0.5 * f64::from(self.late)) / f64::from(self.asked.max(1))
-    }
+    /// The decisions before priorities: at each change all waiting requests look for a place.
+    Unordered,
+    /// First come, first served, with a bounded queue at each gateway.
+    FirstCome,
+    /// By priority alone: no floors, and lateness and age do not count.
+    Strict,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -103,12 +84,27 @@
     returns_left: u32,
     events: u32,
     leaves_ms: Option<u64>,
+    class: usize,
+    workspace: usize,
+    prompt_tokens: f64,
+    is_large: bool,
+    /// The priority by which it waits.
+    priority: u8,
 }
 
 impl Request {
-    fn deadlines(&self) -> QueueDeadlines {
+    fn deadlines(&self, site: &Site) -> QueueDeadlines {
         let deadline = at(self.asked_ms + DEADLINE_MS);
-        QueueDeadlines::new(at(self.received_ms), AIM_MS, deadline)
+        QueueDeadlines::new(at(self.received_ms), site.target_ms[self.class], deadline)
+    }
+
+    fn place_request(&self, site: &Site) -> PlaceRequest {
+        PlaceRequest {
+            priority: self.priority,
+            received: at(self.received_ms),
+            deadlines: self.deadlines(site),
+            is_unrestricted: true,
+        }
     }
 }
 
@@ -129,8 +125,14 @@
 struct Gateway {
     waiting: Vec<Request>,
     gaps: GapAverage,
+    pressure: Pressure,
+    grants: GrantRate,
+    claims: PlaceClaims,
     own: Vec<u32>,
     others: Vec<u32>,
+    /// The counts of waiting requests that the others know, and when they were sent.
+    told: WaitingCounts,
+    told_ms: u64,
 }
 
 pub(crate) struct Model<'a> {
@@ -144,6 +146,8 @@
     ids: Vec<InstanceId>,
     domain: FailureDomain,
     gateways: Vec<Gateway>,
+    /// Earlier counts of all gateways in flight, the newest last.
+    copies: VecDeque<Vec<Vec<u32>>>,
     returning: Vec<(u64, Request)>,
     pass_ends_ms: u64,
     outcome: Outcome,
@@ -153,13 +157,23 @@
     Timestamp::from_unix_ms(1_000_000 + ms)
 }
 
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap())
+}
+
 /// Plays a pattern with one seed.
 pub(crate) fn play(pattern: &Pattern, policy: Policy, seed: u64) -> Outcome {
+    let site = pattern.site;
     let gateway = || Gateway {
         waiting: Vec::new(),
         gaps: GapAverage::default(),
-        own: vec![0; RANKS],
-        others: vec![0; RANKS],
+        pressure: Pressure::default(),
+        grants: GrantRate::default(),
+        claims: PlaceClaims::default(),
+        own: vec![0; site.ranks],
+        others: vec![0; site.ranks],
+        told: WaitingCounts::default(),
+        told_ms: 0,
     };
     let mut model = Model {
         pattern,
@@ -167,10 +181,11 @@
         arrivals: StdRng::seed_from_u64(seed),
         random: StdRng::seed_from_u64(seed),
         now_ms: 0,
-        ranks: (0..RANKS).map(|_| Rank::default()).collect(),
-        ids: (0..RANKS).map(|rank| InstanceId::new(&format!("rank-{rank}"))).collect(),
+        ranks: (0..site.ranks).map(|_| Rank::default()).collect(),
+        ids: (0..site.ranks).map(|rank| InstanceId::new(&format!("rank-{rank}"))).collect(),
         domain: FailureDomain::new("a"),
-        gateways: (0..GATEWAYS).map(|_| gateway()).collect(),
+        gateways: (0..site.gateways).map(|_| gateway()).collect(),
+        copies: VecDeque::new(),
         returning: Vec::new(),
         pass_ends_ms: 0,
         outcome: Outcome::default(),
@@ -186,254 +201,79 @@
 impl Model<'_> {
     fn step(&mut self) {
         if self.now_ms < self.pattern.end_ms {
-            let per_ms = (self.pattern.rate)(self.now_ms) / 1_000.0;
+            let rates = (self.pattern.rates)(self.now_ms);
+            let per_ms = rates.iter().sum::<f64>() / 1_000.0;
             if self.arrivals.random_bool(per_ms.min(1.0)) {
-                self.ask();
+                self.ask(rates);
             }
         }
         let due: Vec<Request> =
             self.returning.extract_if(.., |(due, _)| *due <= self.now_ms).map(|(_, r)| r).collect();
         for request in due {
-            let gateway = self.random.random_range(0..GATEWAYS);
+            let gateway = self.random.random_range(0..self.gateways.len());
             self.arrive(gateway, Request { received_ms: self.now_ms, ..request });
         }
         if self.now_ms >= self.pass_ends_ms {
             self.end_pass();
         }
-        for gateway in 0..GATEWAYS {
-            let offset = REFRESH_MS * u64::try_from(gateway).unwrap() / 64;
-            if (self.now_ms + offset).is_multiple_of(REFRESH_MS) {
+        let site = self.pattern.site;
+        if site.count_age_ms > 0 && self.now_ms.is_multiple_of(COPY_MS) {
+            self.copies
+                .push_back(self.gateways.iter().map(|gateway| gateway.own.clone()).collect());
+            let kept = usize::try_from(site.count_age_ms / COPY_MS).unwrap();
+            if self.copies.len() > kept {
+                self.copies.pop_front();
+            }
+        }
+        let count = u64::try_from(self.gateways.len()).unwrap();
+        for gateway in 0..self.gateways.len() {
+            let offset = site.refresh_ms * u64::try_from(gateway).unwrap() / count;
+            if (self.now_ms + offset).is_multiple_of(site.refresh_ms) {
                 self.refresh(gateway);
             }
-            self.expire(gateway);
+            if !self.gateways[gateway].waiting.is_empty() {
+                self.expire(gateway);
+            }
         }
     }
 
-    fn ask(&mut self) {
+    fn ask(&mut self, rates: [f64; CLASSES]) {
         let leaves = self.arrivals.random_bool(self.pattern.leave_early);
+        let mut point = self.arrivals.random::<f64>() * rates.iter().sum::<f64>();
+        let class = rates.iter().position(|rate| {
+            point -= rate;
+            point < 0.0
+        });
+        let prompt_tokens = self.exponential().clamp(0.1, 3.0) * self.pattern.site.prompt_tokens;
         let request = Request {
             asked_ms: self.now_ms,
             received_ms: self.now_ms,
             events: self.events(),
             returns_left: if self.pattern.repeats_at_once { 3 } else { 1 },
             leaves_ms: leaves.then_some(self.now_ms + 300),
+            class: class.unwrap_or(0),
+            workspace: self.arrivals.random_range(0..WORKSPACES),
+            prompt_tokens,
+            // The largest tenth of an exponential distribution.
+            is_large: prompt_tokens > 2.3 * self.pattern.site.prompt_tokens,
+            priority: 0,
         };
-        self.outcome.asked += u32::from(!leaves);
-        let gateway = self.arrivals.random_range(0..GATEWAYS);
-        self.arrive(gateway, request);
-    }
-
-    /// The number of events of a stream, spread like an exponential distribution.
-    fn events(&mut self) -> u32 {
-        let spread = -(1.0 - self.arrivals.random::<f64>()).ln() * MEAN_EVENTS;
-        let most = spread.clamp(2.0, MAX_EVENTS);
-        (2..=38).take_while(|events| f64::from(*events) <= most).last().unwrap_or(2)
-    }
-
-    fn arrive(&mut self, gateway: usize, request: Request) {
-        if !self.try_send(gateway, request) {
-            self.gateways[gateway].waiting.push(request);
-        }
-    }
-
-    /// The batch of each rank that a gateway keeps to, if it does.
-    fn batch(&self, gateway: usize) -> Option<f64> {
-        let limit = max_batch(&ENGINE, GAP_MS);
-        let Gateway { gaps, own, others, .. } = &self.gateways[gateway];
-        match (self.policy, gaps.mean_ms(at(self.now_ms))) {
-            (Policy::Unlimited, _) => None,
-            (Policy::FixedBatch, _) | (Policy::Paced, None) => Some(f64::from(limit)),
-            (Policy::Paced, Some(gap_ms)) => {
-                let in_flight = own.iter().zip(others).map(|(own, others)| own + others);
-                let running: u32 = in_flight.map(|count| count.min(ENGINE.slots)).sum();
-                let batch = f64::from(running) / f64::from(u32::try_from(RANKS).unwrap());
-                let slowdown = (self.pattern.slowdown)(self.now_ms);
-                let pace = GroupPace { gap_ms, batch, slowdown };
-                Some(paced_batch(&ENGINE, GAP_MS, limit, &pace))
-            }
-        }
-    }
-
-    /// The ranks with a free place.
-    fn places(&self, gateway: usize, phase: QueuePhase) -> Vec<usize> {
-        let batch = self.batch(gateway);
-        let Gateway { own, others, .. } = &self.gateways[gateway];
-        let fitting = (0..RANKS).filter(|rank| {
-            let Some(batch) = batch else { return true };
-            let tag = u64::try_from(*rank).unwrap().wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            own[*rank] + others[*rank] < in_flight_limit(endpoint_batch(batch, tag), phase)
-        });
-        fitting.collect()
-    }
-
-    fn try_send(&mut self, gateway: usize, request: Request) -> bool {
-        let phase = queue_phase(&request.deadlines(), at(self.now_ms));
-        let ranks = self.places(gateway, phase);
-        let Gateway { own, others, .. } = &self.gateways[gateway];
-        let candidates: Vec<_> = ranks
-            .iter()
-            .map(|rank| BalancingCandidate {
-                id: &self.ids[*rank],
-                failure_domain: &self.domain,
-                slots: ENGINE.slots,
-                in_flight: own[*rank] + others[*rank],
-                failures: 0.0,
-                is_slow: false,
-            })
-            .collect();
-        let random = self.random.random();
-        let Some(index) = choose_by_load(&candidates, &self.domain, &[], random) else {
-            return false;
-        };
-        let rank = ranks[index];
-        if request.leaves_ms.is_some_and(|leaves| leaves <= self.now_ms) {
-            self.outcome.sent_in_vain += 1;
-        }
-        if self.ranks[rank].queued.len() >= ENGINE_QUEUE {
-            self.outcome.rejected += 1;
-            self.refuse(request);
-            return true;
-        }
-        self.gateways[gateway].own[rank] += 1;
-        let is_late = false;
-        let stream =
-            Stream { request, gateway, events_left: request.events, last_event_ms: None, is_late };
-        self.ranks[rank].queued.push_back(stream);
-        true
-    }
-
-    fn refuse(&mut self, request: Request) {
-        let held_ms = self.now_ms - request.received_ms;
-        self.outcome.longest_held_ms = self.outcome.longest_held_ms.max(held_ms);
-        if request.leaves_ms.is_some() {
-            return;
-        }
-        if request.returns_left == 0 {
-            self.outcome.unserved += 1;
-            return;
-        }
-        let wait_ms = if self.pattern.repeats_at_once {
-            20
-        } else if self.policy == Policy::Paced {
-            come_back_ms(RefusalCause::Full, self.random.random())
-        } else {
-            1_000
-        };
-        let request = Request { returns_left: request.returns_left - 1, ..request };
-        self.returning.push((self.now_ms + wait_ms, request));
-    }
-
-    /// Starts the next pass after the events of the last one.
-    fn end_pass(&mut self) {
-        let slowdown = (self.pattern.slowdown)(self.now_ms);
-        if slowdown.is_infinite() {
-            self.pass_ends_ms = self.now_ms + IDLE_STEP_MS;
-            return;
-        }
-        let mut freed = Vec::new();
-        for rank in 0..RANKS {
-            let mut running = std::mem::take(&mut self.ranks[rank].running);
-            running.retain_mut(|stream| {
-                let keeps = self.advance(stream);
-                if !keeps {
-                    freed.push((stream.gateway, rank));
-                }
-                keeps
-            });
-            self.ranks[rank].running = running;
-        }
-        for (gateway, rank) in freed {
-            self.gateways[gateway].own[rank] -= 1;
-            self.serve_waiting(gateway);
-        }
-        for rank in 0..RANKS {
-            let Rank { running, queued } = &mut self.ranks[rank];
-            while running.len() < usize::try_from(ENGINE.slots).unwrap() {
-                let Some(stream) = queued.pop_front() else { break };
-                running.push(stream);
-            }
-        }
-        self.pass_ends_ms = self.now_ms + self.pass_ms(slowdown);
-    }
-
-    /// Makes one event of a stream. Returns whether the stream goes on.
-    fn advance(&mut self, stream: &mut Stream) -> bool {
-        let request = stream.request;
-        if request.leaves_ms.is_some_and(|leaves| leaves <= self.now_ms) {
-            return false;
-        }
-        let last_ms = stream.last_event_ms.unwrap_or(request.received_ms);
-        if self.now_ms - last_ms > PATIENCE_MS {
-            self.outcome.unserved += u32::from(request.leaves_ms.is_none());
-            return false;
-        }
-        match stream.last_event_ms.replace(self.now_ms) {
-            None => stream.is_late = self.now_ms - request.asked_ms > AIM_MS,
-            Some(last) => {
-                let gap_ms = self.now_ms - last;
-                stream.is_late |= gap_ms > GAP_MS;
-                self.gateways[stream.gateway].gaps.record(gap_ms, at(self.now_ms));
-            }
-        }
-        stream.events_left -= 1;
-        let is_overdue = self.now_ms - request.asked_ms > DEADLINE_MS;
-        if request.leaves_ms.is_none() && (is_overdue || stream.events_left == 0) {
-            let count = match (is_overdue, stream.is_late) {
-                (true, _) => &mut self.outcome.unserved,
-                (false, true) => &mut self.outcome.late,
-                (false, false) => &mut self.outcome.on_time,
-            };
-            *count += 1;
-        }
-        !is_overdue && stream.events_left > 0
-    }
-
-    fn pass_ms(&self, slowdown: f64) -> u64 {
-        let running: usize = self.ranks.iter().map(|rank| rank.running.len()).sum();
-        if running == 0 {
-            return IDLE_STEP_MS;
+        if !leaves {
+            self.outcome.count(&request, |share| share.asked += 1);
         }
-        let to_f64 = |count: usize| f64::from(u32::try_from(count).unwrap());
-        let mean = to_f64(running) / to_f64(RANKS);
-        let most = self.ranks.iter().map(|rank| rank.running.len()).max().unwrap_or(0);
-        let share = ENGINE.expert_share;
-        let imbalance = (self.pattern.imbalance)(self.now_ms);
-        let requests = (1.0 - share) * to_f64(most) + share * mean * imbalance;
-        let step_ms = ENGINE.step_ms * slowdown + ENGINE.per_request_ms * requests;
-        let pass_ms = step_ms * f64::from(ENGINE.tokens_per_event) + 10.0;
-        std::time::Duration::from_secs_f64(pass_ms / 1_000.0).as_millis().try_into().unwrap()
-    }
-
-    /// Lets waiting requests look for a place.
-    fn serve_waiting(&mut self, gateway: usize) {
-        let mut waiting = std::mem::take(&mut self.gateways[gateway].waiting);
-        waiting.retain(|request| request.leaves_ms.is_none_or(|leaves| leaves > self.now_ms));
-        waiting.retain(|request| !self.try_send(gateway, *request));
-        self.gateways[gateway].waiting = waiting;
+        let gateway = self.arrivals.random_range(0..self.gateways.len());
+        self.arrive(gateway, request);
     }
 
-    /// Updates what a gateway knows of the others.
-    fn refresh(&mut self, gateway: usize) {
-        for rank in 0..RANKS {
-            let all: u32 = self.gateways.iter().map(|other| other.own[rank]).sum();
-            let own = self.gateways[gateway].own[rank];
-            self.gateways[gateway].others[rank] = all - own;
-        }
-        self.serve_waiting(gateway);
+    /// A number spread like an exponential distribution with mean 1.
+    fn exponential(&mut self) -> f64 {
+        -(1.0 - self.arrivals.random::<f64>()).ln()
     }
 
-    /// Refuses the requests whose time in the queue is over.
-    fn expire(&mut self, gateway: usize) {
-        let now = at(self.now_ms);
-        let mut waiting = std::mem::take(&mut self.gateways[gateway].waiting);
-        waiting.retain(|request| request.leaves_ms.is_none_or(|leaves| leaves > self.now_ms));
-        waiting.retain(|request| {
-            let is_expired = queue_phase(&request.deadlines(), now) == QueuePhase::Expired;
-            if is_expired {
-                self.refuse(*request);
-            }
-            !is_expired
-        });
-        self.gateways[gateway].waiting = waiting;
+    /// The number of events of a stream.
+    fn events(&mut self) -> u32 {
+        let site = self.pattern.site;
+        let most = (self.exponential() * site.mean_events).clamp(2.0, f64::from(site.max_events));
+        (2..=site.max_events).take_while(|events| f64::from(*events) <= most).last().unwrap_or(2)
     }
 }
--- a/crates/lycheewood/tests/load_patterns/patterns.rs
+++ b/crates/lycheewood/tests/load_patterns/patterns.rs
@@ -1,6 +1,6 @@
 //! The patterns of load, by name.
 
-use crate::model::Pattern;
+use crate::model::{Pattern, THREE_GROUPS};
 
 /// Demand shifts to other experts every 2.4 s; the map follows within a second.
 pub(crate) const EXPERT_DRIFT: Pattern =
@@ -8,7 +8,7 @@
 
 /// A step of load to well above the capacity, for 8 s.
 pub(crate) const LOAD_STEP: Pattern = Pattern {
-    rate: |ms| if (4_000..12_000).contains(&ms) { 300.0 } else { 120.0 },
+    rates: |ms| [if (4_000..12_000).contains(&ms) { 300.0 } else { 120.0 }, 0.0, 0.0],
     ..Pattern::CALM
 };
 
@@ -26,14 +26,14 @@
 
 /// Load above the capacity, whose refused callers come back at once and often.
 pub(crate) const CALLERS_REPEAT: Pattern = Pattern {
-    rate: |ms| if (4_000..12_000).contains(&ms) { 260.0 } else { 120.0 },
+    rates: |ms| [if (4_000..12_000).contains(&ms) { 260.0 } else { 120.0 }, 0.0, 0.0],
     repeats_at_once: true,
     ..Pattern::CALM
 };
 
 /// Load above the capacity, a third of whose callers leave early.
 pub(crate) const CALLERS_LEAVE: Pattern = Pattern {
-    rate: |ms| if (4_000..12_000).contains(&ms) { 300.0 } else { 120.0 },
+    rates: |ms| [if (4_000..12_000).contains(&ms) { 300.0 } else { 120.0 }, 0.0, 0.0],
     leave_early: 0.3,
     ..Pattern::CALM
 };
@@ -41,3 +41,33 @@
 /// The engines start 3 s after the callers.
 pub(crate) const LATE_START: Pattern =
     Pattern { slowdown: |ms| if ms < 3_000 { f64::INFINITY } else { 1.0 }, ..Pattern::CALM };
+
+/// Streams of three priorities on 72 ranks, somewhat below the capacity.
+pub(crate) const THREE_PRIORITIES: Pattern = Pattern {
+    site: &THREE_GROUPS,
+    rates: |_| [92.0, 122.0, 41.0],
+    imbalance: |_| 1.25,
+    ..Pattern::CALM
+};
+
+/// A burst of the least urgent requests beside steady urgent ones.
+pub(crate) const LEAST_URGENT_BURST: Pattern = Pattern {
+    rates: |ms| [92.0, 122.0, if (4_000..14_000).contains(&ms) { 41.0 * 2.6 } else { 41.0 }],
+    ..THREE_PRIORITIES
+};
+
+/// A burst of urgent requests.
+pub(crate) const URGENT_BURST: Pattern = Pattern {
+    rates: |ms| [if (4_000..14_000).contains(&ms) { 92.0 * 1.8 } else { 92.0 }, 122.0, 41.0],
+    ..THREE_PRIORITIES
+};
+
+/// Both bursts with a third of the ranks lost.
+pub(crate) const LEAST_URGENT_BURST_AFTER_LOSS: Pattern =
+    Pattern { ranks_lost: a_third_from_start, ..LEAST_URGENT_BURST };
+pub(crate) const URGENT_BURST_AFTER_LOSS: Pattern =
+    Pattern { ranks_lost: a_third_from_start, ..URGENT_BURST };
+
+fn a_third_from_start(ms: u64) -> usize {
+    if ms >= 2_000 { 24 } else { 0 }
+}
