--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -7,6 +7,7 @@
 use crate::clock::Timestamp;
 use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::units::ceil_ms;
+use crate::decisions::urgency::WaitingCounts;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::wire::heartbeat::{About, Heartbeat, endpoint_tag};
 
@@ -51,6 +52,8 @@
     failures: HashMap<u32, f64>,
     /// Shifts of demand that the holder of the expert group lease expects.
     expected_shifts: Vec<ExpectedShift>,
+    /// Requests that wait at all other instances for a place at an endpoint.
+    waiting: WaitingCounts,
 }
 
 /// Most weight that the failures reported by other instances have. An endpoint with it is chosen only if all others
@@ -88,6 +91,12 @@
         self.failures.get(&tag).copied().unwrap_or(0.0)
     }
 
+    /// Requests that wait at all other instances for a place at an endpoint.
+    #[must_use]
+    pub const fn waiting(&self) -> &WaitingCounts {
+        &self.waiting
+    }
+
     /// Requests in flight from all other instances to an endpoint.
     #[must_use]
     pub fn in_flight(&self, endpoint: &InstanceId) -> u32 {
@@ -178,7 +187,9 @@
             let reported = f64::from(*hundredths) / 100.0 * REPORTED_FAILURE_WEIGHT;
             *sum = (*sum + reported).min(MAX_REPORTED_FAILURES);
         }
-        PeerTable { peers: self.peers.clone(), in_flight, slow, failures, expected_shifts }
+        let mut waiting = WaitingCounts::default();
+        fresh().for_each(|peer| waiting.add_pairs(&peer.heartbeat.extension.waiting));
+        PeerTable { peers: self.peers.clone(), in_flight, slow, failures, expected_shifts, waiting }
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -9,12 +9,14 @@
 use crate::decisions::batch::max_batch;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
+use crate::decisions::stall::lost_answer_ms;
 use crate::filters::forward::exchange::{
     Admitted, AttemptCount, Authenticated, Exchange, GapLimit,
 };
 use crate::gateway::GatewayState;
 use crate::ids::WorkspaceName;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError};
+use crate::routes::raw::RequestKind;
 
 /// # Errors
 ///
@@ -44,7 +46,10 @@
         Err(_) => return Err(RequestError::not_run(NotRunCode::BodyLate, 0)),
     };
     let service = route.service(rand::random()).clone();
+    let is_plain = route.kind != RequestKind::Streaming
+        && !routes.table.engine_profiles.contains_key(&service);
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
+    let priority = route.effective_priority(workspace);
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -59,13 +64,16 @@
             gap_ms,
             max_batch: max_batch(engine, gap_ms),
         }),
+        priorities: routes.table.priorities(&service),
         service,
         workspace,
+        priority,
         strips_key: routes.table.requires_keys(),
         body,
         fingerprint,
         prompt_parts,
         trials: Vec::new(),
+        lost_answer_ms: is_plain.then(|| lost_answer_ms(route.target_ms, timeout_ms)),
         deadline,
         attempts: AttemptCount::default(),
         misdirected: 0,
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -77,6 +77,7 @@
         names: &state.settings.headers,
         endpoint: &endpoint.id,
         workspace: admitted.workspace.as_ref(),
+        priority: admitted.priorities.map(|_| admitted.priority),
         strips_key: admitted.strips_key,
         body: &admitted.body,
         remaining_ms,
@@ -203,19 +204,27 @@
     waiting: &mut Waiting,
     stall_check: StallCheck,
 ) -> WaitOutcome {
-    let Waiting { admitted, endpoint, response, sent, .. } = waiting;
+    let Waiting { admitted, endpoint, response, sent, in_flight, .. } = waiting;
     let checks_stall = stall_check == StallCheck::On && admitted.may_race();
+    let lost_ms = admitted.lost_answer_ms.filter(|_| stall_check == StallCheck::On);
+    let mut lost_at = lost_ms.map(|lost_ms| sent.plus_ms(lost_ms));
     loop {
-        let remaining_ms = admitted.deadline.ms_since(state.clock.now());
+        let now = state.clock.now();
+        let remaining_ms = admitted.deadline.ms_since(now);
         if remaining_ms == 0 {
             return WaitOutcome::Deadline;
         }
-        let wait_ms =
+        let stall_ms =
             if checks_stall { stall_timeout_ms(ResponsePart::Head) } else { remaining_ms };
-        let wait = Duration::from_millis(wait_ms.min(remaining_ms));
+        let lost_ms = lost_at.map_or(u64::MAX, |lost_at| lost_at.ms_since(now).max(1));
+        let wait = Duration::from_millis(stall_ms.min(lost_ms).min(remaining_ms));
         if let Ok(response) = timeout(wait, response.as_mut()).await {
             return WaitOutcome::Response(response);
         }
+        let is_lost = lost_at.take_if(|lost_at| state.clock.now() >= *lost_at).is_some();
+        if is_lost && record_lost(state, admitted, endpoint, in_flight) && checks_stall {
+            return WaitOutcome::Stalled;
+        }
         let (part, service) = (ResponsePart::Head, &admitted.service);
         if checks_stall && state.should_fail_over(part, service, endpoint, *sent) {
             return WaitOutcome::Stalled;
@@ -223,6 +232,25 @@
     }
 }
 
+/// Records that the answer of a plain service is lost. The request is no longer counted as in flight, since the work
+/// takes a fraction of the time that has passed, and others must not avoid the endpoint's free place until the deadline
+/// of this one. Returns whether the request moves to another endpoint.
+fn record_lost(
+    state: &GatewayState,
+    admitted: &Admitted,
+    endpoint: &EndpointEntry,
+    in_flight: &mut InFlightGuard,
+) -> bool {
+    let moves = admitted.may_fail_over() && state.should_replace_lost(&admitted.service, endpoint);
+    state.metrics.answers_lost.inc();
+    in_flight.release();
+    if !moves {
+        // An attempt that moves is recorded as failed.
+        state.loads.record_failure(&endpoint.id, state.clock.now());
+    }
+    moves
+}
+
 /// Records that an attempt has brought no response and may have run.
 pub(crate) fn record_failed_attempt(
     state: &GatewayState,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -1,6 +1,6 @@
 //! The validated route table, indexed for matching.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use crate::decisions::digest::digest;
 use crate::ids::{TargetName, WorkspaceName};
@@ -36,6 +36,18 @@
     },
 }
 
+/// The priorities of requests to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PriorityRange {
+    /// The priority that is served first.
+    pub most_urgent: u8,
+    /// The priority that is served last.
+    pub least_urgent: u8,
+}
+
+/// The priority that is served last.
+pub(crate) const MAX_PRIORITY: u8 = 9;
+
 /// One validated route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -64,6 +76,13 @@
 }
 
 impl Route {
+    /// The priority of a request of a workspace: that of the workspace if it sets one.
+    #[must_use]
+    pub fn effective_priority(&self, workspace: Option<&RouteWorkspace>) -> u8 {
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.priority).min(MAX_PRIORITY)
+    }
+
     /// Whether a request may run more than once.
     #[must_use]
     pub fn may_repeat(&self) -> bool {
@@ -143,6 +162,8 @@
     pub engine_profiles: HashMap<TargetName, EngineProfile>,
     /// Shapes of the expert groups by service.
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
+    /// Priorities of requests to services of engines, where requests differ in priority.
+    priorities: HashMap<TargetName, PriorityRange>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Route>>,
     /// Index into `workspaces` by the digest of the key, so that keys are not compared byte by byte.
@@ -172,6 +193,12 @@
         self.workspaces.get(*index)
     }
 
+    /// The priorities of requests to a service, if there is more than one and its endpoints are engines.
+    #[must_use]
+    pub fn priorities(&self, service: &TargetName) -> Option<PriorityRange> {
+        self.priorities.get(service).copied()
+    }
+
     /// The number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -215,23 +242,55 @@
             name: WorkspaceName::new(&workspace.name),
             priority: workspace.priority,
         });
+        let workspaces: Vec<RouteWorkspace> = workspaces.collect();
         let shapes = raw.services.iter();
         let shapes = shapes.filter_map(|s| Some((TargetName::new(&s.name), s.experts?)));
         let engine_profiles = raw.services.iter();
         let engine_profiles =
             engine_profiles.filter_map(|s| Some((TargetName::new(&s.name), s.engine_profile?)));
+        let engine_profiles: HashMap<TargetName, EngineProfile> = engine_profiles.collect();
+        let priorities = priorities_by_service(hosts.values().flatten(), &workspaces);
+        let ranges = priorities.into_iter().filter_map(|(service, priorities)| {
+            let range = PriorityRange {
+                most_urgent: *priorities.first()?,
+                least_urgent: *priorities.last()?,
+            };
+            let differ = range.most_urgent < range.least_urgent;
+            (differ && engine_profiles.contains_key(service)).then(|| (service.clone(), range))
+        });
         Ok(Self {
-            engine_profiles: engine_profiles.collect(),
+            priorities: ranges.collect(),
+            engine_profiles,
             version: raw.version,
             caller_limits: raw.caller_limits,
             expert_shapes: shapes.collect(),
             hosts,
             keys,
-            workspaces: workspaces.collect(),
+            workspaces,
         })
     }
 }
 
+/// The priorities that requests to each service may have.
+fn priorities_by_service<'a>(
+    routes: impl Iterator<Item = &'a Route>,
+    workspaces: &[RouteWorkspace],
+) -> HashMap<&'a TargetName, BTreeSet<u8>> {
+    let mut priorities: HashMap<&TargetName, BTreeSet<u8>> = HashMap::new();
+    for route in routes {
+        let mut callers: Vec<Option<&RouteWorkspace>> = workspaces.iter().map(Some).collect();
+        if callers.is_empty() || route.allows_anonymous {
+            callers.push(None);
+        }
+        let of_route = callers.into_iter().map(|caller| route.effective_priority(caller));
+        let of_route: BTreeSet<u8> = of_route.collect();
+        for (service, _) in &route.split {
+            priorities.entry(service).or_default().extend(&of_route);
+        }
+    }
+    priorities
+}
+
 fn index_keys(
     workspaces: &[RawRouteWorkspace],
 ) -> Result<HashMap<[u8; 16], usize>, RouteTableError> {
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -9,6 +9,7 @@
 use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::EndpointChange;
 use crate::decisions::imbalance::ExpectedShift;
+use crate::decisions::urgency::begins_to_wait;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
@@ -114,6 +115,7 @@
             || self.route_version != next.route_version
             || self.endpoints_next != next.endpoints_next
             || self.reads != next.reads
+            || begins_to_wait(&self.extension.waiting, &next.extension.waiting)
     }
 }
 
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -3,8 +3,13 @@
 mod answers;
 mod callers;
 mod crashes;
+#[path = "../support/engine_profile.rs"]
+mod engine_profile;
 mod harness;
 mod leaving;
+mod lost_answers;
+mod priorities;
 mod retries;
 mod silence;
 mod streams;
+mod waiting;
