Call agents again soon after a lost reply, and prefer batches without late streams

Cause: an agent that repeated an order six times replied after the 250 ms of its caller, and was then not called for 5 s. Change: five tries at the agent; the pause after a call without a reply begins at 500 ms and doubles up to 5 s. The batch that fits shifts is used unless it costs more than 15% of the value of a full one, and the holder logs when shifts are expected.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -148,8 +148,9 @@
     }
 }
 
-/// Times that an order without a reply is given. All of them take less than [`CALL_MS`] beside the rank.
-const ORDER_TRIES: u32 = 6;
+/// Times that an order without a reply is given. With one more, the agent itself replied after [`CALL_MS`] at times, and
+/// was not called for seconds while its rank was fine.
+const ORDER_TRIES: u32 = 5;
 
 /// Gives an order until the rank replies. To give the same order twice is harmless, and beside the rank a
 /// reply that does not come at once does not come.
--- a/crates/lycheewood/src/adapters/agent/client.rs
+++ b/crates/lycheewood/src/adapters/agent/client.rs
@@ -16,9 +16,13 @@
 use crate::group_ports::{RankAddress, RankClient};
 use crate::wire::rank_call::{RankCall, RankReply, RankRequest, Reading};
 
-/// An agent that gave no reply is not called for this long, in milliseconds. A group may be held while an
-/// order is repeated, and the machine of the agent may be frozen.
-const SILENT_MS: u64 = 5_000;
+/// Time for which an agent that gave no reply is not called, in milliseconds; it doubles with each further call without
+/// a reply up to [`MAX_SILENT_MS`]. A rank is read directly meanwhile, whose status is then some 200 ms old, so a group
+/// was held 230 ms for each switch when a single lost reply excluded an agent for 5 s.
+const FIRST_SILENT_MS: u64 = 500;
+/// Longest time for which an agent is not called, in milliseconds. A group may be held while an order is repeated, and
+/// the machine of the agent may be frozen.
+const MAX_SILENT_MS: u64 = 5_000;
 
 /// The longest wait of a relay for the agent of a rank, in milliseconds. Together with an order to the rank it stays
 /// below [`CALL_MS`], the wait of the holder for the relay.
@@ -41,7 +45,7 @@
     port: u16,
     clock: Clock,
     /// Agents that gave no reply, and since when.
-    silent: Mutex<HashMap<SocketAddr, Timestamp>>,
+    silent: Mutex<HashMap<SocketAddr, Silence>>,
     /// The last reading of the counts of each rank.
     readings: Mutex<HashMap<SocketAddr, Reading>>,
     /// The number of the own term, which each call carries.
@@ -51,6 +55,13 @@
     is_direct_allowed: AtomicBool,
 }
 
+/// Calls without a reply to one agent.
+#[derive(Clone, Copy)]
+struct Silence {
+    since: Timestamp,
+    pause_ms: u64,
+}
+
 /// What became of a call.
 enum Called {
     Reply(RankReply),
@@ -100,13 +111,20 @@
 
     fn is_silent(&self, address: SocketAddr) -> bool {
         let silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
-        let since = silent.get(&address).copied();
-        since.is_some_and(|since| self.clock.now().ms_since(since) < SILENT_MS)
+        let silence = silent.get(&address).copied();
+        silence.is_some_and(|silence| self.clock.now().ms_since(silence.since) < silence.pause_ms)
     }
 
     fn note_silent(&self, address: SocketAddr) {
         let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
-        silent.insert(address, self.clock.now());
+        let former = silent.get(&address).map_or(0, |silence| silence.pause_ms);
+        let pause_ms = (former * 2).clamp(FIRST_SILENT_MS, MAX_SILENT_MS);
+        silent.insert(address, Silence { since: self.clock.now(), pause_ms });
+    }
+
+    fn note_reply(&self, address: SocketAddr) {
+        let mut silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        silent.remove(&address);
     }
 
     /// Gives an order through a relay, the process at `relay` that serves calls for any rank.
@@ -139,13 +157,16 @@
         let (endpoint, to) = (rank.endpoint.clone(), rank.address);
         let request = RankRequest { endpoint, fence, address: to, call };
         match client.call(Method::POST, RANK_PATH, encode(&request), wait_ms).await {
-            Ok(bytes) => match decode(&bytes) {
-                Some(RankReply::Superseded) => {
-                    self.is_superseded.store(true, Ordering::Relaxed);
-                    Called::Unknown
+            Ok(bytes) => {
+                self.note_reply(address);
+                match decode(&bytes) {
+                    Some(RankReply::Superseded) => {
+                        self.is_superseded.store(true, Ordering::Relaxed);
+                        Called::Unknown
+                    }
+                    reply => reply.map_or(Called::Unknown, Called::Reply),
                 }
-                reply => reply.map_or(Called::Unknown, Called::Reply),
-            },
+            }
             Err(HttpError::Connect { .. }) => Called::NoAgent,
             Err(error) => {
                 log::info!(
--- a/crates/lycheewood/src/decisions/batch.rs
+++ b/crates/lycheewood/src/decisions/batch.rs
@@ -36,6 +36,9 @@
 /// Ratio of the longest gap during a shift of demand to the one computed from mean loads: the estimate of the imbalance
 /// follows the demand, and passes differ by the prompts that ranks read in them.
 const SHIFT_SPREAD: f64 = 1.06;
+/// Part of the value of a full batch for which a batch without late streams is preferred: callers that find no place
+/// learn so at once, while a stream shows only at its end that it is late.
+const MIN_SAFE_VALUE: f64 = 0.85;
 /// Imbalance that maps reach some time after a shift.
 const SETTLED_IMBALANCE: f64 = 1.35;
 /// Time from a shift of demand until the map follows, in milliseconds: detection, copies and the switch.
@@ -150,7 +153,7 @@
     let late_share = late_share(engine, limit, shift);
     let value = safe / stream_ms(engine, safe);
     let value_of_limit = limit / stream_ms(engine, limit) * (1.0 - late_share * (1.0 - LATE_VALUE));
-    if safe >= 1.0 && value >= value_of_limit { safe } else { limit }
+    if safe >= 1.0 && value >= value_of_limit * MIN_SAFE_VALUE { safe } else { limit }
 }
 
 /// Share of the streams that run during a shift when each rank runs `batch` requests.
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -251,6 +251,11 @@
     pub(crate) fn record_expected_shift(&self, group: &str, shift: Option<ExpectedShift>) {
         let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(leading) = leading.as_mut() else { return };
+        let is_expected = shift.is_some();
+        let was_expected = leading.expected_shifts.iter().any(|former| former.group == group);
+        if is_expected != was_expected {
+            log::info!("shifts of demand group={group} expected={is_expected} shift={shift:?}");
+        }
         leading.expected_shifts.retain(|former| former.group != group);
         leading.expected_shifts.extend(shift);
     }
