--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -101,6 +101,8 @@
     pub max_connections: usize,
     /// Attempts that an endpoint daemon runs at once.
     pub max_attempts: u32,
+    /// Memory of the machine, in bytes; 0 for no memory budget.
+    pub memory_bytes: u64,
 }
 
 impl Default for Bounds {
@@ -113,6 +115,7 @@
             caller_stall_ms: 15_000,
             max_connections: 4_096,
             max_attempts: 256,
+            memory_bytes: 0,
         }
     }
 }
