--- a/crates/lycheewood/src/adapters.rs
+++ b/crates/lycheewood/src/adapters.rs
@@ -2,12 +2,15 @@
 
 pub(crate) mod admin;
 pub(crate) mod agent;
+pub(crate) mod api_port;
 pub(crate) mod backend;
 pub(crate) mod caller;
+pub(crate) mod caller_body;
 pub(crate) mod forward;
 pub(crate) mod gossip;
 pub(crate) mod http;
 pub(crate) mod instance_list;
+pub(crate) mod lingering;
 pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod peer;
--- a/crates/lycheewood/src/adapters/admin.rs
+++ b/crates/lycheewood/src/adapters/admin.rs
@@ -1,21 +1,17 @@
 //! The HTTP front end for operators: metrics, liveness, readiness and state.
 
-use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::adapters::api_port::{ApiLimits, serve_api};
 use crate::controllers::document::CurrentDocument;
 use crate::controllers::{Progress, wait_for_progress};
 use crate::decisions::groups::GroupState;
@@ -39,10 +35,11 @@
         }
     }
 
-    /// An entry is ready with a document in force, an endpoint daemon with a backend that responds.
+    /// An entry is ready with a document in force while it can take a connection, an endpoint daemon with a backend
+    /// that responds.
     fn is_ready(&self) -> bool {
         match self {
-            Self::Entry(state) => state.document.load().is_some(),
+            Self::Entry(state) => state.document.load().is_some() && state.callers.has_room(),
             Self::Endpoint(state) => {
                 let status = *state.status.borrow();
                 status.engine_up && !status.draining
@@ -163,30 +160,22 @@
     source: AdminSource,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((tcp, _)) = accepted else { continue };
-                let source = source.clone();
-                tokio::spawn(async move {
-                    let timeout = Duration::from_millis(source.header_timeout_ms());
-                    let service = service_fn(|request| {
-                        let source = source.clone();
-                        async move { Ok::<_, Infallible>(handle(&source, &request).await) }
-                    });
-                    // A connection that breaks concerns only the operator at its other end.
-                    let _ = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(timeout)
-                        .serve_connection(TokioIo::new(tcp), service)
-                        .await;
-                });
-            }
-            () = stopped(&mut stop) => return Ok(()),
-        }
+    let limits =
+        ApiLimits { max_connections: MAX_CONNECTIONS, head_timeout_ms: source.header_timeout_ms() };
+    let handle = move |request| {
+        let source = source.clone();
+        async move { handle(&source, &request).await }
+    };
+    tokio::select! {
+        () = serve_api(listener, limits, handle) => {}
+        () = stopped(&mut stop) => {}
     }
+    Ok(())
 }
 
+/// Most connections of operators and monitoring at once.
+const MAX_CONNECTIONS: usize = 64;
+
 /// The longest that `/state` waits.
 const MAX_WAIT_MS: u64 = 60_000;
 
--- a/crates/lycheewood/src/adapters/caller.rs
+++ b/crates/lycheewood/src/adapters/caller.rs
@@ -9,17 +9,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request as HttpRequest, Response};
+use hyper::{Request as HttpRequest, Response, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio_io_timeout::TimeoutStream;
 
+use crate::adapters::caller::decode::CallerError;
+use crate::adapters::caller_body::CallerBody;
+use crate::adapters::lingering::{LingeringStream, UnreadBody, bound_receive_buffers};
+use crate::connection_table::{ConnectionSlot, RequestGuard};
 use crate::entry_state::EntryState;
 use crate::filters;
 use crate::filters::request::Request;
@@ -60,34 +65,48 @@
     state: Arc<EntryState>,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    let slots = Arc::new(Semaphore::new(state.settings.bounds.max_connections));
-    let all = u32::try_from(state.settings.bounds.max_connections).unwrap_or(u32::MAX);
+    bound_receive_buffers(&listener);
     loop {
-        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else { return Ok(()) };
         tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((tcp, _)) = accepted else { continue };
+            accepted = accept(&listener, &state) => {
+                let Ok((tcp, slot)) = accepted else { continue };
                 let (state, stop) = (Arc::clone(&state), stop.clone());
                 tokio::spawn(async move {
                     state.metrics.callers_connected.inc();
-                    connection(tcp, Arc::clone(&state), stop).await;
+                    connection(tcp, Arc::clone(&state), &slot, stop).await;
                     state.metrics.callers_connected.dec();
-                    drop(slot);
                 });
             }
-            () = stopped(&mut stop) => {
-                drop(slot);
-                break;
-            }
+            () = stopped(&mut stop) => break,
         }
     }
     drop(listener);
-    // Every connection holds a slot until it has ended.
-    let _all_ended = slots.acquire_many(all).await;
+    state.callers.all_ended().await;
     Ok(())
 }
 
-async fn connection(tcp: TcpStream, state: Arc<EntryState>, mut stop: watch::Receiver<bool>) {
+/// Accepts one connection, and holds it until there is room for it.
+async fn accept(
+    listener: &TcpListener,
+    state: &EntryState,
+) -> io::Result<(TcpStream, ConnectionSlot)> {
+    let (tcp, _) = listener.accept().await?;
+    if !state.callers.has_room() {
+        let max = state.settings.bounds.max_connections;
+        log::warn!("all caller connections are in use max={max}");
+        state.callers.make_room().await;
+        log::info!("caller connections are taken again");
+    }
+    state.callers.make_room().await;
+    Ok((tcp, state.callers.open()))
+}
+
+async fn connection(
+    tcp: TcpStream,
+    state: Arc<EntryState>,
+    slot: &ConnectionSlot,
+    mut stop: watch::Receiver<bool>,
+) {
     let bounds = state.settings.bounds;
     let stall = Duration::from_millis(bounds.caller_stall_ms);
     let _ = tcp.set_nodelay(true);
@@ -99,10 +118,20 @@
     // Callers are told entries by their address, the same ones each time.
     let caller = tcp.peer_addr().map(|address| address.ip().to_string()).unwrap_or_default();
     let requested = Notify::new();
+    let (tcp, unread) = LingeringStream::new(tcp);
     let service = service_fn(|request| {
         requested.notify_one();
         let (state, caller) = (Arc::clone(&state), caller.as_str());
-        async move { Ok::<_, Infallible>(handle(state, caller, request).await) }
+        let (unread, guard) = (unread.clone(), slot.begin_request());
+        async move {
+            let mut response = handle(state, caller, request, &unread).await;
+            if unread.is_set() {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            // The request is in progress until the last frame of its answer.
+            Ok::<_, Infallible>(response.map(|body| hold_body(body, guard)))
+        }
     });
     // A caller that reads nothing gives up its answer, or it would hold the entry's memory for good.
     let mut io = TimeoutStream::new(tcp);
@@ -115,7 +144,10 @@
         .serve_connection(TokioIo::new(Box::pin(io)), service);
     tokio::pin!(connection);
     tokio::select! {
+        // The connection first: a request that has arrived keeps it open.
+        biased;
         _ = connection.as_mut() => {}
+        () = slot.closed_to_make_room() => state.metrics.idle_closed.inc(),
         () = stopped(&mut stop) => {
             // hyper closes a connection on which it has read nothing, although the first request may be
             // on its way. The header timeout bounds this wait.
@@ -130,13 +162,25 @@
     }
 }
 
+/// Keeps `guard` until the body has been sent.
+fn hold_body(body: ReplyBody, guard: RequestGuard) -> ReplyBody {
+    body.map_frame(move |frame| {
+        let _ = &guard;
+        frame
+    })
+    .boxed_unsync()
+}
+
 async fn handle(
     state: Arc<EntryState>,
     caller: &str,
     request: HttpRequest<Incoming>,
+    unread: &UnreadBody,
 ) -> Response<ReplyBody> {
-    let asked = match decode::decode(request, &state.settings.bounds).await {
+    let request = request.map(|body| CallerBody::new(body, unread.clone()));
+    let asked = match decode::decode(request, &state).await {
         Ok(asked) => asked,
+        Err(CallerError::NoMemory) => return encode::memory_refusal(&state),
         Err(error) => return encode::decode_error(&error),
     };
     match asked {
--- a/crates/lycheewood/src/adapters/caller/decode.rs
+++ b/crates/lycheewood/src/adapters/caller/decode.rs
@@ -1,26 +1,26 @@
 //! HTTP requests of callers to requests of the chain.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request as HttpRequest, header};
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
-use tokio::time::timeout;
 
 use crate::adapters::caller::{Asked, Delivery};
+use crate::adapters::caller_body::{BodyError, BodyLimits, CallerBody};
+use crate::decisions::memory::REQUEST_BYTES;
+use crate::entry_state::EntryState;
 use crate::filters::request::{Call, Request};
 use crate::ids::RequestKey;
-use crate::settings::Bounds;
+use crate::memory_budget::Reservation;
 
 /// Tokens generated when the caller does not say how many.
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// The most tokens that one request may ask for.
 const MAX_TOKENS: u32 = 65_536;
 const MAX_PRIORITY: u8 = 9;
+/// Copies of a body while its request is sent: the body, the message to the endpoint, and its encoded form.
+const BODY_COPIES: usize = 3;
 
 /// An HTTP request that is no request of this interface.
 #[derive(Debug, thiserror::Error)]
@@ -31,7 +31,9 @@
     Method { allowed: &'static str },
     #[error("the body has more than {max_bytes} bytes; send less or raise `bounds.max_body_bytes`")]
     TooLarge { max_bytes: usize },
-    #[error("the body did not arrive within {timeout_ms} ms")]
+    #[error("the memory budget is used up")]
+    NoMemory,
+    #[error("the body stood still, or did not arrive within {timeout_ms} ms")]
     BodyTimeout { timeout_ms: u64 },
     #[error("{field}: {remedy}")]
     Field { field: &'static str, remedy: String },
@@ -55,8 +57,8 @@
 }
 
 pub(crate) async fn decode(
-    request: HttpRequest<Incoming>,
-    bounds: &Bounds,
+    request: HttpRequest<CallerBody>,
+    state: &EntryState,
 ) -> Result<Asked, CallerError> {
     let (head, body) = request.into_parts();
     let path = head.uri.path();
@@ -65,9 +67,10 @@
     }
     if path == "/v1/completions" {
         allow(&head.method, &Method::POST, "POST")?;
-        let body = read_body(body, bounds).await?;
+        let (body, memory) = read_body(body, state).await?;
         let (call, delivery) = completion(&body)?;
-        return Ok(Asked::Run(Arc::new(with_headers(&head.headers, call)?), delivery));
+        let request = with_headers(&head.headers, call)?.with_memory(memory);
+        return Ok(Asked::Run(Arc::new(request), delivery));
     }
     if let Some(key) = path.strip_prefix("/v1/requests/") {
         allow(&head.method, &Method::GET, "GET")?;
@@ -85,10 +88,11 @@
         };
         let content_type =
             text(&head.headers, header::CONTENT_TYPE.as_str())?.unwrap_or_default().to_owned();
-        let body = read_body(body, bounds).await?.to_vec();
+        let (body, memory) = read_body(body, state).await?;
         let method = head.method.as_str().to_owned();
         let call = Call::Service { service, method, path, content_type, body };
-        return Ok(Asked::Run(Arc::new(with_headers(&head.headers, call)?), Delivery::Raw));
+        let request = with_headers(&head.headers, call)?.with_memory(memory);
+        return Ok(Asked::Run(Arc::new(request), Delivery::Raw));
     }
     Err(CallerError::NotFound)
 }
@@ -97,16 +101,25 @@
     if method == wanted { Ok(()) } else { Err(CallerError::Method { allowed }) }
 }
 
-async fn read_body(body: Incoming, bounds: &Bounds) -> Result<Bytes, CallerError> {
-    let read = Limited::new(body, bounds.max_body_bytes).collect();
-    match timeout(Duration::from_millis(bounds.body_timeout_ms), read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(CallerError::TooLarge { max_bytes: bounds.max_body_bytes })
-        }
-        Ok(Err(_)) => Err(CallerError::field("body", "send the whole body")),
-        Err(_) => Err(CallerError::BodyTimeout { timeout_ms: bounds.body_timeout_ms }),
-    }
+async fn read_body(
+    body: CallerBody,
+    state: &EntryState,
+) -> Result<(Vec<u8>, Reservation), CallerError> {
+    let bounds = &state.settings.bounds;
+    let limits = BodyLimits {
+        max_bytes: bounds.max_body_bytes,
+        base_bytes: REQUEST_BYTES,
+        copies: BODY_COPIES,
+        stall_ms: bounds.header_timeout_ms,
+        remaining_ms: bounds.body_timeout_ms,
+    };
+    let body = body.read(&state.memory, limits).await.map_err(|error| match error {
+        BodyError::TooLarge => CallerError::TooLarge { max_bytes: bounds.max_body_bytes },
+        BodyError::Late => CallerError::BodyTimeout { timeout_ms: bounds.body_timeout_ms },
+        BodyError::NoMemory => CallerError::NoMemory,
+        BodyError::Broken => CallerError::field("body", "send the whole body"),
+    })?;
+    Ok(body.into_parts())
 }
 
 fn completion(body: &[u8]) -> Result<(Call, Delivery), CallerError> {
@@ -145,6 +158,7 @@
         traceparent: text(headers, "traceparent")?.map(str::to_owned),
         is_caller_retry: number(headers, "x-attempt")?.is_some_and(|attempt| attempt > 1),
         call,
+        _memory: None,
     })
 }
 
--- a/crates/lycheewood/src/adapters/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/caller/encode.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -9,17 +10,23 @@
 use hyper::body::Frame;
 use hyper::{Response, StatusCode, header};
 use serde_json::{Value, json};
+use tokio::time::timeout;
 
 use crate::adapters::caller::decode::CallerError;
 use crate::adapters::caller::{Delivery, ReplyBody};
 use crate::adapters::instance_list::ListedInstance;
 use crate::decisions::entries::{EntrySelectionSettings, InstanceCandidate, select_entries};
+use crate::decisions::memory::MemoryUse;
+use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::entry_state::EntryState;
 use crate::filters::lookup::LookupOutcome;
 use crate::filters::relay::{Answer, AnswerEvent, Relay};
 use crate::filters::request::Request;
 use crate::lifecycle::shutdown::Phase;
-use crate::outcome::{InvalidRequest, NotRun, NotRunCode, RequestError, UnknownOutcome};
+use crate::memory_budget::{Reservation, hold_with};
+use crate::outcome::{
+    InvalidRequest, NotRun, NotRunCode, RequestError, UnknownCode, UnknownOutcome,
+};
 
 /// The most entry addresses that a caller is told.
 const MAX_ADDRESSES: usize = 6;
@@ -166,6 +173,7 @@
         CallerError::Method { .. } => (StatusCode::METHOD_NOT_ALLOWED, "method"),
         CallerError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body"),
         CallerError::BodyTimeout { .. } => (StatusCode::REQUEST_TIMEOUT, "body"),
+        CallerError::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, "body"),
         CallerError::Field { field, .. } => (StatusCode::BAD_REQUEST, *field),
     };
     let body = json!({"error": {
@@ -250,15 +258,31 @@
     Bytes::from(event)
 }
 
-/// Reads the whole answer before it is sent, so that a cut one is refused as a whole.
-async fn collect(state: &EntryState, mut relay: Relay) -> Result<Vec<Bytes>, RequestError> {
+/// Reads the whole answer before it is sent, so that a cut one is refused as a whole. Its memory is reserved until the
+/// reservation is dropped; it is not read on while the budget has no room.
+async fn collect(
+    state: &EntryState,
+    mut relay: Relay,
+) -> Result<(Vec<Bytes>, Reservation), RequestError> {
     let mut chunks = Vec::new();
+    let mut memory = state.memory.charge(MemoryUse::Response, 0);
+    let longest_wait = Duration::from_millis(state.settings.bounds.caller_stall_ms);
     loop {
         match relay.next().await {
-            AnswerEvent::Bytes(bytes) => chunks.push(bytes),
+            AnswerEvent::Bytes(bytes) => {
+                let needed_bytes = memory.bytes() + bytes.len() + size_of::<Bytes>();
+                // Answers that wait for each other's memory end after this time.
+                if timeout(longest_wait, memory.grow_when_free(needed_bytes)).await.is_err() {
+                    let unknown = UnknownOutcome { code: UnknownCode::DeadlinePassed, key: None };
+                    let error = RequestError::Unknown(unknown);
+                    count(state, &error);
+                    return Err(error);
+                }
+                chunks.push(bytes);
+            }
             AnswerEvent::End => {
                 done(state);
-                return Ok(chunks);
+                return Ok((chunks, memory));
             }
             AnswerEvent::Aborted(error) => {
                 count(state, &error);
@@ -268,9 +292,19 @@
     }
 }
 
+/// The refusal of a request for which the memory budget has no room.
+pub(crate) fn memory_refusal(state: &EntryState) -> Response<ReplyBody> {
+    state.metrics.memory_refusals.inc();
+    state.memory.note_refusal();
+    let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
+    let error = RequestError::not_run(NotRunCode::Overloaded, retry_after_ms);
+    count(state, &error);
+    error_response(&error)
+}
+
 async fn whole(state: &EntryState, model: &str, relay: Relay) -> Response<ReplyBody> {
     match collect(state, relay).await {
-        Ok(chunks) => {
+        Ok((chunks, _memory)) => {
             let text =
                 chunks.iter().map(|chunk| String::from_utf8_lossy(chunk)).collect::<String>();
             json_reply(
@@ -290,9 +324,10 @@
 async fn raw(state: &EntryState, answer: Answer) -> Response<ReplyBody> {
     let Answer { head, relay } = answer;
     match collect(state, relay).await {
-        Ok(chunks) => {
+        Ok((chunks, memory)) => {
             let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-            reply(status, &head.content_type, Bytes::from(chunks.concat()))
+            let body = hold_with(Bytes::from(chunks.concat()), memory);
+            reply(status, &head.content_type, body)
         }
         Err(error) => error_response(&error),
     }
--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HOST};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::http::uri::{Authority, PathAndQuery};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,11 +17,14 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_io_timeout::TimeoutStream;
 
+use crate::adapters::caller_body::CallerBody;
 use crate::adapters::forward::caller::encode::{RequestRecord, ResponseBody};
+use crate::adapters::lingering::{LingeringStream, UnreadBody, bound_receive_buffers};
+use crate::connection_table::{ConnectionSlot, RequestGuard};
 use crate::filters::forward;
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::GatewayState;
@@ -44,36 +48,45 @@
 /// Accepts callers until the shutdown phase refuses requests, then closes idle connections and waits for busy
 /// ones.
 pub(crate) async fn serve(listener: TcpListener, state: Arc<GatewayState>) -> io::Result<()> {
-    let max_callers = state.settings.max_callers;
-    let slots = Arc::new(Semaphore::new(max_callers));
+    bound_receive_buffers(&listener);
     let mut phases = state.subscribe_phase();
     loop {
-        let Ok(slot) = Arc::clone(&slots).acquire_owned().await else { return Ok(()) };
         tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((tcp, _)) = accepted else { continue };
+            accepted = accept(&listener, &state) => {
+                let Ok((tcp, slot)) = accepted else { continue };
                 let state = Arc::clone(&state);
                 tokio::spawn(async move {
                     state.metrics.callers_connected.inc();
-                    serve_connection(tcp, &state).await;
+                    serve_connection(tcp, &state, &slot).await;
                     state.metrics.callers_connected.dec();
-                    drop(slot);
                 });
             }
-            _ = phases.wait_for(|phase| *phase == Phase::Refusing) => {
-                drop(slot);
-                break;
-            }
+            _ = phases.wait_for(|phase| *phase == Phase::Refusing) => break,
         }
     }
     drop(listener);
-    // Every connection holds a slot until it has ended.
-    let all_slots = u32::try_from(max_callers).unwrap_or(u32::MAX);
-    let _all_ended = slots.acquire_many(all_slots).await;
+    state.callers.all_ended().await;
     Ok(())
 }
 
-async fn serve_connection(tcp: TcpStream, state: &Arc<GatewayState>) {
+/// Accepts one connection, and holds it until there is room for it.
+async fn accept(
+    listener: &TcpListener,
+    state: &GatewayState,
+) -> io::Result<(TcpStream, ConnectionSlot)> {
+    let (tcp, _) = listener.accept().await?;
+    if !state.callers.has_room() {
+        state.metrics.accepting.set(0);
+        log::warn!("all caller connections are in use max={}", state.settings.max_callers);
+        state.callers.make_room().await;
+        state.metrics.accepting.set(1);
+        log::info!("caller connections are taken again");
+    }
+    state.callers.make_room().await;
+    Ok((tcp, state.callers.open()))
+}
+
+async fn serve_connection(tcp: TcpStream, state: &Arc<GatewayState>, slot: &ConnectionSlot) {
     let limits = state.routes.load().as_ref().map(|routes| routes.table.caller_limits);
     let limits = limits.unwrap_or_default();
     let _ = tcp.set_nodelay(true);
@@ -85,10 +98,11 @@
     let _ = socket.set_tcp_keepalive(&probes);
     let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     let requested = Notify::new();
+    let (tcp, unread) = LingeringStream::new(tcp);
     let service = service_fn(|request| {
         requested.notify_one();
-        let state = Arc::clone(state);
-        async move { Ok::<_, Infallible>(handle(&state, request).await) }
+        let (state, unread, guard) = (Arc::clone(state), unread.clone(), slot.begin_request());
+        async move { Ok::<_, Infallible>(handle(&state, request, unread, guard).await) }
     });
     let mut io = TimeoutStream::new(tcp);
     io.set_write_timeout(Some(Duration::from_millis(WRITE_TIMEOUT_MS)));
@@ -103,7 +117,13 @@
     tokio::pin!(connection);
     let mut phases = state.subscribe_phase();
     tokio::select! {
+        // The connection first: a request that has arrived keeps it open.
+        biased;
         _ = connection.as_mut() => return,
+        () = slot.closed_to_make_room() => {
+            state.metrics.idle_closed.inc();
+            return;
+        }
         _ = phases.wait_for(|phase| *phase == Phase::Refusing) => {}
     }
     // On a graceful shutdown hyper closes a connection on which it has read nothing, although the first request
@@ -118,28 +138,54 @@
     let _ = connection.await;
 }
 
-async fn handle(state: &Arc<GatewayState>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn handle(
+    state: &Arc<GatewayState>,
+    request: Request<Incoming>,
+    unread: UnreadBody,
+    guard: RequestGuard,
+) -> Response<ResponseBody> {
     let (head, body) = match decode(state, request) {
-        Ok(decoded) => decoded,
-        Err(error) => {
+        Ok((head, body)) => (head, CallerBody::new(body, unread.clone())),
+        Err((error, body)) => {
+            drop(CallerBody::new(body, unread.clone()));
             let record = RequestRecord::start(state, None);
-            return encode::error_response(record, &error);
+            return closing_if_unread(encode::error_response(record, &error), &unread);
         }
     };
     let head = Arc::new(head);
     let record = RequestRecord::start(state, Some(Arc::clone(&head)));
-    match forward::run(state, &head, body).await {
-        Ok(response) => encode::forwarded_response(record, response),
+    let response = match forward::run(state, &head, body).await {
+        Ok(response) => encode::forwarded_response(record, response, guard),
         Err(error) => encode::error_response(record, &error),
+    };
+    closing_if_unread(response, &unread)
+}
+
+/// Tells the caller that the connection ends if the rest of its body will not be read.
+fn closing_if_unread(
+    mut response: Response<ResponseBody>,
+    unread: &UnreadBody,
+) -> Response<ResponseBody> {
+    if unread.is_set() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
+/// The head and the body of a request. An error comes with the body, which has not been read.
 fn decode(
     state: &GatewayState,
     request: Request<Incoming>,
-) -> Result<(RequestHead, Incoming), RequestError> {
-    let names = &state.settings.headers;
+) -> Result<(RequestHead, Incoming), (RequestError, Incoming)> {
     let (parts, body) = request.into_parts();
+    match decode_head(state, parts) {
+        Ok(head) => Ok((head, body)),
+        Err(error) => Err((error, body)),
+    }
+}
+
+fn decode_head(state: &GatewayState, parts: Parts) -> Result<RequestHead, RequestError> {
+    let names = &state.settings.headers;
     let header_text = |name: &hyper::header::HeaderName| {
         parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
     };
@@ -157,7 +203,7 @@
         header_text(&names.prompt_parts).map(shared_parts).unwrap_or_default();
     let target = parts.uri.path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
-    let head = RequestHead {
+    Ok(RequestHead {
         method: parts.method,
         target,
         host,
@@ -168,8 +214,7 @@
         last_event_id,
         received: state.clock.now(),
         headers: parts.headers,
-    };
-    Ok((head, body))
+    })
 }
 
 /// The ids of the parts of a prompt that other requests may share: all but the last one.
--- a/crates/lycheewood/src/adapters/forward/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/forward/caller/encode.rs
@@ -13,11 +13,13 @@
 
 use crate::adapters::forward::headers::end_to_end;
 use crate::clock::Timestamp;
+use crate::connection_table::RequestGuard;
 use crate::filters::forward::ForwardedResponse;
 use crate::filters::forward::exchange::{RequestHead, retry_after_value};
 use crate::filters::forward::relay::{Relay, StreamError};
 use crate::gateway::GatewayState;
 use crate::lifecycle::shutdown::Phase;
+use crate::memory_budget::hold_with;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError, UnknownCode};
 
 /// Body of a response to a caller.
@@ -106,6 +108,7 @@
 pub(crate) fn forwarded_response(
     mut record: RequestRecord,
     forwarded: ForwardedResponse,
+    guard: RequestGuard,
 ) -> Response<ResponseBody> {
     record.observe_first_byte();
     let is_shutting_down = record.state.phase() != Phase::Serving;
@@ -114,12 +117,14 @@
             record.status = buffered.status.as_u16();
             record.outcome = "answered";
             record.endpoint = Some(buffered.endpoint.to_string());
-            let body = Full::new(buffered.body).map_err(from_infallible).boxed_unsync();
+            // The request is in progress until its last byte has been passed to the kernel.
+            let body = hold_with(buffered.body, guard);
+            let body = Full::new(body).map_err(from_infallible).boxed_unsync();
             (buffered.status, buffered.headers, body)
         }
         ForwardedResponse::Streaming(stream) => {
             record.status = stream.status.as_u16();
-            (stream.status, stream.headers, events(record, stream.relay))
+            (stream.status, stream.headers, events(record, stream.relay, guard))
         }
     };
     let mut response = Response::new(body);
@@ -136,16 +141,16 @@
 }
 
 /// A body that forwards events as they arrive.
-fn events(record: RequestRecord, relay: Relay) -> ResponseBody {
-    let frames = stream::unfold(Some((record, relay)), |state| async move {
-        let (mut record, mut relay) = state?;
+fn events(record: RequestRecord, relay: Relay, guard: RequestGuard) -> ResponseBody {
+    let frames = stream::unfold(Some((record, relay, guard)), |state| async move {
+        let (mut record, mut relay, guard) = state?;
         let next = relay.next().await;
         record.events = relay.events();
         record.endpoint = Some(relay.endpoint().to_string());
         match next {
             Some(Ok(event)) => {
                 record.record_event();
-                Some((Ok(Frame::data(event)), Some((record, relay))))
+                Some((Ok(Frame::data(event)), Some((record, relay, guard))))
             }
             Some(Err(reason)) => {
                 record.outcome = "cut";
--- a/crates/lycheewood/src/adapters/forward/limited_read.rs
+++ b/crates/lycheewood/src/adapters/forward/limited_read.rs
@@ -11,7 +11,7 @@
 
 /// Maximum number of bytes before the end of a response's head. It also covers informational responses, which
 /// the HTTP library skips without a limit.
-const MAX_HEAD_BYTES: usize = 128 * 1024;
+pub(crate) const MAX_HEAD_BYTES: usize = 128 * 1024;
 
 /// Lifts the limit of a connection once the head of the response has arrived.
 #[derive(Clone, Debug, Default)]
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HeaderName, HeaderValue};
@@ -22,15 +22,19 @@
 use tokio::time::timeout;
 
 use crate::adapters::forward::headers::end_to_end;
-use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead};
+use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead, MAX_HEAD_BYTES};
+use crate::decisions::memory::MemoryUse;
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::HeaderNames;
 use crate::ids::{InstanceId, WorkspaceName};
+use crate::memory_budget::{BodyBuffer, MemoryBudget};
 
 /// Interval of TCP keepalive probes, in milliseconds. Four of them detect an endpoint whose machine is gone,
 /// without affecting one that computes for long.
 const KEEPALIVE_INTERVAL_MS: u64 = 500;
 const KEEPALIVE_RETRIES: u32 = 3;
+/// Size of the kernel's receive buffer, which limits what an endpoint may send while the memory budget has no room.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Header of the server-sent events standard that names the last event that a client has.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -45,8 +49,6 @@
     Connection(hyper::Error),
     #[error("the response body exceeds {max_bytes} bytes")]
     TooLarge { max_bytes: usize },
-    #[error("reading the response body failed: {0}")]
-    Body(String),
     #[error("the request cannot be encoded: {0}")]
     Request(hyper::http::Error),
 }
@@ -99,9 +101,13 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(&tcp);
     let _ = socket.set_tcp_keepalive(&probes);
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let (tcp, head_arrived) = LimitedRead::new(tcp);
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(tcp)).await.map_err(UpstreamError::Connection)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(tcp))
+        .await
+        .map_err(UpstreamError::Connection)?;
     let task = tokio::spawn(async move {
         // A failure also reaches the request on the connection, which reports it.
         let _ = connection.await;
@@ -196,14 +202,21 @@
         }
     }
 
-    /// Reads the body to its end, or fails when it exceeds `max_bytes`.
-    pub(crate) async fn read_to_end(mut self, max_bytes: usize) -> Result<Bytes, UpstreamError> {
-        match Limited::new(&mut self.body, max_bytes).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
-                Err(UpstreamError::TooLarge { max_bytes })
+    /// Reads the body to its end, or fails when it exceeds `max_bytes`. It is not read on while the memory budget has no
+    /// room, because a request that has run cannot be refused.
+    pub(crate) async fn read_to_end(
+        mut self,
+        max_bytes: usize,
+        budget: &MemoryBudget,
+    ) -> Result<Bytes, UpstreamError> {
+        let mut buffer = BodyBuffer::new(budget.charge(MemoryUse::Response, 0), max_bytes);
+        while let Some(bytes) = self.next().await {
+            let bytes = bytes?;
+            if buffer.len() + bytes.len() > max_bytes {
+                return Err(UpstreamError::TooLarge { max_bytes });
             }
-            Err(error) => Err(UpstreamError::Body(error.to_string())),
+            buffer.push_when_free(&bytes).await;
         }
+        Ok(buffer.finish())
     }
 }
--- /dev/null
+++ b/crates/lycheewood/src/decisions/memory.rs
@@ -0,0 +1,81 @@
+//! How the memory of a machine is divided among connections, requests and responses.
+
+/// Memory that a process needs beside its budget, in bytes: code, threads, snapshots of control state, and the
+/// connections of its other ports. A gateway without callers has 10 to 20 MB resident.
+const FIXED_BYTES: u64 = 20_000_000;
+/// Part of the rest that is handed out, in percent. The remainder covers fragmentation of the heap, the buffers of
+/// the HTTP library and the receive buffers of the kernel.
+const BUDGET_PERCENT: u64 = 80;
+/// Largest request that counts as small, in bytes.
+pub const SMALL_REQUEST_BYTES: usize = 64 * 1024;
+/// Memory of a connection, in bytes: its task, the kernel's structures, and a head of the largest size that the default
+/// limits allow.
+pub const CONNECTION_BYTES: usize = 24 * 1024;
+/// Memory of a request beside its body, in bytes: the connection to the endpoint and the buffers of a stream.
+pub const REQUEST_BYTES: usize = 16 * 1024;
+/// Unit in which a growing body takes memory from the budget, in bytes.
+const RESERVATION_STEP_BYTES: usize = 16 * 1024;
+
+/// What memory is reserved for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// A connection of a caller.
+    Connection,
+    /// A request and its body.
+    Request,
+    /// A response that is read to its end before it is passed on. Its request has run, so it is the last to wait.
+    Response,
+}
+
+/// The bytes that a process may hand out on a machine with `memory_bytes`; `None` if that is 0, which means that the
+/// memory is not limited.
+#[must_use]
+pub fn budget_bytes(memory_bytes: u64) -> Option<usize> {
+    let free_bytes = memory_bytes.saturating_sub(FIXED_BYTES);
+    // A machine that is smaller than expected still serves small requests.
+    let budget_bytes = ((free_bytes / 100) * BUDGET_PERCENT).max(memory_bytes / 4);
+    (memory_bytes > 0).then(|| usize::try_from(budget_bytes).unwrap_or(usize::MAX))
+}
+
+/// The part of the budget that a use must leave free, in bytes. A request leaves more once it is large, so that
+/// large ones cannot take what small ones need, and requests leave room for connections and responses.
+#[must_use]
+pub fn kept_free_bytes(total_bytes: usize, memory_use: MemoryUse, held_bytes: usize) -> usize {
+    match memory_use {
+        MemoryUse::Request if held_bytes > SMALL_REQUEST_BYTES => total_bytes / 4,
+        MemoryUse::Request => total_bytes / 8,
+        MemoryUse::Connection => total_bytes / 16,
+        MemoryUse::Response => 0,
+    }
+}
+
+/// Whether an item that will hold `held_bytes` in all may take `more_bytes` when `used_bytes` of the budget are in
+/// use.
+#[must_use]
+pub fn may_reserve(
+    total_bytes: usize,
+    used_bytes: usize,
+    memory_use: MemoryUse,
+    held_bytes: usize,
+    more_bytes: usize,
+) -> bool {
+    let kept_free_bytes = kept_free_bytes(total_bytes, memory_use, held_bytes);
+    used_bytes.saturating_add(more_bytes) <= total_bytes - kept_free_bytes
+}
+
+/// The bytes to reserve for a body of `body_bytes` so far, which never has more than `max_bytes`.
+#[must_use]
+pub fn reserved_bytes(body_bytes: usize, max_bytes: usize) -> usize {
+    body_bytes.next_multiple_of(RESERVATION_STEP_BYTES).min(max_bytes.max(body_bytes))
+}
+
+/// The capacity of the buffer of a body that has `needed_bytes` and grows to at most `max_bytes`. The buffer grows in
+/// few steps, so that the heap is not left with a gap for each of them; the kernel counts only the pages in use.
+#[must_use]
+pub fn buffer_capacity(needed_bytes: usize, max_bytes: usize) -> usize {
+    let mut capacity = SMALL_REQUEST_BYTES;
+    while capacity < needed_bytes {
+        capacity = capacity.saturating_mul(4);
+    }
+    capacity.min(max_bytes.max(needed_bytes))
+}
--- a/crates/lycheewood/src/entry_state.rs
+++ b/crates/lycheewood/src/entry_state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::connection_table::ConnectionTable;
 use crate::controllers::Progress;
 use crate::controllers::admission::AdmissionController;
 use crate::controllers::claims::ClaimsController;
@@ -20,6 +21,7 @@
 use crate::decisions::quarantine::QuarantineTable;
 use crate::ids::{AttemptId, Incarnation};
 use crate::lifecycle::shutdown::Phase;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::telemetry::Telemetry;
@@ -58,6 +60,10 @@
     pub(crate) groups: LeaseFeed,
     pub(crate) phase: ArcSwap<Phase>,
     pub(crate) in_flight: watch::Sender<usize>,
+    /// Memory for connections, requests and responses.
+    pub(crate) memory: MemoryBudget,
+    /// Connections of callers.
+    pub(crate) callers: Arc<ConnectionTable>,
     pub(crate) next_sequence: AtomicU64,
 }
 
--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -16,8 +16,7 @@
 
 use std::sync::Arc;
 
-use hyper::body::Incoming;
-
+use crate::adapters::caller_body::CallerBody;
 use crate::filters::forward::check::CheckOutcome;
 use crate::filters::forward::exchange::{Admitted, BufferedResponse, Exchange, RequestHead, View};
 use crate::filters::forward::relay::StreamingResponse;
@@ -37,7 +36,7 @@
 pub(crate) async fn run(
     state: &Arc<GatewayState>,
     head: &Arc<RequestHead>,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<ForwardedResponse, RequestError> {
     startup::apply(state, head).await;
     let view = View::load(state);
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -53,7 +53,8 @@
     let not_run = response.headers().contains_key(&state.settings.headers.not_run)
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
     let (status, headers) = (response.status(), response.headers().clone());
-    let body = match timeout(remaining, response.read_to_end(MAX_BUFFERED_BYTES)).await {
+    let reading = response.read_to_end(MAX_BUFFERED_BYTES, &state.memory);
+    let body = match timeout(remaining, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             log::info!(
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -1,13 +1,9 @@
 //! Reads the request body within the caller limits, and sets the deadline of the request.
 
-use std::time::Duration;
-
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use tokio::time::timeout;
-
+use crate::adapters::caller_body::{BodyError, BodyLimits, CallerBody};
 use crate::decisions::batch::max_batch;
 use crate::decisions::digest::Fingerprint;
+use crate::decisions::memory::REQUEST_BYTES;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange, GapLimit};
 use crate::gateway::GatewayState;
@@ -16,31 +12,27 @@
 
 /// # Errors
 ///
-/// Returns an error if the body is too large, does not arrive in time, or ends early.
+/// Returns an error if the body is too large, does not arrive in time, has no room in the memory budget, or ends
+/// early.
 pub(crate) async fn apply<'r>(
     state: &GatewayState,
     exchange: Exchange<'r, Authenticated<'r>>,
-    body: Incoming,
+    body: CallerBody,
 ) -> Result<Exchange<'r, Admitted>, RequestError> {
     let Exchange { head, view, stage, .. } = exchange;
     let Authenticated { routes, route, workspace } = stage;
     let limits = routes.table.caller_limits;
     let timeout_ms = head.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = head.received.plus_ms(timeout_ms);
-    let max_bytes = limits.max_body_bytes;
-    let too_large = || RequestError::Invalid(InvalidRequest::BodyTooLarge { max_bytes });
-    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if announced_bytes > max_bytes {
-        return Err(too_large());
-    }
-    let remaining = Duration::from_millis(deadline.ms_since(state.clock.now()));
-    let body = match timeout(remaining, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
-        // The caller has closed the connection, so nobody receives this error.
-        Ok(Err(_)) => return Err(RequestError::field("body", "send the whole body")),
-        Err(_) => return Err(RequestError::not_run(NotRunCode::BodyLate, 0)),
+    let limits = BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        base_bytes: REQUEST_BYTES,
+        copies: 1,
+        stall_ms: limits.header_timeout_ms,
+        remaining_ms: deadline.ms_since(state.clock.now()),
     };
+    let body = body.read(&state.memory, limits).await;
+    let body = body.map_err(|error| refusal(state, limits, error))?.finish();
     let service = route.service(rand::random()).clone();
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
     let workspace = workspace.map(|workspace| workspace.name.clone());
@@ -77,3 +69,26 @@
     };
     Ok(Exchange { head, view, now: state.clock.now(), stage: admitted })
 }
+
+/// The refusal of a request whose body was not read to its end.
+fn refusal(
+    state: &GatewayState,
+    BodyLimits { max_bytes, .. }: BodyLimits,
+    error: BodyError,
+) -> RequestError {
+    match error {
+        BodyError::TooLarge => RequestError::Invalid(InvalidRequest::BodyTooLarge { max_bytes }),
+        // The caller has closed the connection, so nobody receives this error.
+        BodyError::Broken => RequestError::field("body", "send the whole body"),
+        BodyError::Late => {
+            state.metrics.bodies_late.inc();
+            RequestError::not_run(NotRunCode::BodyLate, 0)
+        }
+        BodyError::NoMemory => {
+            state.metrics.memory_refusals.inc();
+            state.memory.note_refusal();
+            let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
+            RequestError::not_run(NotRunCode::Overloaded, retry_after_ms)
+        }
+    }
+}
--- a/crates/lycheewood/src/filters/request.rs
+++ b/crates/lycheewood/src/filters/request.rs
@@ -1,8 +1,11 @@
 //! A request in the form that the filter chain uses, independent of the front end.
 
+use std::sync::Arc;
+
 use sha2::{Digest, Sha256};
 
 use crate::ids::RequestKey;
+use crate::memory_budget::Reservation;
 
 /// The operation that a caller requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +30,15 @@
     /// Whether the caller marked the request as a retry of one that it sent before.
     pub(crate) is_caller_retry: bool,
     pub(crate) call: Call,
+    /// Memory reserved for the body, returned when the request ends.
+    pub(crate) _memory: Option<Arc<Reservation>>,
+}
+
+impl Request {
+    /// Keeps the memory of the body until the request ends.
+    pub(crate) fn with_memory(self, memory: Reservation) -> Self {
+        Self { _memory: Some(Arc::new(memory)), ..self }
+    }
 }
 
 impl Call {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
+use crate::connection_table::ConnectionTable;
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
@@ -23,6 +24,7 @@
 use crate::lifecycle::shutdown::Phase;
 use crate::lifecycle::shutdown::ShutdownSettings;
 use crate::load_tracker::LoadTracker;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::gateway::GatewayMetrics;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
@@ -84,6 +86,8 @@
     /// Processor share of this instance, in thousandths of a core; 0 if it is not known. Instances with more of it
     /// take the lease on the expert groups first.
     pub processor_millicores: u32,
+    /// Memory of the machine, in bytes; 0 for no memory budget.
+    pub memory_bytes: u64,
 }
 
 /// Retry budget of one service, shared by all instances.
@@ -123,6 +127,10 @@
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
+    /// Memory for connections, requests and responses.
+    pub(crate) memory: MemoryBudget,
+    /// Connections of callers.
+    pub(crate) callers: Arc<ConnectionTable>,
     /// Notified when a response shows that the endpoint list is out of date.
     pub(crate) endpoint_list_stale: Notify,
     /// Notified when this instance has received routes or endpoints.
@@ -186,10 +194,13 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
         let capacity_changed = Arc::new(Notify::new());
+        let (clock, memory) = (Clock::system(), MemoryBudget::for_machine(settings.memory_bytes));
         Self {
+            callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
+            memory,
             settings,
             incarnation: Incarnation::random(),
-            clock: Clock::system(),
+            clock,
             metrics,
             routes: Arc::default(),
             endpoints: Arc::default(),
@@ -308,7 +319,7 @@
 
     /// Whether callers may be directed to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.knows_state()
+        self.phase() == Phase::Serving && self.knows_state() && self.callers.has_room()
     }
 
     /// Whether this instance knows routes and endpoints.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod adapters;
 mod clock;
+mod connection_table;
 mod controllers;
 mod decisions;
 mod document;
@@ -29,6 +30,7 @@
 mod lifecycle;
 mod load_tracker;
 mod logging;
+mod memory_budget;
 mod metrics;
 mod outcome;
 mod response;
@@ -40,6 +42,7 @@
 mod wire;
 
 pub use adapters::agent::client::AgentRanks;
+pub use adapters::api_port::{ApiLimits, serve_api};
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
 pub use adapters::log::{LogClient, LogPage, LogRecord};
@@ -63,6 +66,7 @@
     ClaimEffect, ClaimHolder, ClaimSettings, ClaimStatus, ClaimTable, KeyState, SubmittedClaim,
     different_request_refusal,
 };
+pub use decisions::connections::{IdleConnection, Room, room_for_connection};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::endpoint_list::{
@@ -101,6 +105,10 @@
     ConnectionState, Eligibility, InstanceView, ListStatus, MembershipSettings, eligibility,
     is_advertisable,
 };
+pub use decisions::memory::{
+    CONNECTION_BYTES, MemoryUse, REQUEST_BYTES, SMALL_REQUEST_BYTES, budget_bytes, buffer_capacity,
+    kept_free_bytes, may_reserve, reserved_bytes,
+};
 pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
@@ -163,6 +171,7 @@
     Shutdown, ShutdownSettings, Stopped as ShutdownStopped,
 };
 pub use logging::start_logging;
+pub use memory_budget::{BodyBuffer, BudgetExhausted, MemoryBudget, Reservation};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, RequestError, UnknownCode, UnknownOutcome};
 pub use roles::StartError;
 pub use roles::agent::Agent;
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) document_version: IntGauge,
     pub(crate) suspects_reported: IntCounter,
     pub(crate) callers_connected: IntGauge,
+    pub(crate) memory_refusals: IntCounter,
+    pub(crate) idle_closed: IntCounter,
     pub(crate) claim_appends: IntCounter,
     pub(crate) claim_append_errors: IntCounter,
     pub(crate) retries: IntCounter,
@@ -93,6 +95,14 @@
                 "lycheewood_callers_connected",
                 "Open connections of callers.",
             )?,
+            memory_refusals: metrics.counter(
+                "lycheewood_memory_refusals_total",
+                "Requests refused because the memory budget was used up.",
+            )?,
+            idle_closed: metrics.counter(
+                "lycheewood_idle_closed_total",
+                "Idle connections of callers closed to make room for new ones.",
+            )?,
             claim_appends: metrics.counter(
                 "lycheewood_claim_appends_total",
                 "Appends of claims to the log; each carries those that waited.",
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -28,6 +28,11 @@
     pub(crate) peers_heard: IntGauge,
     pub(crate) state_fetches: IntCounterVec,
     pub(crate) records_unreadable: IntCounter,
+    pub(crate) memory_refusals: IntCounter,
+    pub(crate) bodies_late: IntCounter,
+    pub(crate) idle_closed: IntCounter,
+    pub(crate) accepting: IntGauge,
+    pub(crate) memory_used: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -101,6 +106,26 @@
                 "lycheewood_gateway_records_unreadable_total",
                 "Records of the platform that could not be read; they change nothing.",
             )?,
+            memory_refusals: metrics.counter(
+                "lycheewood_gateway_memory_refusals_total",
+                "Requests refused because the memory budget was used up.",
+            )?,
+            bodies_late: metrics.counter(
+                "lycheewood_gateway_bodies_late_total",
+                "Requests refused because their body stood still or took too long.",
+            )?,
+            idle_closed: metrics.counter(
+                "lycheewood_gateway_idle_closed_total",
+                "Idle connections of callers closed to make room for new ones.",
+            )?,
+            accepting: metrics.gauge(
+                "lycheewood_gateway_accepting",
+                "Whether a further connection of a caller can be taken, 1 or 0.",
+            )?,
+            memory_used: metrics.gauge(
+                "lycheewood_gateway_memory_used_bytes",
+                "Bytes of the memory budget in use.",
+            )?,
             registry,
         })
     }
--- a/crates/lycheewood/src/roles/entry.rs
+++ b/crates/lycheewood/src/roles/entry.rs
@@ -16,6 +16,7 @@
 use crate::adapters::log::LogClient;
 use crate::adapters::peer::link::LinkConfig;
 use crate::clock::Clock;
+use crate::connection_table::ConnectionTable;
 use crate::controllers::admission::{AdmissionConfig, AdmissionController, AdmissionSnapshots};
 use crate::controllers::claims::ClaimsController;
 use crate::controllers::document::{DocumentConfig, DocumentController, SnapshotRole};
@@ -28,6 +29,7 @@
 use crate::entry_state::EntryState;
 use crate::ids::{Incarnation, Offset};
 use crate::lifecycle::shutdown::{Phase, ShutdownSettings};
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::roles::{StartError, leave, listen};
 use crate::runtime::{ControlThread, traffic_runtime};
@@ -150,6 +152,7 @@
     let quarantined = Arc::new(ArcSwap::from_pointee(empty));
     let (log, timing) = (log_client(settings), settings.timing);
     let incarnation = Incarnation::random();
+    let memory = MemoryBudget::for_machine(settings.bounds.memory_bytes);
     Arc::new(EntryState {
         settings: settings.clone(),
         incarnation,
@@ -176,6 +179,8 @@
         quarantined,
         phase: ArcSwap::from_pointee(Phase::Serving),
         in_flight: watch::Sender::default(),
+        callers: ConnectionTable::new(settings.bounds.max_connections, memory.clone(), clock),
+        memory,
         admission: AdmissionController::start(AdmissionConfig {
             snapshots,
             log,
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -181,6 +181,7 @@
                 StartError::Listen { field: "peer_address", address: peer_address, source }
             })?;
         let settings = GatewaySettings { caller_address, peer_address, ..settings };
+        metrics.accepting.set(1);
         let state = Arc::new(GatewayState::new(settings, Arc::new(metrics)));
         let handle = start_controllers(&state, peers_udp, &control);
         let source = Arc::new(StateSource {
@@ -190,7 +191,7 @@
         control.handle().spawn(gossip::serve(peers_tcp, source));
         if let Some(address) = state.settings.metrics_address {
             let (listener, _) = control.handle().block_on(listen("metrics_address", address))?;
-            control.handle().spawn(metrics::serve(listener, Arc::clone(&state.metrics)));
+            control.handle().spawn(metrics::serve(listener, Arc::clone(&state)));
         }
         let callers = traffic.spawn(caller::serve(callers, Arc::clone(&state)));
         log::info!(
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -84,6 +84,7 @@
             heartbeat_ms: 50,
             max_callers: 100,
             processor_millicores: 0,
+            memory_bytes: 0,
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let (closed_tx, closed) = channel();
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -119,6 +119,7 @@
             heartbeat_ms: 50,
             max_callers: 10,
             processor_millicores: 0,
+            memory_bytes: 0,
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let log = MemoryLog::default();
