--- a/crates/lycheewood/src/adapters/caller_body.rs
+++ b/crates/lycheewood/src/adapters/caller_body.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use crate::adapters::lingering::UnreadBody;
-use crate::decisions::memory::MemoryUse;
+use crate::decisions::memory::{MemoryUse, RECEIVE_MEMORY_BYTES};
 use crate::memory_budget::{BodyBuffer, MemoryBudget};
 
 /// Why a body was not read to its end.
@@ -87,6 +87,10 @@
         let reservation = budget
             .reserve(MemoryUse::Request, limits.base_bytes)
             .map_err(|_| BodyError::NoMemory)?;
+        // While a body arrives, the kernel holds what has not been read yet.
+        let receive_bytes = if self.is_complete { 0 } else { RECEIVE_MEMORY_BYTES };
+        let _receiving =
+            budget.reserve(MemoryUse::Request, receive_bytes).map_err(|_| BodyError::NoMemory)?;
         let max_bytes = match self.body.size_hint().exact() {
             Some(_) => announced_bytes,
             None => limits.max_bytes,
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -23,7 +23,7 @@
 
 use crate::adapters::forward::headers::end_to_end;
 use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead, MAX_HEAD_BYTES};
-use crate::decisions::memory::MemoryUse;
+use crate::decisions::memory::{MemoryUse, RECEIVE_BUFFER_BYTES};
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::HeaderNames;
 use crate::ids::{InstanceId, WorkspaceName};
@@ -33,8 +33,6 @@
 /// without affecting one that computes for long.
 const KEEPALIVE_INTERVAL_MS: u64 = 500;
 const KEEPALIVE_RETRIES: u32 = 3;
-/// Size of the kernel's receive buffer, which limits what an endpoint may send while the memory budget has no room.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Header of the server-sent events standard that names the last event that a client has.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -101,6 +99,7 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(&tcp);
     let _ = socket.set_tcp_keepalive(&probes);
+    // Limits what an endpoint may send while the memory budget has no room.
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let (tcp, head_arrived) = LimitedRead::new(tcp);
     let (sender, connection) = http1::Builder::new()
--- a/crates/lycheewood/src/adapters/lingering.rs
+++ b/crates/lycheewood/src/adapters/lingering.rs
@@ -12,9 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Sleep, sleep};
 
-/// Size of the kernel's receive buffer, which limits how much a caller leaves unread. The kernel doubles it for its own
-/// structures, and the memory limit of a machine counts it.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+use crate::decisions::memory::RECEIVE_BUFFER_BYTES;
+
 /// The longest time for which a connection is read after its last response, in milliseconds.
 const LINGER_MS: u64 = 1_000;
 /// The most bytes that are read after the last response. A caller may have sent a whole body of the largest default
--- a/crates/lycheewood/src/decisions/memory.rs
+++ b/crates/lycheewood/src/decisions/memory.rs
@@ -13,6 +13,12 @@
 pub const CONNECTION_BYTES: usize = 24 * 1024;
 /// Memory of a request beside its body, in bytes: the connection to the endpoint and the buffers of a stream.
 pub const REQUEST_BYTES: usize = 16 * 1024;
+/// Size of the kernel's receive buffer of a connection, in bytes. It limits how much a peer may leave unread, and how
+/// much a connection receives in one round trip.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+/// Memory that the kernel may use for a receive buffer of that size, in bytes. It doubles the size for its own
+/// structures.
+pub const RECEIVE_MEMORY_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
 /// Unit in which a growing body takes memory from the budget, in bytes.
 const RESERVATION_STEP_BYTES: usize = 16 * 1024;
 
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -5,5 +5,6 @@
 mod crashes;
 mod harness;
 mod leaving;
+mod overload;
 mod retries;
 mod streams;
