--- a/crates/lycheewood/src/decisions/events.rs
+++ b/crates/lycheewood/src/decisions/events.rs
@@ -42,6 +42,12 @@
         end.map(|end| self.buffer.split_to(end).freeze())
     }
 
+    /// Number of bytes that wait for the end of their event.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer contains an incomplete event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -11,6 +11,7 @@
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
+use crate::decisions::memory::{MemoryUse, REQUEST_BYTES};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash::{self, Output};
 use crate::filters::forward::exchange::{Admitted, RequestHead, Responded};
@@ -18,6 +19,7 @@
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
 use crate::load_tracker::InFlightGuard;
+use crate::memory_budget::Reservation;
 use crate::outcome::UnknownCode;
 
 /// Why a stream ends before its last event.
@@ -46,7 +48,7 @@
         let relay = Relay {
             state: Arc::clone(state),
             head: Arc::clone(head),
-            source: Source::new(responded),
+            source: Source::new(state, responded),
             events: 0,
         };
         Self { status, headers, relay }
@@ -59,6 +61,8 @@
     endpoint: Arc<EndpointEntry>,
     response: Box<UpstreamResponse>,
     splitter: EventSplitter,
+    /// Memory of an event that is larger than what each request reserves.
+    large_event: Reservation,
     /// Whether this upstream has sent an event.
     output: Output,
     /// When the last event of this upstream was read.
@@ -70,13 +74,14 @@
 }
 
 impl Source {
-    fn new(responded: Responded) -> Self {
+    fn new(state: &GatewayState, responded: Responded) -> Self {
         let Responded { admitted, endpoint, in_flight, response, .. } = responded;
         Self {
             admitted,
             endpoint,
             response,
             splitter: EventSplitter::default(),
+            large_event: state.memory.charge(MemoryUse::Response, 0),
             output: Output::None,
             last_event_at: None,
             has_waited: false,
@@ -85,6 +90,19 @@
     }
 }
 
+impl Source {
+    /// Reserves memory for bytes that wait for the end of their event. Returns `false` if the budget has no room before
+    /// the deadline.
+    async fn reserve(&mut self, more_bytes: usize, now: Timestamp) -> bool {
+        let needed_bytes = self.splitter.buffered_bytes() + more_bytes;
+        if needed_bytes <= REQUEST_BYTES {
+            return true;
+        }
+        let remaining = Duration::from_millis(self.admitted.deadline.ms_since(now));
+        timeout(remaining, self.large_event.grow_when_free(needed_bytes)).await.is_ok()
+    }
+}
+
 /// Outcome of waiting for more bytes of a stream.
 enum WaitOutcome {
     /// The next bytes, an error, or the end of the stream.
@@ -134,6 +152,11 @@
                 }
                 WaitOutcome::Deadline => return Some(Err(StreamError::Deadline)),
             };
+            if let Some(Ok(bytes)) = &next
+                && !self.source.reserve(bytes.len(), self.state.clock.now()).await
+            {
+                return Some(Err(StreamError::Deadline));
+            }
             let reason = match next {
                 Some(Ok(bytes)) => match self.source.splitter.push(&bytes) {
                     Ok(()) => continue,
