Reserve the whole buffer of a body, and bound send buffers to endpoints

Cause: buffers grew four times at once while only the bytes that had arrived were reserved. Send buffers to endpoints could grow to 4 MB each.

Change: a buffer grows by half and is reserved whole; send buffers of connections to endpoints are 64 KiB.

--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -33,6 +33,8 @@
 /// without affecting one that computes for long.
 const KEEPALIVE_INTERVAL_MS: u64 = 500;
 const KEEPALIVE_RETRIES: u32 = 3;
+/// Size of the kernel's send buffer.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Header of the server-sent events standard that names the last event that a client has.
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
@@ -99,6 +101,8 @@
         .with_retries(KEEPALIVE_RETRIES);
     let socket = SockRef::from(&tcp);
     let _ = socket.set_tcp_keepalive(&probes);
+    // By default it grows to megabytes for each body that is sent, which the memory limit counts.
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     // Limits what an endpoint may send while the memory budget has no room.
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let (tcp, head_arrived) = LimitedRead::new(tcp);
--- a/crates/lycheewood/src/adapters/metrics.rs
+++ b/crates/lycheewood/src/adapters/metrics.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use tokio::net::TcpListener;
 
 use crate::adapters::api_port::{ApiLimits, serve_api};
 use crate::gateway::GatewayState;
 
-/// Readers of metrics are few. Each may keep its connection, and has 2 s to send a request.
+/// Readers of metrics are few. Each has 2 s to send its request.
 const LIMITS: ApiLimits = ApiLimits { max_connections: 16, head_timeout_ms: 2_000 };
 
 pub(crate) async fn serve(listener: TcpListener, state: Arc<GatewayState>) {
@@ -21,6 +21,8 @@
         let mut reply = Response::new(Full::new(Bytes::from(state.metrics.encode())));
         let text = HeaderValue::from_static("text/plain; version=0.0.4");
         reply.headers_mut().insert(CONTENT_TYPE, text);
+        // Reads are seconds apart, so a kept connection would only hold a place.
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         std::future::ready(reply)
     };
     serve_api(listener, LIMITS, handle).await;
--- a/crates/lycheewood/src/decisions/memory.rs
+++ b/crates/lycheewood/src/decisions/memory.rs
@@ -6,21 +6,23 @@
 /// Part of the rest that is handed out, in percent. The remainder covers fragmentation of the heap, the buffers of
 /// the HTTP library and the receive buffers of the kernel.
 const BUDGET_PERCENT: u64 = 80;
-/// Largest request that counts as small, in bytes.
-pub const SMALL_REQUEST_BYTES: usize = 64 * 1024;
+/// Largest body of a request that counts as small, in bytes.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Memory of a connection, in bytes: its task, the kernel's structures, and a head of the largest size that the default
 /// limits allow.
 pub const CONNECTION_BYTES: usize = 24 * 1024;
 /// Memory of a request beside its body, in bytes: the connection to the endpoint and the buffers of a stream.
 pub const REQUEST_BYTES: usize = 16 * 1024;
+/// Memory of the largest request that counts as small, in bytes.
+pub const SMALL_REQUEST_BYTES: usize = SMALL_BODY_BYTES + REQUEST_BYTES;
 /// Size of the kernel's receive buffer of a connection, in bytes. It limits how much a peer may leave unread, and how
 /// much a connection receives in one round trip.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Memory that the kernel may use for a receive buffer of that size, in bytes. It doubles the size for its own
 /// structures.
 pub const RECEIVE_MEMORY_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
-/// Unit in which a growing body takes memory from the budget, in bytes.
-const RESERVATION_STEP_BYTES: usize = 16 * 1024;
+/// Unit in which the buffer of a body grows, in bytes.
+const BUFFER_STEP_BYTES: usize = 16 * 1024;
 
 /// What memory is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,19 +71,11 @@
     used_bytes.saturating_add(more_bytes) <= total_bytes - kept_free_bytes
 }
 
-/// The bytes to reserve for a body of `body_bytes` so far, which never has more than `max_bytes`.
-#[must_use]
-pub fn reserved_bytes(body_bytes: usize, max_bytes: usize) -> usize {
-    body_bytes.next_multiple_of(RESERVATION_STEP_BYTES).min(max_bytes.max(body_bytes))
-}
-
-/// The capacity of the buffer of a body that has `needed_bytes` and grows to at most `max_bytes`. The buffer grows in
-/// few steps, so that the heap is not left with a gap for each of them; the kernel counts only the pages in use.
+/// The capacity of the buffer of a body that has `needed_bytes` and grows to at most `max_bytes`. The whole capacity is
+/// reserved, because the heap does not return the pages of a buffer that was there before; it is at most half more
+/// than what has arrived.
 #[must_use]
 pub fn buffer_capacity(needed_bytes: usize, max_bytes: usize) -> usize {
-    let mut capacity = SMALL_REQUEST_BYTES;
-    while capacity < needed_bytes {
-        capacity = capacity.saturating_mul(4);
-    }
-    capacity.min(max_bytes.max(needed_bytes))
+    let capacity = needed_bytes.saturating_add(needed_bytes / 2);
+    capacity.next_multiple_of(BUFFER_STEP_BYTES).min(max_bytes.max(needed_bytes))
 }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -108,7 +108,6 @@
 pub use decisions::memory::{
     CONNECTION_BYTES, MemoryUse, RECEIVE_BUFFER_BYTES, RECEIVE_MEMORY_BYTES, REQUEST_BYTES,
     SMALL_REQUEST_BYTES, budget_bytes, buffer_capacity, kept_free_bytes, may_reserve,
-    reserved_bytes,
 };
 pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
 pub use decisions::placement::{
--- a/crates/lycheewood/src/memory_budget.rs
+++ b/crates/lycheewood/src/memory_budget.rs
@@ -6,9 +6,7 @@
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-use crate::decisions::memory::{
-    MemoryUse, budget_bytes, buffer_capacity, may_reserve, reserved_bytes,
-};
+use crate::decisions::memory::{MemoryUse, budget_bytes, buffer_capacity, may_reserve};
 
 /// The budget has no room for the bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -83,6 +81,18 @@
         }
     }
 
+    fn return_bytes(&self, bytes: usize) {
+        let Shared { total_bytes, used_bytes, is_refusing, returned } = &*self.0;
+        let left_bytes = used_bytes.fetch_sub(bytes, Ordering::Relaxed) - bytes;
+        returned.notify_waiters();
+        if is_refusing.load(Ordering::Relaxed)
+            && total_bytes.is_some_and(|total_bytes| left_bytes < total_bytes / 2)
+            && is_refusing.swap(false, Ordering::Relaxed)
+        {
+            log::info!("memory budget has room again used_bytes={left_bytes}");
+        }
+    }
+
     /// Waits until bytes are returned after this call.
     pub(crate) fn returned(&self) -> tokio::sync::futures::Notified<'_> {
         self.0.returned.notified()
@@ -124,6 +134,13 @@
         Ok(())
     }
 
+    /// Returns what exceeds `bytes`.
+    fn shrink_to(&mut self, bytes: usize) {
+        let returned_bytes = self.bytes.saturating_sub(bytes);
+        self.bytes -= returned_bytes;
+        self.budget.return_bytes(returned_bytes);
+    }
+
     /// Raises the reservation to `bytes` as soon as the budget has room for the difference.
     pub(crate) async fn grow_when_free(&mut self, bytes: usize) {
         let budget = self.budget.clone();
@@ -139,15 +156,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let Shared { total_bytes, used_bytes, is_refusing, returned } = &*self.budget.0;
-        let left_bytes = used_bytes.fetch_sub(self.bytes, Ordering::Relaxed) - self.bytes;
-        returned.notify_waiters();
-        if is_refusing.load(Ordering::Relaxed)
-            && total_bytes.is_some_and(|total_bytes| left_bytes < total_bytes / 2)
-            && is_refusing.swap(false, Ordering::Relaxed)
-        {
-            log::info!("memory budget has room again used_bytes={left_bytes}");
-        }
+        self.budget.return_bytes(self.bytes);
     }
 }
 
@@ -196,30 +205,31 @@
     ///
     /// When the budget has no room for them; the buffer stays as it is.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), BudgetExhausted> {
-        self.reservation.grow_to(self.needed_reservation_bytes(bytes.len()))?;
-        self.append(bytes);
+        let capacity = self.needed_capacity(bytes.len());
+        self.reservation.grow_to(self.base_bytes + self.copies * capacity)?;
+        self.append(bytes, capacity);
         Ok(())
     }
 
-    fn needed_reservation_bytes(&self, more_bytes: usize) -> usize {
-        let body_bytes = reserved_bytes(self.bytes.len() + more_bytes, self.max_bytes);
-        self.base_bytes + self.copies * body_bytes
+    /// Appends bytes as soon as the budget has room for them.
+    pub(crate) async fn push_when_free(&mut self, bytes: &[u8]) {
+        let capacity = self.needed_capacity(bytes.len());
+        self.reservation.grow_when_free(self.base_bytes + self.copies * capacity).await;
+        self.append(bytes, capacity);
     }
 
-    fn append(&mut self, bytes: &[u8]) {
-        let needed_bytes = self.bytes.len() + bytes.len();
-        if needed_bytes > self.bytes.capacity() {
-            let capacity = buffer_capacity(needed_bytes, self.max_bytes);
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+    /// The capacity with which the buffer has room for more bytes.
+    fn needed_capacity(&self, more_bytes: usize) -> usize {
+        let needed_bytes = self.bytes.len() + more_bytes;
+        if needed_bytes <= self.bytes.capacity() {
+            return self.bytes.capacity();
         }
-        self.bytes.extend_from_slice(bytes);
+        buffer_capacity(needed_bytes, self.max_bytes)
     }
 
-    /// Appends bytes as soon as the budget has room for them.
-    pub(crate) async fn push_when_free(&mut self, bytes: &[u8]) {
-        let needed_bytes = self.needed_reservation_bytes(bytes.len());
-        self.reservation.grow_when_free(needed_bytes).await;
-        self.append(bytes);
+    fn append(&mut self, bytes: &[u8], capacity: usize) {
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        self.bytes.extend_from_slice(bytes);
     }
 
     /// The whole body and its reservation.
@@ -231,8 +241,9 @@
     /// The whole body. The reservation lasts until the last clone of it is dropped.
     #[must_use]
     pub fn finish(self) -> Bytes {
-        let Self { mut bytes, reservation, .. } = self;
+        let Self { mut bytes, mut reservation, base_bytes, copies, .. } = self;
         bytes.shrink_to_fit();
+        reservation.shrink_to(base_bytes + copies * bytes.len());
         Bytes::from_owner(Held { bytes, _held: reservation })
     }
 }
