--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -50,7 +50,7 @@
         let relay = Relay {
             state: Arc::clone(state),
             head: Arc::clone(head),
-            source: Source::new(responded, state.clock.now()),
+            source: Source::new(state, responded),
             status,
             content_type: headers.get(CONTENT_TYPE).cloned(),
             is_broken: false,
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -8,11 +8,13 @@
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
+use crate::decisions::memory::{MemoryUse, REQUEST_BYTES};
 use crate::decisions::resume::{EventDecision, EventOrigin, EventSequence};
 use crate::filters::forward::crash::Output;
 use crate::filters::forward::exchange::{Admitted, Responded};
 use crate::gateway::GatewayState;
 use crate::load_tracker::InFlightGuard;
+use crate::memory_budget::Reservation;
 
 /// An event that the caller does not have yet.
 #[derive(Debug)]
@@ -42,6 +44,10 @@
     origin: EventOrigin,
     response: Box<UpstreamResponse>,
     splitter: EventSplitter,
+    /// Bytes that have been read and wait for memory.
+    unread: Option<Bytes>,
+    /// Memory of an event that is larger than what each request reserves.
+    large_event: Reservation,
     /// When the last event of this endpoint was read.
     last_event_at: Option<Timestamp>,
     /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
@@ -51,16 +57,18 @@
 }
 
 impl Source {
-    pub(super) fn new(responded: Responded, now: Timestamp) -> Self {
+    pub(super) fn new(state: &GatewayState, responded: Responded) -> Self {
         let Responded { admitted, endpoint, in_flight, response, .. } = responded;
         Self {
             admitted,
             endpoint,
             output: Output::None,
-            quiet_since: now,
+            quiet_since: state.clock.now(),
             origin: EventOrigin::First,
             response,
             splitter: EventSplitter::default(),
+            unread: None,
+            large_event: state.memory.charge(MemoryUse::Response, 0),
             last_event_at: None,
             has_waited: false,
             _in_flight: in_flight,
@@ -100,6 +108,15 @@
                     }
                 }
             }
+            if let Some(more_bytes) = self.unread.as_ref().map(Bytes::len) {
+                self.reserve(more_bytes).await;
+                if let Some(bytes) = self.unread.take()
+                    && let Err(error) = self.splitter.push(&bytes)
+                {
+                    return Read::Broken(error.to_string());
+                }
+                continue;
+            }
             let waited_from = state.clock.now();
             let next = self.response.next().await;
             let now = state.clock.now();
@@ -107,11 +124,7 @@
             self.quiet_since = now;
             self.has_waited |= now > waited_from;
             match next {
-                Some(Ok(bytes)) => {
-                    if let Err(error) = self.splitter.push(&bytes) {
-                        return Read::Broken(error.to_string());
-                    }
-                }
+                Some(Ok(bytes)) => self.unread = Some(bytes),
                 Some(Err(error)) => return Read::Broken(error.to_string()),
                 None if self.splitter.has_partial() => {
                     return Read::Broken("the stream ends within an event".to_owned());
@@ -124,6 +137,14 @@
         }
     }
 
+    /// Reserves memory for bytes that wait for the end of their event, as soon as the budget has room for them.
+    async fn reserve(&mut self, more_bytes: usize) {
+        let needed_bytes = self.splitter.buffered_bytes() + more_bytes;
+        if needed_bytes > REQUEST_BYTES {
+            self.large_event.grow_when_free(needed_bytes).await;
+        }
+    }
+
     /// Records at the first event that the endpoint has processed the prompt, and at later ones the time since the
     /// previous event as a measure of its group's pace.
     fn record_event(&mut self, state: &GatewayState) {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
+use crate::connection_table::ConnectionTable;
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
@@ -25,6 +26,7 @@
 use crate::lifecycle::shutdown::Phase;
 use crate::lifecycle::shutdown::ShutdownSettings;
 use crate::load_tracker::LoadTracker;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::gateway::GatewayMetrics;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
@@ -91,6 +93,8 @@
     /// Processor share of this instance, in thousandths of a core; 0 if it is not known. Instances with more of it
     /// take the lease on the expert groups first.
     pub processor_millicores: u32,
+    /// Memory of the machine, in bytes; 0 for no memory budget.
+    pub memory_bytes: u64,
 }
 
 /// Retry budget of one service, shared by all instances.
@@ -130,6 +134,10 @@
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
+    /// Memory for connections, requests and responses.
+    pub(crate) memory: MemoryBudget,
+    /// Connections of callers.
+    pub(crate) callers: Arc<ConnectionTable>,
     /// Notified when a response shows that the endpoint list is out of date.
     pub(crate) endpoint_list_stale: Notify,
     /// Notified when this instance has received routes or endpoints.
@@ -193,9 +201,12 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
         let (clock, early_heartbeat) = (Clock::system(), Arc::new(Notify::new()));
+        let memory = MemoryBudget::for_machine(settings.memory_bytes);
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
         let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
         Self {
+            callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
+            memory,
             settings,
             incarnation: Incarnation::random(),
             clock,
@@ -330,7 +341,7 @@
 
     /// Whether callers may be directed to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.knows_state()
+        self.phase() == Phase::Serving && self.knows_state() && self.callers.has_room()
     }
 
     /// Whether this instance knows routes and endpoints.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod adapters;
 mod clock;
+mod connection_table;
 mod controllers;
 mod decisions;
 mod document;
@@ -29,6 +30,7 @@
 mod lifecycle;
 mod load_tracker;
 mod logging;
+mod memory_budget;
 mod metrics;
 mod outcome;
 mod response;
@@ -41,6 +43,7 @@
 mod wire;
 
 pub use adapters::agent::client::AgentRanks;
+pub use adapters::api_port::{ApiLimits, serve_api};
 pub use adapters::http::identified::IdentifiedClient;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
@@ -67,6 +70,7 @@
     ClaimEffect, ClaimHolder, ClaimSettings, ClaimStatus, ClaimTable, KeyState, SubmittedClaim,
     different_request_refusal,
 };
+pub use decisions::connections::{IdleConnection, Room, room_for_connection};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::endpoint_list::{
@@ -106,6 +110,10 @@
     ConnectionState, Eligibility, InstanceView, ListStatus, MembershipSettings, eligibility,
     is_advertisable,
 };
+pub use decisions::memory::{
+    CONNECTION_BYTES, MemoryUse, RECEIVE_BUFFER_BYTES, RECEIVE_MEMORY_BYTES, REQUEST_BYTES,
+    SMALL_REQUEST_BYTES, budget_bytes, buffer_capacity, kept_free_bytes, may_reserve,
+};
 pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
@@ -181,6 +189,7 @@
     Shutdown, ShutdownSettings, Stopped as ShutdownStopped,
 };
 pub use logging::start_logging;
+pub use memory_budget::{BodyBuffer, BudgetExhausted, MemoryBudget, Reservation};
 pub use outcome::{InvalidRequest, NotRun, NotRunCode, RequestError, UnknownCode, UnknownOutcome};
 pub use roles::StartError;
 pub use roles::agent::Agent;
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod harness;
 mod leaving;
 mod lost_answers;
+mod overload;
 mod priorities;
 mod retries;
 mod silence;
--- a/crates/lycheewood/tests/rank_confirmation.rs
+++ b/crates/lycheewood/tests/rank_confirmation.rs
@@ -144,6 +144,7 @@
         shutdown_timeout_ms: 2_000,
         heartbeat_ms: 50,
         max_callers: 10,
+        memory_bytes: 0,
         processor_millicores: 0,
     }
 }
