--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -66,9 +66,9 @@
     /// Gaps between the events of streams, by group.
     gaps: Mutex<HashMap<String, GapAverage>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
-    /// Endpoints that have said in a response that they want no request, by identifier and start. Kept while an
-    /// entry is not listed, since a lapsed entry may come back.
-    excluded: Mutex<HashMap<(InstanceId, u64), Exclusion>>,
+    /// Endpoints that have said in a response that they want no request. Kept while an entry is not listed, since a
+    /// lapsed entry may come back, and whatever an entry says, since it may be of another writer.
+    excluded: Mutex<HashMap<InstanceId, Exclusion>>,
 }
 
 impl LoadTracker {
@@ -107,7 +107,7 @@
             now.plus_ms(MISDIRECTED_EXCLUSION_MS);
     }
 
-    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<(InstanceId, u64), Exclusion>> {
+    fn lock_excluded(&self) -> MutexGuard<'_, HashMap<InstanceId, Exclusion>> {
         self.excluded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -139,10 +139,17 @@
     ) -> bool {
         let mut excluded = self.lock_excluded();
         excluded.retain(|_, exclusion| exclusion.is_in_force(now));
-        let key = (endpoint.id.clone(), endpoint.started_ms);
-        let is_news = !excluded.contains_key(&key);
-        change(excluded.entry(key).or_default());
-        is_news
+        let first = Exclusion { started_ms: endpoint.started_ms, ..Exclusion::default() };
+        let known = excluded.get(&endpoint.id).copied();
+        // An answer of an earlier start may arrive late, and says nothing of the later one.
+        if known.is_some_and(|known| known.started_ms > endpoint.started_ms) {
+            return false;
+        }
+        let known = known.filter(|known| known.started_ms == endpoint.started_ms);
+        let mut exclusion = known.unwrap_or(first);
+        change(&mut exclusion);
+        excluded.insert(endpoint.id.clone(), exclusion);
+        known.is_none()
     }
 
     /// The endpoints that have said that they want no request now.
@@ -273,6 +280,8 @@
 /// Why an endpoint gets no request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Exclusion {
+    /// Start of the endpoint that has said so, in Unix milliseconds. The exclusion ends with a later start.
+    started_ms: u64,
     /// Time until which it is remembered that the endpoint is about to stop.
     leaving_until: Timestamp,
     /// Time until which the endpoint wants no request.
@@ -283,19 +292,24 @@
     fn is_in_force(&self, now: Timestamp) -> bool {
         now < self.leaving_until.max(self.paused_until)
     }
+
+    /// Whether it concerns an entry: only one with a later start is of an endpoint that has started again.
+    const fn concerns(&self, endpoint: &EndpointEntry) -> bool {
+        endpoint.started_ms <= self.started_ms
+    }
 }
 
 /// Endpoints that have said that they want no request. Usually empty.
 #[derive(Debug)]
-pub(crate) struct Exclusions(HashMap<(InstanceId, u64), Exclusion>);
+pub(crate) struct Exclusions(HashMap<InstanceId, Exclusion>);
 
 impl Exclusions {
     fn get(&self, endpoint: &EndpointEntry, now: Timestamp) -> Option<&Exclusion> {
         if self.0.is_empty() {
             return None;
         }
-        let exclusion = self.0.get(&(endpoint.id.clone(), endpoint.started_ms));
-        exclusion.filter(|exclusion| exclusion.is_in_force(now))
+        let exclusion = self.0.get(&endpoint.id);
+        exclusion.filter(|exclusion| exclusion.is_in_force(now) && exclusion.concerns(endpoint))
     }
 
     /// Whether an endpoint gets no request.
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -167,6 +167,13 @@
         self.list_entry(id, address, EndpointAvailability::Ready, None);
     }
 
+    /// Lists an endpoint by an entry that has an earlier start than its own.
+    pub(crate) fn list_with_earlier_start(&mut self, id: &str, address: SocketAddr) {
+        let started_ms = std::mem::take(&mut self.started_ms);
+        self.list_entry(id, address, EndpointAvailability::Ready, None);
+        self.started_ms = started_ms;
+    }
+
     /// Removes an endpoint from the endpoint list.
     pub(crate) fn remove_endpoint(&mut self, id: &str) {
         self.apply_record(id, EndpointRecord::Removed);
--- a/crates/lycheewood/tests/gateway/leaving.rs
+++ b/crates/lycheewood/tests/gateway/leaving.rs
@@ -51,6 +51,26 @@
     assert_eq!(harness.call(&request("/read/x", "id-3")).status, 200);
 }
 
+/// Guards against forgetting that an endpoint leaves because an entry has another start that is not later, as one of
+/// another writer may.
+#[test]
+fn an_entry_with_an_earlier_start_ends_no_exclusion() {
+    let mut harness = Harness::with_routes();
+    let address = harness.start_endpoint("s1", |received| {
+        Action::Write(response(received, "200 OK", "X-Seal: s\r\nX-Leaving: 1\r\n", "ok"))
+    });
+    harness.list_restarted_endpoint("s1", address);
+    harness.start_endpoint("s2", |received| Action::Write(ok_response(received, "ok")));
+    while arrivals(&harness, "s1") == 0 {
+        harness.call(&request("/read/x", "first"));
+    }
+    harness.list_with_earlier_start("s1", address);
+    for number in 0..40 {
+        assert_eq!(harness.call(&request("/read/x", &format!("id-{number}"))).status, 200);
+    }
+    assert_eq!(arrivals(&harness, "s1"), 1);
+}
+
 /// Guards against sending requests to an endpoint for as long as it wants none, and against making callers wait
 /// although it is known that no endpoint will take their requests in time.
 #[test]
