Send no requests to evacuated failure domains

Cause: records evacuate/ZONE in the operator's topic were not read.

A plain decision keeps the state with the highest offset. Heartbeats and fetched state carry it, early when it changes; every instance takes a higher offset from any other one. The choice of an endpoint leaves the domains out; if no listed endpoint is left, 503 at once.

--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -16,11 +16,13 @@
 use crate::clock::Timestamp;
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
 use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
-use crate::controllers::routes::{RoutesController, UpdateRoutes};
+use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
 use crate::decisions::peers::PeerTracker;
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
-use crate::wire::heartbeat::{About, Heartbeat, HeartbeatExtension, SharedState, endpoint_tag};
+use crate::wire::heartbeat::{
+    About, Evacuations, Heartbeat, HeartbeatExtension, SharedState, endpoint_tag,
+};
 
 /// Number of heartbeats after the start that contain `about` and are sent to all instances.
 const INITIAL_FULL_HEARTBEATS: u64 = 4;
@@ -75,7 +77,8 @@
         let endpoints = if endpoints { self.endpoints.ask(ExportList).await.ok() } else { None };
         let mut peers: Vec<SocketAddr> = self.state.peers.load().peers.keys().copied().collect();
         peers.push(self.state.settings.peer_address);
-        SharedState { routes, endpoints, peers }
+        let evacuations = self.state.evacuations.load().evacuations();
+        SharedState { routes, endpoints, peers, evacuations }
     }
 }
 
@@ -150,7 +153,20 @@
             endpoints_next: state.endpoints.load().table.next,
             reads: *state.is_reader.borrow() && state.is_healthy_reader(),
             in_flight: in_flight.iter().map(|(id, count)| (endpoint_tag(id), *count)).collect(),
-            extension: HeartbeatExtension::default(),
+            extension: HeartbeatExtension {
+                evacuations: state.evacuations.load().evacuations(),
+                ..HeartbeatExtension::default()
+            },
+        }
+    }
+
+    /// Passes on the evacuated domains of another instance if it has read further. At once and from every instance,
+    /// because the reader of the own domain may be slow.
+    fn adopt_evacuations(&self, evacuations: Option<Evacuations>) {
+        let known = self.state.evacuations.load().next();
+        if let Some(state) = evacuations.filter(|state| state.next > known) {
+            let update = UpdateEvacuations::State { state, source: PEER_SOURCE };
+            let _ = self.routes.tell(update).try_send();
         }
     }
 
@@ -222,8 +238,12 @@
     shared: SharedState,
 ) {
     // The controllers live as long as the process, so no send fails.
+    // Before the routes, so that an instance that starts does not serve without it.
+    if let Some(state) = shared.evacuations {
+        let _ = routes.tell(UpdateEvacuations::State { state, source: PEER_SOURCE }).await;
+    }
     if let Some(raw) = shared.routes {
-        let _ = routes.tell(UpdateRoutes { raw, source: "peer" }).await;
+        let _ = routes.tell(UpdateRoutes { raw, source: PEER_SOURCE }).await;
     }
     if let Some(list) = shared.endpoints {
         let _ = endpoints.tell(EndpointListUpdate::Shared(list)).await;
@@ -241,9 +261,11 @@
         let former = self.tracker.peer(from);
         let was_ready = former.map(|peer| peer.is_advertisable(now));
         let is_news = former.is_none_or(|peer| peer.heartbeat.differs_in_state(&heartbeat));
+        let evacuations = heartbeat.extension.evacuations.clone();
         if !self.tracker.apply(from, heartbeat, now) {
             return;
         }
+        self.adopt_evacuations(evacuations);
         if was_ready != Some(is_ready) {
             log::info!("peer changed address={from} ready={is_ready} former={was_ready:?}");
         }
--- a/crates/lycheewood/src/controllers/routes.rs
+++ b/crates/lycheewood/src/controllers/routes.rs
@@ -1,22 +1,31 @@
-//! The routes controller: checks route tables and publishes the newest one.
+//! The routes controller: checks route tables and publishes the newest one, with the failure domains that the operator
+//! has evacuated. Both come from one topic, and one mailbox keeps their order: an instance that starts knows the
+//! evacuated domains before it has routes, and so before it serves.
 
 use std::sync::Arc;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use kameo::Actor;
 use kameo::actor::{ActorRef, Spawn};
 use kameo::mailbox;
 use kameo::message::{Context, Message};
 use tokio::sync::Notify;
 
-use crate::gateway::CurrentRoutes;
+use crate::clock::Clock;
+use crate::decisions::evacuation::{EvacuationChange, EvacuationTable};
+use crate::gateway::{CurrentRoutes, GatewayState};
+use crate::ids::{FailureDomain, Offset};
 use crate::metrics::gateway::GatewayMetrics;
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
+use crate::wire::heartbeat::Evacuations;
 
 /// Source name of the tables that this instance has read from the platform itself.
 pub(crate) const PLATFORM_SOURCE: &str = "platform";
 
+/// Source name of what this instance has received from another one.
+pub(crate) const PEER_SOURCE: &str = "peer";
+
 /// Puts a route table in force if it is valid and newer than the present one.
 pub(crate) struct UpdateRoutes {
     pub(crate) raw: RawRouteTable,
@@ -24,10 +33,21 @@
     pub(crate) source: &'static str,
 }
 
-/// Owns the route table in force.
+/// An update of the evacuated failure domains.
+pub(crate) enum UpdateEvacuations {
+    /// Records of the platform in order, which end before `next`.
+    Records { changes: Vec<EvacuationChange>, next: Offset },
+    /// All evacuated domains, and where they were read.
+    State { state: Evacuations, source: &'static str },
+}
+
+/// Owns the route table in force and the evacuated failure domains.
 #[derive(Actor)]
 pub(crate) struct RoutesController {
     published: Arc<ArcSwapOption<CurrentRoutes>>,
+    evacuations: EvacuationTable,
+    published_evacuations: Arc<ArcSwap<EvacuationTable>>,
+    clock: Clock,
     metrics: Arc<GatewayMetrics>,
     /// Notified when this instance has read a table from the platform that other instances wait for.
     early_heartbeat: Arc<Notify>,
@@ -37,14 +57,17 @@
 
 impl RoutesController {
     /// Starts the controller on the current runtime.
-    pub(crate) fn start(
-        published: Arc<ArcSwapOption<CurrentRoutes>>,
-        metrics: Arc<GatewayMetrics>,
-        early_heartbeat: Arc<Notify>,
-        state_received: Arc<Notify>,
-    ) -> ActorRef<Self> {
-        metrics.route_version.set(-1);
-        let controller = Self { published, metrics, early_heartbeat, state_received };
+    pub(crate) fn start(state: &GatewayState) -> ActorRef<Self> {
+        state.metrics.route_version.set(-1);
+        let controller = Self {
+            published: Arc::clone(&state.routes),
+            evacuations: EvacuationTable::default(),
+            published_evacuations: Arc::clone(&state.evacuations),
+            clock: state.clock,
+            metrics: Arc::clone(&state.metrics),
+            early_heartbeat: Arc::clone(&state.early_heartbeat),
+            state_received: Arc::clone(&state.state_received),
+        };
         Self::spawn_with_mailbox(controller, mailbox::unbounded())
     }
 }
@@ -86,3 +109,34 @@
         }
     }
 }
+
+impl Message<UpdateEvacuations> for RoutesController {
+    type Reply = ();
+
+    async fn handle(&mut self, update: UpdateEvacuations, _: &mut Context<Self, ()>) {
+        let (now, former) = (self.clock.now(), self.evacuations.next());
+        let (is_changed, source) = match update {
+            UpdateEvacuations::Records { changes, next } => {
+                (self.evacuations.apply(&changes, next, now), PLATFORM_SOURCE)
+            }
+            UpdateEvacuations::State { state, source } => {
+                (self.evacuations.replace(state, now), source)
+            }
+        };
+        if self.evacuations.next() == former {
+            return;
+        }
+        self.published_evacuations.store(Arc::new(self.evacuations.clone()));
+        if is_changed {
+            let domains = self.evacuations.evacuations().unwrap_or_default().domains;
+            self.metrics.evacuated_domains.set(i64::try_from(domains.len()).unwrap_or(i64::MAX));
+            let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
+            log::info!(
+                "evacuated domains changed domains={names:?} next={} source={source}",
+                self.evacuations.next()
+            );
+            // Whatever the source: the other instances of this domain may not have it yet.
+            self.early_heartbeat.notify_one();
+        }
+    }
+}
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -12,6 +12,7 @@
 pub(crate) mod endpoint_list;
 pub(crate) mod entries;
 pub(crate) mod estimate;
+pub(crate) mod evacuation;
 pub(crate) mod events;
 pub(crate) mod expert_groups;
 pub(crate) mod groups;
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -11,6 +11,7 @@
 use crate::clock::Timestamp;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::EndpointEntry;
+use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::filters::forward::quarantine::Trial;
@@ -55,6 +56,7 @@
 pub(crate) struct View {
     pub(crate) routes: Option<Arc<CurrentRoutes>>,
     pub(crate) endpoints: Arc<CurrentEndpoints>,
+    pub(crate) evacuations: Arc<EvacuationTable>,
     pub(crate) peers: Arc<PeerTable>,
 }
 
@@ -63,6 +65,7 @@
         Self {
             routes: state.routes.load_full(),
             endpoints: state.endpoints.load_full(),
+            evacuations: state.evacuations.load_full(),
             peers: state.peers.load_full(),
         }
     }
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -1,6 +1,7 @@
 //! Chooses the endpoint of the next attempt, and waits for free capacity where a route limits event gaps.
 
 mod places;
+mod usable;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,8 +15,8 @@
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
 use crate::filters::forward::quarantine;
 use crate::filters::forward::select::places::Places;
+use crate::filters::forward::select::usable::{is_none_usable, usable_entries};
 use crate::gateway::GatewayState;
-use crate::ids::TargetName;
 use crate::lifecycle::attempt::Attempt;
 use crate::outcome::NotRunCode;
 
@@ -111,8 +112,7 @@
 
 /// Records and logs why no endpoint was found: none is available, or all run their maximum batch.
 fn record_no_endpoint(state: &GatewayState, head: &RequestHead, admitted: &mut Admitted) {
-    let endpoints = state.endpoints.load();
-    let listed = endpoints.table.endpoints(&admitted.service).len();
+    let listed = usable_entries(&View::load(state), admitted).count();
     let avoided = admitted.avoid.len();
     if listed > avoided && admitted.gap_limit.is_some() {
         admitted.no_endpoint_code = NotRunCode::Overloaded;
@@ -146,11 +146,16 @@
         if let Some(endpoint) = places.choose(state, admitted) {
             return Ok(endpoint);
         }
-        let pause_end = pause_end(state, &admitted.service, now);
+        if is_none_usable(&view, admitted) {
+            state.metrics.refused_unusable.inc();
+            let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
+            return Err(NoEndpoint { retry_after_ms });
+        }
+        let pause_end = pause_end(state, &view, admitted, now);
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
             return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
-        let is_refused = has_refusing_group(state, &admitted.service);
+        let is_refused = has_refusing_group(state, &view, admitted);
         let may_wait = admitted.gap_limit.is_some() || is_refused || pause_end.is_some();
         if !may_wait || phase == QueuePhase::Expired {
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
@@ -168,9 +173,13 @@
 }
 
 /// When the first endpoint of the service that pauses wants requests again, if no endpoint wants any now.
-fn pause_end(state: &GatewayState, service: &TargetName, now: Timestamp) -> Option<Timestamp> {
-    let endpoints = state.endpoints.load();
-    let entries = || endpoints.table.endpoints(service).iter();
+fn pause_end(
+    state: &GatewayState,
+    view: &View,
+    admitted: &Admitted,
+    now: Timestamp,
+) -> Option<Timestamp> {
+    let entries = || usable_entries(view, admitted);
     let exclusions = state.loads.exclusions();
     if !entries().all(|entry| exclusions.contains(entry, now)) {
         return None;
@@ -179,9 +188,8 @@
 }
 
 /// Whether a group of the service refuses requests, as it does while it forms.
-fn has_refusing_group(state: &GatewayState, service: &TargetName) -> bool {
-    let endpoints = state.endpoints.load();
-    let groups = endpoints.table.endpoints(service).iter().filter_map(|entry| entry.group.as_ref());
+fn has_refusing_group(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
+    let groups = usable_entries(view, admitted).filter_map(|entry| entry.group.as_ref());
     let mut groups = groups.map(|group| &group.name);
     groups.any(|group| state.loads.is_group_refusing(group))
 }
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -10,8 +10,8 @@
 use crate::decisions::queue::{QueuePhase, in_flight_limit};
 use crate::decisions::units::mix;
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
+use crate::filters::forward::select::usable::is_usable;
 use crate::gateway::GatewayState;
-use crate::ids::TargetName;
 
 /// An endpoint that may get the request.
 struct Available<'a> {
@@ -22,6 +22,8 @@
     failures: f64,
     /// Work time in percent of the usual time, if it is much longer.
     slowdown_percent: Option<u32>,
+    /// Whether it gets the request only if no other can: its domain was given back lately.
+    is_held_back: bool,
 }
 
 /// The endpoints with a free place for a request.
@@ -38,7 +40,7 @@
         phase: QueuePhase,
         now: Timestamp,
     ) -> Self {
-        let mut available = available_endpoints(state, view, &admitted.service, now);
+        let mut available = available_endpoints(state, view, admitted, now);
         if let Some(limit) = &admitted.gap_limit {
             let batches = group_batches(state, limit, &available, now);
             available.retain(|endpoint| {
@@ -59,34 +61,46 @@
         state: &GatewayState,
         admitted: &Admitted,
     ) -> Option<Arc<EndpointEntry>> {
-        let candidates: Vec<_> = self
-            .available
-            .iter()
-            .map(|endpoint| BalancingCandidate {
-                id: &endpoint.entry.id,
-                failure_domain: &endpoint.entry.failure_domain,
-                slots: endpoint.entry.slots,
-                in_flight: endpoint.in_flight,
-                failures: endpoint.failures,
-                is_slow: endpoint.slowdown_percent.is_some(),
-            })
-            .collect();
-        let domain = &state.settings.failure_domain;
-        // A refusal may concern only the rank that sent it, so the next attempt goes to another rank of its group.
-        let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
-        let index = choose_by_load(&candidates, domain, &untried, rand::random())
-            .or_else(|| choose_by_load(&candidates, domain, &admitted.avoid, rand::random()))?;
-        Some(Arc::clone(self.available[index].entry))
+        let usual: Vec<_> = self.available.iter().filter(|e| !e.is_held_back).collect();
+        let all = || self.available.iter().collect::<Vec<_>>();
+        choose_among(&usual, state, admitted).or_else(|| choose_among(&all(), state, admitted))
     }
 }
 
+/// The best of some endpoints for the request.
+fn choose_among(
+    available: &[&Available<'_>],
+    state: &GatewayState,
+    admitted: &Admitted,
+) -> Option<Arc<EndpointEntry>> {
+    let candidates: Vec<_> = available
+        .iter()
+        .map(|endpoint| BalancingCandidate {
+            id: &endpoint.entry.id,
+            failure_domain: &endpoint.entry.failure_domain,
+            slots: endpoint.entry.slots,
+            in_flight: endpoint.in_flight,
+            failures: endpoint.failures,
+            is_slow: endpoint.slowdown_percent.is_some(),
+        })
+        .collect();
+    let domain = &state.settings.failure_domain;
+    // A refusal may concern only the rank that sent it, so the next attempt goes to another rank of its group.
+    let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
+    let index = choose_by_load(&candidates, domain, &untried, rand::random())
+        .or_else(|| choose_by_load(&candidates, domain, &admitted.avoid, rand::random()))?;
+    Some(Arc::clone(available[index].entry))
+}
+
 /// The endpoints of a service that want requests, with their loads.
 fn available_endpoints<'a>(
     state: &GatewayState,
     view: &'a View,
-    service: &TargetName,
+    admitted: &Admitted,
     now: Timestamp,
 ) -> Vec<Available<'a>> {
+    let service = &admitted.service;
+    let draw = rand::random_range(0..100);
     let exclusions = state.loads.exclusions();
     let paused = state.loads.paused_groups(now);
     let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
@@ -100,7 +114,8 @@
     endpoints
         .filter(|((entry, _), load)| {
             let is_paused = entry.group.as_ref().is_some_and(|group| paused.contains(&group.name));
-            !load.is_misdirected && !is_paused && !exclusions.contains(entry, now)
+            let is_wanted = !load.is_misdirected && !is_paused && !exclusions.contains(entry, now);
+            is_wanted && is_usable(view, admitted, entry)
         })
         .map(|((entry, tag), load)| Available {
             entry,
@@ -108,6 +123,7 @@
             in_flight: load.in_flight + view.peers.in_flight_by_tag(tag),
             failures: load.failures,
             slowdown_percent: slowdown_percent(tag),
+            is_held_back: draw >= view.evacuations.share_percent(&entry.failure_domain, now),
         })
         .collect()
 }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -14,6 +14,7 @@
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
+use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
@@ -120,6 +121,8 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) routes: Arc<ArcSwapOption<CurrentRoutes>>,
     pub(crate) endpoints: Arc<ArcSwap<CurrentEndpoints>>,
+    /// Failure domains whose endpoints get no requests.
+    pub(crate) evacuations: Arc<ArcSwap<EvacuationTable>>,
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
@@ -193,6 +196,7 @@
             metrics,
             routes: Arc::default(),
             endpoints: Arc::default(),
+            evacuations: Arc::default(),
             peers: Arc::default(),
             loads: Arc::new(LoadTracker::new(Arc::clone(&capacity_changed))),
             in_flight: watch::Sender::new(0),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -73,6 +73,7 @@
     EntrySelection, EntrySelectionSettings, InstanceCandidate, select_entries, watched_endpoints,
 };
 pub use decisions::estimate::{EndpointEstimate, InFlightMeter};
+pub use decisions::evacuation::{EvacuationChange, EvacuationTable};
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountTracker, ExpertDemand, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -25,6 +25,8 @@
     pub(crate) callers_connected: IntGauge,
     pub(crate) route_version: IntGauge,
     pub(crate) endpoints_listed: IntGauge,
+    pub(crate) evacuated_domains: IntGauge,
+    pub(crate) refused_unusable: IntCounter,
     pub(crate) peers_heard: IntGauge,
     pub(crate) state_fetches: IntCounterVec,
     pub(crate) records_unreadable: IntCounter,
@@ -88,6 +90,14 @@
             )?,
             endpoints_listed: metrics
                 .gauge("lycheewood_gateway_servers_listed", "Endpoints that take requests.")?,
+            evacuated_domains: metrics.gauge(
+                "lycheewood_gateway_evacuated_domains",
+                "Failure domains that the operator has evacuated.",
+            )?,
+            refused_unusable: metrics.counter(
+                "lycheewood_gateway_refused_unusable_total",
+                "Requests refused because no listed endpoint of the service may get them.",
+            )?,
             peers_heard: metrics.gauge(
                 "lycheewood_gateway_peers_heard",
                 "Other instances that are ready and were heard lately.",
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -19,8 +19,11 @@
 use crate::controllers::expert_groups::{self, GroupPorts};
 use crate::controllers::gateway_quarantine::GatewayQuarantine;
 use crate::controllers::peers::{AddPeers, PeersController, StateSource};
-use crate::controllers::routes::{PLATFORM_SOURCE, RoutesController, UpdateRoutes};
+use crate::controllers::routes::{
+    PLATFORM_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes,
+};
 use crate::decisions::endpoint_list::EndpointChange;
+use crate::decisions::evacuation::EvacuationChange;
 use crate::decisions::peers::{EntryView, nearest_entries};
 use crate::gateway::{GatewaySettings, GatewayState, PlatformTopic};
 use crate::group_ports::{LeaseLog, RankClient};
@@ -29,6 +32,7 @@
 use crate::roles::{StartError, leave, listen};
 use crate::routes::raw::RawRouteTable;
 use crate::runtime::{ControlThread, traffic_runtime};
+use crate::wire::heartbeat::Evacuations;
 
 /// One thread carries the traffic: the instances have a fraction of one core.
 const TRAFFIC_THREADS: usize = 1;
@@ -61,6 +65,26 @@
         let _ = self.routes.tell(UpdateRoutes { raw, source: PLATFORM_SOURCE }).try_send();
     }
 
+    /// Records of the operator about failure domains that were read in order; all below `next` have been read now.
+    /// Must be called before the route tables among the same records are offered.
+    pub fn apply_evacuations(&self, changes: Vec<EvacuationChange>, next: Offset) {
+        let _ = self.routes.tell(UpdateEvacuations::Records { changes, next }).try_send();
+    }
+
+    /// All evacuated failure domains, from the newest record of each key when the operator's topic ended at `end`.
+    /// Must be called before the route table among the same records is offered.
+    pub fn replace_evacuations(&self, domains: Vec<FailureDomain>, end: Offset) {
+        let state = Evacuations { next: end, domains };
+        let update = UpdateEvacuations::State { state, source: PLATFORM_SOURCE };
+        let _ = self.routes.tell(update).try_send();
+    }
+
+    /// The evacuated failure domains, or `None` if no record of the operator is known.
+    #[must_use]
+    pub fn evacuations(&self) -> Option<Evacuations> {
+        self.state.evacuations.load().evacuations()
+    }
+
     /// Whether this instance should read the platform's topics. The others fetch updates from their peers.
     #[must_use]
     pub fn is_reader(&self) -> bool {
@@ -287,12 +311,7 @@
 ) -> GatewayHandle {
     let _control = control.handle().enter();
     let metrics = &state.metrics;
-    let routes = RoutesController::start(
-        Arc::clone(&state.routes),
-        Arc::clone(metrics),
-        Arc::clone(&state.early_heartbeat),
-        Arc::clone(&state.state_received),
-    );
+    let routes = RoutesController::start(state);
     let endpoints = EndpointListController::start(
         Arc::clone(&state.endpoints),
         Arc::clone(&state.loads),
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -110,6 +110,7 @@
             || self.route_version != next.route_version
             || self.endpoints_next != next.endpoints_next
             || self.reads != next.reads
+            || self.extension.evacuations != next.extension.evacuations
     }
 }
 
@@ -131,6 +132,9 @@
     pub endpoints: Option<SharedEndpoints>,
     /// Peer addresses of all instances that it knows.
     pub peers: Vec<SocketAddr>,
+    /// The failure domains that the operator has evacuated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// The endpoint list as one instance has read it.
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -48,6 +48,8 @@
     next_offset: u64,
     /// Start of the endpoints that are listed next, in Unix milliseconds.
     started_ms: u64,
+    /// Failure domain of the endpoints that are listed next.
+    pub(crate) domain: &'static str,
 }
 
 impl Harness {
@@ -94,6 +96,7 @@
             closed_tx,
             next_offset: 0,
             started_ms: 0,
+            domain: "a",
         }
     }
 
@@ -104,7 +107,7 @@
         harness
     }
 
-    fn gateway(&self) -> &Gateway {
+    pub(crate) fn gateway(&self) -> &Gateway {
         self.gateway.as_ref().expect("the gateway runs")
     }
 
@@ -190,7 +193,7 @@
             id: InstanceId::new(id),
             service: TargetName::new("work"),
             address,
-            failure_domain: FailureDomain::new("a"),
+            failure_domain: FailureDomain::new(self.domain),
             state,
             slots: 4,
             group,
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod crashes;
+mod evacuations;
 mod harness;
 mod leaving;
 mod retries;
