Limit the requests that all gateways send to cold endpoints

Cause: cold_left_ms and cold_per_s were not read, so a cold endpoint got as many requests as a warm one.

Change: each gateway may send one request in a short window at a random phase, with a period in proportion to the gateways that it knows or has known (decisions/cold.rs). The windows live in cold_tracker.rs and are used where an endpoint is chosen, so retries, resumed streams and trials count. A cold endpoint without a window is not available; a request that only such endpoints can take waits if a window begins in time.

With the check for cold endpoints switched off, as before this change, a_cold_endpoint_gets_few_requests (22 of 60 requests) and retries_keep_to_the_limit (40 of 40) fail.

--- a/crates/lycheewood/src/controllers/endpoint_list.rs
+++ b/crates/lycheewood/src/controllers/endpoint_list.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::clock::{Clock, Timestamp};
+use crate::cold_tracker::ColdTracker;
 use crate::decisions::endpoint_list::{EndpointChange, EndpointList, EndpointRecord};
 use crate::gateway::CurrentEndpoints;
 use crate::ids::{InstanceId, Offset};
@@ -48,6 +49,7 @@
     list: EndpointList,
     published: Arc<ArcSwap<CurrentEndpoints>>,
     loads: Arc<LoadTracker>,
+    cold: Arc<ColdTracker>,
     clock: Clock,
     metrics: Arc<GatewayMetrics>,
     /// Notified after records from the platform were applied, so that other instances learn of them early.
@@ -61,6 +63,7 @@
     pub(crate) fn start(
         published: Arc<ArcSwap<CurrentEndpoints>>,
         loads: Arc<LoadTracker>,
+        cold: Arc<ColdTracker>,
         clock: Clock,
         metrics: Arc<GatewayMetrics>,
         early_heartbeat: Arc<Notify>,
@@ -68,7 +71,7 @@
     ) -> ActorRef<Self> {
         let list = EndpointList::default();
         let controller =
-            Self { list, published, loads, clock, metrics, early_heartbeat, state_received };
+            Self { list, published, loads, cold, clock, metrics, early_heartbeat, state_received };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
         tokio::spawn(schedule_grace_expiry(actor.clone()));
         actor
@@ -79,6 +82,7 @@
         self.metrics.endpoints_listed.set(i64::try_from(table.len()).unwrap_or(i64::MAX));
         let listed: HashSet<&InstanceId> = table.all().map(|entry| &entry.id).collect();
         self.loads.retain(|endpoint| listed.contains(endpoint));
+        self.cold.retain(|endpoint| listed.contains(endpoint));
         self.published.store(Arc::new(CurrentEndpoints { table }));
         self.state_received.notify_waiters();
     }
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -17,6 +17,7 @@
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
 use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
 use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
+use crate::decisions::cold::{FleetEstimate, FleetView};
 use crate::decisions::peers::PeerTracker;
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
@@ -89,6 +90,7 @@
     tracker: PeerTracker,
     lag: LagMonitor,
     election: ReaderElection,
+    fleet: FleetEstimate,
     sequence: u64,
     /// When the peer table was last published.
     published_at: Timestamp,
@@ -111,12 +113,14 @@
         for seed in &state.settings.seeds {
             tracker.add_address(*seed, state.clock.now());
         }
+        let fleet = FleetEstimate::new(state.clock.now());
         let (heartbeat_ms, shared) = (state.settings.heartbeat_ms, Arc::clone(&state));
         let controller = Self {
             state,
             tracker,
             lag: LagMonitor::default(),
             election: ReaderElection::default(),
+            fleet,
             sequence: 0,
             published_at: Timestamp::default(),
             is_fetching: false,
@@ -193,9 +197,23 @@
         let ready = table.peers.values().filter(|peer| peer.is_advertisable(now)).count();
         self.state.metrics.peers_heard.set(i64::try_from(ready).unwrap_or(i64::MAX));
         self.state.peers.store(Arc::new(table));
+        self.update_fleet(now);
         self.published_at = now;
     }
 
+    /// Updates the number of gateways that share the limits of cold endpoints.
+    fn update_fleet(&mut self, now: Timestamp) {
+        let view = self.tracker.fleet(self.state.settings.peer_address, now);
+        let fleet = self.fleet.update(&view, now);
+        if self.state.cold.set_fleet(fleet) != fleet {
+            let FleetView { heard, known, unconfirmed } = view;
+            log::info!(
+                "fleet changed assumed={fleet} heard={heard} known={known} unconfirmed={unconfirmed}"
+            );
+            self.state.metrics.fleet_assumed.set(i64::from(fleet));
+        }
+    }
+
     /// Fetches state from another instance if that one has newer state and no fetch is running.
     fn fetch_if_behind(&mut self, actor: ActorRef<Self>) {
         if self.is_fetching {
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -7,6 +7,7 @@
 pub(crate) mod balance;
 pub(crate) mod batch;
 pub(crate) mod claims;
+pub(crate) mod cold;
 pub(crate) mod demand;
 pub(crate) mod digest;
 pub(crate) mod endpoint_list;
--- a/crates/lycheewood/src/decisions/endpoint_list.rs
+++ b/crates/lycheewood/src/decisions/endpoint_list.rs
@@ -58,6 +58,9 @@
     /// An endpoint may start again under the identifier that it had.
     #[serde(default)]
     pub started_ms: u64,
+    /// Time for which the endpoint was still cold when the entry was written, in milliseconds; 0 if it was warm.
+    #[serde(default)]
+    pub cold_left_ms: u64,
 }
 
 /// Content of a record for one endpoint.
@@ -89,6 +92,8 @@
     pub next: Offset,
     by_service: HashMap<TargetName, ServiceEndpoints>,
     entries: Vec<Arc<EndpointEntry>>,
+    /// Until when endpoints are cold that were so when their entries were read.
+    cold_until: HashMap<InstanceId, Timestamp>,
 }
 
 /// Endpoints of one service that accept requests.
@@ -115,6 +120,12 @@
         endpoints.flat_map(|endpoints| endpoints.entries.iter().zip(endpoints.tags.iter().copied()))
     }
 
+    /// Until when an endpoint is cold, if it was so when its entry was read.
+    #[must_use]
+    pub fn cold_until(&self, endpoint: &InstanceId) -> Option<Timestamp> {
+        self.cold_until.get(endpoint).copied()
+    }
+
     /// All endpoints that accept requests.
     pub fn all(&self) -> impl Iterator<Item = &Arc<EndpointEntry>> {
         self.by_service.values().flat_map(|endpoints| &endpoints.entries)
@@ -144,10 +155,23 @@
 struct LatestRecord {
     offset: Offset,
     entry: Option<Arc<EndpointEntry>>,
+    /// Until when the endpoint is cold. The time left counts from when this process first sees the record, because the
+    /// clock of its writer may differ.
+    cold_until: Timestamp,
     /// When a removed entry that is in its grace period becomes unusable.
     expires: Option<Timestamp>,
 }
 
+/// Whether two entries of an endpoint differ. The time left until it is warm differs with each renewal, so it counts
+/// only whether there is any.
+fn is_changed(former: Option<&EndpointEntry>, entry: Option<&EndpointEntry>) -> bool {
+    let comparable = |entry: &EndpointEntry| EndpointEntry {
+        cold_left_ms: u64::from(entry.cold_left_ms > 0),
+        ..entry.clone()
+    };
+    former.map(comparable) != entry.map(comparable)
+}
+
 /// Time for which endpoints whose entries expired during an outage of the list remain usable after the list
 /// has recovered, in milliseconds. Live endpoints register again within 2,000 ms. The period is shorter than
 /// the shortest drain time, which is 2,000 ms.
@@ -201,6 +225,7 @@
             return false;
         }
         let former = latest.and_then(|latest| latest.entry.clone());
+        let former_cold_until = latest.map(|latest| latest.cold_until).unwrap_or_default();
         let (entry, expires) = match record {
             EndpointRecord::Entry(entry) => (Some(Arc::new(entry)), None),
             EndpointRecord::Unreadable => (None, None),
@@ -209,8 +234,12 @@
                 None => (None, None),
             },
         };
-        let is_changed = former != entry;
-        self.records.insert(id, LatestRecord { offset, entry, expires });
+        let cold_until = match &entry {
+            Some(entry) if expires.is_none() => now.plus_ms(entry.cold_left_ms),
+            _ => former_cold_until,
+        };
+        let is_changed = is_changed(former.as_deref(), entry.as_deref());
+        self.records.insert(id, LatestRecord { offset, entry, cold_until, expires });
         is_changed
     }
 
@@ -290,6 +319,10 @@
             endpoints.entries.push(Arc::clone(entry));
             endpoints.tags.push(endpoint_tag(&entry.id));
         }
-        EndpointIndex { next: self.next, by_service, entries }
+        let cold = self.records.iter().filter(|(_, latest)| {
+            latest.entry.as_ref().is_some_and(|entry| entry.cold_left_ms > 0)
+        });
+        let cold_until = cold.map(|(id, latest)| (id.clone(), latest.cold_until)).collect();
+        EndpointIndex { next: self.next, by_service, entries, cold_until }
     }
 }
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::clock::Timestamp;
+use crate::decisions::cold::FleetView;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
 use crate::wire::heartbeat::{About, Heartbeat, endpoint_tag};
 
@@ -109,6 +110,19 @@
         self.peers.get(&address).map(Arc::as_ref)
     }
 
+    /// How many other instances were heard lately, are known, or have never answered. `own_address` is not counted.
+    pub(crate) fn fleet(&self, own_address: SocketAddr, now: Timestamp) -> FleetView {
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let heard =
+            self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
+        let unconfirmed = self.unconfirmed.keys().filter(|address| **address != own_address);
+        FleetView {
+            heard: count(heard.count()),
+            known: count(self.peers.len()),
+            unconfirmed: count(unconfirmed.count()),
+        }
+    }
+
     /// Removes instances without a heartbeat, and unconfirmed addresses that were not added again, for
     /// [`PEER_FORGET_MS`].
     pub fn expire(&mut self, now: Timestamp) {
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -143,7 +143,7 @@
         let phase = queue_phase(&deadlines, now);
         let view = View::load(state);
         let places = Places::find(state, &view, admitted, phase, now);
-        if let Some(endpoint) = places.choose(state, admitted) {
+        if let Some(endpoint) = places.choose(state, admitted, now) {
             return Ok(endpoint);
         }
         if is_none_usable(&view, admitted) {
@@ -156,7 +156,11 @@
             return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
         let is_refused = has_refusing_group(state, &view, admitted);
-        let may_wait = admitted.gap_limit.is_some() || is_refused || pause_end.is_some();
+        let next_window = places.next_window.filter(|open| *open <= deadlines.expires());
+        let may_wait = admitted.gap_limit.is_some()
+            || is_refused
+            || pause_end.is_some()
+            || next_window.is_some();
         if !may_wait || phase == QueuePhase::Expired {
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
             return Err(NoEndpoint { retry_after_ms });
@@ -167,6 +171,9 @@
         if is_refused {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
+        if let Some(open) = next_window {
+            remaining_ms = remaining_ms.min(open.ms_since(now).max(1));
+        }
         // Chooses again after a timeout as after a change.
         let _ = timeout(Duration::from_millis(remaining_ms), changed).await;
     }
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -10,7 +10,7 @@
 use crate::decisions::queue::{QueuePhase, in_flight_limit};
 use crate::decisions::units::mix;
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
-use crate::filters::forward::select::usable::is_usable;
+use crate::filters::forward::select::usable::{is_cold, is_usable};
 use crate::gateway::GatewayState;
 
 /// An endpoint that may get the request.
@@ -24,11 +24,15 @@
     slowdown_percent: Option<u32>,
     /// Whether it gets the request only if no other can: its domain was given back lately.
     is_held_back: bool,
+    /// Time between this instance's windows for the endpoint, if it is cold and its service limits that.
+    cold_period_ms: Option<u64>,
 }
 
 /// The endpoints with a free place for a request.
 pub(super) struct Places<'a> {
     available: Vec<Available<'a>>,
+    /// When the next window of a cold endpoint begins that could take the request.
+    pub(super) next_window: Option<Timestamp>,
 }
 
 impl<'a> Places<'a> {
@@ -52,27 +56,48 @@
                 endpoint.in_flight < in_flight_limit(batch, phase)
             });
         }
-        Self { available }
+        // After the batches, since cold ranks count for the pace of their group.
+        let next_open = |endpoint: &Available<'_>| {
+            let period_ms = endpoint.cold_period_ms?;
+            Some(state.cold.next_open(&endpoint.entry.id, period_ms, now))
+        };
+        let untried = available.iter().filter(|e| !admitted.avoid.contains(&e.entry.id));
+        let next_window = untried.filter_map(next_open).min();
+        available.retain(|endpoint| next_open(endpoint).is_none_or(|open| open <= now));
+        Self { available, next_window }
     }
 
-    /// The best endpoint for the request.
+    /// The best endpoint for the request. Uses this instance's window if the endpoint is cold.
     pub(super) fn choose(
         &self,
         state: &GatewayState,
         admitted: &Admitted,
+        now: Timestamp,
     ) -> Option<Arc<EndpointEntry>> {
-        let usual: Vec<_> = self.available.iter().filter(|e| !e.is_held_back).collect();
-        let all = || self.available.iter().collect::<Vec<_>>();
-        choose_among(&usual, state, admitted).or_else(|| choose_among(&all(), state, admitted))
+        let mut left: Vec<_> = self.available.iter().collect();
+        loop {
+            let usual: Vec<_> = left.iter().filter(|e| !e.is_held_back).copied().collect();
+            let chosen = choose_among(&usual, state, admitted)
+                .or_else(|| choose_among(&left, state, admitted))?;
+            let Some(period_ms) = chosen.cold_period_ms else {
+                return Some(Arc::clone(chosen.entry));
+            };
+            if state.cold.try_use(&chosen.entry.id, period_ms, now) {
+                state.metrics.cold_sent.inc();
+                return Some(Arc::clone(chosen.entry));
+            }
+            // Another request has used the window.
+            left.retain(|endpoint| endpoint.entry.id != chosen.entry.id);
+        }
     }
 }
 
 /// The best of some endpoints for the request.
-fn choose_among(
-    available: &[&Available<'_>],
+fn choose_among<'e, 'a>(
+    available: &[&'e Available<'a>],
     state: &GatewayState,
     admitted: &Admitted,
-) -> Option<Arc<EndpointEntry>> {
+) -> Option<&'e Available<'a>> {
     let candidates: Vec<_> = available
         .iter()
         .map(|endpoint| BalancingCandidate {
@@ -89,7 +114,7 @@
     let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
     let index = choose_by_load(&candidates, domain, &untried, rand::random())
         .or_else(|| choose_by_load(&candidates, domain, &admitted.avoid, rand::random()))?;
-    Some(Arc::clone(available[index].entry))
+    Some(available[index])
 }
 
 /// The endpoints of a service that want requests, with their loads.
@@ -101,6 +126,9 @@
 ) -> Vec<Available<'a>> {
     let service = &admitted.service;
     let draw = rand::random_range(0..100);
+    let routes = view.routes.as_ref();
+    let cold_per_s = routes.and_then(|routes| routes.table.cold_per_s.get(service).copied());
+    let cold_period_ms = cold_per_s.map(|cold_per_s| state.cold.period_ms(cold_per_s));
     let exclusions = state.loads.exclusions();
     let paused = state.loads.paused_groups(now);
     let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
@@ -123,6 +151,7 @@
             in_flight: load.in_flight + view.peers.in_flight_by_tag(tag),
             failures: load.failures,
             slowdown_percent: slowdown_percent(tag),
+            cold_period_ms: cold_period_ms.filter(|_| is_cold(view, entry, now)),
             is_held_back: draw >= view.evacuations.share_percent(&entry.failure_domain, now),
         })
         .collect()
--- a/crates/lycheewood/src/filters/forward/select/usable.rs
+++ b/crates/lycheewood/src/filters/forward/select/usable.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::exchange::{Admitted, View};
 
@@ -10,6 +11,13 @@
     !view.evacuations.is_evacuated(&entry.failure_domain)
 }
 
+/// Whether an endpoint is cold: its entry says so, or its domain was given back lately.
+pub(super) fn is_cold(view: &View, entry: &EndpointEntry, now: Timestamp) -> bool {
+    let listed = view.endpoints.table.cold_until(&entry.id);
+    let returned = view.evacuations.cold_until(&entry.failure_domain);
+    listed.max(returned).is_some_and(|until| now < until)
+}
+
 /// The endpoints of the service that the request may be sent to.
 pub(super) fn usable_entries<'a>(
     view: &'a View,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -11,7 +11,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
+use crate::cold_tracker::ColdTracker;
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
+use crate::decisions::cold::{ColdBounds, STARTING_FLEET};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
 use crate::decisions::evacuation::EvacuationTable;
@@ -85,6 +87,8 @@
     /// Processor share of this instance, in thousandths of a core; 0 if it is not known. Instances with more of it
     /// take the lease on the expert groups first.
     pub processor_millicores: u32,
+    /// Bounds of the requests to a cold endpoint from all instances together.
+    pub cold_bounds: ColdBounds,
 }
 
 /// Retry budget of one service, shared by all instances.
@@ -125,6 +129,8 @@
     pub(crate) evacuations: Arc<ArcSwap<EvacuationTable>>,
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
+    /// Windows for requests to cold endpoints.
+    pub(crate) cold: Arc<ColdTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
     /// Notified when a response shows that the endpoint list is out of date.
     pub(crate) endpoint_list_stale: Notify,
@@ -190,6 +196,7 @@
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
         let capacity_changed = Arc::new(Notify::new());
         Self {
+            cold: Arc::new(ColdTracker::new(settings.cold_bounds, STARTING_FLEET)),
             settings,
             incarnation: Incarnation::random(),
             clock: Clock::system(),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod adapters;
 mod clock;
+mod cold_tracker;
 mod controllers;
 mod decisions;
 mod document;
@@ -63,6 +64,7 @@
     ClaimEffect, ClaimHolder, ClaimSettings, ClaimStatus, ClaimTable, KeyState, SubmittedClaim,
     different_request_refusal,
 };
+pub use decisions::cold::{ColdBounds, ColdWindows, FleetEstimate, FleetView, window_period_ms};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::endpoint_list::{
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -27,6 +27,8 @@
     pub(crate) endpoints_listed: IntGauge,
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) refused_unusable: IntCounter,
+    pub(crate) cold_sent: IntCounter,
+    pub(crate) fleet_assumed: IntGauge,
     pub(crate) peers_heard: IntGauge,
     pub(crate) state_fetches: IntCounterVec,
     pub(crate) records_unreadable: IntCounter,
@@ -98,6 +100,14 @@
                 "lycheewood_gateway_refused_unusable_total",
                 "Requests refused because no listed endpoint of the service may get them.",
             )?,
+            cold_sent: metrics.counter(
+                "lycheewood_gateway_cold_sent_total",
+                "Attempts at endpoints that were cold and whose service limits them.",
+            )?,
+            fleet_assumed: metrics.gauge(
+                "lycheewood_gateway_fleet_assumed",
+                "Gateways that this one shares the limits of cold endpoints with.",
+            )?,
             peers_heard: metrics.gauge(
                 "lycheewood_gateway_peers_heard",
                 "Other instances that are ready and were heard lately.",
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -315,6 +315,7 @@
     let endpoints = EndpointListController::start(
         Arc::clone(&state.endpoints),
         Arc::clone(&state.loads),
+        Arc::clone(&state.cold),
         state.clock,
         Arc::clone(metrics),
         Arc::clone(&state.early_heartbeat),
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -143,6 +143,8 @@
     pub engine_profiles: HashMap<TargetName, EngineProfile>,
     /// Shapes of the expert groups by service.
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
+    /// Requests that a cold endpoint takes in a second, by service. Only of services with a limit.
+    pub cold_per_s: HashMap<TargetName, f64>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Route>>,
     /// Index into `workspaces` by the digest of the key, so that keys are not compared byte by byte.
@@ -220,7 +222,10 @@
         let engine_profiles = raw.services.iter();
         let engine_profiles =
             engine_profiles.filter_map(|s| Some((TargetName::new(&s.name), s.engine_profile?)));
+        let limited =
+            raw.services.iter().filter(|s| s.cold_per_s.is_finite() && s.cold_per_s > 0.0);
         Ok(Self {
+            cold_per_s: limited.map(|s| (TargetName::new(&s.name), s.cold_per_s)).collect(),
             engine_profiles: engine_profiles.collect(),
             version: raw.version,
             caller_limits: raw.caller_limits,
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -80,6 +80,10 @@
     /// Performance of its endpoints, if they are engines.
     #[serde(rename = "pace")]
     pub engine_profile: Option<EngineProfile>,
+    /// Requests that all instances together may send to one of its endpoints in a second while that is cold; 0 if
+    /// there is no limit.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// Performance profile of an engine, for prefill and decoding.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -88,6 +88,7 @@
         slots: 4,
         group: None,
         started_ms: 0,
+        cold_left_ms: 0,
     })
 }
 
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use lycheewood::{
-    EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord, FailureDomain, Gateway,
-    GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRoute, RawRouteTable,
-    RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits, ShutdownSettings, TargetName,
+    ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord, FailureDomain,
+    Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRoute,
+    RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits, ShutdownSettings,
+    TargetName,
 };
 
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -50,6 +51,8 @@
     started_ms: u64,
     /// Failure domain of the endpoints that are listed next.
     pub(crate) domain: &'static str,
+    /// Time for which the endpoints that are listed next are cold.
+    pub(crate) cold_left_ms: u64,
 }
 
 impl Harness {
@@ -86,6 +89,7 @@
             heartbeat_ms: 50,
             max_callers: 100,
             processor_millicores: 0,
+            cold_bounds: ColdBounds::default(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let (closed_tx, closed) = channel();
@@ -97,6 +101,7 @@
             next_offset: 0,
             started_ms: 0,
             domain: "a",
+            cold_left_ms: 0,
         }
     }
 
@@ -198,6 +203,7 @@
             slots: 4,
             group,
             started_ms: self.started_ms,
+            cold_left_ms: self.cold_left_ms,
         };
         self.apply_record(id, EndpointRecord::Entry(entry));
     }
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod cold;
 mod crashes;
 mod evacuations;
 mod harness;
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -119,6 +119,7 @@
             heartbeat_ms: 50,
             max_callers: 10,
             processor_millicores: 0,
+            cold_bounds: lycheewood::ColdBounds::default(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let log = MemoryLog::default();
@@ -161,6 +162,7 @@
     let service = RawService {
         name: "engines".to_owned(),
         max_connections: 10,
+        cold_per_s: 0.0,
         experts: Some(experts),
         engine_profile: None,
     };
@@ -181,6 +183,7 @@
         slots: 4,
         group: Some(membership),
         started_ms: 0,
+        cold_left_ms: 0,
     };
     EndpointChange { offset: Offset(rank as u64), id, record: EndpointRecord::Entry(entry) }
 }
