Serve requests only in the regions that route and workspace allow

Cause: allowed_regions of routes and tenants, and the regions of failure domains in the settings file, were not read.

Change: a plain decision over the lists of route and workspace, applied where endpoints of evacuated domains are left out. A domain whose region is not known is allowed only without a restriction; an empty list allows none.

With the check switched off, requests_stay_in_their_regions and without_an_allowed_endpoint_requests_are_refused fail.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -28,6 +28,7 @@
 pub(crate) mod quarantine;
 pub(crate) mod queue;
 pub(crate) mod readers;
+pub(crate) mod regions;
 pub(crate) mod retries;
 pub(crate) mod routing;
 pub(crate) mod shares;
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -13,10 +13,11 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::peers::PeerTable;
+use crate::decisions::regions::AllowedRegions;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::filters::forward::quarantine::Trial;
 use crate::gateway::{CurrentEndpoints, CurrentRoutes, GatewayState};
-use crate::ids::{InstanceId, TargetName, WorkspaceName};
+use crate::ids::{InstanceId, RegionName, TargetName, WorkspaceName};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
 use crate::lifecycle::shutdown::Phase;
 use crate::load_tracker::InFlightGuard;
@@ -138,6 +139,8 @@
     pub(crate) route: Route,
     pub(crate) service: TargetName,
     pub(crate) workspace: Option<WorkspaceName>,
+    /// Regions that the workspace allows, or `None` for all.
+    pub(crate) workspace_regions: Option<Arc<[RegionName]>>,
     /// Whether the caller's key is removed before forwarding, because it identifies a workspace.
     pub(crate) strips_key: bool,
     pub(crate) body: Bytes,
@@ -189,6 +192,14 @@
         }
     }
 
+    /// The regions in which the request may be served.
+    pub(crate) fn allowed_regions(&self) -> AllowedRegions<'_> {
+        AllowedRegions {
+            route: self.route.allowed_regions.as_deref(),
+            workspace: self.workspace_regions.as_deref(),
+        }
+    }
+
     /// The fingerprints by which the request may be recognized at a crash.
     pub(crate) fn fingerprints(&self) -> Vec<Fingerprint> {
         [&[self.fingerprint], &*self.prompt_parts].concat()
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -43,6 +43,7 @@
     };
     let service = route.service(rand::random()).clone();
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
+    let workspace_regions = workspace.and_then(|workspace| workspace.allowed_regions.clone());
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -59,6 +60,7 @@
         }),
         service,
         workspace,
+        workspace_regions,
         strips_key: routes.table.requires_keys(),
         body,
         fingerprint,
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -242,6 +242,7 @@
             route: admitted.route.clone(),
             service: admitted.service.clone(),
             workspace: admitted.workspace.clone(),
+            workspace_regions: admitted.workspace_regions.clone(),
             body: admitted.body.clone(),
             avoid: std::mem::take(&mut admitted.avoid),
             refused_by: std::mem::take(&mut admitted.refused_by),
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -112,7 +112,7 @@
 
 /// Records and logs why no endpoint was found: none is available, or all run their maximum batch.
 fn record_no_endpoint(state: &GatewayState, head: &RequestHead, admitted: &mut Admitted) {
-    let listed = usable_entries(&View::load(state), admitted).count();
+    let listed = usable_entries(state, &View::load(state), admitted).count();
     let avoided = admitted.avoid.len();
     if listed > avoided && admitted.gap_limit.is_some() {
         admitted.no_endpoint_code = NotRunCode::Overloaded;
@@ -146,7 +146,7 @@
         if let Some(endpoint) = places.choose(state, admitted, now) {
             return Ok(endpoint);
         }
-        if is_none_usable(&view, admitted) {
+        if is_none_usable(state, &view, admitted) {
             state.metrics.refused_unusable.inc();
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
             return Err(NoEndpoint { retry_after_ms });
@@ -186,7 +186,7 @@
     admitted: &Admitted,
     now: Timestamp,
 ) -> Option<Timestamp> {
-    let entries = || usable_entries(view, admitted);
+    let entries = || usable_entries(state, view, admitted);
     let exclusions = state.loads.exclusions();
     if !entries().all(|entry| exclusions.contains(entry, now)) {
         return None;
@@ -196,7 +196,7 @@
 
 /// Whether a group of the service refuses requests, as it does while it forms.
 fn has_refusing_group(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
-    let groups = usable_entries(view, admitted).filter_map(|entry| entry.group.as_ref());
+    let groups = usable_entries(state, view, admitted).filter_map(|entry| entry.group.as_ref());
     let mut groups = groups.map(|group| &group.name);
     groups.any(|group| state.loads.is_group_refusing(group))
 }
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -143,7 +143,7 @@
         .filter(|((entry, _), load)| {
             let is_paused = entry.group.as_ref().is_some_and(|group| paused.contains(&group.name));
             let is_wanted = !load.is_misdirected && !is_paused && !exclusions.contains(entry, now);
-            is_wanted && is_usable(view, admitted, entry)
+            is_wanted && is_usable(state, view, admitted, entry)
         })
         .map(|((entry, tag), load)| Available {
             entry,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
+use crate::decisions::regions::RegionMap;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
 use crate::ids::{AttemptId, FailureDomain, Incarnation, InstanceId, TargetName};
@@ -89,6 +90,8 @@
     pub processor_millicores: u32,
     /// Bounds of the requests to a cold endpoint from all instances together.
     pub cold_bounds: ColdBounds,
+    /// The region of each failure domain.
+    pub regions: RegionMap,
 }
 
 /// Retry budget of one service, shared by all instances.
--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -62,6 +62,10 @@
     /// Name of a failure domain.
     FailureDomain
 );
+name_type!(
+    /// Name of a region, which has one or more failure domains.
+    RegionName
+);
 name_type!(
     /// Name of a workspace of callers.
     WorkspaceName
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -119,6 +119,7 @@
     QueueDeadlines, QueuePhase, in_flight_limit, queue_phase, startup_wait_ms,
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
+pub use decisions::regions::{AllowedRegions, RegionMap};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
 pub use decisions::routing::{
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
@@ -140,7 +141,8 @@
 pub use group_ports::{AppendOutcome, LeaseLog, RankAddress, RankClient};
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    PublicationId, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName, WorkspaceName,
+    PublicationId, RegionName, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName,
+    WorkspaceName,
 };
 pub use lifecycle::attempt::{
     Attempt, Dispatched as AttemptDispatched, NotRunProof, Planned as AttemptPlanned,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -1,9 +1,10 @@
 //! The validated route table, indexed for matching.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::decisions::digest::digest;
-use crate::ids::{TargetName, WorkspaceName};
+use crate::ids::{RegionName, TargetName, WorkspaceName};
 use crate::routes::raw::{
     CallerLimits, EngineProfile, ExpertShape, RawRoute, RawRouteTable, RawRouteWorkspace,
     RawTrafficShare, RequestKind,
@@ -59,6 +60,8 @@
     pub is_resumable: bool,
     /// Target interval between the events of a stream, in milliseconds.
     pub target_gap_ms: Option<u64>,
+    /// Regions whose endpoints may get its requests, or `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
     split: Vec<(TargetName, u64)>,
     weight_sum: u64,
 }
@@ -113,6 +116,7 @@
             allows_anonymous: raw.allows_anonymous,
             is_resumable: raw.is_resumable,
             target_gap_ms: raw.target_gap_ms,
+            allowed_regions: raw.allowed_regions.map(Arc::from),
             split,
             weight_sum,
         })
@@ -130,6 +134,8 @@
     pub name: WorkspaceName,
     /// Overrides the priority of the route, if set.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may get its requests, or `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
 }
 
 /// One validated version of the route table.
@@ -216,6 +222,7 @@
         let workspaces = raw.workspaces.iter().map(|workspace| RouteWorkspace {
             name: WorkspaceName::new(&workspace.name),
             priority: workspace.priority,
+            allowed_regions: workspace.allowed_regions.clone().map(Arc::from),
         });
         let shapes = raw.services.iter();
         let shapes = shapes.filter_map(|s| Some((TargetName::new(&s.name), s.experts?)));
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::RegionName;
+
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -57,6 +59,9 @@
     pub is_resumable: bool,
     /// Target interval between the events of a stream, in milliseconds.
     pub target_gap_ms: Option<u64>,
+    /// Regions whose endpoints may get its requests, or `None` for all. An empty list allows none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// The share of a route's requests that goes to one service.
@@ -136,6 +141,9 @@
     pub keys: Vec<String>,
     /// Overrides the priority of the route, if set.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may get its requests, or `None` for all. An empty list allows none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// Size and time limits of requests.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -32,6 +32,7 @@
         allows_anonymous: false,
         is_resumable: false,
         target_gap_ms: None,
+        allowed_regions: None,
     }
 }
 
@@ -72,6 +73,7 @@
         name: name.into(),
         keys: vec!["k".into()],
         priority: None,
+        allowed_regions: None,
     };
     let shared =
         RawRouteTable { workspaces: vec![workspace("a"), workspace("b")], ..table(Vec::new()) };
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use lycheewood::{
-    ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord, FailureDomain,
-    Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRoute,
-    RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits, ShutdownSettings,
-    TargetName,
+    ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord,
+    FailureDomain, Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset,
+    RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits,
+    ShutdownSettings, TargetName,
 };
 
+use crate::regions::region_map;
+
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Behaviour of a scripted endpoint on one connection.
@@ -90,6 +92,7 @@
             max_callers: 100,
             processor_millicores: 0,
             cold_bounds: ColdBounds::default(),
+            regions: region_map(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let (closed_tx, closed) = channel();
@@ -427,6 +430,7 @@
         allows_anonymous: false,
         is_resumable: kind == RequestKind::Streaming,
         target_gap_ms: None,
+        allowed_regions: None,
     }
 }
 
@@ -443,6 +447,7 @@
             name: "team".to_owned(),
             keys: vec!["key-1".to_owned()],
             priority: None,
+            allowed_regions: None,
         }],
         ..RawRouteTable::default()
     }
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -7,5 +7,6 @@
 mod evacuations;
 mod harness;
 mod leaving;
+mod regions;
 mod retries;
 mod streams;
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -120,6 +120,7 @@
             max_callers: 10,
             processor_millicores: 0,
             cold_bounds: lycheewood::ColdBounds::default(),
+            regions: lycheewood::RegionMap::default(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let log = MemoryLog::default();
