Spread callers by processor share, and prefer their region

Cause: /v1/resolve ignored region and processor share, so a small instance was told as often as one with four times its share.

Change: a list is a sample in which each instance stands with a probability in proportion to its processor share.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -10,6 +10,7 @@
 pub(crate) mod cold;
 pub(crate) mod demand;
 pub(crate) mod digest;
+pub(crate) mod directory;
 pub(crate) mod endpoint_list;
 pub(crate) mod entries;
 pub(crate) mod estimate;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -67,6 +67,7 @@
 pub use decisions::cold::{ColdBounds, ColdWindows, FleetEstimate, FleetView, window_period_ms};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
+pub use decisions::directory::{CallerPlace, EntryView, nearest_entries};
 pub use decisions::endpoint_list::{
     EndpointAvailability, EndpointChange, EndpointEntry, EndpointIndex, EndpointList,
     EndpointRecord, GroupMembership,
@@ -104,7 +105,7 @@
     ConnectionState, Eligibility, InstanceView, ListStatus, MembershipSettings, eligibility,
     is_advertisable,
 };
-pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
+pub use decisions::peers::{Peer, PeerTable, PeerTracker};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementDecision, PlacementView, decide_placement,
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -22,9 +22,9 @@
 use crate::controllers::routes::{
     PLATFORM_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes,
 };
+use crate::decisions::directory::{CallerPlace, EntryView, nearest_entries};
 use crate::decisions::endpoint_list::EndpointChange;
 use crate::decisions::evacuation::EvacuationChange;
-use crate::decisions::peers::{EntryView, nearest_entries};
 use crate::gateway::{GatewaySettings, GatewayState, PlatformTopic};
 use crate::group_ports::{LeaseLog, RankClient};
 use crate::ids::{FailureDomain, Offset};
@@ -152,22 +152,29 @@
         self.state.is_ready()
     }
 
-    /// The entry addresses advertised to a caller in `domain`, at most `max`.
+    /// The entry addresses advertised to a caller, at most `max`. A region that is not given is that of its domain.
     #[must_use]
-    pub fn entry_addresses(&self, domain: &FailureDomain, max: usize) -> EntryAddresses {
+    pub fn entry_addresses(&self, caller: &CallerPlace<'_>, max: usize) -> EntryAddresses {
         let now = self.state.clock.now();
         let peers = self.state.peers.load();
         let ready = peers.peers.values().filter(|peer| peer.is_advertisable(now));
+        let regions = &self.state.settings.regions;
         let others = ready.map(|peer| EntryView {
             caller_address: peer.about.caller_address,
             failure_domain: &peer.about.failure_domain,
+            region: regions.region(&peer.about.failure_domain),
+            processor_millicores: peer.about.processor_millicores,
         });
         let own = self.is_ready().then_some(EntryView {
             caller_address: self.state.settings.caller_address,
             failure_domain: &self.state.settings.failure_domain,
+            region: regions.region(&self.state.settings.failure_domain),
+            processor_millicores: self.state.settings.processor_millicores,
         });
         let entries: Vec<_> = others.chain(own).collect();
-        let addresses = nearest_entries(&entries, domain, rand::random(), max);
+        let region = caller.region.or_else(|| regions.region(caller.domain));
+        let caller = CallerPlace { region, ..*caller };
+        let addresses = nearest_entries(&entries, &caller, rand::random(), max);
         EntryAddresses { addresses, valid_for_ms: ADDRESSES_VALID_MS }
     }
 }
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -2,11 +2,11 @@
 
 use lycheewood::{
     About, BalancingCandidate, CountTracker, EndpointAvailability, EndpointChange, EndpointEntry,
-    EndpointList, EndpointRecord, EngineProfile, EntryView, EventSplitter, FailureDomain,
-    Heartbeat, HeartbeatExtension, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines,
-    QueuePhase, RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare,
-    RequestKind, RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, event_id,
-    in_flight_limit, max_batch, nearest_entries, queue_phase, switch_lead_ms, switch_step,
+    EndpointList, EndpointRecord, EngineProfile, EventSplitter, FailureDomain, Heartbeat,
+    HeartbeatExtension, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines, QueuePhase,
+    RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind,
+    RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, event_id, in_flight_limit,
+    max_batch, queue_phase, switch_lead_ms, switch_step,
 };
 use proptest::prelude::*;
 
@@ -208,22 +208,6 @@
     assert!(is_advertised(&tracker, at(320)));
 }
 
-/// Guards against sending callers to another failure domain unnecessarily, and against advertising only one
-/// instance.
-#[test]
-fn near_instances_are_told_unless_there_are_too_few() {
-    let (a, b) = (FailureDomain::new("a"), FailureDomain::new("b"));
-    let view = |port: u16, domain| EntryView {
-        caller_address: ([127, 0, 0, 1], port).into(),
-        failure_domain: domain,
-    };
-    let entries = [view(1, &a), view(2, &a), view(3, &b)];
-    assert_eq!(nearest_entries(&entries, &a, 0, 64).len(), 2);
-    assert_eq!(nearest_entries(&entries, &b, 0, 64).len(), 3);
-    assert_eq!(nearest_entries(&entries, &b, 0, 64)[0].port(), 3);
-    assert_eq!(nearest_entries(&entries, &b, 0, 2).len(), 2);
-}
-
 /// Guards against late stream events because an endpoint runs too many requests concurrently.
 #[test]
 fn a_batch_keeps_the_pace() {
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lycheewood::{
-    ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord,
+    CallerPlace, ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord,
     FailureDomain, Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset,
     RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits,
     ShutdownSettings, TargetName,
@@ -50,7 +50,7 @@
     closed_tx: Sender<String>,
     next_offset: u64,
     /// Start of the endpoints that are listed next, in Unix milliseconds.
-    started_ms: u64,
+    pub(crate) started_ms: u64,
     /// Failure domain of the endpoints that are listed next.
     pub(crate) domain: &'static str,
     /// Time for which the endpoints that are listed next are cold.
@@ -178,13 +178,6 @@
         self.list_entry(id, address, EndpointAvailability::Ready, None);
     }
 
-    /// Lists an endpoint by an entry that has an earlier start than its own.
-    pub(crate) fn list_with_earlier_start(&mut self, id: &str, address: SocketAddr) {
-        let started_ms = std::mem::take(&mut self.started_ms);
-        self.list_entry(id, address, EndpointAvailability::Ready, None);
-        self.started_ms = started_ms;
-    }
-
     /// Removes an endpoint from the endpoint list.
     pub(crate) fn remove_endpoint(&mut self, id: &str) {
         self.apply_record(id, EndpointRecord::Removed);
@@ -250,8 +243,9 @@
     /// Waits until the gateway has heard another one.
     pub(crate) fn wait_for_peer(&self) {
         let domain = FailureDomain::new("a");
+        let caller = CallerPlace { domain: &domain, region: None };
         for _ in 0..3_000 {
-            if self.gateway().handle().entry_addresses(&domain, 64).addresses.len() > 1 {
+            if self.gateway().handle().entry_addresses(&caller, 64).addresses.len() > 1 {
                 return;
             }
             thread::park_timeout(Duration::from_millis(5));
--- a/crates/lycheewood/tests/gateway/leaving.rs
+++ b/crates/lycheewood/tests/gateway/leaving.rs
@@ -64,7 +64,8 @@
     while arrivals(&harness, "s1") == 0 {
         harness.call(&request("/read/x", "first"));
     }
-    harness.list_with_earlier_start("s1", address);
+    harness.started_ms = 0;
+    harness.list_endpoint("s1", address, EndpointAvailability::Ready);
     for number in 0..40 {
         assert_eq!(harness.call(&request("/read/x", &format!("id-{number}"))).status, 200);
     }
