--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -16,11 +16,14 @@
 use crate::clock::Timestamp;
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
 use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
-use crate::controllers::routes::{RoutesController, UpdateRoutes};
+use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
+use crate::decisions::cold::{FleetEstimate, FleetView};
 use crate::decisions::peers::{PeerTracker, encode_failures};
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
-use crate::wire::heartbeat::{About, Heartbeat, HeartbeatExtension, SharedState, endpoint_tag};
+use crate::wire::heartbeat::{
+    About, Evacuations, Heartbeat, HeartbeatExtension, SharedState, endpoint_tag,
+};
 
 /// Number of heartbeats after the start that contain `about` and are sent to all instances.
 const INITIAL_FULL_HEARTBEATS: u64 = 4;
@@ -75,7 +78,8 @@
         let endpoints = if endpoints { self.endpoints.ask(ExportList).await.ok() } else { None };
         let mut peers: Vec<SocketAddr> = self.state.peers.load().peers.keys().copied().collect();
         peers.push(self.state.settings.peer_address);
-        SharedState { routes, endpoints, peers }
+        let evacuations = self.state.evacuations.load().evacuations();
+        SharedState { routes, endpoints, peers, evacuations }
     }
 }
 
@@ -86,6 +90,7 @@
     tracker: PeerTracker,
     lag: LagMonitor,
     election: ReaderElection,
+    fleet: FleetEstimate,
     sequence: u64,
     /// When the peer table was last published.
     published_at: Timestamp,
@@ -108,12 +113,14 @@
         for seed in &state.settings.seeds {
             tracker.add_address(*seed, state.clock.now());
         }
+        let fleet = FleetEstimate::new(state.clock.now());
         let (heartbeat_ms, shared) = (state.settings.heartbeat_ms, Arc::clone(&state));
         let controller = Self {
             state,
             tracker,
             lag: LagMonitor::default(),
             election: ReaderElection::default(),
+            fleet,
             sequence: 0,
             published_at: Timestamp::default(),
             is_fetching: false,
@@ -156,11 +163,22 @@
             extension: HeartbeatExtension {
                 failures,
                 waiting: state.waiting_room.waiting(),
+                evacuations: state.evacuations.load().evacuations(),
                 ..HeartbeatExtension::default()
             },
         }
     }
 
+    /// Passes on the evacuated domains of another instance if it has read further. At once and from every instance,
+    /// because the reader of the own domain may be slow.
+    fn adopt_evacuations(&self, evacuations: Option<Evacuations>) {
+        let known = self.state.evacuations.load().next();
+        if let Some(state) = evacuations.filter(|state| state.next > known) {
+            let update = UpdateEvacuations::State { state, source: PEER_SOURCE };
+            let _ = self.routes.tell(update).try_send();
+        }
+    }
+
     /// Publishes the peer table and the outcome of the reader election.
     fn publish(&mut self) {
         let now = self.state.clock.now();
@@ -187,9 +205,23 @@
         self.state.waiting_room.observe(table.waiting());
         self.state.peers.store(Arc::new(table));
         self.state.waiting_room.wake();
+        self.update_fleet(now);
         self.published_at = now;
     }
 
+    /// Updates the number of gateways that share the limits of cold endpoints.
+    fn update_fleet(&mut self, now: Timestamp) {
+        let view = self.tracker.fleet(self.state.settings.peer_address, now);
+        let fleet = self.fleet.update(&view, now);
+        if self.state.cold.set_fleet(fleet) != fleet {
+            let FleetView { heard, known, unconfirmed } = view;
+            log::info!(
+                "fleet changed assumed={fleet} heard={heard} known={known} unconfirmed={unconfirmed}"
+            );
+            self.state.metrics.fleet_assumed.set(i64::from(fleet));
+        }
+    }
+
     /// Fetches state from another instance if that one has newer state and no fetch is running.
     fn fetch_if_behind(&mut self, actor: ActorRef<Self>) {
         if self.is_fetching {
@@ -232,8 +264,12 @@
     shared: SharedState,
 ) {
     // The controllers live as long as the process, so no send fails.
+    // Before the routes, so that an instance that starts does not serve without it.
+    if let Some(state) = shared.evacuations {
+        let _ = routes.tell(UpdateEvacuations::State { state, source: PEER_SOURCE }).await;
+    }
     if let Some(raw) = shared.routes {
-        let _ = routes.tell(UpdateRoutes { raw, source: "peer" }).await;
+        let _ = routes.tell(UpdateRoutes { raw, source: PEER_SOURCE }).await;
     }
     if let Some(list) = shared.endpoints {
         let _ = endpoints.tell(EndpointListUpdate::Shared(list)).await;
@@ -251,9 +287,11 @@
         let former = self.tracker.peer(from);
         let was_ready = former.map(|peer| peer.is_advertisable(now));
         let is_news = former.is_none_or(|peer| peer.heartbeat.differs_in_state(&heartbeat));
+        let evacuations = heartbeat.extension.evacuations.clone();
         if !self.tracker.apply(from, heartbeat, now) {
             return;
         }
+        self.adopt_evacuations(evacuations);
         if was_ready != Some(is_ready) {
             log::info!("peer changed address={from} ready={is_ready} former={was_ready:?}");
         }
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::clock::Timestamp;
+use crate::decisions::cold::FleetView;
 use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::units::ceil_ms;
 use crate::decisions::urgency::WaitingCounts;
@@ -152,6 +153,19 @@
         self.peers.get(&address).map(Arc::as_ref)
     }
 
+    /// How many other instances were heard lately, are known, or have never answered. `own_address` is not counted.
+    pub(crate) fn fleet(&self, own_address: SocketAddr, now: Timestamp) -> FleetView {
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let heard =
+            self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
+        let unconfirmed = self.unconfirmed.keys().filter(|address| **address != own_address);
+        FleetView {
+            heard: count(heard.count()),
+            known: count(self.peers.len()),
+            unconfirmed: count(unconfirmed.count()),
+        }
+    }
+
     /// Removes instances without a heartbeat, and unconfirmed addresses that were not added again, for
     /// [`PEER_FORGET_MS`].
     pub fn expire(&mut self, now: Timestamp) {
@@ -192,41 +206,3 @@
         PeerTable { peers: self.peers.clone(), in_flight, slow, failures, expected_shifts, waiting }
     }
 }
-
-/// An instance that may be advertised to callers.
-#[derive(Clone, Copy, Debug)]
-pub struct EntryView<'a> {
-    /// Address that callers connect to.
-    pub caller_address: SocketAddr,
-    /// Failure domain of the instance.
-    pub failure_domain: &'a FailureDomain,
-}
-
-/// Minimum number of ready instances in the caller's own failure domain. With fewer, instances of other domains
-/// are advertised too, so that the caller has alternatives if one fails.
-const MIN_LOCAL_ENTRIES: usize = 2;
-
-/// The addresses advertised to a caller in `domain`, at most `max`, those in its domain first. With more than
-/// `max`, the result is a window that starts at `rotation`, which spreads the callers; it may then leave out
-/// instances of the caller's own domain.
-#[must_use]
-pub fn nearest_entries(
-    entries: &[EntryView<'_>],
-    domain: &FailureDomain,
-    rotation: u64,
-    max: usize,
-) -> Vec<SocketAddr> {
-    let (mut selected, remote): (Vec<&EntryView<'_>>, Vec<&EntryView<'_>>) =
-        entries.iter().partition(|entry| entry.failure_domain == domain);
-    if selected.len() < MIN_LOCAL_ENTRIES {
-        selected.extend(remote);
-    }
-    let mut addresses: Vec<SocketAddr> =
-        selected.iter().map(|entry| entry.caller_address).collect();
-    if addresses.len() > max {
-        let len = addresses.len();
-        addresses.rotate_left(crate::decisions::units::index_below(rotation, len));
-        addresses.truncate(max);
-    }
-    addresses
-}
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -12,11 +12,13 @@
 use crate::clock::Timestamp;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::EndpointEntry;
+use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::peers::PeerTable;
+use crate::decisions::regions::AllowedRegions;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::filters::forward::quarantine::Trial;
 use crate::gateway::{CurrentEndpoints, CurrentRoutes, GatewayState};
-use crate::ids::{InstanceId, TargetName, WorkspaceName};
+use crate::ids::{InstanceId, RegionName, TargetName, WorkspaceName};
 use crate::lifecycle::attempt::{Attempt, Dispatched, Planned};
 use crate::lifecycle::shutdown::Phase;
 use crate::load_tracker::InFlightGuard;
@@ -56,6 +58,7 @@
 pub(crate) struct View {
     pub(crate) routes: Option<Arc<CurrentRoutes>>,
     pub(crate) endpoints: Arc<CurrentEndpoints>,
+    pub(crate) evacuations: Arc<EvacuationTable>,
     pub(crate) peers: Arc<PeerTable>,
 }
 
@@ -64,6 +67,7 @@
         Self {
             routes: state.routes.load_full(),
             endpoints: state.endpoints.load_full(),
+            evacuations: state.evacuations.load_full(),
             peers: state.peers.load_full(),
         }
     }
@@ -160,6 +164,8 @@
     pub(crate) priority: u8,
     /// The priorities of requests to the service, if its endpoints are engines and there is more than one.
     pub(crate) priorities: Option<PriorityRange>,
+    /// Regions that the workspace allows, or `None` for all.
+    pub(crate) workspace_regions: Option<Arc<[RegionName]>>,
     /// Whether the caller's key is removed before forwarding, because it identifies a workspace.
     pub(crate) strips_key: bool,
     pub(crate) body: Bytes,
@@ -213,6 +219,14 @@
         }
     }
 
+    /// The regions in which the request may be served.
+    pub(crate) fn allowed_regions(&self) -> AllowedRegions<'_> {
+        AllowedRegions {
+            route: self.route.allowed_regions.as_deref(),
+            workspace: self.workspace_regions.as_deref(),
+        }
+    }
+
     /// The fingerprints by which the request may be recognized at a crash.
     pub(crate) fn fingerprints(&self) -> Vec<Fingerprint> {
         [&[self.fingerprint], &*self.prompt_parts].concat()
@@ -234,6 +248,7 @@
             route: self.route.clone(),
             service: self.service.clone(),
             workspace: self.workspace.clone(),
+            workspace_regions: self.workspace_regions.clone(),
             body: self.body.clone(),
             avoid: self.avoid.clone(),
             refused_by: self.refused_by.clone(),
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -42,6 +42,7 @@
         && !routes.table.engine_profiles.contains_key(&service);
     let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
     let priority = route.effective_priority(workspace);
+    let workspace_regions = workspace.and_then(|workspace| workspace.allowed_regions.clone());
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -60,6 +61,7 @@
         service,
         workspace,
         priority,
+        workspace_regions,
         strips_key: routes.table.requires_keys(),
         body,
         fingerprint,
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -1,6 +1,7 @@
 //! Chooses the endpoint of the next attempt, and waits for free capacity where a route limits event gaps.
 
 mod places;
+mod usable;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +16,8 @@
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
 use crate::filters::forward::quarantine;
 use crate::filters::forward::select::places::Places;
+use crate::filters::forward::select::usable::{is_none_usable, usable_entries};
 use crate::gateway::GatewayState;
-use crate::ids::TargetName;
 use crate::lifecycle::attempt::Attempt;
 use crate::lifecycle::place_wait::PlaceWait;
 use crate::load_tracker::InFlightGuard;
@@ -116,8 +117,7 @@
 
 /// Records and logs why no endpoint was found: none is available, or all run their maximum batch.
 fn record_no_endpoint(state: &GatewayState, head: &RequestHead, admitted: &mut Admitted) {
-    let endpoints = state.endpoints.load();
-    let listed = endpoints.table.endpoints(&admitted.service).len();
+    let listed = usable_entries(state, &View::load(state), admitted).count();
     let avoided = admitted.avoid.len();
     if listed > avoided && admitted.gap_limit.is_some() {
         admitted.no_endpoint_code = NotRunCode::Overloaded;
@@ -161,11 +161,13 @@
         let now = state.clock.now();
         let phase = wait.phase(now);
         let view = View::load(state);
+        let mut next_window = None;
         if let Turn::Look { pressure } = guard.turn(view.peers.waiting(), now) {
             let places = Places::find(state, &view, admitted, phase, pressure, now);
+            next_window = places.next_window.filter(|open| *open <= deadlines.expires());
             let instances = view.peers.peers.len() + 1;
             let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
-            if may_claim && let Some(endpoint) = places.choose(state, admitted) {
+            if may_claim && let Some(endpoint) = places.choose(state, admitted, now) {
                 // Counted before the next request in turn looks for a place.
                 let in_flight = state.loads.start_request(&endpoint);
                 guard.record_grant(now);
@@ -173,12 +175,20 @@
                 return Ok(Place { endpoint, in_flight });
             }
         }
-        let pause_end = pause_end(state, &admitted.service, now);
+        if is_none_usable(state, &view, admitted) {
+            state.metrics.refused_unusable.inc();
+            let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
+            return Err(NoEndpoint { retry_after_ms });
+        }
+        let pause_end = pause_end(state, &view, admitted, now);
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
             return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
-        let is_refused = has_refusing_group(state, &admitted.service);
-        let may_wait = admitted.gap_limit.is_some() || is_refused || pause_end.is_some();
+        let is_refused = has_refusing_group(state, &view, admitted);
+        let may_wait = admitted.gap_limit.is_some()
+            || is_refused
+            || pause_end.is_some()
+            || next_window.is_some();
         let is_hopeless = !is_refused && pause_end.is_none() && guard.is_hopeless(now);
         if !may_wait || is_hopeless || phase == QueuePhase::Expired {
             let end = if is_hopeless { "hopeless" } else { "expired" };
@@ -197,6 +207,9 @@
         if is_refused {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
+        if let Some(open) = next_window {
+            remaining_ms = remaining_ms.min(open.ms_since(now).max(1));
+        }
         // Looks again after a timeout as after a change.
         if timeout(Duration::from_millis(remaining_ms), guard.woken()).await.is_err()
             && wait.phase(state.clock.now()) != phase
@@ -244,9 +257,13 @@
 }
 
 /// When the first endpoint of the service that pauses wants requests again, if no endpoint wants any now.
-fn pause_end(state: &GatewayState, service: &TargetName, now: Timestamp) -> Option<Timestamp> {
-    let endpoints = state.endpoints.load();
-    let entries = || endpoints.table.endpoints(service).iter();
+fn pause_end(
+    state: &GatewayState,
+    view: &View,
+    admitted: &Admitted,
+    now: Timestamp,
+) -> Option<Timestamp> {
+    let entries = || usable_entries(state, view, admitted);
     let exclusions = state.loads.exclusions();
     if !entries().all(|entry| exclusions.contains(entry, now)) {
         return None;
@@ -255,9 +272,8 @@
 }
 
 /// Whether a group of the service refuses requests, as it does while it forms.
-fn has_refusing_group(state: &GatewayState, service: &TargetName) -> bool {
-    let endpoints = state.endpoints.load();
-    let groups = endpoints.table.endpoints(service).iter().filter_map(|entry| entry.group.as_ref());
+fn has_refusing_group(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
+    let groups = usable_entries(state, view, admitted).filter_map(|entry| entry.group.as_ref());
     let mut groups = groups.map(|group| &group.name);
     groups.any(|group| state.loads.is_group_refusing(group))
 }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -11,14 +11,18 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::{Clock, Timestamp};
+use crate::cold_tracker::ColdTracker;
 use crate::connection_table::ConnectionTable;
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
+use crate::decisions::cold::{ColdBounds, STARTING_FLEET};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
+use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
+use crate::decisions::regions::RegionMap;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
 use crate::decisions::units::mix;
@@ -95,6 +99,10 @@
     pub processor_millicores: u32,
     /// Memory of the machine, in bytes; 0 for no memory budget.
     pub memory_bytes: u64,
+    /// Bounds of the requests to a cold endpoint from all instances together.
+    pub cold_bounds: ColdBounds,
+    /// The region of each failure domain.
+    pub regions: RegionMap,
 }
 
 /// Retry budget of one service, shared by all instances.
@@ -131,8 +139,12 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) routes: Arc<ArcSwapOption<CurrentRoutes>>,
     pub(crate) endpoints: Arc<ArcSwap<CurrentEndpoints>>,
+    /// Failure domains whose endpoints get no requests.
+    pub(crate) evacuations: Arc<ArcSwap<EvacuationTable>>,
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
+    /// Windows for requests to cold endpoints.
+    pub(crate) cold: Arc<ColdTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
     /// Memory for connections, requests and responses.
     pub(crate) memory: MemoryBudget,
@@ -207,12 +219,14 @@
         Self {
             callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
             memory,
+            cold: Arc::new(ColdTracker::new(settings.cold_bounds, STARTING_FLEET)),
             settings,
             incarnation: Incarnation::random(),
             clock,
             metrics,
             routes: Arc::default(),
             endpoints: Arc::default(),
+            evacuations: Arc::default(),
             peers: Arc::default(),
             loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room))),
             in_flight: watch::Sender::new(0),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod adapters;
 mod clock;
+mod cold_tracker;
 mod connection_table;
 mod controllers;
 mod decisions;
@@ -70,9 +71,11 @@
     ClaimEffect, ClaimHolder, ClaimSettings, ClaimStatus, ClaimTable, KeyState, SubmittedClaim,
     different_request_refusal,
 };
+pub use decisions::cold::{ColdBounds, ColdWindows, FleetEstimate, FleetView, window_period_ms};
 pub use decisions::connections::{IdleConnection, Room, room_for_connection};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
+pub use decisions::directory::{CallerPlace, EntryView, nearest_entries};
 pub use decisions::endpoint_list::{
     EndpointAvailability, EndpointChange, EndpointEntry, EndpointIndex, EndpointList,
     EndpointRecord, GroupMembership,
@@ -81,6 +84,7 @@
     EntrySelection, EntrySelectionSettings, InstanceCandidate, select_entries, watched_endpoints,
 };
 pub use decisions::estimate::{EndpointEstimate, InFlightMeter};
+pub use decisions::evacuation::{EvacuationChange, EvacuationTable};
 pub use decisions::events::{EventSplitter, EventTooLong, event_id};
 pub use decisions::expert_groups::{
     CountTracker, ExpertDemand, GroupDemand, OrderReply, RankCounts, RankOrder, RankStatus,
@@ -114,7 +118,7 @@
     CONNECTION_BYTES, MemoryUse, RECEIVE_BUFFER_BYTES, RECEIVE_MEMORY_BYTES, REQUEST_BYTES,
     SMALL_REQUEST_BYTES, budget_bytes, buffer_capacity, kept_free_bytes, may_reserve,
 };
-pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
+pub use decisions::peers::{Peer, PeerTable, PeerTracker};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementDecision, PlacementView, decide_placement,
@@ -129,6 +133,7 @@
     QueueDeadlines, QueuePhase, first_look, in_flight_limit, queue_phase, startup_wait_ms,
 };
 pub use decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection, StateFetch};
+pub use decisions::regions::{AllowedRegions, RegionMap};
 pub use decisions::replies::{ReplyDecision, judge_reply};
 pub use decisions::resume::{EventDecision, EventOrigin, EventSequence, is_same_media_type};
 pub use decisions::retries::{RefusalCause, RetryBudget, RetryPolicy, backoff_ms, come_back_ms};
@@ -159,7 +164,8 @@
 pub use group_ports::{AppendOutcome, LeaseLog, RankAddress, RankClient};
 pub use ids::{
     AttemptId, EndpointKindName, FailureDomain, FencingNumber, Incarnation, InstanceId, Offset,
-    PublicationId, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName, WorkspaceName,
+    PublicationId, RegionName, RequestKey, RequestKeyError, ScopeName, TargetName, VersionName,
+    WorkspaceName,
 };
 pub use lifecycle::attempt::{
     Attempt, Dispatched as AttemptDispatched, NotRunProof, Planned as AttemptPlanned,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -1,9 +1,10 @@
 //! The validated route table, indexed for matching.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 use crate::decisions::digest::digest;
-use crate::ids::{TargetName, WorkspaceName};
+use crate::ids::{RegionName, TargetName, WorkspaceName};
 use crate::routes::raw::{
     CallerLimits, EngineProfile, ExpertShape, RawRoute, RawRouteTable, RawRouteWorkspace,
     RawTrafficShare, RequestKind,
@@ -71,6 +72,8 @@
     pub is_resumable: bool,
     /// Target interval between the events of a stream, in milliseconds.
     pub target_gap_ms: Option<u64>,
+    /// Regions whose endpoints may get its requests, or `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
     split: Vec<(TargetName, u64)>,
     weight_sum: u64,
 }
@@ -132,6 +135,7 @@
             allows_anonymous: raw.allows_anonymous,
             is_resumable: raw.is_resumable,
             target_gap_ms: raw.target_gap_ms,
+            allowed_regions: raw.allowed_regions.map(Arc::from),
             split,
             weight_sum,
         })
@@ -149,6 +153,8 @@
     pub name: WorkspaceName,
     /// Overrides the priority of the route, if set.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may get its requests, or `None` for all.
+    pub allowed_regions: Option<Arc<[RegionName]>>,
 }
 
 /// One validated version of the route table.
@@ -164,6 +170,8 @@
     pub expert_shapes: HashMap<TargetName, ExpertShape>,
     /// Priorities of requests to services of engines, where requests differ in priority.
     priorities: HashMap<TargetName, PriorityRange>,
+    /// Requests that a cold endpoint takes in a second, by service. Only of services with a limit.
+    pub cold_per_s: HashMap<TargetName, f64>,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Route>>,
     /// Index into `workspaces` by the digest of the key, so that keys are not compared byte by byte.
@@ -241,6 +249,7 @@
         let workspaces = raw.workspaces.iter().map(|workspace| RouteWorkspace {
             name: WorkspaceName::new(&workspace.name),
             priority: workspace.priority,
+            allowed_regions: workspace.allowed_regions.clone().map(Arc::from),
         });
         let workspaces: Vec<RouteWorkspace> = workspaces.collect();
         let shapes = raw.services.iter();
@@ -258,7 +267,10 @@
             let differ = range.most_urgent < range.least_urgent;
             (differ && engine_profiles.contains_key(service)).then(|| (service.clone(), range))
         });
+        let limited =
+            raw.services.iter().filter(|s| s.cold_per_s.is_finite() && s.cold_per_s > 0.0);
         Ok(Self {
+            cold_per_s: limited.map(|s| (TargetName::new(&s.name), s.cold_per_s)).collect(),
             priorities: ranges.collect(),
             engine_profiles,
             version: raw.version,
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::RegionName;
+
 /// How often a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -57,6 +59,9 @@
     pub is_resumable: bool,
     /// Target interval between the events of a stream, in milliseconds.
     pub target_gap_ms: Option<u64>,
+    /// Regions whose endpoints may get its requests, or `None` for all. An empty list allows none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// The share of a route's requests that goes to one service.
@@ -80,6 +85,10 @@
     /// Performance of its endpoints, if they are engines.
     #[serde(rename = "pace")]
     pub engine_profile: Option<EngineProfile>,
+    /// Requests that all instances together may send to one of its endpoints in a second while that is cold; 0 if
+    /// there is no limit.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// Performance profile of an engine, for prefill and decoding.
@@ -135,6 +144,9 @@
     pub keys: Vec<String>,
     /// Overrides the priority of the route, if set.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may get its requests, or `None` for all. An empty list allows none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allowed_regions: Option<Vec<RegionName>>,
 }
 
 /// Size and time limits of requests.
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -116,6 +116,7 @@
             || self.endpoints_next != next.endpoints_next
             || self.reads != next.reads
             || begins_to_wait(&self.extension.waiting, &next.extension.waiting)
+            || self.extension.evacuations != next.extension.evacuations
     }
 }
 
@@ -137,6 +138,9 @@
     pub endpoints: Option<SharedEndpoints>,
     /// Peer addresses of all instances that it knows.
     pub peers: Vec<SocketAddr>,
+    /// The failure domains that the operator has evacuated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Evacuations>,
 }
 
 /// The endpoint list as one instance has read it.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -2,12 +2,11 @@
 
 use lycheewood::{
     About, BalancingCandidate, CountTracker, EndpointAvailability, EndpointChange, EndpointEntry,
-    EndpointList, EndpointRecord, EngineProfile, EntryView, EventSplitter, FailureDomain,
-    Heartbeat, HeartbeatExtension, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines,
-    QueuePhase, RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare,
-    RequestKind, RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, endpoint_tag,
-    event_id, in_flight_limit, max_batch, nearest_entries, queue_phase, switch_lead_ms,
-    switch_step,
+    EndpointList, EndpointRecord, EngineProfile, EventSplitter, FailureDomain, Heartbeat,
+    HeartbeatExtension, Incarnation, InstanceId, Offset, PeerTracker, QueueDeadlines, QueuePhase,
+    RankCounts, RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind,
+    RouteTable, RouteTableError, TargetName, Timestamp, choose_by_load, endpoint_tag, event_id,
+    in_flight_limit, max_batch, queue_phase, switch_lead_ms, switch_step,
 };
 use proptest::prelude::*;
 
@@ -33,6 +32,7 @@
         allows_anonymous: false,
         is_resumable: false,
         target_gap_ms: None,
+        allowed_regions: None,
     }
 }
 
@@ -73,6 +73,7 @@
         name: name.into(),
         keys: vec!["k".into()],
         priority: None,
+        allowed_regions: None,
     };
     let shared =
         RawRouteTable { workspaces: vec![workspace("a"), workspace("b")], ..table(Vec::new()) };
@@ -89,6 +90,7 @@
         slots: 4,
         group: None,
         started_ms: 0,
+        cold_left_ms: 0,
     })
 }
 
@@ -219,22 +221,6 @@
     assert_eq!(tracker.table(at(2_000)).waiting().pairs(), [(0, 2), (9, 1)]);
 }
 
-/// Guards against sending callers to another failure domain unnecessarily, and against advertising only one
-/// instance.
-#[test]
-fn near_instances_are_told_unless_there_are_too_few() {
-    let (a, b) = (FailureDomain::new("a"), FailureDomain::new("b"));
-    let view = |port: u16, domain| EntryView {
-        caller_address: ([127, 0, 0, 1], port).into(),
-        failure_domain: domain,
-    };
-    let entries = [view(1, &a), view(2, &a), view(3, &b)];
-    assert_eq!(nearest_entries(&entries, &a, 0, 64).len(), 2);
-    assert_eq!(nearest_entries(&entries, &b, 0, 64).len(), 3);
-    assert_eq!(nearest_entries(&entries, &b, 0, 64)[0].port(), 3);
-    assert_eq!(nearest_entries(&entries, &b, 0, 2).len(), 2);
-}
-
 /// Guards against late stream events because an endpoint runs too many requests concurrently.
 #[test]
 fn a_batch_keeps_the_pace() {
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use lycheewood::{
-    EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord, FailureDomain, Gateway,
-    GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRoute, RawRouteTable,
-    RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits, ShutdownSettings, TargetName,
+    CallerPlace, ColdBounds, EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord,
+    FailureDomain, Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset,
+    RawRoute, RawRouteTable, RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits,
+    ShutdownSettings, TargetName,
 };
 
+use crate::regions::region_map;
+
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Behaviour of a scripted endpoint on one connection.
@@ -52,7 +55,11 @@
     closed_tx: Sender<String>,
     next_offset: u64,
     /// Start of the endpoints that are listed next, in Unix milliseconds.
-    started_ms: u64,
+    pub(crate) started_ms: u64,
+    /// Failure domain of the endpoints that are listed next.
+    pub(crate) domain: &'static str,
+    /// Time for which the endpoints that are listed next are cold.
+    pub(crate) cold_left_ms: u64,
 }
 
 impl Harness {
@@ -92,6 +99,8 @@
             max_callers: 100,
             processor_millicores: 0,
             memory_bytes: 0,
+            cold_bounds: ColdBounds::default(),
+            regions: region_map(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let (closed_tx, closed) = channel();
@@ -102,6 +111,8 @@
             closed_tx,
             next_offset: 0,
             started_ms: 0,
+            domain: "a",
+            cold_left_ms: 0,
         }
     }
 
@@ -112,7 +123,7 @@
         harness
     }
 
-    fn gateway(&self) -> &Gateway {
+    pub(crate) fn gateway(&self) -> &Gateway {
         self.gateway.as_ref().expect("the gateway runs")
     }
 
@@ -191,11 +202,12 @@
             id: InstanceId::new(id),
             service: TargetName::new("work"),
             address,
-            failure_domain: FailureDomain::new("a"),
+            failure_domain: FailureDomain::new(self.domain),
             state,
             slots: 4,
             group,
             started_ms: self.started_ms,
+            cold_left_ms: self.cold_left_ms,
         };
         self.apply_record(id, EndpointRecord::Entry(entry));
     }
@@ -239,8 +251,9 @@
     /// Waits until the gateway has heard another one.
     pub(crate) fn wait_for_peer(&self) {
         let domain = FailureDomain::new("a");
+        let caller = CallerPlace { domain: &domain, region: None };
         for _ in 0..3_000 {
-            if self.gateway().handle().entry_addresses(&domain, 64).addresses.len() > 1 {
+            if self.gateway().handle().entry_addresses(&caller, 64).addresses.len() > 1 {
                 return;
             }
             thread::park_timeout(Duration::from_millis(5));
@@ -435,6 +448,7 @@
         allows_anonymous: false,
         is_resumable: kind == RequestKind::Streaming,
         target_gap_ms: None,
+        allowed_regions: None,
     }
 }
 
@@ -451,6 +465,7 @@
             name: "team".to_owned(),
             keys: vec!["key-1".to_owned()],
             priority: None,
+            allowed_regions: None,
         }],
         ..RawRouteTable::default()
     }
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -2,14 +2,17 @@
 
 mod answers;
 mod callers;
+mod cold;
 mod crashes;
 #[path = "../support/engine_profile.rs"]
 mod engine_profile;
+mod evacuations;
 mod harness;
 mod leaving;
 mod lost_answers;
 mod overload;
 mod priorities;
+mod regions;
 mod retries;
 mod silence;
 mod streams;
--- a/crates/lycheewood/tests/gateway/priorities.rs
+++ b/crates/lycheewood/tests/gateway/priorities.rs
@@ -9,12 +9,14 @@
 fn engine_routes(second_priority: Option<u8>) -> RawRouteTable {
     let mut table = routes(1);
     table.services.push(RawService {
+        cold_per_s: 0.0,
         name: "work".to_owned(),
         max_connections: 0,
         experts: None,
         engine_profile: Some(ENGINE),
     });
     table.workspaces.push(RawRouteWorkspace {
+        allowed_regions: None,
         name: "second".to_owned(),
         keys: vec!["key-2".to_owned()],
         priority: second_priority,
--- a/crates/lycheewood/tests/gateway/waiting.rs
+++ b/crates/lycheewood/tests/gateway/waiting.rs
@@ -23,6 +23,7 @@
         (route.timeout_ms, route.target_ms, route.target_gap_ms) = (60_000, 20_000, Some(1));
     }
     table.services.push(RawService {
+        cold_per_s: 0.0,
         name: "work".to_owned(),
         max_connections: 0,
         experts: None,
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -122,6 +122,8 @@
             max_callers: 10,
             processor_millicores: 0,
             memory_bytes: 0,
+            cold_bounds: lycheewood::ColdBounds::default(),
+            regions: lycheewood::RegionMap::default(),
         };
         let gateway = Gateway::start(settings).expect("a gateway");
         let log = MemoryLog::default();
@@ -164,6 +166,7 @@
     let service = RawService {
         name: "engines".to_owned(),
         max_connections: 10,
+        cold_per_s: 0.0,
         experts: Some(experts),
         engine_profile: None,
     };
@@ -184,6 +187,7 @@
         slots: 4,
         group: Some(membership),
         started_ms: 0,
+        cold_left_ms: 0,
     };
     EndpointChange { offset: Offset(rank as u64), id, record: EndpointRecord::Entry(entry) }
 }
--- a/crates/lycheewood/tests/rank_confirmation.rs
+++ b/crates/lycheewood/tests/rank_confirmation.rs
@@ -145,6 +145,8 @@
         heartbeat_ms: 50,
         max_callers: 10,
         memory_bytes: 0,
+        cold_bounds: lycheewood::ColdBounds::default(),
+        regions: lycheewood::RegionMap::default(),
         processor_millicores: 0,
     }
 }
@@ -159,6 +161,7 @@
         link_mbps: 10_000.0,
     };
     let service = RawService {
+        cold_per_s: 0.0,
         name: "engines".to_owned(),
         max_connections: 10,
         experts: Some(experts),
@@ -177,6 +180,7 @@
     let group =
         GroupMembership { name: "g".to_owned(), epoch: 1, rank, size: RANKS, is_open: true };
     let entry = EndpointEntry {
+        cold_left_ms: 0,
         id: id.clone(),
         service: TargetName::new("engines"),
         address: rank_address(rank, 9),
