Count lost answers as in flight, and play them in a load module

Cause: the first version took a request out of the counts when its answer counted as lost, so an endpoint that loses its answers looked free to all gateways. A second attempt was refused while more requests were counted at the first endpoint than it has slots, and most of those may be lost answers.

Change: a lost answer counts until the deadline, and the second attempt depends on the retry budget only. New load modules: lost answers of a plain service, and a start with waiting callers of three priorities. Bursts now come with an imbalance of 1.75.

--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -14,7 +14,6 @@
 use crate::filters::forward::exchange::{Admitted, Exchange, Responded, Selected};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
-use crate::load_tracker::InFlightGuard;
 use crate::outcome::UnknownCode;
 
 /// Timeout for connecting to an endpoint, in milliseconds. Endpoints are at most a few milliseconds away; one
@@ -35,7 +34,7 @@
     exchange: Exchange<'r, Selected>,
 ) -> SendOutcome<'r> {
     let Exchange { head, view, stage, .. } = exchange;
-    let Selected { mut admitted, endpoint, attempt, mut in_flight } = stage;
+    let Selected { mut admitted, endpoint, attempt, in_flight } = stage;
     let remaining_ms = admitted.deadline.ms_since(state.clock.now());
     let connected = upstream::connect(endpoint.address, remaining_ms.min(CONNECT_TIMEOUT_MS)).await;
     let connection = match connected {
@@ -68,7 +67,7 @@
     admitted.attempts += 1;
     let attempt = attempt.dispatch();
     let sending = connection.send(&upstream_request);
-    let response = wait_for_head(state, &admitted, &endpoint, &mut in_flight, sending).await;
+    let response = wait_for_head(state, &admitted, &endpoint, sending).await;
     let (code, reason) = match response {
         WaitOutcome::Response(Ok(response)) => {
             let response = Box::new(response);
@@ -145,7 +144,6 @@
     state: &GatewayState,
     admitted: &Admitted,
     endpoint: &EndpointEntry,
-    in_flight: &mut InFlightGuard,
     response: impl Future<Output = Result<UpstreamResponse, UpstreamError>>,
 ) -> WaitOutcome {
     let sent = state.clock.now();
@@ -168,7 +166,7 @@
             return WaitOutcome::Response(response);
         }
         let is_lost = lost_at.take_if(|lost_at| state.clock.now() >= *lost_at).is_some();
-        if is_lost && record_lost(state, admitted, endpoint, in_flight) {
+        if is_lost && record_lost(state, admitted, endpoint) {
             return WaitOutcome::Stalled;
         }
         if admitted.may_fail_over()
@@ -179,18 +177,12 @@
     }
 }
 
-/// Records that the answer of a plain service is lost. The request is no longer counted as in flight, since the work
-/// takes a fraction of the time that has passed, and others must not avoid the endpoint's free place until the deadline
-/// of this one. Returns whether the request moves to another endpoint.
-fn record_lost(
-    state: &GatewayState,
-    admitted: &Admitted,
-    endpoint: &EndpointEntry,
-    in_flight: &mut InFlightGuard,
-) -> bool {
-    let moves = admitted.may_fail_over() && state.should_replace_lost(&admitted.service, endpoint);
+/// Records that the answer of a plain service is lost. Returns whether the request moves to another endpoint, which does
+/// not depend on how many requests are in flight at this one: most of them may be lost answers. A request that does not
+/// move stays counted, so that others prefer an endpoint that answers.
+fn record_lost(state: &GatewayState, admitted: &Admitted, endpoint: &EndpointEntry) -> bool {
     state.metrics.answers_lost.inc();
-    in_flight.release();
+    let moves = admitted.may_fail_over() && state.has_retry(&admitted.service);
     if !moves {
         // An attempt that moves is recorded as failed.
         state.loads.record_failure(&endpoint.id, state.clock.now());
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -365,7 +365,10 @@
         since: Timestamp,
     ) -> bool {
         let now = self.clock.now();
-        if self.may_queue_at(part, endpoint) {
+        let own = self.loads.loads(std::iter::once(&endpoint.id), now);
+        let own: u32 = own.iter().map(|load| load.in_flight).sum();
+        let in_flight = own + self.peers.load().in_flight(&endpoint.id);
+        if may_be_queued(part, in_flight, endpoint.slots) {
             return false;
         }
         let endpoints = self.endpoints.load();
@@ -375,23 +378,6 @@
         is_stalled(part, now.ms_since(since), others_idle_ms) && self.has_retry(service)
     }
 
-    /// Whether another endpoint should get a request whose answer counts as lost. Unlike at [`Self::should_fail_over`],
-    /// no other endpoint need have answered lately: one gateway sees few requests of a plain service.
-    pub(crate) fn should_replace_lost(
-        &self,
-        service: &TargetName,
-        endpoint: &EndpointEntry,
-    ) -> bool {
-        !self.may_queue_at(ResponsePart::Head, endpoint) && self.has_retry(service)
-    }
-
-    fn may_queue_at(&self, part: ResponsePart, endpoint: &EndpointEntry) -> bool {
-        let own = self.loads.loads(std::iter::once(&endpoint.id), self.clock.now());
-        let own: u32 = own.iter().map(|load| load.in_flight).sum();
-        let in_flight = own + self.peers.load().in_flight(&endpoint.id);
-        may_be_queued(part, in_flight, endpoint.slots)
-    }
-
     fn with_budget<T>(
         &self,
         service: &TargetName,
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -92,7 +92,6 @@
             tracker: Arc::clone(self),
             endpoint: endpoint.id.clone(),
             service: endpoint.service.clone(),
-            is_counted: true,
         }
     }
 
@@ -320,24 +319,13 @@
     tracker: Arc<LoadTracker>,
     endpoint: InstanceId,
     service: TargetName,
-    is_counted: bool,
 }
 
-impl InFlightGuard {
-    /// Stops counting the request, because its answer is lost and the endpoint no longer works on it.
-    pub(crate) fn release(&mut self) {
-        if !std::mem::replace(&mut self.is_counted, false) {
-            return;
-        }
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
         if let Some(load) = self.tracker.lock().get_mut(&self.endpoint) {
             load.in_flight = load.in_flight.saturating_sub(1);
         }
         self.tracker.waiting_room.record_freed(&self.service);
     }
 }
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
--- a/crates/lycheewood/tests/load_patterns/main.rs
+++ b/crates/lycheewood/tests/load_patterns/main.rs
@@ -8,6 +8,7 @@
 mod engine_profile;
 mod expert_drift;
 mod load_step;
+mod lost_answers;
 mod model;
 mod patterns;
 mod start_with_waiting_callers;
--- a/crates/lycheewood/tests/load_patterns/patterns.rs
+++ b/crates/lycheewood/tests/load_patterns/patterns.rs
@@ -50,16 +50,17 @@
     ..Pattern::CALM
 };
 
-/// A burst of the least urgent requests beside steady urgent ones.
+/// A burst of the least urgent requests beside steady urgent ones. Demand for experts is uneven meanwhile.
 pub(crate) const LEAST_URGENT_BURST: Pattern = Pattern {
-    rates: |ms| [92.0, 122.0, if (4_000..14_000).contains(&ms) { 41.0 * 2.6 } else { 41.0 }],
+    rates: |ms| [92.0, 122.0, if is_burst(ms) { 41.0 * 2.6 } else { 41.0 }],
+    imbalance: |ms| if is_burst(ms) { 1.75 } else { 1.25 },
     ..THREE_PRIORITIES
 };
 
 /// A burst of urgent requests.
 pub(crate) const URGENT_BURST: Pattern = Pattern {
-    rates: |ms| [if (4_000..14_000).contains(&ms) { 92.0 * 1.8 } else { 92.0 }, 122.0, 41.0],
-    ..THREE_PRIORITIES
+    rates: |ms| [if is_burst(ms) { 92.0 * 1.8 } else { 92.0 }, 122.0, 41.0],
+    ..LEAST_URGENT_BURST
 };
 
 /// Both bursts with a third of the ranks lost.
@@ -68,6 +69,14 @@
 pub(crate) const URGENT_BURST_AFTER_LOSS: Pattern =
     Pattern { ranks_lost: a_third_from_start, ..URGENT_BURST };
 
-fn a_third_from_start(ms: u64) -> usize {
+/// The engines start 3 s after the callers, who send requests of three priorities.
+pub(crate) const LATE_START_WITH_PRIORITIES: Pattern =
+    Pattern { slowdown: |ms| if ms < 3_000 { f64::INFINITY } else { 1.0 }, ..THREE_PRIORITIES };
+
+const fn is_burst(ms: u64) -> bool {
+    4_000 <= ms && ms < 14_000
+}
+
+const fn a_third_from_start(ms: u64) -> usize {
     if ms >= 2_000 { 24 } else { 0 }
 }
--- a/crates/lycheewood/tests/load_patterns/start_with_waiting_callers.rs
+++ b/crates/lycheewood/tests/load_patterns/start_with_waiting_callers.rs
@@ -11,3 +11,16 @@
     let least = unlimited.credit_share() - MAX_COST;
     assert!(paced.credit_share() >= least, "{paced:?} {unlimited:?}");
 }
+
+/// Guards against requests that are late already and get places before those that can be on time, and against less
+/// urgent ones before more urgent ones, when the engines start.
+#[test]
+fn waiting_callers_are_served_in_order_of_urgency() {
+    let pattern = &patterns::LATE_START_WITH_PRIORITIES;
+    let paced = outcome(pattern, Policy::Paced);
+    for policy in [Policy::Unordered, Policy::FirstCome, Policy::Strict] {
+        let other = outcome(pattern, policy);
+        let (value, other) = (paced.value(pattern.site), other.value(pattern.site));
+        assert!(value >= other, "{policy:?}: {value} below {other}");
+    }
+}
