Bound the heartbeats that tell of urgent requests that wait

Cause: any newly waiting priority made a heartbeat go to all failure domains, also the least urgent one and without a limit on the rate, and made each receiver publish its peer table after 10 ms instead of 50. Under overload requests begin to wait several times a second at each gateway, and a publication takes time in proportion to the number of gateways.

Change: only a priority that holds others back is told to all at once, at most every 500 ms; receivers publish at the usual interval.

--- a/crates/lycheewood/src/waiting_room.rs
+++ b/crates/lycheewood/src/waiting_room.rs
@@ -11,7 +11,7 @@
 use crate::clock::{Clock, Timestamp};
 use crate::decisions::urgency::{
     GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, Rivals, WaitingCounts,
-    begins_to_wait, is_hopeless, next_in_turn, sends_early,
+    is_hopeless, next_in_turn, sends_early,
 };
 use crate::ids::TargetName;
 
@@ -171,9 +171,16 @@
         self.lock().waiting().pairs()
     }
 
-    /// Whether the counts of a heartbeat concern instances that have last been told others.
+    /// Whether all instances should get a heartbeat with these counts at once. Most heartbeats go to the own failure
+    /// domain only.
     pub(crate) fn is_news(&self, counts: &[(u8, u32)]) -> bool {
-        begins_to_wait(&self.lock().told, counts)
+        let now = self.clock.now();
+        let queues = self.lock();
+        let least_urgent = queues.services.values().filter_map(|queue| queue.least_urgent).max();
+        let first = counts.first().zip(least_urgent);
+        first.is_some_and(|((priority, _), least_urgent)| {
+            sends_early(*priority, least_urgent, &queues.told, queues.told_at, now)
+        })
     }
 
     /// Records the counts that all instances have been told.
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -8,7 +8,6 @@
 
 use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::EndpointChange;
-use crate::decisions::urgency::begins_to_wait;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
@@ -111,7 +110,6 @@
             || self.route_version != next.route_version
             || self.endpoints_next != next.endpoints_next
             || self.reads != next.reads
-            || begins_to_wait(&self.extension.waiting, &next.extension.waiting)
     }
 }
 
--- a/crates/lycheewood/tests/load_patterns/main.rs
+++ b/crates/lycheewood/tests/load_patterns/main.rs
@@ -22,6 +22,9 @@
 /// Share of the credit that limits at gateways may cost in patterns in which they cannot help.
 const MAX_COST: f64 = 0.05;
 
+/// Part of the value that the order of urgency may cost while nearly all requests can be served.
+const MAX_COST_UNLOADED: f64 = 0.01;
+
 /// The sum of the outcomes of a pattern over all seeds.
 fn outcome(pattern: &Pattern, policy: Policy) -> Outcome {
     let mut sum = Outcome::default();
--- a/crates/lycheewood/tests/load_patterns/urgent_bursts.rs
+++ b/crates/lycheewood/tests/load_patterns/urgent_bursts.rs
@@ -2,7 +2,7 @@
 //! decisions before priorities, first come first served with a bounded queue, and strict priority without floors.
 
 use crate::model::{CLASSES, Outcome, Pattern, Policy};
-use crate::{outcome, patterns};
+use crate::{MAX_COST_UNLOADED, outcome, patterns};
 
 /// Least share of the average service that a workspace or a route must get.
 const MIN_SHARE_OF_AVERAGE: f64 = 0.25;
@@ -13,9 +13,6 @@
 const MAX_SERVED_LESS: f64 = 0.05;
 const MAX_VALUE_LESS: f64 = 0.15;
 
-/// Part of the value that the order and the limits may cost while all requests can be served.
-const MAX_COST_UNLOADED: f64 = 0.01;
-
 /// Plays a pattern with the decisions of the library, checks the bounds of fairness, and compares the value with that
 /// of the other policies. It may be lower by the part `max_cost`.
 fn check(pattern: &Pattern, max_cost: f64) {
