Play waves of demand before few gateways in the load model

Cause: the load modules of urgency covered 72 small gateways only; the second deployment has 17 before one group of 72 ranks, and demand that varies by 55% in 13 s.

Change: the site and the pattern, with a third of the ranks lost, under the same bounds.

--- a/crates/lycheewood/tests/load_patterns/model.rs
+++ b/crates/lycheewood/tests/load_patterns/model.rs
@@ -17,7 +17,7 @@
 use rand::{RngExt, SeedableRng};
 
 pub(crate) use outcome::{CLASSES, Outcome, WORKSPACES};
-pub(crate) use site::{LARGE, Site, THREE_GROUPS};
+pub(crate) use site::{LARGE, ONE_GROUP, Site, THREE_GROUPS};
 
 /// Number of ranks of [`LARGE`].
 pub(crate) const RANKS: usize = 64;
--- a/crates/lycheewood/tests/load_patterns/model/site.rs
+++ b/crates/lycheewood/tests/load_patterns/model/site.rs
@@ -67,3 +67,24 @@
     prompt_tokens: 830.0,
     values: [(3.1, 0.3), (1.6, 0.41), (0.8, 0.3)],
 };
+
+/// 72 ranks in one group before which 17 gateways see about 15 requests per second each. The time that a request adds to a
+/// step is assumed.
+pub(crate) const ONE_GROUP: Site = Site {
+    engine: EngineProfile {
+        slots: 10,
+        step_ms: 4.55,
+        per_request_ms: 0.9,
+        tokens_per_event: 5,
+        prefill_tokens_per_s: 61_400.0,
+        typical_prompt_tokens: 830.0,
+        expert_share: 0.85,
+    },
+    gateways: 17,
+    target_ms: [500; CLASSES],
+    gap_ms: 150,
+    mean_events: 19.0,
+    max_events: 57,
+    values: [(2.0, 0.5); CLASSES],
+    ..THREE_GROUPS
+};
--- a/crates/lycheewood/tests/load_patterns/patterns.rs
+++ b/crates/lycheewood/tests/load_patterns/patterns.rs
@@ -1,6 +1,6 @@
 //! The patterns of load, by name.
 
-use crate::model::{Pattern, THREE_GROUPS};
+use crate::model::{ONE_GROUP, Pattern, THREE_GROUPS};
 
 /// Demand shifts to other experts every 2.4 s; the map follows within a second.
 pub(crate) const EXPERT_DRIFT: Pattern =
@@ -80,3 +80,17 @@
 const fn a_third_from_start(ms: u64) -> usize {
     if ms >= 2_000 { 24 } else { 0 }
 }
+
+/// Demand that varies by 55% with a period of 13 s before 17 gateways, with a third of the ranks lost.
+pub(crate) const WAVES: Pattern = Pattern {
+    site: &ONE_GROUP,
+    rates: |ms| {
+        let phase = f64::from(u32::try_from(ms % 13_000).unwrap_or(0)) / 13_000.0;
+        let wave = 0.55f64.mul_add((phase * std::f64::consts::TAU).sin(), 1.0);
+        [118.0 * wave, 90.0 * wave, 52.0 * wave]
+    },
+    imbalance: |_| 1.5,
+    end_ms: 26_000,
+    ranks_lost: a_third_from_start,
+    ..Pattern::CALM
+};
--- a/crates/lycheewood/tests/load_patterns/urgent_bursts.rs
+++ b/crates/lycheewood/tests/load_patterns/urgent_bursts.rs
@@ -75,3 +75,9 @@
     }
     assert!(calm.on_time_share() >= 0.95, "{calm:?}");
 }
+
+/// Guards against decisions that suit many small gateways only.
+#[test]
+fn waves_before_few_gateways() {
+    check(&patterns::WAVES, 0.0);
+}
