--- a/crates/lycheewood/src/decisions/imbalance.rs
+++ b/crates/lycheewood/src/decisions/imbalance.rs
@@ -15,8 +15,11 @@
 /// Time after a shift in which a further rise belongs to it, in milliseconds: the estimate of the demand follows within
 /// some readings of the counts.
 const SHIFT_MS: u64 = 1_000;
-/// Weight of the newest shift in the mean peak and in the mean interval.
+/// Weight of the newest shift in the mean interval.
 const NEWEST_WEIGHT: f64 = 0.4;
+/// Part of the highest peak that remains after each further shift. The peak is read between two switches of the map
+/// only, when the estimate of the demand has not followed yet, so most readings are too low.
+const PEAK_REMAINS: f64 = 0.95;
 /// A group without a shift for this many mean intervals is not expected to have another.
 const FORGET_INTERVALS: f64 = 3.0;
 /// Longest interval between shifts that is planned for, in milliseconds. Rarer shifts affect too few streams to give
@@ -45,7 +48,7 @@
     last_shift: Option<Timestamp>,
     /// Highest imbalance since the last shift.
     peak: f64,
-    mean_peak: Option<f64>,
+    highest_peak: Option<f64>,
     mean_interval_ms: Option<f64>,
 }
 
@@ -59,7 +62,8 @@
             if let Some(last) = self.last_shift.replace(now) {
                 let interval_ms = float_ms(now.ms_since(last));
                 self.mean_interval_ms = Some(mean(self.mean_interval_ms, interval_ms));
-                self.mean_peak = Some(mean(self.mean_peak, self.peak));
+                let former = self.highest_peak.unwrap_or(0.0) * PEAK_REMAINS;
+                self.highest_peak = Some(former.max(self.peak));
             }
             self.peak = imbalance;
             return;
@@ -71,7 +75,7 @@
     /// The shift of `group` to plan for, if demand keeps shifting.
     #[must_use]
     pub fn expected_shift(&self, group: &str, now: Timestamp) -> Option<ExpectedShift> {
-        let (peak, interval_ms) = self.mean_peak.zip(self.mean_interval_ms)?;
+        let (peak, interval_ms) = self.highest_peak.zip(self.mean_interval_ms)?;
         let age_ms = float_ms(now.ms_since(self.last_shift?));
         let is_expected =
             interval_ms <= MAX_INTERVAL_MS && age_ms <= interval_ms * FORGET_INTERVALS;
--- a/crates/lycheewood/src/decisions/urgency.rs
+++ b/crates/lycheewood/src/decisions/urgency.rs
@@ -172,11 +172,19 @@
         (true, aged, self.received)
     }
 
+    /// Pressure of the requests that this one leaves places free for: those that are more urgent, and for a request that
+    /// can no longer be on time all that still can. Its response is worth the same later.
+    #[must_use]
+    pub fn pressure(&self, pressure: &Pressure, now: Timestamp) -> f64 {
+        let is_late = queue_phase(&self.deadlines, now) != QueuePhase::OnTime;
+        pressure.above(if is_late { u8::MAX } else { self.priority }, now)
+    }
+
     /// What keeps the request from places that others may take. Of two requests, the one with the lower bar finds a
     /// place wherever the other one does.
     fn bar(&self, pressure: &Pressure, now: Timestamp) -> (bool, f64) {
         let is_late = queue_phase(&self.deadlines, now) != QueuePhase::OnTime;
-        (is_late, pressure.above(self.priority, now))
+        (is_late, self.pressure(pressure, now))
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -204,7 +204,7 @@
     waiting: &mut Waiting,
     stall_check: StallCheck,
 ) -> WaitOutcome {
-    let Waiting { admitted, endpoint, response, sent, in_flight, .. } = waiting;
+    let Waiting { admitted, endpoint, response, sent, .. } = waiting;
     let checks_stall = stall_check == StallCheck::On && admitted.may_race();
     let lost_ms = admitted.lost_answer_ms.filter(|_| stall_check == StallCheck::On);
     let mut lost_at = lost_ms.map(|lost_ms| sent.plus_ms(lost_ms));
@@ -222,7 +222,7 @@
             return WaitOutcome::Response(response);
         }
         let is_lost = lost_at.take_if(|lost_at| state.clock.now() >= *lost_at).is_some();
-        if is_lost && record_lost(state, admitted, endpoint, in_flight) && checks_stall {
+        if is_lost && record_lost(state, admitted, endpoint) && checks_stall {
             return WaitOutcome::Stalled;
         }
         let (part, service) = (ResponsePart::Head, &admitted.service);
@@ -232,18 +232,12 @@
     }
 }
 
-/// Records that the answer of a plain service is lost. The request is no longer counted as in flight, since the work
-/// takes a fraction of the time that has passed, and others must not avoid the endpoint's free place until the deadline
-/// of this one. Returns whether the request moves to another endpoint.
-fn record_lost(
-    state: &GatewayState,
-    admitted: &Admitted,
-    endpoint: &EndpointEntry,
-    in_flight: &mut InFlightGuard,
-) -> bool {
-    let moves = admitted.may_fail_over() && state.should_replace_lost(&admitted.service, endpoint);
+/// Records that the answer of a plain service is lost. Returns whether the request moves to another endpoint, which does
+/// not depend on how many requests are in flight at this one: most of them may be lost answers. A request that does not
+/// move stays counted, so that others prefer an endpoint that answers.
+fn record_lost(state: &GatewayState, admitted: &Admitted, endpoint: &EndpointEntry) -> bool {
     state.metrics.answers_lost.inc();
-    in_flight.release();
+    let moves = admitted.may_fail_over() && state.has_retry(&admitted.service);
     if !moves {
         // An attempt that moves is recorded as failed.
         state.loads.record_failure(&endpoint.id, state.clock.now());
--- a/crates/lycheewood/src/waiting_room.rs
+++ b/crates/lycheewood/src/waiting_room.rs
@@ -9,9 +9,10 @@
 use tokio::sync::Notify;
 
 use crate::clock::{Clock, Timestamp};
+use crate::decisions::queue::{QueuePhase, queue_phase};
 use crate::decisions::urgency::{
     GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, Rivals, WaitingCounts,
-    begins_to_wait, is_hopeless, next_in_turn, sends_early,
+    is_hopeless, next_in_turn, sends_early,
 };
 use crate::ids::TargetName;
 
@@ -97,11 +98,17 @@
 }
 
 impl Queues {
-    /// The requests that wait here, by priority, where requests of their service differ in it.
-    fn waiting(&self) -> WaitingCounts {
+    /// The requests that wait here and can still be on time, by priority, where requests of their service differ in it.
+    fn waiting(&self, now: Timestamp) -> WaitingCounts {
         let mut counts = WaitingCounts::default();
         let waiters = self.services.values().flat_map(|queue| &queue.waiters);
-        for waiter in waiters.filter(|w| w.has_looked && w.terms.least_urgent.is_some()) {
+        let competing = waiters.filter(|waiter| {
+            let deadlines = &waiter.terms.request.deadlines;
+            waiter.has_looked
+                && waiter.terms.least_urgent.is_some()
+                && queue_phase(deadlines, now) == QueuePhase::OnTime
+        });
+        for waiter in competing {
             counts.add(waiter.terms.request.priority, 1);
         }
         counts
@@ -160,7 +167,7 @@
     pub(crate) fn observe(&self, elsewhere: &WaitingCounts) {
         let now = self.clock.now();
         let mut queues = self.lock();
-        let waiting = queues.waiting().plus(elsewhere);
+        let waiting = queues.waiting(now).plus(elsewhere);
         for (service, queue) in &mut queues.services {
             queue.observe(service, &waiting, now);
         }
@@ -168,12 +175,19 @@
 
     /// The requests that wait here, by priority.
     pub(crate) fn waiting(&self) -> Vec<(u8, u32)> {
-        self.lock().waiting().pairs()
+        self.lock().waiting(self.clock.now()).pairs()
     }
 
-    /// Whether the counts of a heartbeat concern instances that have last been told others.
+    /// Whether all instances should get a heartbeat with these counts at once. Most heartbeats go to the own failure
+    /// domain only.
     pub(crate) fn is_news(&self, counts: &[(u8, u32)]) -> bool {
-        begins_to_wait(&self.lock().told, counts)
+        let now = self.clock.now();
+        let queues = self.lock();
+        let least_urgent = queues.services.values().filter_map(|queue| queue.least_urgent).max();
+        let first = counts.first().zip(least_urgent);
+        first.is_some_and(|((priority, _), least_urgent)| {
+            sends_early(*priority, least_urgent, &queues.told, queues.told_at, now)
+        })
     }
 
     /// Records the counts that all instances have been told.
@@ -205,14 +219,14 @@
     /// Whether it is the request's turn. `elsewhere` are the requests that wait at other instances.
     pub(crate) fn turn(&self, elsewhere: &WaitingCounts, now: Timestamp) -> Turn {
         let mut queues = self.room.lock();
-        let waiting = queues.waiting().plus(elsewhere);
+        let waiting = queues.waiting(now).plus(elsewhere);
         let Some(queue) = queues.services.get_mut(&self.service) else { return Turn::Wait };
         let Some(terms) = queue.terms(self.ticket) else { return Turn::Wait };
         queue.observe(&self.service, &waiting, now);
         if !queue.is_in_turn(self.ticket, now) {
             return Turn::Wait;
         }
-        Turn::Look { pressure: queue.pressure.above(terms.request.priority, now) }
+        Turn::Look { pressure: terms.request.pressure(&queue.pressure, now) }
     }
 
     /// Whether the request may take one of the free places that this instance sees. `elsewhere` are the requests that
@@ -225,7 +239,7 @@
         now: Timestamp,
     ) -> bool {
         let queues = self.room.lock();
-        let own = queues.waiting();
+        let own = queues.waiting(now);
         let Some(queue) = queues.services.get(&self.service) else { return true };
         let Some(WaitTerms { request, least_urgent: Some(_), .. }) = queue.terms(self.ticket)
         else {
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -9,7 +9,6 @@
 use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::EndpointChange;
 use crate::decisions::imbalance::ExpectedShift;
-use crate::decisions::urgency::begins_to_wait;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
@@ -115,7 +114,6 @@
             || self.route_version != next.route_version
             || self.endpoints_next != next.endpoints_next
             || self.reads != next.reads
-            || begins_to_wait(&self.extension.waiting, &next.extension.waiting)
             || self.extension.evacuations != next.extension.evacuations
     }
 }
--- a/crates/lycheewood/tests/load_patterns/model/gateway.rs
+++ b/crates/lycheewood/tests/load_patterns/model/gateway.rs
@@ -1,14 +1,14 @@
 //! The gateways of the model: who waits, who is refused, and where requests go.
 
 use lycheewood::{
-    BalancingCandidate, GroupPace, PlaceTotals, QueuePhase, RefusalCause, Rivals, WaitingCounts,
-    choose_by_load, come_back_ms, endpoint_batch, in_flight_limit, is_hopeless, max_batch,
-    next_in_turn, paced_batch, queue_phase, reserved_limit, reserved_places, sends_early,
-    spread_return_ms, waiting_priority,
+    BalancingCandidate, GroupPace, PlaceTotals, QueuePhase, RefusalCause, Rivals, Timestamp,
+    WaitingCounts, choose_by_load, come_back_ms, endpoint_batch, in_flight_limit, is_hopeless,
+    max_batch, next_in_turn, paced_batch, queue_phase, reserved_limit, reserved_places,
+    sends_early, spread_return_ms, waiting_priority,
 };
 use rand::RngExt;
 
-use super::{DEADLINE_MS, Gateway, Model, Policy, Request, Stream, at, to_f64};
+use super::{DEADLINE_MS, Gateway, Model, Policy, Request, Site, Stream, at, to_f64};
 
 /// Requests that a gateway queues where its queue is bounded.
 const BOUNDED_QUEUE: usize = 4;
@@ -61,7 +61,7 @@
             });
             self.refuse(request);
         } else if is_early {
-            (*told, *told_ms) = (counts(waiting), self.now_ms);
+            (*told, *told_ms) = (counts(waiting, self.pattern.site, at(self.now_ms)), self.now_ms);
         }
     }
 
@@ -92,9 +92,10 @@
             Policy::FirstCome | Policy::Strict => QueuePhase::OnTime,
             _ => queue_phase(&request.deadlines(self.pattern.site), now),
         };
+        let place_request = request.place_request(self.pattern.site);
         let Gateway { own, others, pressure, .. } = &self.gateways[gateway];
         let pressure =
-            if self.has_priorities() { pressure.above(request.priority, now) } else { 0.0 };
+            if self.has_priorities() { place_request.pressure(pressure, now) } else { 0.0 };
         let lost = (self.pattern.ranks_lost)(self.now_ms);
         let endpoints = self.ranks.len() - lost;
         let mut totals = PlaceTotals::default();
@@ -123,7 +124,9 @@
 
     /// Whether a gateway may take one of the free places that it sees.
     fn may_claim(&self, gateway: usize, request: &Request, totals: PlaceTotals) -> bool {
-        let own = counts(&self.gateways[gateway].waiting).up_to(request.priority).max(1);
+        let own = counts(&self.gateways[gateway].waiting, self.pattern.site, at(self.now_ms))
+            .up_to(request.priority)
+            .max(1);
         let others = self.gateways.iter().enumerate().filter(|(other, _)| *other != gateway);
         let all = others.map(|(_, other)| other.told.up_to(request.priority)).sum::<u32>() + own;
         let Gateway { claims, grants, .. } = &self.gateways[gateway];
@@ -232,7 +235,7 @@
             return;
         }
         let others = self.gateways.iter().enumerate().filter(|(other, _)| *other != gateway);
-        let own = counts(&self.gateways[gateway].waiting);
+        let own = counts(&self.gateways[gateway].waiting, self.pattern.site, at(self.now_ms));
         let all = others.fold(own, |sum, (_, other)| sum.plus(&other.told));
         self.gateways[gateway].pressure.observe(&all, at(self.now_ms));
     }
@@ -247,7 +250,7 @@
                 all - counts_of_all[gateway][rank]
             })
             .collect();
-        let told = counts(&self.gateways[gateway].waiting);
+        let told = counts(&self.gateways[gateway].waiting, self.pattern.site, at(self.now_ms));
         let state = &mut self.gateways[gateway];
         (state.others, state.told, state.told_ms) = (others, told, self.now_ms);
         self.observe(gateway);
@@ -275,9 +278,12 @@
     u64::try_from(gateway).unwrap().wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
-fn counts(waiting: &[Request]) -> WaitingCounts {
+/// The requests that wait and can still be on time.
+fn counts(waiting: &[Request], site: &Site, now: Timestamp) -> WaitingCounts {
     let mut counts = WaitingCounts::default();
-    for request in waiting {
+    let is_on_time =
+        |request: &&Request| queue_phase(&request.deadlines(site), now) == QueuePhase::OnTime;
+    for request in waiting.iter().filter(is_on_time) {
         counts.add(request.priority, 1);
     }
     counts
