Pass on the error of a first endpoint that no other one replaces

Cause: after a race that the first endpoint ended with an error response, the result of the other attempt alone was final, so the caller got a 504 at the deadline. The list of avoided endpoints was also taken over whole, and could name one twice.

Change: an exhausted second attempt takes over the last response of the first one, and each endpoint is avoided once.

--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -149,9 +149,13 @@
         first = &mut first => match first {
             Ok(response) => ("returned", AttemptOutcome::Respond(response)),
             // The first endpoint has failed, so the other one decides.
-            Err(_) => match second.await {
+            Err(failed) => match second.await {
                 AttemptEnd::Response(response) => ("moved", AttemptOutcome::Respond(response)),
-                AttemptEnd::Exhausted(admitted) => ("refused", AttemptOutcome::Exhausted(admitted)),
+                AttemptEnd::Exhausted(mut admitted) => {
+                    // An error response of the first endpoint is passed on.
+                    admitted.rejoin(*failed);
+                    ("refused", AttemptOutcome::Exhausted(admitted))
+                }
             },
         },
         second = &mut second => match second {
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -238,15 +238,25 @@
             last_response: None,
             ..*self
         };
-        retry.avoid.push(endpoint.clone());
+        retry.avoid_endpoint(endpoint);
         retry
     }
 
+    /// Keeps further attempts from an endpoint. It is in the list once, whose length is compared with the number of
+    /// endpoints.
+    pub(crate) fn avoid_endpoint(&mut self, endpoint: &InstanceId) {
+        if !self.avoid.contains(endpoint) {
+            self.avoid.push(endpoint.clone());
+        }
+    }
+
     /// Takes over what an attempt at another endpoint has found out, which has ended without a response.
     pub(crate) fn rejoin(&mut self, retry: Self) {
-        self.avoid = retry.avoid;
+        for endpoint in &retry.avoid {
+            self.avoid_endpoint(endpoint);
+        }
         self.refused_by = retry.refused_by;
-        self.misdirected = retry.misdirected;
+        self.misdirected = self.misdirected.max(retry.misdirected);
         self.trials.extend(retry.trials);
         self.may_have_run = self.may_have_run.or(retry.may_have_run);
         self.last_response = self.last_response.take().or(retry.last_response);
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -213,7 +213,7 @@
         self.log_failure(&endpoint.id, reason);
         self.state.loads.record_failure(&endpoint.id, self.state.clock.now());
         let mut retry = challenger.into_admitted();
-        retry.avoid.push(endpoint.id.clone());
+        retry.avoid_endpoint(&endpoint.id);
         self.challenger = Some(Challenger::start(&self.state, &self.head, retry));
     }
 
--- a/crates/lycheewood/tests/gateway/silence.rs
+++ b/crates/lycheewood/tests/gateway/silence.rs
@@ -164,3 +164,25 @@
         assert_eq!((reply.status, attempts(&harness).len()), (504, allowed), "{path}");
     }
 }
+
+/// Guards against a 502 or 504 in place of the error response of the first endpoint, when no other one responds.
+#[test]
+fn an_error_of_the_first_endpoint_is_passed_on_when_the_other_does_not_respond() {
+    for other_refuses in [false, true] {
+        let mut harness = Harness::with_routes();
+        let goes_on = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&goes_on);
+        start_endpoints(&mut harness, 2, move |attempt, received| {
+            if attempt > 0 {
+                return Action::Hang(if other_refuses { refusal(received) } else { Vec::new() });
+            }
+            let error = response(received, "500 Internal Server Error", "X-Seal: s\r\n", "bad");
+            Action::Pause(Vec::new(), Arc::clone(&flag), error)
+        });
+        let reply = call_beside_others(&harness, &request("/read/x", "id-1"), || {
+            goes_on.fetch_or(attempts(&harness).len() > 1, Ordering::Relaxed);
+        });
+        assert_eq!((reply.status, reply.body.as_str()), (500, "bad"), "{other_refuses}");
+        assert_eq!(attempts(&harness).len(), 2);
+    }
+}
