Keep no connection in the command-line tool

Cause: the tool's client kept connections to nodes, which echo no request id, so a late copy of a reply could count for the next request.

Change: each request has its own connection, as in HttpClient.

--- a/crates/lycheewood-cli/src/adapters/http.rs
+++ b/crates/lycheewood-cli/src/adapters/http.rs
@@ -24,8 +24,13 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_MS)));
-        // A request that failed after it was sent must not be sent again by the library.
-        Self(Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector))
+        // Nodes echo no request id, so a kept connection could give a late copy of a reply to the next request. A
+        // request that failed after it was sent must not be sent again by the library.
+        let client = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self(client)
     }
 
     /// Sends a request and gives the response as soon as its head has arrived.
