--- a/review/case_map.rs
+++ b/review/case_map.rs
@@ -270,7 +270,10 @@
                 connection.write(&http::response(421, &[], b""))?;
                 continue;
             }
-            let json = [("Content-Type", "application/json")];
+            // Servers echo the id of a request, so that its client may use the connection again.
+            let id = request.header("x-lycheewood-request-id").unwrap_or("");
+            let json =
+                [("Content-Type", "application/json"), ("X-Lycheewood-Request-Id", id)];
             let answer = match (request.method(), request.path()) {
                 ("GET", "/v1/report") => http::response(200, &json, self.report(index).as_bytes()),
                 ("GET", "/v1/picked") => {
