Open no window for cold endpoints under a bound below zero

Cause: bounds.cold_overshoot or bounds.cold_slack below zero gave a negative aim and so a period of 1 ms, that is no limit. Also, the assumed fleet read 0 in the metrics for the first two seconds.

Change: such a bound leaves no window. The gauge starts with the fleet that is assumed.

--- a/crates/lycheewood/src/decisions/cold.rs
+++ b/crates/lycheewood/src/decisions/cold.rs
@@ -102,7 +102,8 @@
 #[must_use]
 pub fn window_period_ms(cold_per_s: f64, bounds: &ColdBounds, fleet: u32) -> u64 {
     let bound = cold_per_s * bounds.overshoot + bounds.slack;
-    let aim_per_s = (cold_per_s * AIM).min(bound * MAX_AIM_OF_BOUND);
+    // A bound of 0 or less, from an odd setting, leaves no window within any useful time.
+    let aim_per_s = (cold_per_s * AIM).min(bound * MAX_AIM_OF_BOUND).max(f64::MIN_POSITIVE);
     ceil_ms(1_000.0 * f64::from(fleet.max(1)) / aim_per_s).max(1)
 }
 
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -197,6 +197,7 @@
 
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
+        metrics.fleet_assumed.set(i64::from(STARTING_FLEET));
         let capacity_changed = Arc::new(Notify::new());
         Self {
             cold: Arc::new(ColdTracker::new(settings.cold_bounds, STARTING_FLEET)),
--- a/crates/lycheewood/tests/cold.rs
+++ b/crates/lycheewood/tests/cold.rs
@@ -150,6 +150,16 @@
     assert_eq!(used, 1);
 }
 
+/// Guards against windows without end or a panic because of odd settings.
+#[test]
+fn odd_bounds_open_no_window() {
+    for (overshoot, slack) in [(0.0, 0.0), (-1.0, 0.0), (0.0, -5.0)] {
+        let period_ms = window_period_ms(26.0, &ColdBounds { overshoot, slack }, 1);
+        let mut windows = ColdWindows::new(period_ms, u64::MAX / 2, START);
+        assert!((0..1_000).all(|ms| !windows.try_use(period_ms, START.plus_ms(ms))));
+    }
+}
+
 /// Guards against a second request shortly after the first one because the assumed fleet changes.
 #[test]
 fn a_changed_period_opens_no_window_early() {
