Choose engines by the estimated work of requests

Requests that look alike cost engines very different amounts of work, and the choice counted only requests in flight.

Adds the estimate of a request's cost (token counts of its caller, learned answer lengths by route and workspace), the remaining work of an endpoint from all instances (work_ms in heartbeats), the pace of an endpoint against its group, and the choice by them for services whose engine profile names the mean answer, for requests with token counts.

--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -21,6 +21,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::adapters::forward::caller::encode::{RequestRecord, ResponseBody};
+use crate::decisions::cost::{LengthHint, TokenUsage};
 use crate::filters::forward;
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::GatewayState;
@@ -152,6 +153,10 @@
     let deadline_ms = header_text(&names.deadline_ms).and_then(|value| value.parse().ok());
     let last_event_id = header_text(&hyper::header::HeaderName::from_static("last-event-id"))
         .and_then(|value| value.parse().ok());
+    let token_usage =
+        header_text(&names.token_usage).and_then(|text| TokenUsage::try_from(text).ok());
+    let length_hint =
+        header_text(&names.length_hint).and_then(|text| LengthHint::try_from(text).ok());
     let key = header_text(&AUTHORIZATION).and_then(bearer_token).map(str::to_owned);
     let shared_prompt_parts =
         header_text(&names.prompt_parts).map(shared_parts).unwrap_or_default();
@@ -165,6 +170,8 @@
         key,
         shared_prompt_parts,
         deadline_ms,
+        token_usage,
+        length_hint,
         last_event_id,
         received: state.clock.now(),
         headers: parts.headers,
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -139,7 +139,7 @@
             caller_address: state.settings.caller_address,
             processor_millicores: state.settings.processor_millicores,
         });
-        let in_flight = state.loads.in_flight();
+        let (in_flight, work_ms) = (state.loads.in_flight(), state.loads.work.work_ms());
         Heartbeat {
             about,
             incarnation: state.incarnation,
@@ -150,7 +150,10 @@
             endpoints_next: state.endpoints.load().table.next,
             reads: *state.is_reader.borrow() && state.is_healthy_reader(),
             in_flight: in_flight.iter().map(|(id, count)| (endpoint_tag(id), *count)).collect(),
-            extension: HeartbeatExtension::default(),
+            extension: HeartbeatExtension {
+                work_ms: work_ms.iter().map(|(id, ms)| (endpoint_tag(id), *ms)).collect(),
+                ..HeartbeatExtension::default()
+            },
         }
     }
 
@@ -176,6 +179,7 @@
         }
         let ready = table.peers.values().filter(|peer| peer.is_advertisable(now)).count();
         self.state.metrics.peers_heard.set(i64::try_from(ready).unwrap_or(i64::MAX));
+        self.state.loads.work.set_instances(ready + 1);
         self.state.peers.store(Arc::new(table));
         self.published_at = now;
     }
--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -3,10 +3,13 @@
 //! The number of requests in flight is exact for this instance and lags by one heartbeat for the others.
 //! Instances that decide within one heartbeat of each other must not all choose the least loaded endpoint, so
 //! each samples a few endpoints at random, most of them in its own failure domain, and chooses the one with the
-//! fewest requests per slot.
+//! fewest requests per slot. Engines whose requests differ in cost are compared by the time that the request would
+//! take there.
 
-use crate::decisions::units::{index_below, mix};
+use crate::decisions::cost::{RequestCost, tokens_per_event};
+use crate::decisions::units::{index_below, mix, unit_interval};
 use crate::ids::{FailureDomain, InstanceId};
+use crate::routes::raw::EngineProfile;
 
 /// Load added to an endpoint per recent failure, in requests per slot. One failure outweighs a full queue at an
 /// average endpoint; after several, the endpoint is used only if all others fail as well.
@@ -20,6 +23,15 @@
 /// 12 endpoints as well as 72.
 const SAMPLE_SIZE: usize = 3;
 
+/// Part of the estimated waiting time by which it is varied at random. Instances whose counts are equally old would
+/// otherwise all choose the group with the least work.
+const JITTER_SHARE: f64 = 0.2;
+/// Differences of the estimated time that count as equal, as a part of the work of a typical request.
+const TIME_RESOLUTION: f64 = 0.1;
+/// Power of the share of busy slots with which the expected wait for a slot grows. Counts of other instances are old,
+/// so an endpoint that seems to have a free slot may be full.
+const BUSY_EXPONENT: i32 = 4;
+
 /// An endpoint that may receive the request.
 #[derive(Clone, Copy, Debug)]
 pub struct BalancingCandidate<'a> {
@@ -47,6 +59,19 @@
     avoid: &[InstanceId],
     random: u64,
 ) -> Option<usize> {
+    let load = |index: &usize| load(&endpoints[*index], domain);
+    let sampled = sample_endpoints(endpoints, domain, avoid, random);
+    sampled.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))
+}
+
+/// Indices of a random sample of the endpoints that are not in `avoid` and, as far as there are any, not slow. Most of
+/// the sample is in the own failure domain.
+fn sample_endpoints(
+    endpoints: &[BalancingCandidate<'_>],
+    domain: &FailureDomain,
+    avoid: &[InstanceId],
+    random: u64,
+) -> Vec<usize> {
     let mut indices: Vec<usize> =
         (0..endpoints.len()).filter(|i| !avoid.contains(endpoints[*i].id)).collect();
     if indices.iter().any(|index| !endpoints[*index].is_slow) {
@@ -56,10 +81,8 @@
         indices.into_iter().partition(|index| endpoints[*index].failure_domain == domain);
     sample(&mut local, SAMPLE_SIZE, random);
     sample(&mut remote, SAMPLE_SIZE + 1 - local.len(), mix(random));
+    local.extend(remote);
     local
-        .into_iter()
-        .chain(remote)
-        .min_by(|a, b| load(&endpoints[*a], domain).total_cmp(&load(&endpoints[*b], domain)))
 }
 
 /// Reduces `indices` to a random sample of `count` (a partial Fisher-Yates shuffle).
@@ -79,3 +102,101 @@
     (f64::from(endpoint.in_flight) + remote) / f64::from(endpoint.slots.max(1))
         + FAILURE_LOAD * endpoint.failures
 }
+
+/// An engine that may receive a request whose cost is estimated.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkCandidate<'a> {
+    /// The endpoint and its requests in flight.
+    pub endpoint: BalancingCandidate<'a>,
+    /// Remaining work of the endpoint from all instances, in milliseconds.
+    pub work_ms: f64,
+    /// Remaining work for each rank of its group; that of the endpoint itself if it forms no group.
+    pub group_work_ms: f64,
+    /// Time that its passes take, as a multiple of the usual time.
+    pub slowdown: f64,
+    /// Whether the endpoint is slow and should get a single request that shows its pace.
+    pub is_probe_due: bool,
+}
+
+/// A request whose cost is estimated, and the engines that may get it.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkRequest<'a> {
+    /// Performance of the engines.
+    pub engine: &'a EngineProfile,
+    /// Estimated cost of the request.
+    pub cost: RequestCost,
+    /// Cost of a typical request.
+    pub typical: RequestCost,
+}
+
+impl WorkRequest<'_> {
+    /// Time that the steps of a request take at an engine that runs nothing else, in milliseconds.
+    fn alone_ms(&self, cost: &RequestCost) -> f64 {
+        let steps = cost.prompt_steps + cost.events * tokens_per_event(self.engine);
+        steps * self.engine.step_ms + cost.total_ms()
+    }
+
+    /// Remaining work of a request in flight of which nothing is known, in milliseconds.
+    fn typical_left_ms(&self) -> f64 {
+        self.typical.total_ms() / 2.0
+    }
+
+    /// Estimated time until the endpoint has completed the request, in milliseconds. The work of a group is shared by
+    /// all of its ranks but for the part that each rank does on its own.
+    fn time_ms(&self, candidate: &WorkCandidate<'_>, domain: &FailureDomain, random: u64) -> f64 {
+        let WorkCandidate { endpoint, work_ms, group_work_ms, slowdown, .. } = candidate;
+        let shared = self.engine.expert_share;
+        let slots = f64::from(endpoint.slots.max(1));
+        let busy = f64::from(endpoint.in_flight) / slots;
+        let place_ms = self.alone_ms(&self.typical) / slots * busy.powi(BUSY_EXPONENT);
+        let waiting_ms = shared * group_work_ms + (1.0 - shared) * work_ms + place_ms;
+        let varied_ms = waiting_ms * (1.0 + JITTER_SHARE * (unit_interval(random) - 0.5));
+        let remote = if endpoint.failure_domain == domain { 0.0 } else { REMOTE_REQUESTS };
+        let failures = FAILURE_LOAD * slots * endpoint.failures;
+        slowdown * (self.alone_ms(&self.cost) + varied_ms)
+            + (remote + failures) * self.typical_left_ms()
+    }
+}
+
+/// Chooses the engine that receives a request whose cost is estimated, like [`choose_by_load`] but by the time that the
+/// request would take. Of several with about the same time, the one with the fewest requests per slot is chosen.
+#[must_use]
+pub fn choose_by_work(
+    engines: &[WorkCandidate<'_>],
+    request: &WorkRequest<'_>,
+    domain: &FailureDomain,
+    avoid: &[InstanceId],
+    random: u64,
+) -> Option<usize> {
+    if let Some(probed) = choose_probed(engines, request, avoid) {
+        return Some(probed);
+    }
+    let endpoints: Vec<_> = engines.iter().map(|engine| engine.endpoint).collect();
+    let sampled = sample_endpoints(&endpoints, domain, avoid, random);
+    let resolution_ms = (request.typical.total_ms() * TIME_RESOLUTION).max(f64::MIN_POSITIVE);
+    let mut word = random;
+    let order = sampled.into_iter().map(|index| {
+        word = mix(word);
+        let engine = &engines[index];
+        let time_ms = request.time_ms(engine, domain, word);
+        let slots = f64::from(engine.endpoint.slots.max(1));
+        (index, (time_ms / resolution_ms).round(), f64::from(engine.endpoint.in_flight) / slots)
+    });
+    let chosen = order.min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.total_cmp(&b.2)));
+    chosen.map(|(index, ..)| index)
+}
+
+/// A slow engine whose pace is to be measured. Only a request that is no longer than usual is used for it, because it
+/// is late if the engine is still slow.
+fn choose_probed(
+    engines: &[WorkCandidate<'_>],
+    request: &WorkRequest<'_>,
+    avoid: &[InstanceId],
+) -> Option<usize> {
+    if request.cost.total_ms() > request.typical.total_ms() {
+        return None;
+    }
+    let is_probed =
+        |engine: &WorkCandidate<'_>| engine.is_probe_due && !avoid.contains(engine.endpoint.id);
+    engines.iter().position(is_probed)
+}
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -1,6 +1,6 @@
 //! State of the other entry instances as reported by their heartbeats: readiness and requests in flight.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -42,12 +42,34 @@
     pub peers: BTreeMap<SocketAddr, Arc<Peer>>,
     /// Requests in flight from all other instances, by tag of the endpoint.
     in_flight: HashMap<u32, u32>,
+    /// Remaining work of the requests of all other instances, by tag of the endpoint.
+    work: HashMap<u32, PeerWork>,
     /// Work time of the endpoints that the holder of the expert group lease reports as slow, in percent of the usual
     /// time, by tag.
     slow: HashMap<u32, u32>,
 }
 
+/// Work that other instances have at an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerWork {
+    /// Estimated time of the work that is left, in milliseconds.
+    pub work_ms: u64,
+    /// Requests in flight from instances that do not tell their work.
+    pub unestimated: u32,
+}
+
 impl PeerTable {
+    /// Remaining work from all other instances at an endpoint.
+    #[must_use]
+    pub fn work(&self, endpoint: &InstanceId) -> PeerWork {
+        self.work_by_tag(endpoint_tag(endpoint))
+    }
+
+    /// The same, by the tag of the endpoint.
+    pub(crate) fn work_by_tag(&self, tag: u32) -> PeerWork {
+        self.work.get(&tag).copied().unwrap_or_default()
+    }
+
     /// Work time of an endpoint that the holder of the expert group lease reports as slow, in percent of the usual
     /// time.
     pub(crate) fn slowdown_percent(&self, tag: u32) -> Option<u32> {
@@ -136,7 +158,25 @@
         for (endpoint, count) in fresh().flat_map(|peer| &peer.heartbeat.in_flight) {
             *in_flight.entry(*endpoint).or_default() += count;
         }
-        PeerTable { peers: self.peers.clone(), in_flight, slow }
+        let mut work: HashMap<u32, PeerWork> = HashMap::new();
+        for peer in fresh() {
+            add_work(&mut work, &peer.heartbeat);
+        }
+        PeerTable { peers: self.peers.clone(), in_flight, work, slow }
+    }
+}
+
+/// Adds what a heartbeat tells of the work at each endpoint.
+fn add_work(work: &mut HashMap<u32, PeerWork>, heartbeat: &Heartbeat) {
+    let told = &heartbeat.extension.work_ms;
+    for (tag, work_ms) in told {
+        let sum = &mut work.entry(*tag).or_default().work_ms;
+        *sum = sum.saturating_add(u64::from(*work_ms));
+    }
+    let told: HashSet<u32> = told.iter().map(|(tag, _)| *tag).collect();
+    for (tag, count) in heartbeat.in_flight.iter().filter(|(tag, _)| !told.contains(tag)) {
+        let sum = &mut work.entry(*tag).or_default().unestimated;
+        *sum = sum.saturating_add(*count);
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -9,6 +9,8 @@
 
 use crate::adapters::forward::upstream::UpstreamResponse;
 use crate::clock::Timestamp;
+use crate::decisions::cost::answers::AnswerEstimate;
+use crate::decisions::cost::{LengthHint, RequestCost, RequestFacts, TokenUsage, estimate_cost};
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::peers::PeerTable;
@@ -21,7 +23,7 @@
 use crate::load_tracker::InFlightGuard;
 use crate::outcome::{NotRunCode, RequestError, UnknownCode, UnknownOutcome};
 use crate::routes::checked::{Route, RouteWorkspace};
-use crate::routes::raw::EngineProfile;
+use crate::routes::raw::{CostProfile, EngineProfile};
 
 /// Value of a `Retry-After` header, in seconds with milliseconds.
 pub(crate) fn retry_after_value(retry_after_ms: u64) -> HeaderValue {
@@ -46,6 +48,10 @@
     pub(crate) shared_prompt_parts: Vec<String>,
     /// How long the caller waits, in milliseconds.
     pub(crate) deadline_ms: Option<u64>,
+    /// Token counts that the caller states, if they are readable.
+    pub(crate) token_usage: Option<TokenUsage>,
+    /// The caller's estimate of the answer's length.
+    pub(crate) length_hint: Option<LengthHint>,
     /// The `Last-Event-ID` of a caller that resumes a stream.
     pub(crate) last_event_id: Option<u64>,
     pub(crate) received: Timestamp,
@@ -129,6 +135,28 @@
     pub(crate) max_batch: u32,
 }
 
+/// What the cost of a request is estimated from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CostBasis {
+    pub(crate) engine: EngineProfile,
+    pub(crate) profile: CostProfile,
+    pub(crate) usage: TokenUsage,
+    pub(crate) hint: Option<LengthHint>,
+}
+
+impl CostBasis {
+    /// Estimates the cost of the part of the request that is not done.
+    pub(crate) fn estimate(&self, events_received: u64, answer: &AnswerEstimate) -> RequestCost {
+        let facts = RequestFacts { usage: self.usage, hint: self.hint, events_received };
+        estimate_cost(&self.engine, &self.profile, &facts, answer)
+    }
+
+    /// Cost of a request of which nothing is known.
+    pub(crate) fn typical(&self) -> RequestCost {
+        RequestCost::typical(&self.engine, &self.profile)
+    }
+}
+
 /// Stage in which the whole request has been read and is within its limits. Nothing has been sent for its next
 /// attempt.
 pub(crate) struct Admitted {
@@ -144,6 +172,8 @@
     pub(crate) prompt_parts: Arc<[Fingerprint]>,
     /// The trials that the request runs, because it or some of its prompt parts are suspects.
     pub(crate) trials: Vec<Trial>,
+    /// How the cost of the request is estimated, if its engines and its token counts allow it.
+    pub(crate) cost_basis: Option<CostBasis>,
     /// Limit of the event gaps, if the route has one and its endpoints are engines.
     pub(crate) gap_limit: Option<GapLimit>,
     /// Time by which the caller must have the whole response.
@@ -186,6 +216,20 @@
         }
     }
 
+    /// Estimates the cost of what is left of the request, if it has token counts and its engines a cost profile.
+    pub(crate) fn estimate_cost(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Option<RequestCost> {
+        let basis = self.cost_basis.as_ref()?;
+        let typical_tokens = basis.profile.typical_answer_tokens;
+        let workspace = self.workspace.as_ref();
+        let work = &state.loads.work;
+        let answer = work.answer_estimate(&self.route.name, workspace, typical_tokens, now);
+        Some(basis.estimate(self.last_event_id.unwrap_or(0), &answer))
+    }
+
     /// The fingerprints by which the request may be recognized at a crash.
     pub(crate) fn fingerprints(&self) -> Vec<Fingerprint> {
         [&[self.fingerprint], &*self.prompt_parts].concat()
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -9,7 +9,7 @@
 use crate::decisions::batch::max_batch;
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::retries::{RefusalCause, come_back_ms};
-use crate::filters::forward::exchange::{Admitted, Authenticated, Exchange, GapLimit};
+use crate::filters::forward::exchange::{Admitted, Authenticated, CostBasis, Exchange, GapLimit};
 use crate::gateway::GatewayState;
 use crate::ids::WorkspaceName;
 use crate::outcome::{InvalidRequest, NotRunCode, RequestError};
@@ -42,7 +42,12 @@
         Err(_) => return Err(RequestError::not_run(NotRunCode::BodyLate, 0)),
     };
     let service = route.service(rand::random()).clone();
-    let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
+    let profile = routes.table.engine_profiles.get(&service);
+    let cost_basis = profile.and_then(|engine| {
+        let (usage, hint) = (head.token_usage?, head.length_hint);
+        Some(CostBasis { engine: *engine, profile: engine.cost?, usage, hint })
+    });
+    let engine = profile.zip(route.target_gap_ms);
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -52,6 +57,7 @@
         parts.map(|part| Fingerprint::of_prompt_part(service.as_str(), part)).collect();
     let admitted = Admitted {
         route: route.clone(),
+        cost_basis,
         gap_limit: engine.map(|(engine, gap_ms)| GapLimit {
             engine: *engine,
             gap_ms,
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -9,6 +9,7 @@
 
 use crate::adapters::forward::upstream::{UpstreamError, UpstreamResponse};
 use crate::clock::Timestamp;
+use crate::decisions::cost::tokens_per_event;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::events::{EventSplitter, event_id};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
@@ -66,7 +67,7 @@
     /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
     /// sent.
     has_waited: bool,
-    _in_flight: InFlightGuard,
+    in_flight: InFlightGuard,
 }
 
 impl Source {
@@ -80,7 +81,7 @@
             output: Output::None,
             last_event_at: None,
             has_waited: false,
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 }
@@ -143,6 +144,7 @@
                 None if !self.source.splitter.has_partial() => {
                     self.state.loads.record_success(&self.source.endpoint.id);
                     self.state.record_completion(self.source.admitted.fingerprint);
+                    self.record_answer();
                     return None;
                 }
                 None => "the stream ends within an event".to_owned(),
@@ -210,9 +212,23 @@
         let group = self.source.endpoint.group.as_ref();
         // Several events that arrive together were waited for once.
         let has_waited = std::mem::take(&mut self.source.has_waited);
-        if has_waited && let Some((previous, group)) = previous.zip(group) {
-            self.state.loads.record_gap(&group.name, now.ms_since(previous), now);
+        let gap_ms = previous.filter(|_| has_waited).map(|previous| now.ms_since(previous));
+        if let Some((gap_ms, group)) = gap_ms.zip(group) {
+            self.state.loads.record_gap(&group.name, gap_ms, now);
         }
+        self.source.in_flight.record_event(gap_ms, now);
+    }
+
+    /// Records the length of the complete answer. A part that the caller had before is not known.
+    fn record_answer(&self) {
+        let Admitted { route, workspace, cost_basis, .. } = &self.source.admitted;
+        let Some(basis) = cost_basis.filter(|_| self.head.last_event_id.is_none()) else { return };
+        let events = u32::try_from(self.events).unwrap_or(u32::MAX);
+        let answer_tokens = f64::from(events) * tokens_per_event(&basis.engine);
+        let hint_tokens = basis.hint.map(|hint| f64::from(hint.answer_tokens));
+        let now = self.state.clock.now();
+        let work = &self.state.loads.work;
+        work.record_answer(&route.name, workspace.as_ref(), answer_tokens, hint_tokens, now);
     }
 
     /// Records the id of an event. Returns `false` for an event that the caller already has.
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -1,6 +1,7 @@
 //! Chooses the endpoint of the next attempt, and waits for free capacity where a route limits event gaps.
 
 mod places;
+mod works;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,9 +87,13 @@
     if let Some(group) = &endpoint.group {
         state.loads.record_group_probe(&group.name, state.clock.now());
     }
-    let in_flight = state.loads.start_request(&endpoint.id);
+    let now = state.clock.now();
+    let work = admitted
+        .estimate_cost(state, now)
+        .map(|cost| state.loads.work.start_request(&endpoint, cost, now));
+    let in_flight = state.loads.start_request(&endpoint.id).with_work(work);
     let selected = Selected { admitted, endpoint, attempt, in_flight };
-    Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
+    Selection::Selected(Exchange { head, view, now, stage: selected })
 }
 
 /// Records and logs that the request is quarantined, or that another attempt runs its trial.
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -10,23 +10,41 @@
 use crate::decisions::queue::{QueuePhase, in_flight_limit};
 use crate::decisions::units::mix;
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
+use crate::filters::forward::select::works::Works;
 use crate::gateway::GatewayState;
-use crate::ids::TargetName;
+use crate::ids::{InstanceId, TargetName};
 
 /// An endpoint that may get the request.
-struct Available<'a> {
-    entry: &'a Arc<EndpointEntry>,
-    tag: u32,
+pub(super) struct Available<'a> {
+    pub(super) entry: &'a Arc<EndpointEntry>,
+    pub(super) tag: u32,
     /// Requests in flight from all instances.
-    in_flight: u32,
+    pub(super) in_flight: u32,
+    /// Requests in flight from this instance.
+    pub(super) own_in_flight: u32,
     failures: f64,
     /// Work time in percent of the usual time, if it is much longer.
-    slowdown_percent: Option<u32>,
+    pub(super) slowdown_percent: Option<u32>,
+}
+
+impl<'a> Available<'a> {
+    pub(super) fn candidate(&self) -> BalancingCandidate<'a> {
+        BalancingCandidate {
+            id: &self.entry.id,
+            failure_domain: &self.entry.failure_domain,
+            slots: self.entry.slots,
+            in_flight: self.in_flight,
+            failures: self.failures,
+            is_slow: self.slowdown_percent.is_some(),
+        }
+    }
 }
 
 /// The endpoints with a free place for a request.
 pub(super) struct Places<'a> {
     available: Vec<Available<'a>>,
+    /// Work of the engines, if the cost of the request is estimated.
+    works: Option<Works<'a>>,
 }
 
 impl<'a> Places<'a> {
@@ -39,6 +57,8 @@
         now: Timestamp,
     ) -> Self {
         let mut available = available_endpoints(state, view, &admitted.service, now);
+        // Ranks without a free place belong to the work of their group.
+        let works = Works::find(state, view, admitted, &available, now);
         if let Some(limit) = &admitted.gap_limit {
             let batches = group_batches(state, limit, &available, now);
             available.retain(|endpoint| {
@@ -50,7 +70,7 @@
                 endpoint.in_flight < in_flight_limit(batch, phase)
             });
         }
-        Self { available }
+        Self { available, works }
     }
 
     /// The best endpoint for the request.
@@ -59,23 +79,16 @@
         state: &GatewayState,
         admitted: &Admitted,
     ) -> Option<Arc<EndpointEntry>> {
-        let candidates: Vec<_> = self
-            .available
-            .iter()
-            .map(|endpoint| BalancingCandidate {
-                id: &endpoint.entry.id,
-                failure_domain: &endpoint.entry.failure_domain,
-                slots: endpoint.entry.slots,
-                in_flight: endpoint.in_flight,
-                failures: endpoint.failures,
-                is_slow: endpoint.slowdown_percent.is_some(),
-            })
-            .collect();
-        let domain = &state.settings.failure_domain;
+        let choose = |avoid: &[InstanceId]| {
+            if let Some(works) = &self.works {
+                return works.choose(&self.available, state, avoid);
+            }
+            let candidates: Vec<_> = self.available.iter().map(Available::candidate).collect();
+            choose_by_load(&candidates, &state.settings.failure_domain, avoid, rand::random())
+        };
         // A refusal may concern only the rank that sent it, so the next attempt goes to another rank of its group.
         let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
-        let index = choose_by_load(&candidates, domain, &untried, rand::random())
-            .or_else(|| choose_by_load(&candidates, domain, &admitted.avoid, rand::random()))?;
+        let index = choose(&untried).or_else(|| choose(&admitted.avoid))?;
         Some(Arc::clone(self.available[index].entry))
     }
 }
@@ -105,6 +118,7 @@
         .map(|((entry, tag), load)| Available {
             entry,
             tag,
+            own_in_flight: load.in_flight,
             in_flight: load.in_flight + view.peers.in_flight_by_tag(tag),
             failures: load.failures,
             slowdown_percent: slowdown_percent(tag),
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::routes::checked::RouteTable;
 use crate::routes::raw::RawRouteTable;
 use crate::wire::heartbeat::{Leading, endpoint_tag};
+use crate::work_tracker::WorkTracker;
 
 /// Names of the headers exchanged between callers, gateways and endpoints. The platform defines them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,6 +51,10 @@
     pub prompt_parts: HeaderName,
     /// The endpoint whose failure caused the response.
     pub failed_endpoint: HeaderName,
+    /// Tokens of the prompt, and the largest number of tokens of the answer, separated by a comma.
+    pub token_usage: HeaderName,
+    /// The caller's estimate of the tokens of the answer.
+    pub length_hint: HeaderName,
 }
 
 /// Settings of a gateway.
@@ -186,6 +191,7 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
         let capacity_changed = Arc::new(Notify::new());
+        let work = Arc::new(WorkTracker::new(Arc::clone(&metrics)));
         Self {
             settings,
             incarnation: Incarnation::random(),
@@ -194,7 +200,7 @@
             routes: Arc::default(),
             endpoints: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::new(LoadTracker::new(Arc::clone(&capacity_changed))),
+            loads: Arc::new(LoadTracker::new(Arc::clone(&capacity_changed), work)),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
             has_started: AtomicBool::new(false),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod telemetry;
 mod wire;
+mod work_tracker;
 
 pub use adapters::agent::client::AgentRanks;
 pub use adapters::http::{HttpClient, HttpError};
@@ -53,7 +54,9 @@
     AttemptState, EndpointView, Occupancy, RecoverDecision, StartDecision, decide_ask,
     decide_recover, decide_start,
 };
-pub use decisions::balance::{BalancingCandidate, choose_by_load};
+pub use decisions::balance::{
+    BalancingCandidate, WorkCandidate, WorkRequest, choose_by_load, choose_by_work,
+};
 pub use decisions::batch::{GapAverage, GroupPace, endpoint_batch, max_batch, paced_batch};
 pub use decisions::claims::record::{
     CLAIMS_SCHEMA, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord,
@@ -63,6 +66,8 @@
     ClaimEffect, ClaimHolder, ClaimSettings, ClaimStatus, ClaimTable, KeyState, SubmittedClaim,
     different_request_refusal,
 };
+pub use decisions::cost::answers::{AnswerEstimate, AnswerTable};
+pub use decisions::cost::{LengthHint, RequestCost, RequestFacts, TokenUsage, estimate_cost};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::endpoint_list::{
@@ -101,7 +106,8 @@
     ConnectionState, Eligibility, InstanceView, ListStatus, MembershipSettings, eligibility,
     is_advertisable,
 };
-pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, nearest_entries};
+pub use decisions::pace::{EndpointPace, PaceChange, ServicePace, group_slowdown};
+pub use decisions::peers::{EntryView, Peer, PeerTable, PeerTracker, PeerWork, nearest_entries};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementDecision, PlacementView, decide_placement,
@@ -123,6 +129,7 @@
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
 pub use decisions::stall::{ResponsePart, is_stalled, may_be_queued, stall_timeout_ms};
 pub use decisions::versions::choose_version;
+pub use decisions::work::{EndpointWork, GroupWork, RequestWork, total_work_ms};
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
@@ -171,8 +178,8 @@
 pub use roles::gateway::{EntryAddresses, Gateway, GatewayHandle};
 pub use routes::checked::{Route, RouteTable, RouteTableError, RouteWorkspace};
 pub use routes::raw::{
-    CallerLimits, EngineProfile, ExpertShape, RawRoute, RawRouteTable, RawRouteWorkspace,
-    RawService, RawTrafficShare, RequestKind,
+    CallerLimits, CostProfile, EngineProfile, ExpertShape, RawRoute, RawRouteTable,
+    RawRouteWorkspace, RawService, RawTrafficShare, RequestKind,
 };
 pub use settings::{
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -13,6 +13,7 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::units::decay;
 use crate::ids::InstanceId;
+use crate::work_tracker::{WorkGuard, WorkTracker};
 
 /// Time constant of the exponential decay of failures, in milliseconds. The half-life is about two thirds
 /// of it.
@@ -66,15 +67,18 @@
     /// Gaps between the events of streams, by group.
     gaps: Mutex<HashMap<String, GapAverage>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
+    /// Work and pace of engines.
+    pub(crate) work: Arc<WorkTracker>,
     /// Endpoints that have said in a response that they want no request, by identifier and start. Kept while an
     /// entry is not listed, since a lapsed entry may come back.
     excluded: Mutex<HashMap<(InstanceId, u64), Exclusion>>,
 }
 
 impl LoadTracker {
-    pub(crate) fn new(capacity_changed: Arc<Notify>) -> Self {
+    pub(crate) fn new(capacity_changed: Arc<Notify>, work: Arc<WorkTracker>) -> Self {
         Self {
             capacity_changed,
+            work,
             refusing_groups: Mutex::default(),
             gaps: Mutex::default(),
             loads: Mutex::default(),
@@ -89,7 +93,7 @@
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>, endpoint: &InstanceId) -> InFlightGuard {
         self.lock().entry(endpoint.clone()).or_default().in_flight += 1;
-        InFlightGuard { tracker: Arc::clone(self), endpoint: endpoint.clone() }
+        InFlightGuard { tracker: Arc::clone(self), endpoint: endpoint.clone(), work: None }
     }
 
     /// Records that an endpoint failed a request.
@@ -266,6 +270,7 @@
 
     /// Removes endpoints without requests in flight for which `keep` returns `false`.
     pub(crate) fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
+        self.work.retain(&keep);
         self.lock().retain(|endpoint, load| load.in_flight > 0 || keep(endpoint));
     }
 }
@@ -315,6 +320,23 @@
 pub(crate) struct InFlightGuard {
     tracker: Arc<LoadTracker>,
     endpoint: InstanceId,
+    /// The request's remaining work, if its cost is estimated.
+    work: Option<WorkGuard>,
+}
+
+impl InFlightGuard {
+    /// Counts the request's remaining work as well.
+    pub(crate) fn with_work(mut self, work: Option<WorkGuard>) -> Self {
+        self.work = work;
+        self
+    }
+
+    /// Records an event of the response. `gap_ms` is the time since the event before, if this one was waited for.
+    pub(crate) fn record_event(&mut self, gap_ms: Option<u64>, now: Timestamp) {
+        if let Some(work) = &mut self.work {
+            work.record_event(gap_ms, now);
+        }
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -19,6 +19,9 @@
     pub(crate) resumed: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
     pub(crate) suspects: IntGauge,
+    pub(crate) chosen_by_work: IntCounter,
+    pub(crate) slow_endpoints: IntCounter,
+    pub(crate) probes: IntCounter,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_in_flight: IntGauge,
@@ -68,6 +71,18 @@
                 "lycheewood_gateway_suspects",
                 "Requests that are suspected to crash endpoints, or quarantined.",
             )?,
+            chosen_by_work: metrics.counter(
+                "lycheewood_gateway_chosen_by_work_total",
+                "Endpoints chosen by estimated work instead of requests in flight.",
+            )?,
+            slow_endpoints: metrics.counter(
+                "lycheewood_gateway_slow_endpoints_total",
+                "Endpoints that turned slow against others of their group or service.",
+            )?,
+            probes: metrics.counter(
+                "lycheewood_gateway_probes_total",
+                "Requests sent to slow endpoints, which measure their pace.",
+            )?,
             first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
--- a/crates/lycheewood/src/routes/raw.rs
+++ b/crates/lycheewood/src/routes/raw.rs
@@ -103,6 +103,26 @@
     pub typical_prompt_tokens: f64,
     /// Share of the work that experts do, 0 to 1.
     pub expert_share: f64,
+    /// What the cost of a request depends on, if the configuration names it. Without it, endpoints are chosen by
+    /// requests in flight.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cost: Option<CostProfile>,
+}
+
+/// What the cost of a request depends on, beside the rates of an [`EngineProfile`].
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CostProfile {
+    /// Time that 1,000 tokens of context add to a step of a request, in milliseconds.
+    #[serde(default)]
+    pub context_ms_per_k: f64,
+    /// Time for a million pairs of a prompt token and an earlier one, in milliseconds.
+    #[serde(default)]
+    pub pairs_ms_per_m: f64,
+    /// Most prompt tokens that are read in one step, if the engine has such a limit.
+    #[serde(default)]
+    pub chunk_tokens: Option<f64>,
+    /// Mean tokens of an answer.
+    pub typical_answer_tokens: f64,
 }
 
 /// Shape and speed of the expert groups of a service.
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -232,6 +232,7 @@
         prefill_tokens_per_s: 61_400.0,
         typical_prompt_tokens: 835.0,
         expert_share: 0.85,
+        cost: None,
     };
     assert_eq!(max_batch(&engine, 10_000), 12);
     assert_eq!(max_batch(&engine, 1), 1);
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -77,6 +77,8 @@
                 leaving: header("x-leaving"),
                 prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
+                token_usage: header("x-usage"),
+                length_hint: header("x-hint"),
             },
             retry_limits: RetryLimits { ratio: 0.2, slack: 1_000.0 },
             shutdown: ShutdownSettings { linger_ms: 300, min_refusing_ms: 0 },
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -112,6 +112,8 @@
                 leaving: header("x-leaving"),
                 prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
+                token_usage: header("x-usage"),
+                length_hint: header("x-hint"),
             },
             retry_limits: RetryLimits { ratio: 0.2, slack: 1_000.0 },
             shutdown: ShutdownSettings { linger_ms: 100, min_refusing_ms: 0 },
--- a/crates/lycheewood/tests/support/engine_profile.rs
+++ b/crates/lycheewood/tests/support/engine_profile.rs
@@ -10,4 +10,5 @@
     prefill_tokens_per_s: 61_400.0,
     typical_prompt_tokens: 830.0,
     expert_share: 0.85,
+    cost: None,
 };
