--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -26,8 +26,9 @@
 /// Part of the estimated waiting time by which it is varied at random. Instances whose counts are equally old would
 /// otherwise all choose the group with the least work.
 const JITTER_SHARE: f64 = 0.2;
-/// Differences of the estimated time that count as equal, as a part of the work of a typical request.
-const TIME_RESOLUTION: f64 = 0.1;
+/// Number of events of a stream that the estimated time looks ahead. What an endpoint does later is balanced by later
+/// choices, and streams are late if a single gap is too long, which the requests decide that run now.
+const HORIZON_EVENTS: f64 = 12.0;
 /// Power of the share of busy slots with which the expected wait for a slot grows. Counts of other instances are old,
 /// so an endpoint that seems to have a free slot may be full.
 const BUSY_EXPONENT: i32 = 4;
@@ -112,6 +113,8 @@
     pub work_ms: f64,
     /// Remaining work for each rank of its group; that of the endpoint itself if it forms no group.
     pub group_work_ms: f64,
+    /// Requests in flight for each rank of its group; those of the endpoint itself if it forms no group.
+    pub group_in_flight: f64,
     /// Time that its passes take, as a multiple of the usual time.
     pub slowdown: f64,
     /// Whether the endpoint is slow and should get a single request that shows its pace.
@@ -136,25 +139,31 @@
         steps * self.engine.step_ms + cost.total_ms()
     }
 
-    /// Remaining work of a request in flight of which nothing is known, in milliseconds.
-    fn typical_left_ms(&self) -> f64 {
-        self.typical.total_ms() / 2.0
+    /// Time by which `in_flight` requests with `work_ms` of remaining work delay another one within the horizon: the
+    /// work of each of them up to the horizon, with remaining work that is spread like an exponential distribution.
+    fn delay_ms(&self, work_ms: f64, in_flight: f64) -> f64 {
+        let horizon_ms = self.typical.event_ms * HORIZON_EVENTS;
+        let most_ms = in_flight * horizon_ms;
+        if work_ms <= 0.0 { 0.0 } else { work_ms * (1.0 - (-most_ms / work_ms).exp()) }
     }
 
     /// Estimated time until the endpoint has completed the request, in milliseconds. The work of a group is shared by
     /// all of its ranks but for the part that each rank does on its own.
     fn time_ms(&self, candidate: &WorkCandidate<'_>, domain: &FailureDomain, random: u64) -> f64 {
-        let WorkCandidate { endpoint, work_ms, group_work_ms, slowdown, .. } = candidate;
+        let WorkCandidate { endpoint, work_ms, group_work_ms, slowdown, .. } = *candidate;
         let shared = self.engine.expert_share;
         let slots = f64::from(endpoint.slots.max(1));
-        let busy = f64::from(endpoint.in_flight) / slots;
-        let place_ms = self.alone_ms(&self.typical) / slots * busy.powi(BUSY_EXPONENT);
-        let waiting_ms = shared * group_work_ms + (1.0 - shared) * work_ms + place_ms;
+        let in_flight = f64::from(endpoint.in_flight);
+        let busy = (in_flight / slots).powi(BUSY_EXPONENT);
+        let place_ms = self.alone_ms(&self.typical) / slots * busy;
+        let waiting_ms = shared * self.delay_ms(group_work_ms, candidate.group_in_flight)
+            + (1.0 - shared) * self.delay_ms(work_ms, in_flight)
+            + place_ms;
         let varied_ms = waiting_ms * (1.0 + JITTER_SHARE * (unit_interval(random) - 0.5));
         let remote = if endpoint.failure_domain == domain { 0.0 } else { REMOTE_REQUESTS };
         let failures = FAILURE_LOAD * slots * endpoint.failures;
         slowdown * (self.alone_ms(&self.cost) + varied_ms)
-            + (remote + failures) * self.typical_left_ms()
+            + (remote + failures) * self.delay_ms(self.typical.total_ms() / 2.0, 1.0)
     }
 }
 
@@ -173,7 +182,7 @@
     }
     let endpoints: Vec<_> = engines.iter().map(|engine| engine.endpoint).collect();
     let sampled = sample_endpoints(&endpoints, domain, avoid, random);
-    let resolution_ms = (request.typical.total_ms() * TIME_RESOLUTION).max(f64::MIN_POSITIVE);
+    let resolution_ms = (request.typical.event_ms).max(f64::MIN_POSITIVE);
     let mut word = random;
     let order = sampled.into_iter().map(|index| {
         word = mix(word);
--- a/crates/lycheewood/src/decisions/work.rs
+++ b/crates/lycheewood/src/decisions/work.rs
@@ -6,10 +6,6 @@
 /// are long: the more of them has come, the more is left on average.
 pub(crate) const OVERRUN_SHARE: f64 = 0.25;
 
-/// Weight of the time to read a prompt against that of later tokens. A prompt delays the next pass of its whole group,
-/// while tokens of an answer are spread over all later ones.
-const PROMPT_WEIGHT: f64 = 2.0;
-
 /// Remaining work of one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RequestWork {
@@ -46,12 +42,12 @@
         self.cost.prompt_ms
     }
 
-    /// The remaining work in milliseconds, in which the time to read a prompt has its weight.
+    /// The remaining work, in milliseconds.
     #[must_use]
     pub fn left_ms(&self) -> f64 {
         let prompt_ms = if self.is_unread() { self.cost.prompt_ms } else { 0.0 };
         let events_left = (self.events_expected - self.events_sent).max(0.0);
-        prompt_ms * PROMPT_WEIGHT + self.cost.event_ms * events_left
+        prompt_ms + self.cost.event_ms * events_left
     }
 }
 
@@ -114,19 +110,22 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct GroupWork {
     sum_ms: f64,
+    in_flight: u32,
     ranks: u32,
 }
 
 impl GroupWork {
-    /// Adds one rank.
-    pub fn add(&mut self, work_ms: f64) {
+    /// Adds one rank with its requests in flight.
+    pub fn add(&mut self, work_ms: f64, in_flight: u32) {
         self.sum_ms += work_ms;
+        self.in_flight = self.in_flight.saturating_add(in_flight);
         self.ranks += 1;
     }
 
-    /// Number of ranks.
-    pub(crate) fn ranks(&self) -> u32 {
-        self.ranks
+    /// Requests in flight for each rank.
+    #[must_use]
+    pub fn in_flight_per_rank(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.ranks.max(1))
     }
 
     /// Work for each rank, which the experts of the group share, in milliseconds.
--- a/crates/lycheewood/src/filters/forward/select/works.rs
+++ b/crates/lycheewood/src/filters/forward/select/works.rs
@@ -25,7 +25,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct GroupStatus {
     work: GroupWork,
-    in_flight: u32,
     slowdown: f64,
 }
 
@@ -68,13 +67,12 @@
             engines.insert(endpoint.tag, engine);
             if let Some(group) = &endpoint.entry.group {
                 let group = groups.entry(&group.name).or_default();
-                group.work.add(work_ms);
-                group.in_flight += endpoint.in_flight.min(endpoint.entry.slots);
+                group.work.add(work_ms, endpoint.in_flight.min(endpoint.entry.slots));
             }
         }
         for (name, group) in &mut groups {
             let gap_ms = state.loads.mean_gap_ms(name, now);
-            let batch = f64::from(group.in_flight) / f64::from(group.work.ranks().max(1));
+            let batch = group.work.in_flight_per_rank();
             group.slowdown = group_slowdown(&basis.engine, gap_ms, batch);
         }
         Some(Self { basis, cost, engines, groups })
@@ -117,6 +115,8 @@
             },
             work_ms: engine.work_ms,
             group_work_ms: group.map_or(engine.work_ms, |group| group.work.per_rank_ms()),
+            group_in_flight: group
+                .map_or(f64::from(balancing.in_flight), |group| group.work.in_flight_per_rank()),
             slowdown: engine.slowdown * group.map_or(1.0, |group| group.slowdown),
             is_probe_due: engine.is_probe_due,
         }
