--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -26,6 +26,7 @@
 use crate::adapters::forward::headers::max_header_fields;
 use crate::adapters::lingering::{LingeringStream, UnreadBody, bound_receive_buffers};
 use crate::connection_table::{ConnectionSlot, RequestGuard};
+use crate::decisions::cost::{LengthHint, TokenUsage};
 use crate::filters::forward;
 use crate::filters::forward::exchange::RequestHead;
 use crate::gateway::GatewayState;
@@ -200,6 +201,10 @@
     let deadline_ms = header_text(&names.deadline_ms).and_then(|value| value.parse().ok());
     let last_event_id = header_text(&hyper::header::HeaderName::from_static("last-event-id"))
         .and_then(|value| value.parse().ok());
+    let token_usage =
+        header_text(&names.token_usage).and_then(|text| TokenUsage::try_from(text).ok());
+    let length_hint =
+        header_text(&names.length_hint).and_then(|text| LengthHint::try_from(text).ok());
     let key = header_text(&AUTHORIZATION).and_then(bearer_token).map(str::to_owned);
     let shared_prompt_parts =
         header_text(&names.prompt_parts).map(shared_parts).unwrap_or_default();
@@ -213,6 +218,8 @@
         key,
         shared_prompt_parts,
         deadline_ms,
+        token_usage,
+        length_hint,
         last_event_id,
         received: state.clock.now(),
         headers: parts.headers,
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -146,7 +146,7 @@
             caller_address: state.settings.caller_address,
             processor_millicores: state.settings.processor_millicores,
         });
-        let in_flight = state.loads.in_flight();
+        let (in_flight, work_ms) = (state.loads.in_flight(), state.loads.work.work_ms());
         let failures = state.loads.failures(state.clock.now()).into_iter();
         let failures = failures.map(|(id, weight)| (endpoint_tag(&id), encode_failures(weight)));
         let failures = failures.collect();
@@ -161,6 +161,7 @@
             reads: *state.is_reader.borrow() && state.is_healthy_reader(),
             in_flight: in_flight.iter().map(|(id, count)| (endpoint_tag(id), *count)).collect(),
             extension: HeartbeatExtension {
+                work_ms: work_ms.iter().map(|(id, ms)| (endpoint_tag(id), *ms)).collect(),
                 failures,
                 waiting: state.waiting_room.waiting(),
                 evacuations: state.evacuations.load().evacuations(),
@@ -203,6 +204,7 @@
         self.state.metrics.peers_heard.set(i64::try_from(ready).unwrap_or(i64::MAX));
         // Only the requests that are next in turn look at the endpoints then.
         self.state.waiting_room.observe(table.waiting());
+        self.state.loads.work.set_instances(ready + 1);
         self.state.peers.store(Arc::new(table));
         self.state.waiting_room.wake();
         self.update_fleet(now);
--- a/crates/lycheewood/src/decisions/batch.rs
+++ b/crates/lycheewood/src/decisions/batch.rs
@@ -145,7 +145,7 @@
     shift: &ExpectedShift,
 ) -> f64 {
     let limit = f64::from(limit);
-    if engine.typical_answer_tokens < 1.0 {
+    if engine.cost.is_none() {
         return limit;
     }
     let peak = f64::from(shift.peak_percent) / 100.0;
@@ -191,7 +191,8 @@
 }
 
 fn events_per_stream(engine: &EngineProfile) -> f64 {
-    (engine.typical_answer_tokens / f64::from(engine.tokens_per_event.max(1))).max(1.0)
+    let answer_tokens = engine.cost.map_or(0.0, |cost| cost.typical_answer_tokens);
+    (answer_tokens / f64::from(engine.tokens_per_event.max(1))).max(1.0)
 }
 
 /// Time to read a typical prompt with balanced experts, in milliseconds.
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -7,7 +7,7 @@
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::decisions::stall::lost_answer_ms;
 use crate::filters::forward::exchange::{
-    Admitted, AttemptCount, Authenticated, Exchange, GapLimit,
+    Admitted, AttemptCount, Authenticated, CostBasis, Exchange, GapLimit,
 };
 use crate::gateway::GatewayState;
 use crate::ids::WorkspaceName;
@@ -40,9 +40,14 @@
     let service = route.service(rand::random()).clone();
     let is_plain = route.kind != RequestKind::Streaming
         && !routes.table.engine_profiles.contains_key(&service);
-    let engine = routes.table.engine_profiles.get(&service).zip(route.target_gap_ms);
     let priority = route.effective_priority(workspace);
     let workspace_regions = workspace.and_then(|workspace| workspace.allowed_regions.clone());
+    let profile = routes.table.engine_profiles.get(&service);
+    let cost_basis = profile.and_then(|engine| {
+        let (usage, hint) = (head.token_usage?, head.length_hint);
+        Some(CostBasis { engine: *engine, profile: engine.cost?, usage, hint })
+    });
+    let engine = profile.zip(route.target_gap_ms);
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let call = format!("{} {}", head.method, head.target);
     let caller = workspace.as_ref().map_or("", WorkspaceName::as_str);
@@ -52,6 +57,7 @@
         parts.map(|part| Fingerprint::of_prompt_part(service.as_str(), part)).collect();
     let admitted = Admitted {
         route: route.clone(),
+        cost_basis,
         gap_limit: engine.map(|(engine, gap_ms)| GapLimit {
             engine: *engine,
             gap_ms,
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -14,6 +14,7 @@
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::sleep;
 
+use crate::decisions::cost::tokens_per_event;
 use crate::decisions::resume::{EventSequence, is_same_media_type};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash;
@@ -116,6 +117,7 @@
                     self.drop_challenger();
                     self.state.loads.record_success(&self.source.endpoint.id);
                     self.state.record_completion(self.source.admitted.fingerprint);
+                    self.record_answer();
                     return None;
                 }
                 Progressed::Source(Read::Broken(reason)) => self.on_broken(&reason).await,
@@ -195,6 +197,20 @@
         }
     }
 
+    /// Records the length of the complete answer. A part that the caller had before is not known.
+    fn record_answer(&self) {
+        let admitted = &self.source.admitted;
+        let is_whole = self.head.last_event_id.is_none();
+        let Some(basis) = admitted.cost_basis.filter(|_| is_whole) else { return };
+        let events = u32::try_from(self.events).unwrap_or(u32::MAX);
+        let answer_tokens = f64::from(events) * tokens_per_event(&basis.engine);
+        let hint_tokens = basis.hint.map(|hint| f64::from(hint.answer_tokens));
+        let now = self.state.clock.now();
+        let (route, workspace) = (&admitted.route.name, admitted.workspace.as_ref());
+        let work = &self.state.loads.work;
+        work.record_answer(route, workspace, answer_tokens, hint_tokens, now);
+    }
+
     /// Asks another endpoint for the rest of the stream. The source keeps its connection.
     fn challenge(&mut self, reason: &str) {
         self.log_failure(&self.source.endpoint.id, reason);
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -53,7 +53,7 @@
     /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
     /// sent.
     has_waited: bool,
-    _in_flight: InFlightGuard,
+    in_flight: InFlightGuard,
 }
 
 impl Source {
@@ -71,7 +71,7 @@
             large_event: state.memory.charge(MemoryUse::Response, 0),
             last_event_at: None,
             has_waited: false,
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 
@@ -158,8 +158,10 @@
         // Several events that arrive together were waited for once.
         let has_waited = std::mem::take(&mut self.has_waited);
         let group = self.endpoint.group.as_ref();
-        if has_waited && let Some((previous, group)) = previous.zip(group) {
-            state.loads.record_gap(&group.name, now.ms_since(previous), now);
+        let gap_ms = previous.filter(|_| has_waited).map(|previous| now.ms_since(previous));
+        if let Some((gap_ms, group)) = gap_ms.zip(group) {
+            state.loads.record_gap(&group.name, gap_ms, now);
         }
+        self.in_flight.record_event(gap_ms, now);
     }
 }
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -2,6 +2,7 @@
 
 mod places;
 mod usable;
+mod works;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,7 +95,7 @@
         state.loads.record_group_probe(&group.name, state.clock.now());
     }
     let selected = Selected { admitted, endpoint, attempt, in_flight };
-    Selection::Selected(Exchange { head, view, now: state.clock.now(), stage: selected })
+    Selection::Selected(Exchange { head, view, now, stage: selected })
 }
 
 /// Records and logs that the request is quarantined, or that another attempt runs its trial.
@@ -169,7 +170,9 @@
             let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
             if may_claim && let Some(endpoint) = places.choose(state, admitted, now) {
                 // Counted before the next request in turn looks for a place.
-                let in_flight = state.loads.start_request(&endpoint);
+                let cost = admitted.estimate_cost(state, now);
+                let work = cost.map(|cost| state.loads.work.start_request(&endpoint, cost, now));
+                let in_flight = state.loads.start_request(&endpoint).with_work(work);
                 guard.record_grant(now);
                 record_wait(state, has_waited, "granted", wait.grant(now).waited_ms());
                 return Ok(Place { endpoint, in_flight });
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -12,29 +12,48 @@
 use crate::decisions::urgency::{PlaceTotals, reserved_limit, reserved_places};
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
 use crate::filters::forward::select::usable::{is_cold, is_usable};
+use crate::filters::forward::select::works::Works;
 use crate::gateway::GatewayState;
+use crate::ids::InstanceId;
 
 /// An endpoint that may get the request.
-struct Available<'a> {
-    entry: &'a Arc<EndpointEntry>,
-    tag: u32,
+pub(super) struct Available<'a> {
+    pub(super) entry: &'a Arc<EndpointEntry>,
+    pub(super) tag: u32,
     /// Requests in flight from all instances.
-    in_flight: u32,
+    pub(super) in_flight: u32,
+    /// Requests in flight from this instance.
+    pub(super) own_in_flight: u32,
     failures: f64,
     /// Work time in percent of the usual time, if it is much longer.
-    slowdown_percent: Option<u32>,
+    pub(super) slowdown_percent: Option<u32>,
     /// Whether it gets the request only if no other can: its domain was given back lately.
     is_held_back: bool,
     /// Time between this instance's windows for the endpoint, if it is cold and its service limits that.
     cold_period_ms: Option<u64>,
 }
 
+impl<'a> Available<'a> {
+    pub(super) fn candidate(&self) -> BalancingCandidate<'a> {
+        BalancingCandidate {
+            id: &self.entry.id,
+            failure_domain: &self.entry.failure_domain,
+            slots: self.entry.slots,
+            in_flight: self.in_flight,
+            failures: self.failures,
+            is_slow: self.slowdown_percent.is_some(),
+        }
+    }
+}
+
 /// The endpoints with a free place for a request.
 pub(super) struct Places<'a> {
     available: Vec<Available<'a>>,
     totals: PlaceTotals,
     /// When the next window of a cold endpoint begins that could take the request.
     pub(super) next_window: Option<Timestamp>,
+    /// Work of the engines, if the cost of the request is estimated.
+    works: Option<Works<'a>>,
 }
 
 impl<'a> Places<'a> {
@@ -50,6 +69,8 @@
     ) -> Self {
         let mut available = available_endpoints(state, view, admitted, now);
         let mut totals = PlaceTotals::default();
+        // Ranks without a free place belong to the work of their group.
+        let works = Works::find(state, view, admitted, &available, now);
         if let Some(limit) = &admitted.gap_limit {
             let batches = group_batches(state, view, limit, &available, now);
             let endpoints = available.len();
@@ -75,7 +96,7 @@
         let untried = available.iter().filter(|e| !admitted.avoid.contains(&e.entry.id));
         let next_window = untried.filter_map(next_open).min();
         available.retain(|endpoint| next_open(endpoint).is_none_or(|open| open <= now));
-        Self { available, totals, next_window }
+        Self { available, totals, next_window, works }
     }
 
     /// The places at all endpoints, if their batch is limited.
@@ -93,8 +114,9 @@
         let mut left: Vec<_> = self.available.iter().collect();
         loop {
             let usual: Vec<_> = left.iter().filter(|e| !e.is_held_back).copied().collect();
-            let chosen = choose_among(&usual, state, admitted)
-                .or_else(|| choose_among(&left, state, admitted))?;
+            let chosen = self
+                .choose_among(&usual, state, admitted)
+                .or_else(|| self.choose_among(&left, state, admitted))?;
             let Some(period_ms) = chosen.cold_period_ms else {
                 return Some(Arc::clone(chosen.entry));
             };
@@ -106,31 +128,26 @@
             left.retain(|endpoint| endpoint.entry.id != chosen.entry.id);
         }
     }
-}
 
-/// The best of some endpoints for the request.
-fn choose_among<'e, 'a>(
-    available: &[&'e Available<'a>],
-    state: &GatewayState,
-    admitted: &Admitted,
-) -> Option<&'e Available<'a>> {
-    let candidates: Vec<_> = available
-        .iter()
-        .map(|endpoint| BalancingCandidate {
-            id: &endpoint.entry.id,
-            failure_domain: &endpoint.entry.failure_domain,
-            slots: endpoint.entry.slots,
-            in_flight: endpoint.in_flight,
-            failures: endpoint.failures,
-            is_slow: endpoint.slowdown_percent.is_some(),
-        })
-        .collect();
-    let domain = &state.settings.failure_domain;
-    // A refusal may concern only the rank that sent it, so the next attempt goes to another rank of its group.
-    let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
-    let index = choose_by_load(&candidates, domain, &untried, rand::random())
-        .or_else(|| choose_by_load(&candidates, domain, &admitted.avoid, rand::random()))?;
-    Some(available[index])
+    /// The best of some of the endpoints for the request.
+    fn choose_among<'e>(
+        &self,
+        available: &[&'e Available<'a>],
+        state: &GatewayState,
+        admitted: &Admitted,
+    ) -> Option<&'e Available<'a>> {
+        let choose = |avoid: &[InstanceId]| {
+            if let Some(works) = &self.works {
+                return works.choose(available, state, avoid);
+            }
+            let candidates: Vec<_> = available.iter().map(|e| e.candidate()).collect();
+            choose_by_load(&candidates, &state.settings.failure_domain, avoid, rand::random())
+        };
+        // A refusal may concern only the rank that sent it, so the next attempt goes to another rank of its group.
+        let untried = [admitted.avoid.as_slice(), admitted.refused_by.as_slice()].concat();
+        let index = choose(&untried).or_else(|| choose(&admitted.avoid))?;
+        Some(available[index])
+    }
 }
 
 /// The endpoints of a service that want requests, with their loads.
@@ -164,6 +181,7 @@
         .map(|((entry, tag), load)| Available {
             entry,
             tag,
+            own_in_flight: load.in_flight,
             in_flight: load.in_flight + view.peers.in_flight_by_tag(tag),
             failures: load.failures + view.peers.failures_by_tag(tag),
             slowdown_percent: slowdown_percent(tag),
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::routes::raw::RawRouteTable;
 use crate::waiting_room::WaitingRoom;
 use crate::wire::heartbeat::{Leading, endpoint_tag};
+use crate::work_tracker::WorkTracker;
 
 /// Names of the headers exchanged between callers, gateways and endpoints. The platform defines them.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,6 +64,10 @@
     pub failed_endpoint: HeaderName,
     /// Priority of a request at an engine, set by the gateway; 0 is admitted first.
     pub priority: HeaderName,
+    /// Tokens of the prompt, and the largest number of tokens of the answer, separated by a comma.
+    pub token_usage: HeaderName,
+    /// The caller's estimate of the tokens of the answer.
+    pub length_hint: HeaderName,
 }
 
 /// Settings of a gateway.
@@ -217,6 +222,7 @@
         let memory = MemoryBudget::for_machine(settings.memory_bytes);
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
         let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
+        let work = Arc::new(WorkTracker::new(Arc::clone(&metrics)));
         Self {
             callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
             memory,
@@ -229,7 +235,7 @@
             endpoints: Arc::default(),
             evacuations: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room))),
+            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work)),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
             started: OnceLock::new(),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -42,6 +42,7 @@
 mod telemetry;
 mod waiting_room;
 mod wire;
+mod work_tracker;
 
 pub use adapters::agent::client::AgentRanks;
 pub use adapters::api_port::{ApiLimits, serve_api};
@@ -59,7 +60,9 @@
     AttemptState, EndpointView, Occupancy, RecoverDecision, StartDecision, decide_ask,
     decide_recover, decide_start,
 };
-pub use decisions::balance::{BalancingCandidate, choose_by_load};
+pub use decisions::balance::{
+    BalancingCandidate, WorkCandidate, WorkRequest, choose_by_load, choose_by_work,
+};
 pub use decisions::batch::{
     GapAverage, GroupPace, endpoint_batch, max_batch, paced_batch, planned_batch,
 };
@@ -73,6 +76,8 @@
 };
 pub use decisions::cold::{ColdBounds, ColdWindows, FleetEstimate, FleetView, window_period_ms};
 pub use decisions::connections::{IdleConnection, Room, room_for_connection};
+pub use decisions::cost::answers::{AnswerEstimate, AnswerTable};
+pub use decisions::cost::{LengthHint, RequestCost, RequestFacts, TokenUsage, estimate_cost};
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::directory::{CallerPlace, EntryView, nearest_entries};
@@ -118,7 +123,8 @@
     CONNECTION_BYTES, MemoryUse, RECEIVE_BUFFER_BYTES, RECEIVE_MEMORY_BYTES, REQUEST_BYTES,
     SMALL_REQUEST_BYTES, budget_bytes, buffer_capacity, kept_free_bytes, may_reserve,
 };
-pub use decisions::peers::{Peer, PeerTable, PeerTracker};
+pub use decisions::pace::{EndpointPace, PaceChange, ServicePace, group_slowdown};
+pub use decisions::peers::{Peer, PeerTable, PeerTracker, PeerWork};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementDecision, PlacementView, decide_placement,
@@ -150,6 +156,7 @@
     spread_return_ms, waiting_priority,
 };
 pub use decisions::versions::choose_version;
+pub use decisions::work::{EndpointWork, GroupWork, RequestWork, total_work_ms};
 pub use document::checked::{
     CallPattern, Deadlines, Document, EndpointKind, EndpointRole, Model, ModelVersion, Objective,
     PlacementPolicy, Workspace,
@@ -204,8 +211,8 @@
 pub use roles::gateway::{EntryAddresses, Gateway, GatewayHandle};
 pub use routes::checked::{PriorityRange, Route, RouteTable, RouteTableError, RouteWorkspace};
 pub use routes::raw::{
-    CallerLimits, EngineProfile, ExpertShape, RawRoute, RawRouteTable, RawRouteWorkspace,
-    RawService, RawTrafficShare, RequestKind,
+    CallerLimits, CostProfile, EngineProfile, ExpertShape, RawRoute, RawRouteTable,
+    RawRouteWorkspace, RawService, RawTrafficShare, RequestKind,
 };
 pub use settings::{
     Bounds, RankSettings, RawSettings, RoleSettings, Settings, SettingsError, Timing,
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -12,6 +12,7 @@
 use crate::decisions::units::decay;
 use crate::ids::{InstanceId, TargetName};
 use crate::waiting_room::WaitingRoom;
+use crate::work_tracker::{WorkGuard, WorkTracker};
 
 /// Time constant of the exponential decay of failures, in milliseconds. The half-life is about two thirds
 /// of it.
@@ -68,15 +69,18 @@
     /// Gaps between the events of streams, by group.
     gaps: Mutex<HashMap<String, GapAverage>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
+    /// Work and pace of engines.
+    pub(crate) work: Arc<WorkTracker>,
     /// Endpoints that have said in a response that they want no request. Kept while an entry is not listed, since a
     /// lapsed entry may come back, and whatever an entry says, since it may be of another writer.
     excluded: Mutex<HashMap<InstanceId, Exclusion>>,
 }
 
 impl LoadTracker {
-    pub(crate) fn new(waiting_room: Arc<WaitingRoom>) -> Self {
+    pub(crate) fn new(waiting_room: Arc<WaitingRoom>, work: Arc<WorkTracker>) -> Self {
         Self {
             waiting_room,
+            work,
             refusing_groups: Mutex::default(),
             gaps: Mutex::default(),
             loads: Mutex::default(),
@@ -95,6 +99,7 @@
             tracker: Arc::clone(self),
             endpoint: endpoint.id.clone(),
             service: endpoint.service.clone(),
+            work: None,
         }
     }
 
@@ -290,6 +295,7 @@
 
     /// Removes endpoints without requests in flight for which `keep` returns `false`.
     pub(crate) fn retain(&self, keep: impl Fn(&InstanceId) -> bool) {
+        self.work.retain(&keep);
         self.lock().retain(|endpoint, load| load.in_flight > 0 || keep(endpoint));
     }
 }
@@ -347,6 +353,23 @@
     tracker: Arc<LoadTracker>,
     endpoint: InstanceId,
     service: TargetName,
+    /// The request's remaining work, if its cost is estimated.
+    work: Option<WorkGuard>,
+}
+
+impl InFlightGuard {
+    /// Counts the request's remaining work as well.
+    pub(crate) fn with_work(mut self, work: Option<WorkGuard>) -> Self {
+        self.work = work;
+        self
+    }
+
+    /// Records an event of the response. `gap_ms` is the time since the event before, if this one was waited for.
+    pub(crate) fn record_event(&mut self, gap_ms: Option<u64>, now: Timestamp) {
+        if let Some(work) = &mut self.work {
+            work.record_event(gap_ms, now);
+        }
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/crates/lycheewood/tests/pace.rs
+++ b/crates/lycheewood/tests/pace.rs
@@ -1,7 +1,8 @@
 //! Batches that keep streams on time while the demand on experts keeps shifting.
 
 use lycheewood::{
-    EngineProfile, ExpectedShift, ImbalanceTracker, Timestamp, max_batch, planned_batch,
+    CostProfile, EngineProfile, ExpectedShift, ImbalanceTracker, Timestamp, max_batch,
+    planned_batch,
 };
 
 /// Gaps of a group with four places for every five experts, whose maps settle at 1.35.
@@ -12,7 +13,12 @@
     tokens_per_event: 7,
     prefill_tokens_per_s: 74_800.0,
     typical_prompt_tokens: 868.0,
-    typical_answer_tokens: 158.0,
+    cost: Some(CostProfile {
+        context_ms_per_k: 0.0132,
+        pairs_ms_per_m: 0.232,
+        chunk_tokens: Some(512.0),
+        typical_answer_tokens: 158.0,
+    }),
     expert_share: 0.85,
 };
 const GAP_MS: u64 = 120;
@@ -54,7 +60,7 @@
     assert!((planned(&ENGINE, shift(330, 29_000)) - same).abs() < 1e-9);
     assert!((planned(&ENGINE, shift(160, 4_000)) - same).abs() < 1e-9);
     assert!((planned(&ENGINE, shift(2_000, 4_000)) - same).abs() < 1e-9);
-    let unknown = EngineProfile { typical_answer_tokens: 0.0, ..ENGINE };
+    let unknown = EngineProfile { cost: None, ..ENGINE };
     assert!((planned(&unknown, shift(330, 4_000)) - same).abs() < 1e-9);
 }
 
