--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -78,10 +78,10 @@
 ) -> io::Result<(TcpStream, ConnectionSlot)> {
     let (tcp, _) = listener.accept().await?;
     if !state.callers.has_room() {
-        state.metrics.accepting.set(0);
+        state.metrics.limits.accepting.set(0);
         log::warn!("all caller connections are in use max={}", state.settings.max_callers);
         state.callers.make_room().await;
-        state.metrics.accepting.set(1);
+        state.metrics.limits.accepting.set(1);
         log::info!("caller connections are taken again");
     }
     state.callers.make_room().await;
@@ -124,7 +124,7 @@
         biased;
         _ = connection.as_mut() => return,
         () = slot.closed_to_make_room() => {
-            state.metrics.idle_closed.inc();
+            state.metrics.limits.idle_closed.inc();
             return;
         }
         _ = phases.wait_for(|phase| *phase == Phase::Refusing) => {}
--- a/crates/lycheewood/src/adapters/metrics.rs
+++ b/crates/lycheewood/src/adapters/metrics.rs
@@ -17,7 +17,7 @@
 pub(crate) async fn serve(listener: TcpListener, state: Arc<GatewayState>) {
     let handle = move |_| {
         let used_bytes = i64::try_from(state.memory.used_bytes()).unwrap_or(i64::MAX);
-        state.metrics.memory_used.set(used_bytes);
+        state.metrics.limits.memory_used.set(used_bytes);
         let mut reply = Response::new(Full::new(Bytes::from(state.metrics.encode())));
         let text = HeaderValue::from_static("text/plain; version=0.0.4");
         reply.headers_mut().insert(CONTENT_TYPE, text);
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -165,7 +165,6 @@
                 failures,
                 waiting: state.waiting_room.waiting(),
                 evacuations: state.evacuations.load().evacuations(),
-                ..HeartbeatExtension::default()
             },
         }
     }
@@ -220,7 +219,7 @@
             log::info!(
                 "fleet changed assumed={fleet} heard={heard} known={known} unconfirmed={unconfirmed}"
             );
-            self.state.metrics.fleet_assumed.set(i64::from(fleet));
+            self.state.metrics.routing.fleet_assumed.set(i64::from(fleet));
         }
     }
 
--- a/crates/lycheewood/src/controllers/routes.rs
+++ b/crates/lycheewood/src/controllers/routes.rs
@@ -129,7 +129,10 @@
         self.published_evacuations.store(Arc::new(self.evacuations.clone()));
         if is_changed {
             let domains = self.evacuations.evacuations().unwrap_or_default().domains;
-            self.metrics.evacuated_domains.set(i64::try_from(domains.len()).unwrap_or(i64::MAX));
+            self.metrics
+                .routing
+                .evacuated_domains
+                .set(i64::try_from(domains.len()).unwrap_or(i64::MAX));
             let names: Vec<&str> = domains.iter().map(FailureDomain::as_str).collect();
             log::info!(
                 "evacuated domains changed domains={names:?} next={} source={source}",
--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -99,11 +99,11 @@
         // The caller has closed the connection, so nobody receives this error.
         BodyError::Broken => RequestError::field("body", "send the whole body"),
         BodyError::Late => {
-            state.metrics.bodies_late.inc();
+            state.metrics.limits.bodies_late.inc();
             RequestError::not_run(NotRunCode::BodyLate, 0)
         }
         BodyError::NoMemory => {
-            state.metrics.memory_refusals.inc();
+            state.metrics.limits.memory_refusals.inc();
             state.memory.note_refusal();
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
             RequestError::not_run(NotRunCode::Overloaded, retry_after_ms)
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -179,7 +179,7 @@
             }
         }
         if is_none_usable(state, &view, admitted) {
-            state.metrics.refused_unusable.inc();
+            state.metrics.routing.refused_unusable.inc();
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
             return Err(NoEndpoint { retry_after_ms });
         }
@@ -254,8 +254,8 @@
 /// Counts how the wait of a request has ended.
 fn record_wait(state: &GatewayState, has_waited: bool, end: &str, waited_ms: u64) {
     if has_waited {
-        state.metrics.waits.with_label_values(&[end]).inc();
-        state.metrics.wait_seconds.observe(Duration::from_millis(waited_ms).as_secs_f64());
+        state.metrics.routing.waits.with_label_values(&[end]).inc();
+        state.metrics.routing.wait_seconds.observe(Duration::from_millis(waited_ms).as_secs_f64());
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -121,7 +121,7 @@
                 return Some(Arc::clone(chosen.entry));
             };
             if state.cold.try_use(&chosen.entry.id, period_ms, now) {
-                state.metrics.cold_sent.inc();
+                state.metrics.routing.cold_sent.inc();
                 return Some(Arc::clone(chosen.entry));
             }
             // Another request has used the window.
--- a/crates/lycheewood/src/filters/forward/select/works.rs
+++ b/crates/lycheewood/src/filters/forward/select/works.rs
@@ -94,7 +94,7 @@
         };
         let domain = &state.settings.failure_domain;
         let index = choose_by_work(&candidates, &request, domain, avoid, rand::random())?;
-        state.metrics.chosen_by_work.inc();
+        state.metrics.routing.chosen_by_work.inc();
         Some(index)
     }
 
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -236,7 +236,7 @@
 /// not depend on how many requests are in flight at this one: most of them may be lost answers. A request that does not
 /// move stays counted, so that others prefer an endpoint that answers.
 fn record_lost(state: &GatewayState, admitted: &Admitted, endpoint: &EndpointEntry) -> bool {
-    state.metrics.answers_lost.inc();
+    state.metrics.routing.answers_lost.inc();
     let moves = admitted.may_fail_over() && state.has_retry(&admitted.service);
     if !moves {
         // An attempt that moves is recorded as failed.
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -217,7 +217,7 @@
 
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, metrics: Arc<GatewayMetrics>) -> Self {
-        metrics.fleet_assumed.set(i64::from(STARTING_FLEET));
+        metrics.routing.fleet_assumed.set(i64::from(STARTING_FLEET));
         let (clock, early_heartbeat) = (Clock::system(), Arc::new(Notify::new()));
         let memory = MemoryBudget::for_machine(settings.memory_bytes);
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -1,8 +1,13 @@
 //! Metrics of a gateway.
 
+pub(crate) mod limits;
+pub(crate) mod routing;
+
 use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
 use super::registrar::Registrar;
+use crate::metrics::gateway::limits::LimitMetrics;
+use crate::metrics::gateway::routing::RoutingMetrics;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
@@ -21,30 +26,19 @@
     pub(crate) version_refusals: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
     pub(crate) suspects: IntGauge,
-    pub(crate) answers_lost: IntCounter,
-    pub(crate) waits: IntCounterVec,
-    pub(crate) wait_seconds: Histogram,
-    pub(crate) chosen_by_work: IntCounter,
-    pub(crate) slow_endpoints: IntCounter,
-    pub(crate) probes: IntCounter,
+    /// The choice of endpoints.
+    pub(crate) routing: RoutingMetrics,
+    /// The bounds on memory and connections.
+    pub(crate) limits: LimitMetrics,
     pub(crate) first_byte_seconds: Histogram,
     pub(crate) request_seconds: Histogram,
     pub(crate) requests_in_flight: IntGauge,
     pub(crate) callers_connected: IntGauge,
     pub(crate) route_version: IntGauge,
     pub(crate) endpoints_listed: IntGauge,
-    pub(crate) evacuated_domains: IntGauge,
-    pub(crate) refused_unusable: IntCounter,
-    pub(crate) cold_sent: IntCounter,
-    pub(crate) fleet_assumed: IntGauge,
     pub(crate) peers_heard: IntGauge,
     pub(crate) state_fetches: IntCounterVec,
     pub(crate) records_unreadable: IntCounter,
-    pub(crate) memory_refusals: IntCounter,
-    pub(crate) bodies_late: IntCounter,
-    pub(crate) idle_closed: IntCounter,
-    pub(crate) accepting: IntGauge,
-    pub(crate) memory_used: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -94,32 +88,8 @@
                 "lycheewood_gateway_suspects",
                 "Requests that are suspected to crash endpoints, or quarantined.",
             )?,
-            answers_lost: metrics.counter(
-                "lycheewood_gateway_answers_lost_total",
-                "Requests to plain services without a response in the expected time.",
-            )?,
-            waits: metrics.counters(
-                "lycheewood_gateway_waits_total",
-                "Requests that waited for a place at an endpoint, by end: granted, expired, hopeless.",
-                "end",
-            )?,
-            wait_seconds: metrics.histogram(
-                "lycheewood_gateway_wait_seconds",
-                "Time from a request that waited for a place to the end of its wait.",
-                &LATENCY_BUCKETS,
-            )?,
-            chosen_by_work: metrics.counter(
-                "lycheewood_gateway_chosen_by_work_total",
-                "Endpoints chosen by estimated work instead of requests in flight.",
-            )?,
-            slow_endpoints: metrics.counter(
-                "lycheewood_gateway_slow_endpoints_total",
-                "Endpoints that turned slow against others of their group or service.",
-            )?,
-            probes: metrics.counter(
-                "lycheewood_gateway_probes_total",
-                "Requests sent to slow endpoints, which measure their pace.",
-            )?,
+            routing: RoutingMetrics::new(&metrics)?,
+            limits: LimitMetrics::new(&metrics)?,
             first_byte_seconds: metrics.histogram(
                 "lycheewood_gateway_first_byte_seconds",
                 "Time from a request to the head of its answer.",
@@ -140,22 +110,6 @@
             )?,
             endpoints_listed: metrics
                 .gauge("lycheewood_gateway_servers_listed", "Endpoints that take requests.")?,
-            evacuated_domains: metrics.gauge(
-                "lycheewood_gateway_evacuated_domains",
-                "Failure domains that the operator has evacuated.",
-            )?,
-            refused_unusable: metrics.counter(
-                "lycheewood_gateway_refused_unusable_total",
-                "Requests refused because no listed endpoint of the service may get them.",
-            )?,
-            cold_sent: metrics.counter(
-                "lycheewood_gateway_cold_sent_total",
-                "Attempts at endpoints that were cold and whose service limits them.",
-            )?,
-            fleet_assumed: metrics.gauge(
-                "lycheewood_gateway_fleet_assumed",
-                "Gateways that this one shares the limits of cold endpoints with.",
-            )?,
             peers_heard: metrics.gauge(
                 "lycheewood_gateway_peers_heard",
                 "Other instances that are ready and were heard lately.",
@@ -169,26 +123,6 @@
                 "lycheewood_gateway_records_unreadable_total",
                 "Records of the platform that could not be read; they change nothing.",
             )?,
-            memory_refusals: metrics.counter(
-                "lycheewood_gateway_memory_refusals_total",
-                "Requests refused because the memory budget was used up.",
-            )?,
-            bodies_late: metrics.counter(
-                "lycheewood_gateway_bodies_late_total",
-                "Requests refused because their body stood still or took too long.",
-            )?,
-            idle_closed: metrics.counter(
-                "lycheewood_gateway_idle_closed_total",
-                "Idle connections of callers closed to make room for new ones.",
-            )?,
-            accepting: metrics.gauge(
-                "lycheewood_gateway_accepting",
-                "Whether a further connection of a caller can be taken, 1 or 0.",
-            )?,
-            memory_used: metrics.gauge(
-                "lycheewood_gateway_memory_used_bytes",
-                "Bytes of the memory budget in use.",
-            )?,
             registry,
         })
     }
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -213,7 +213,7 @@
                 StartError::Listen { field: "peer_address", address: peer_address, source }
             })?;
         let settings = GatewaySettings { caller_address, peer_address, ..settings };
-        metrics.accepting.set(1);
+        metrics.limits.accepting.set(1);
         let state = Arc::new(GatewayState::new(settings, Arc::new(metrics)));
         let handle = start_controllers(&state, peers_udp, &control);
         let source = Arc::new(StateSource {
--- a/crates/lycheewood/src/work_tracker.rs
+++ b/crates/lycheewood/src/work_tracker.rs
@@ -108,7 +108,7 @@
         let state = engines.endpoints.entry(endpoint.id.clone()).or_default();
         state.work.add(&request);
         if state.pace.is_slow() {
-            self.metrics.probes.inc();
+            self.metrics.routing.probes.inc();
         }
         state.pace.record_sent(self.instances.load(Ordering::Relaxed), now);
         WorkGuard {
@@ -168,7 +168,7 @@
         match change {
             None => {}
             Some(PaceChange::Slow) => {
-                self.metrics.slow_endpoints.inc();
+                self.metrics.routing.slow_endpoints.inc();
                 log::info!("endpoint turned slow server={endpoint} slowdown={slowdown:.1}");
             }
             Some(PaceChange::Usual) => {
