--- a/crates/lycheewood/benches/routing/cost.rs
+++ b/crates/lycheewood/benches/routing/cost.rs
@@ -10,9 +10,13 @@
 
 const SEEDS: [u64; 8] = [11, 23, 47, 59, 71, 83, 97, 113];
 
-const SCENARIOS: [model::Scenario; 12] = [
+const SCENARIOS: [model::Scenario; 16] = [
     scenarios::HEAVY_TAILS,
     scenarios::HEAVY_TAILS_GROUPS,
+    scenarios::HEAVY_TAILS_OVERLOAD,
+    scenarios::HEAVY_TAILS_GROUPS_OVERLOAD,
+    scenarios::WRONG_HINTS_OVERLOAD,
+    scenarios::LONG_CONTEXTS_OVERLOAD,
     scenarios::ONE_SLOW,
     scenarios::THIRD_SLOW,
     scenarios::GROUP_SLOW,
