--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -33,6 +33,9 @@
 /// so an endpoint that seems to have a free slot may be full.
 const BUSY_EXPONENT: i32 = 4;
 
+/// Part of the slots from which an engine counts as crowded.
+const CROWDED_SHARE: f64 = 0.5;
+
 /// An endpoint that may receive the request.
 #[derive(Clone, Copy, Debug)]
 pub struct BalancingCandidate<'a> {
@@ -182,9 +185,13 @@
     }
     let endpoints: Vec<_> = engines.iter().map(|engine| engine.endpoint).collect();
     let sampled = sample_endpoints(&endpoints, domain, avoid, random);
-    // Above the capacity, the queues of the engines grow and the number of requests ahead decides. Estimates of
-    // remaining work served up to 0.03 fewer requests on time there.
-    if sampled.iter().all(|index| endpoints[*index].in_flight >= endpoints[*index].slots) {
+    // Near the capacity and above, the number of requests ahead decides. Estimates of remaining work served up to 0.03
+    // fewer requests on time there.
+    let is_crowded = |index: &usize| {
+        let endpoint = &endpoints[*index];
+        f64::from(endpoint.in_flight) >= f64::from(endpoint.slots) * CROWDED_SHARE
+    };
+    if sampled.iter().all(is_crowded) {
         let load = |index: &usize| load(&endpoints[*index], domain);
         return sampled.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
     }
--- a/crates/lycheewood/tests/cost_routing/main.rs
+++ b/crates/lycheewood/tests/cost_routing/main.rs
@@ -50,11 +50,16 @@
 #[test]
 fn overload_costs_no_punctuality() {
     compare(&scenarios::HEAVY_TAILS_OVERLOAD);
-    compare(&scenarios::HEAVY_TAILS_GROUPS_OVERLOAD);
     compare(&scenarios::WRONG_HINTS_OVERLOAD);
     compare(&scenarios::LONG_CONTEXTS_OVERLOAD);
 }
 
+/// The same for groups whose few long contexts make most streams late. See KNOWN-RED.txt.
+#[test]
+fn overloaded_groups_with_long_contexts_cost_no_punctuality() {
+    compare(&scenarios::HEAVY_TAILS_GROUPS_OVERLOAD);
+}
+
 /// Guards against hints that are taken at their word although those of a route are always wrong.
 #[test]
 fn wrong_hints_cost_no_punctuality() {
