--- a/crates/lycheewood/src/controllers/expert_groups/group.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/group.rs
@@ -11,7 +11,6 @@
     RankStatus, UnfinishedSwitch, find_unfinished_switch, idle_map, imbalance, may_release_hold,
     next_map,
 };
-use crate::decisions::imbalance::ImbalanceTracker;
 use crate::decisions::placement::ExpertMap;
 use crate::gateway::GatewayState;
 use crate::group_ports::RankClient as _;
@@ -47,8 +46,6 @@
 #[derive(Default)]
 pub(super) struct GroupController {
     formation: Option<Formation>,
-    /// Kept over formations, since a group that forms again starts with its initial map.
-    imbalance: ImbalanceTracker,
 }
 
 impl GroupController {
@@ -84,11 +81,6 @@
         let now = state.clock.now();
         let map = &formation.map;
         let demand = formation.monitor.demand(map.ranks);
-        if let Some(demand) = &demand {
-            self.imbalance.record(imbalance(map, demand), now);
-            let shift = self.imbalance.expected_shift(&listed.name, now);
-            state.record_expected_shift(&listed.name, shift);
-        }
         let next = match &demand {
             Some(demand) => next_map(map, demand, &listed.shape, max_copies(&listed.shape)),
             // Filling all slots takes a second or more, in which a group under load could get no other map.
--- a/crates/lycheewood/src/decisions/batch.rs
+++ b/crates/lycheewood/src/decisions/batch.rs
@@ -8,7 +8,6 @@
 //! little smaller makes all of them on time again.
 
 use crate::clock::Timestamp;
-use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::units::{decay, float_ms, unit_interval};
 use crate::routes::raw::EngineProfile;
 
@@ -33,17 +32,6 @@
 /// late ones where both are possible.
 const LATE_VALUE: f64 = 0.5;
 
-/// Ratio of the longest gap during a shift of demand to the one computed from mean loads: the estimate of the imbalance
-/// follows the demand, and passes differ by the prompts that ranks read in them.
-const SHIFT_SPREAD: f64 = 1.06;
-/// Part of the value of a full batch for which a batch without late streams is preferred: callers that find no place
-/// learn so at once, while a stream shows only at its end that it is late.
-const MIN_SAFE_VALUE: f64 = 0.85;
-/// Imbalance that maps reach some time after a shift.
-const SETTLED_IMBALANCE: f64 = 1.35;
-/// Time from a shift of demand until the map follows, in milliseconds: detection, copies and the switch.
-const SHIFT_MS: f64 = 500.0;
-
 /// Mean of the recent gaps between the events of one group's streams.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct GapAverage {
@@ -98,7 +86,8 @@
 /// the present pace, at most `limit`. Returns `limit` where no batch meets the target, or where so few requests
 /// could be on time that a larger number of late responses is worth more.
 #[must_use]
-pub fn paced_batch(engine: &EngineProfile, gap_ms: u64, limit: f64, pace: &GroupPace) -> f64 {
+pub fn paced_batch(engine: &EngineProfile, gap_ms: u64, limit: u32, pace: &GroupPace) -> f64 {
+    let limit = f64::from(limit);
     let longest_ms = float_ms(gap_ms) / GAP_SPREAD;
     let (fixed_ms, cost_ms) = (pace.fixed_ms(engine), pace.request_cost_ms(engine));
     let fitting = ((longest_ms - fixed_ms) / cost_ms.max(f64::MIN_POSITIVE)).min(limit);
@@ -121,9 +110,11 @@
 /// `gap_ms` apart, at most the number of slots of the engine. 1 if no batch meets the target.
 #[must_use]
 pub fn max_batch(engine: &EngineProfile, gap_ms: u64) -> u32 {
-    let slowest_rank = slowest_rank(engine, ASSUMED_IMBALANCE);
+    let slowest_rank = 1.0 - engine.expert_share + engine.expert_share * ASSUMED_IMBALANCE;
     let gap_ms = float_ms(gap_ms);
-    let prefill_ms = PROMPTS_PER_EVENT * prompt_ms(engine);
+    let prefill_ms = PROMPTS_PER_EVENT * engine.typical_prompt_tokens
+        / engine.prefill_tokens_per_s.max(1.0)
+        * 1_000.0;
     let step_ms = (gap_ms / WEIGHT_COPY_SLOWDOWN - prefill_ms * slowest_rank)
         / f64::from(engine.tokens_per_event.max(1));
     let limit =
@@ -131,76 +122,3 @@
     let feasible = (1..=engine.slots).take_while(|batch| f64::from(*batch) <= limit);
     feasible.last().unwrap_or(1)
 }
-
-/// Number of requests that the ranks of a group should run on average, at most `limit`, so that streams stay on time
-/// although demand keeps shifting.
-///
-/// A batch that fits the imbalance right after a shift keeps all streams on time and serves fewer; one that fits the
-/// settled map serves more, and those that run during a shift are late. Returns the one with the higher value.
-#[must_use]
-pub fn planned_batch(
-    engine: &EngineProfile,
-    gap_ms: u64,
-    limit: u32,
-    shift: &ExpectedShift,
-) -> f64 {
-    let limit = f64::from(limit);
-    if engine.cost.is_none() {
-        return limit;
-    }
-    let peak = f64::from(shift.peak_percent) / 100.0;
-    let safe = fitting_batch(engine, gap_ms, peak).min(limit);
-    let late_share = late_share(engine, limit, shift);
-    let value = safe / stream_ms(engine, safe);
-    let value_of_limit = limit / stream_ms(engine, limit) * (1.0 - late_share * (1.0 - LATE_VALUE));
-    if safe >= 1.0 && value >= value_of_limit * MIN_SAFE_VALUE { safe } else { limit }
-}
-
-/// Share of the streams that run during a shift when each rank runs `batch` requests.
-fn late_share(engine: &EngineProfile, batch: f64, shift: &ExpectedShift) -> f64 {
-    let interval_ms = f64::from(shift.interval_ms.max(1));
-    ((stream_ms(engine, batch) + SHIFT_MS) / interval_ms).min(1.0)
-}
-
-/// The largest batch whose gaps stay within `gap_ms` at an imbalance while ranks copy weights, without regard to the
-/// slots of the engine.
-fn fitting_batch(engine: &EngineProfile, gap_ms: u64, imbalance: f64) -> f64 {
-    let (fixed_ms, request_ms) = gap_parts_ms(engine, imbalance);
-    (float_ms(gap_ms) / WEIGHT_COPY_SLOWDOWN / SHIFT_SPREAD - fixed_ms)
-        / request_ms.max(f64::MIN_POSITIVE)
-}
-
-/// Duration of a typical stream when each rank runs `batch` requests and the map has settled, in milliseconds.
-fn stream_ms(engine: &EngineProfile, batch: f64) -> f64 {
-    let (fixed_ms, request_ms) = gap_parts_ms(engine, SETTLED_IMBALANCE);
-    events_per_stream(engine) * request_ms.mul_add(batch, fixed_ms)
-}
-
-/// The gap between two events of a stream: its part that does not depend on the batch, and what each request of the
-/// mean batch adds, in milliseconds.
-///
-/// Experts do their share of the work for the tokens and prompts of all ranks. The rest of a prompt is read by one rank
-/// while the others wait.
-fn gap_parts_ms(engine: &EngineProfile, imbalance: f64) -> (f64, f64) {
-    let steps = f64::from(engine.tokens_per_event.max(1));
-    let own_prompts_ms = PROMPTS_PER_EVENT * prompt_ms(engine) * (1.0 - engine.expert_share);
-    let fixed_ms = engine.step_ms.mul_add(steps, own_prompts_ms);
-    let prompts_ms = prompt_ms(engine) / events_per_stream(engine);
-    let tokens_ms = steps * engine.per_request_ms * slowest_rank(engine, imbalance);
-    (fixed_ms, (prompts_ms * engine.expert_share).mul_add(imbalance, tokens_ms))
-}
-
-fn events_per_stream(engine: &EngineProfile) -> f64 {
-    let answer_tokens = engine.cost.map_or(0.0, |cost| cost.typical_answer_tokens);
-    (answer_tokens / f64::from(engine.tokens_per_event.max(1))).max(1.0)
-}
-
-/// Time to read a typical prompt with balanced experts, in milliseconds.
-fn prompt_ms(engine: &EngineProfile) -> f64 {
-    engine.typical_prompt_tokens / engine.prefill_tokens_per_s.max(1.0) * 1_000.0
-}
-
-/// Time of the slowest rank's token work, as a multiple of the time with balanced experts.
-fn slowest_rank(engine: &EngineProfile, imbalance: f64) -> f64 {
-    1.0 - engine.expert_share + engine.expert_share * imbalance
-}
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -6,7 +6,6 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::cold::FleetView;
-use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::units::ceil_ms;
 use crate::decisions::urgency::WaitingCounts;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
@@ -53,8 +52,6 @@
     slow: HashMap<u32, u32>,
     /// Weight of the recent failures that other instances report, by tag of the endpoint.
     failures: HashMap<u32, f64>,
-    /// Shifts of demand that the holder of the expert group lease expects.
-    expected_shifts: Vec<ExpectedShift>,
     /// Requests that wait at all other instances for a place at an endpoint.
     waiting: WaitingCounts,
 }
@@ -81,11 +78,6 @@
 }
 
 impl PeerTable {
-    /// Shifts of demand that the holder of the expert group lease expects.
-    pub(crate) fn expected_shifts(&self) -> &[ExpectedShift] {
-        &self.expected_shifts
-    }
-
     /// Remaining work from all other instances at an endpoint, by its tag.
     #[must_use]
     pub fn work_of_tag(&self, tag: u32) -> PeerWork {
@@ -205,10 +197,8 @@
         let mut in_flight: HashMap<u32, u32> = HashMap::new();
         let fresh =
             || self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
-        let leading = || fresh().filter_map(|peer| peer.heartbeat.leading.as_ref());
-        let slow = leading().flat_map(|leading| &leading.slow).copied().collect();
-        let expected_shifts =
-            leading().flat_map(|leading| &leading.expected_shifts).cloned().collect();
+        let leading = fresh().filter_map(|peer| peer.heartbeat.leading.as_ref());
+        let slow = leading.flat_map(|leading| &leading.slow).copied().collect();
         for (endpoint, count) in fresh().flat_map(|peer| &peer.heartbeat.in_flight) {
             *in_flight.entry(*endpoint).or_default() += count;
         }
@@ -224,15 +214,7 @@
         }
         let mut waiting = WaitingCounts::default();
         fresh().for_each(|peer| waiting.add_pairs(&peer.heartbeat.extension.waiting));
-        PeerTable {
-            peers: self.peers.clone(),
-            in_flight,
-            work,
-            slow,
-            failures,
-            expected_shifts,
-            waiting,
-        }
+        PeerTable { peers: self.peers.clone(), in_flight, work, slow, failures, waiting }
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::balance::{BalancingCandidate, choose_by_load};
-use crate::decisions::batch::{GroupPace, endpoint_batch, paced_batch, planned_batch};
+use crate::decisions::batch::{GroupPace, endpoint_batch, paced_batch};
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::queue::{QueuePhase, in_flight_limit};
 use crate::decisions::units::mix;
@@ -72,7 +72,7 @@
         // Ranks without a free place belong to the work of their group.
         let works = Works::find(state, view, admitted, &available, now);
         if let Some(limit) = &admitted.gap_limit {
-            let batches = group_batches(state, view, limit, &available, now);
+            let batches = group_batches(state, limit, &available, now);
             let endpoints = available.len();
             available.retain(|endpoint| {
                 let group = endpoint.entry.group.as_ref().map(|group| group.name.as_str());
@@ -191,11 +191,10 @@
         .collect()
 }
 
-/// The batch that keeps the event gaps of each group within the limit, at its present pace and after shifts of demand. A
-/// group of which neither is known is left out.
+/// The batch that keeps the event gaps of each group within the limit at its present pace. A group whose pace is
+/// not known is left out.
 fn group_batches<'a>(
     state: &GatewayState,
-    view: &View,
     limit: &GapLimit,
     available: &[Available<'a>],
     now: Timestamp,
@@ -206,28 +205,18 @@
             groups.entry(&group.name).or_default().push(endpoint);
         }
     }
-    let own_shifts = state.leading().map(|leading| leading.expected_shifts).unwrap_or_default();
-    let expected_shift = |name: &str| {
-        let mut shifts = own_shifts.iter().chain(view.peers.expected_shifts());
-        shifts.find(|shift| shift.group == name)
-    };
     let GapLimit { engine, gap_ms, max_batch } = limit;
     let groups = groups.into_iter();
     groups
         .filter_map(|(name, ranks)| {
-            let planned =
-                expected_shift(name).map(|shift| planned_batch(engine, *gap_ms, *max_batch, shift));
-            let Some(mean_gap_ms) = state.loads.mean_gap_ms(name, now) else {
-                return planned.map(|batch| (name, batch));
-            };
+            let mean_gap_ms = state.loads.mean_gap_ms(name, now)?;
             let count = f64::from(u32::try_from(ranks.len()).unwrap_or(u32::MAX));
             let running = ranks.iter().map(|rank| f64::from(rank.in_flight.min(rank.entry.slots)));
             let slowest = ranks.iter().filter_map(|rank| rank.slowdown_percent).max();
             let slowdown = f64::from(slowest.unwrap_or(100)) / 100.0;
             let pace =
                 GroupPace { gap_ms: mean_gap_ms, batch: running.sum::<f64>() / count, slowdown };
-            let limit = planned.unwrap_or_else(|| f64::from(*max_batch));
-            Some((name, paced_batch(engine, *gap_ms, limit, &pace)))
+            Some((name, paced_batch(engine, *gap_ms, *max_batch, &pace)))
         })
         .collect()
 }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -18,7 +18,6 @@
 use crate::decisions::digest::Fingerprint;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
 use crate::decisions::evacuation::EvacuationTable;
-use crate::decisions::imbalance::ExpectedShift;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
@@ -198,19 +197,6 @@
         }
     }
 
-    /// Records the shift of demand that is expected in a group. Has no effect unless this instance holds the lease.
-    pub(crate) fn record_expected_shift(&self, group: &str, shift: Option<ExpectedShift>) {
-        let mut leading = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(leading) = leading.as_mut() else { return };
-        let is_expected = shift.is_some();
-        let was_expected = leading.expected_shifts.iter().any(|former| former.group == group);
-        if is_expected != was_expected {
-            log::info!("shifts of demand group={group} expected={is_expected} shift={shift:?}");
-        }
-        leading.expected_shifts.retain(|former| former.group != group);
-        leading.expected_shifts.extend(shift);
-    }
-
     /// Records whether the last read of a platform topic succeeded.
     pub(crate) fn record_topic_reply(&self, topic: PlatformTopic, is_answered: bool) {
         let was_answered = self.topic_health.flag(topic).swap(is_answered, Ordering::Relaxed);
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -63,9 +63,7 @@
 pub use decisions::balance::{
     BalancingCandidate, WorkCandidate, WorkRequest, choose_by_load, choose_by_work,
 };
-pub use decisions::batch::{
-    GapAverage, GroupPace, endpoint_batch, max_batch, paced_batch, planned_batch,
-};
+pub use decisions::batch::{GapAverage, GroupPace, endpoint_batch, max_batch, paced_batch};
 pub use decisions::claims::record::{
     CLAIMS_SCHEMA, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord,
 };
@@ -100,7 +98,6 @@
     GroupEffect, GroupSnapshot, GroupSnapshotView, GroupState, MAX_RANKS, ReplayError,
     group_rank_count, group_scope, group_snapshot_due,
 };
-pub use decisions::imbalance::{ExpectedShift, ImbalanceTracker};
 pub use decisions::leases::{
     CurrentLease, FencingGate, LeaseEffect, LeaseRecord, LeaseTable, LeaseVersion, OrderRefusal,
     RecordError, ReleaseRecord, decode_record, encode_record,
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -8,7 +8,6 @@
 
 use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::EndpointChange;
-use crate::decisions::imbalance::ExpectedShift;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
 
@@ -35,9 +34,6 @@
     /// Slow endpoints, by tag, and the time that their work takes, in percent of the usual.
     #[serde(rename = "s")]
     pub slow: Vec<(u32, u32)>,
-    /// Shifts of demand that it expects, by group.
-    #[serde(rename = "i", default, skip_serializing_if = "Vec::is_empty")]
-    pub expected_shifts: Vec<ExpectedShift>,
 }
 
 /// The state of one entry instance, sent to all others several times a second.
--- a/crates/lycheewood/tests/load_patterns/model/gateway.rs
+++ b/crates/lycheewood/tests/load_patterns/model/gateway.rs
@@ -79,7 +79,7 @@
                 let batch = f64::from(running) / to_f64(self.ranks.len());
                 let slowdown = (self.pattern.slowdown)(self.now_ms);
                 let pace = GroupPace { gap_ms, batch, slowdown };
-                Some(paced_batch(&site.engine, site.gap_ms, f64::from(limit), &pace))
+                Some(paced_batch(&site.engine, site.gap_ms, limit, &pace))
             }
         }
     }
--- a/crates/lycheewood/tests/overload.rs
+++ b/crates/lycheewood/tests/overload.rs
@@ -16,7 +16,7 @@
 }
 
 fn batch(pace: GroupPace) -> f64 {
-    paced_batch(&ENGINE, GAP_MS, 6.0, &pace)
+    paced_batch(&ENGINE, GAP_MS, 6, &pace)
 }
 
 /// Guards against batches at which every event gap is a little too long: on the large site gaps of 221 ms for a target
