--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -1,6 +1,7 @@
 //! The peers controller: exchanges heartbeats with the other entry instances, and fetches state from them
 //! that this instance does not have.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -313,7 +314,7 @@
         context: &mut Context<Self, ()>,
     ) {
         self.tracker.expire(self.state.clock.now());
-        let heartbeat = self.next_heartbeat();
+        let mut heartbeat = self.next_heartbeat();
         let settings = &self.state.settings;
         // A lease holder sends every heartbeat to all instances, because its silence allows a takeover.
         let waiting = &heartbeat.extension.waiting;
@@ -322,10 +323,15 @@
             || heartbeat.leading.is_some()
             || self.sequence <= INITIAL_FULL_HEARTBEATS
             || self.sequence.is_multiple_of(HEARTBEATS_PER_CROSS_DOMAIN);
-        let domain = Some(&settings.failure_domain).filter(|_| !is_broadcast);
-        let addresses = self.tracker.addresses(domain).filter(|a| *a != settings.peer_address);
-        gossip::send(&self.socket, &heartbeat, addresses);
+        let is_other = |address: &SocketAddr| *address != settings.peer_address;
+        let near = self.tracker.addresses(Some(&settings.failure_domain));
+        let near: BTreeSet<SocketAddr> = near.filter(is_other).collect();
+        gossip::send(&self.socket, &heartbeat, near.iter().copied());
         if is_broadcast {
+            // Bytes between domains are billed. Other domains count requests in flight, which are in each heartbeat.
+            heartbeat.extension.work_ms.clear();
+            let far = self.tracker.addresses(None).filter(|address| !near.contains(address));
+            gossip::send(&self.socket, &heartbeat, far.filter(is_other));
             self.state.waiting_room.record_told(heartbeat.extension.waiting);
         }
         self.publish();
