--- a/crates/lycheewood/src/decisions/cost.rs
+++ b/crates/lycheewood/src/decisions/cost.rs
@@ -12,8 +12,8 @@
 const MAX_TOKENS: u32 = 1 << 20;
 /// Longest header text that is read as figures.
 const MAX_TEXT_BYTES: usize = 64;
-/// Largest number of pairs of one prompt that are charged, so that an absurd prompt size does not outweigh all
-/// other requests of an engine for good.
+/// Longest time that is charged for one prompt, in milliseconds, so that an absurd size does not outweigh all other
+/// requests of an engine.
 const MAX_PROMPT_MS: f64 = 60_000.0;
 
 /// A header whose figures cannot be read; the request counts as one without them.
