--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -10,10 +10,12 @@
 
 use lycheewood::{
     EndpointAvailability, EndpointChange, EndpointEntry, EndpointRecord, FailureDomain, Gateway,
-    GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRoute, RawRouteTable,
-    RawRouteWorkspace, RawTrafficShare, RequestKind, RetryLimits, ShutdownSettings, TargetName,
+    GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset, RawRouteTable, RetryLimits,
+    ShutdownSettings, TargetName,
 };
 
+pub(crate) use crate::tables::routes;
+
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Behaviour of a scripted endpoint on one connection.
@@ -418,38 +420,3 @@
     format!("HTTP/1.1 {status}\r\nX-Id: {id}\r\n{lines}Content-Length: {length}\r\n\r\n{body}")
         .into_bytes()
 }
-
-fn route(name: &str, kind: RequestKind, max_attempts: u32) -> RawRoute {
-    RawRoute {
-        name: name.to_owned(),
-        host: "one.example".to_owned(),
-        path_prefix: format!("/{name}/"),
-        kind,
-        timeout_ms: 2_000,
-        target_ms: 200,
-        priority: 1,
-        split: vec![RawTrafficShare { service: "work".to_owned(), weight: 1 }],
-        max_attempts,
-        allows_anonymous: false,
-        is_resumable: kind == RequestKind::Streaming,
-        target_gap_ms: None,
-    }
-}
-
-/// A route table with a route of each kind to the service `work`, and one workspace.
-pub(crate) fn routes(version: u64) -> RawRouteTable {
-    RawRouteTable {
-        version,
-        routes: vec![
-            route("read", RequestKind::Idempotent, 2),
-            route("once", RequestKind::NonIdempotent, 2),
-            route("stream", RequestKind::Streaming, 3),
-        ],
-        workspaces: vec![RawRouteWorkspace {
-            name: "team".to_owned(),
-            keys: vec!["key-1".to_owned()],
-            priority: None,
-        }],
-        ..RawRouteTable::default()
-    }
-}
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -8,3 +8,4 @@
 mod retries;
 mod silence;
 mod streams;
+mod tables;
