--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -16,4 +16,5 @@
 mod retries;
 mod silence;
 mod streams;
+mod tables;
 mod waiting;
