--- a/crates/lycheewood/src/decisions/urgency.rs
+++ b/crates/lycheewood/src/decisions/urgency.rs
@@ -234,7 +234,12 @@
 /// Whether a request cannot be served in time: at the present rate, those ahead of it take all places until its time
 /// in the queue ends.
 #[must_use]
-pub fn is_hopeless(ahead: usize, rate: &GrantRate, expires: Timestamp, now: Timestamp) -> bool {
+pub fn cannot_be_served_in_time(
+    ahead: usize,
+    rate: &GrantRate,
+    expires: Timestamp,
+    now: Timestamp,
+) -> bool {
     let Some(per_s) = rate.per_s(now).filter(|_| ahead >= MIN_AHEAD) else { return false };
     let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
     ahead / per_s * 1_000.0 > float_ms(expires.ms_since(now)) * REFUSAL_MARGIN
@@ -288,19 +293,19 @@
     pub fn may_take(
         &self,
         totals: PlaceTotals,
-        rivals: &Rivals,
+        competing: &CompetingRequests,
         seed: u64,
         now: Timestamp,
     ) -> bool {
         let limit = f64::from(totals.limit) * OVERCOMMIT;
         let free = (limit - f64::from(totals.in_flight)).max(0.0);
-        if free >= rivals.all {
+        if free >= competing.all {
             return true;
         }
         let mut claims = *self;
         claims.start_window(seed, now);
         let kept = limit / f64::from(totals.in_flight.max(1));
-        let claim = free * rivals.own / rivals.all + f64::from(claims.freed) * kept.min(1.0);
+        let claim = free * competing.own / competing.all + f64::from(claims.freed) * kept.min(1.0);
         // The rounding is the same for the whole window, so that looking again does not give another chance.
         f64::from(claims.taken) + 1.0 <= claim + unit_interval(mix(seed ^ mix(claims.window)))
     }
@@ -316,12 +321,12 @@
 
 /// The requests that may take a free place before a gateway learns of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Rivals {
+pub struct CompetingRequests {
     own: f64,
     all: f64,
 }
 
-impl Rivals {
+impl CompetingRequests {
     /// Counts the requests that wait, `own` here of `all`, and those that will arrive, if the other `gateways` get as
     /// many as this one.
     #[must_use]
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -192,10 +192,11 @@
             || is_refused
             || pause_end.is_some()
             || next_window.is_some();
-        let is_hopeless = !is_refused && pause_end.is_none() && guard.is_hopeless(now);
-        if !may_wait || is_hopeless || phase == QueuePhase::Expired {
-            let end = if is_hopeless { "hopeless" } else { "expired" };
-            record_wait(state, has_waited || is_hopeless, end, now.ms_since(received));
+        let cannot_be_served_in_time =
+            !is_refused && pause_end.is_none() && guard.cannot_be_served_in_time(now);
+        if !may_wait || cannot_be_served_in_time || phase == QueuePhase::Expired {
+            let end = if cannot_be_served_in_time { "too_late" } else { "expired" };
+            record_wait(state, has_waited || cannot_be_served_in_time, end, now.ms_since(received));
             let retry_after_ms = return_ms(admitted, now);
             return Err(NoEndpoint {
                 retry_after_ms: wait.expire(retry_after_ms).retry_after_ms(),
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -148,9 +148,9 @@
     ResponsePart, is_stalled, lost_answer_ms, may_be_queued, stall_timeout_ms,
 };
 pub use decisions::urgency::{
-    GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, Rivals, WaitingCounts,
-    begins_to_wait, is_hopeless, next_in_turn, reserved_limit, reserved_places, sends_early,
-    spread_return_ms, waiting_priority,
+    CompetingRequests, GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, WaitingCounts,
+    begins_to_wait, cannot_be_served_in_time, next_in_turn, reserved_limit, reserved_places,
+    sends_early, spread_return_ms, waiting_priority,
 };
 pub use decisions::versions::choose_version;
 pub use decisions::work::{EndpointWork, GroupWork, RequestWork, total_work_ms};
--- a/crates/lycheewood/src/metrics/gateway/routing.rs
+++ b/crates/lycheewood/src/metrics/gateway/routing.rs
@@ -29,7 +29,7 @@
             )?,
             waits: metrics.counters(
                 "lycheewood_gateway_waits_total",
-                "Requests that waited for a place at an endpoint, by end: granted, expired, hopeless.",
+                "Requests that waited for a place at an endpoint, by end: granted, expired, too_late.",
                 "end",
             )?,
             wait_seconds: metrics.histogram(
--- a/crates/lycheewood/src/waiting_room.rs
+++ b/crates/lycheewood/src/waiting_room.rs
@@ -11,8 +11,8 @@
 use crate::clock::{Clock, Timestamp};
 use crate::decisions::queue::{QueuePhase, queue_phase};
 use crate::decisions::urgency::{
-    GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, Rivals, WaitingCounts,
-    is_hopeless, next_in_turn, sends_early,
+    CompetingRequests, GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, WaitingCounts,
+    cannot_be_served_in_time, next_in_turn, sends_early,
 };
 use crate::ids::TargetName;
 
@@ -247,8 +247,8 @@
         };
         let own = own.up_to(request.priority).max(1);
         let all = own + elsewhere.up_to(request.priority);
-        let rivals = Rivals::new(own, all, instances, &queue.grants, now);
-        queue.claims.may_take(totals, &rivals, self.room.seed, now)
+        let competing = CompetingRequests::new(own, all, instances, &queue.grants, now);
+        queue.claims.may_take(totals, &competing, self.room.seed, now)
     }
 
     /// Records that the request has found no place and waits, and requests a heartbeat if other instances must learn of
@@ -268,7 +268,7 @@
     }
 
     /// Whether the request cannot get a place in its time, because too many are ahead of it.
-    pub(crate) fn is_hopeless(&self, now: Timestamp) -> bool {
+    pub(crate) fn cannot_be_served_in_time(&self, now: Timestamp) -> bool {
         let queues = self.room.lock();
         let Some(queue) = queues.services.get(&self.service) else { return false };
         let Some(WaitTerms { request, least_urgent, .. }) = queue.terms(self.ticket) else {
@@ -277,7 +277,7 @@
         let others = queue.waiters.iter().map(|waiter| waiter.terms.request);
         let ahead = others.filter(|other| other.order(now) < request.order(now)).count();
         least_urgent.is_some()
-            && is_hopeless(ahead, &queue.grants, request.deadlines.expires(), now)
+            && cannot_be_served_in_time(ahead, &queue.grants, request.deadlines.expires(), now)
     }
 
     /// Counts a place that the request has got.
--- a/crates/lycheewood/tests/load_patterns/model/gateway.rs
+++ b/crates/lycheewood/tests/load_patterns/model/gateway.rs
@@ -1,10 +1,10 @@
 //! The gateways of the model: who waits, who is refused, and where requests go.
 
 use lycheewood::{
-    BalancingCandidate, GroupPace, PlaceTotals, QueuePhase, RefusalCause, Rivals, Timestamp,
-    WaitingCounts, choose_by_load, come_back_ms, endpoint_batch, in_flight_limit, is_hopeless,
-    max_batch, next_in_turn, paced_batch, queue_phase, reserved_limit, reserved_places,
-    sends_early, spread_return_ms, waiting_priority,
+    BalancingCandidate, CompetingRequests, GroupPace, PlaceTotals, QueuePhase, RefusalCause,
+    Timestamp, WaitingCounts, cannot_be_served_in_time, choose_by_load, come_back_ms,
+    endpoint_batch, in_flight_limit, max_batch, next_in_turn, paced_batch, queue_phase,
+    reserved_limit, reserved_places, sends_early, spread_return_ms, waiting_priority,
 };
 use rand::RngExt;
 
@@ -54,7 +54,7 @@
         let ahead = others.filter(|other| other.order(now) < place_request.order(now)).count();
         let is_early = sends_early(request.priority, 2, &told.pairs(), at(*told_ms), now);
         if self.policy == Policy::Paced
-            && is_hopeless(ahead, grants, place_request.deadlines.expires(), now)
+            && cannot_be_served_in_time(ahead, grants, place_request.deadlines.expires(), now)
         {
             waiting.retain(|other| {
                 (other.asked_ms, other.received_ms) != (request.asked_ms, request.received_ms)
@@ -131,8 +131,8 @@
         let all = others.map(|(_, other)| other.told.up_to(request.priority)).sum::<u32>() + own;
         let Gateway { claims, grants, .. } = &self.gateways[gateway];
         let now = at(self.now_ms);
-        let rivals = Rivals::new(own, all, self.gateways.len(), grants, now);
-        claims.may_take(totals, &rivals, seed(gateway), now)
+        let competing = CompetingRequests::new(own, all, self.gateways.len(), grants, now);
+        claims.may_take(totals, &competing, seed(gateway), now)
     }
 
     fn try_send(&mut self, gateway: usize, request: Request) -> bool {
--- a/crates/lycheewood/tests/urgency.rs
+++ b/crates/lycheewood/tests/urgency.rs
@@ -1,9 +1,9 @@
 //! Decisions on the order of waiting requests, and on the places that less urgent ones leave free.
 
 use lycheewood::{
-    GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, QueueDeadlines, Rivals, Timestamp,
-    WaitingCounts, begins_to_wait, first_look, is_hopeless, lost_answer_ms, next_in_turn,
-    reserved_limit, reserved_places, sends_early, spread_return_ms, waiting_priority,
+    CompetingRequests, GrantRate, PlaceClaims, PlaceRequest, PlaceTotals, Pressure, QueueDeadlines,
+    Timestamp, WaitingCounts, begins_to_wait, cannot_be_served_in_time, first_look, lost_answer_ms,
+    next_in_turn, reserved_limit, reserved_places, sends_early, spread_return_ms, waiting_priority,
 };
 
 const TARGET_MS: u64 = 400;
@@ -141,14 +141,14 @@
 #[test]
 fn a_request_without_a_chance_is_refused_at_once() {
     let mut rate = GrantRate::default();
-    assert!(!is_hopeless(1_000, &rate, at(2_000), at(0)), "no place was found yet");
+    assert!(!cannot_be_served_in_time(1_000, &rate, at(2_000), at(0)), "no place was found yet");
     for ms in (0..4_000).step_by(500) {
         rate.record(at(ms));
     }
     // 2 places per second: 20 requests ahead take about 10 s.
-    assert!(is_hopeless(20, &rate, at(6_000), at(4_000)));
-    assert!(!is_hopeless(3, &rate, at(4_100), at(4_000)));
-    assert!(!is_hopeless(4, &rate, at(6_000), at(4_000)));
+    assert!(cannot_be_served_in_time(20, &rate, at(6_000), at(4_000)));
+    assert!(!cannot_be_served_in_time(3, &rate, at(4_100), at(4_000)));
+    assert!(!cannot_be_served_in_time(4, &rate, at(6_000), at(4_000)));
 }
 
 /// Guards against refused callers that return together, or later than callers wait.
@@ -178,28 +178,28 @@
 #[test]
 fn gateways_share_the_free_places_that_all_of_them_see() {
     let totals = PlaceTotals { limit: 100, in_flight: 149 };
-    let rivals = Rivals::new(1, 72, 72, &GrantRate::default(), at(0));
+    let competing = CompetingRequests::new(1, 72, 72, &GrantRate::default(), at(0));
     let taken = (0..72_000_u64)
         .filter(|seed| {
-            PlaceClaims::default().may_take(totals, &rivals, word(*seed % 1_000) + seed, at(0))
+            PlaceClaims::default().may_take(totals, &competing, word(*seed % 1_000) + seed, at(0))
         })
         .count();
     assert!((500..=1_500).contains(&taken), "{taken} of 1,000 groups");
     // With more free places than requests, all take one.
     let free = PlaceTotals { limit: 100, in_flight: 10 };
-    assert!((0..72).all(|seed| PlaceClaims::default().may_take(free, &rivals, seed, at(0))));
+    assert!((0..72).all(|seed| PlaceClaims::default().may_take(free, &competing, seed, at(0))));
 }
 
 /// Guards against a gateway that may not use the place that its own request has left.
 #[test]
 fn a_gateway_takes_the_places_that_its_own_requests_free() {
     let totals = PlaceTotals { limit: 100, in_flight: 150 };
-    let rivals = Rivals::new(1, 72, 72, &GrantRate::default(), at(0));
+    let competing = CompetingRequests::new(1, 72, 72, &GrantRate::default(), at(0));
     let mut claims = PlaceClaims::default();
     claims.record_freed(7, at(0));
-    assert!(claims.may_take(totals, &rivals, 7, at(0)));
+    assert!(claims.may_take(totals, &competing, 7, at(0)));
     claims.record_taken(7, at(0));
-    assert!(!claims.may_take(totals, &rivals, 7, at(0)));
+    assert!(!claims.may_take(totals, &competing, 7, at(0)));
 }
 
 /// Guards against a start at which the request that passes the filters first gets a place before a more urgent one.
