--- a/crates/lycheewood/tests/silence.rs
+++ b/crates/lycheewood/tests/silence.rs
@@ -95,7 +95,10 @@
         // The claim appears in the log just before the call is sent.
         let claims = deployment.log_client();
         let page = claims.read("claims", Offset(0), WAIT_MS).await;
-        assert!(page.is_ok_and(|page| !page.records.is_empty()), "no claim in the log");
+        if !page.is_ok_and(|page| !page.records.is_empty()) {
+            let (status, body) = answer.await.expect("the caller");
+            panic!("no claim in the log; the caller received {status}: {body}");
+        }
         daemon.silence();
         let reconnected = daemon.wait_for_opened_above(opened);
         let reconnected = timeout(Duration::from_millis(WAIT_MS), reconnected).await;
