Compare engines by requests in flight once any sampled one is crowded

Cause: choose_by_work used counts only if all sampled engines had half of their slots in use. Under overload a sample mostly holds both kinds, so the estimated work still decided, and crowded ranks of groups got requests that delayed every stream of their group.

Change: one crowded engine in the sample is enough.

--- a/crates/lycheewood/src/decisions/balance.rs
+++ b/crates/lycheewood/src/decisions/balance.rs
@@ -186,12 +186,13 @@
     let endpoints: Vec<_> = engines.iter().map(|engine| engine.endpoint).collect();
     let sampled = sample_endpoints(&endpoints, domain, avoid, random);
     // Near the capacity and above, the number of requests ahead decides. Estimates of remaining work served up to 0.03
-    // fewer requests on time there.
+    // fewer requests on time there, also when they decided only while some of the sample was crowded: the ranks of a
+    // group wait for the slowest one, which is the one with the most requests.
     let is_crowded = |index: &usize| {
         let endpoint = &endpoints[*index];
         f64::from(endpoint.in_flight) >= f64::from(endpoint.slots) * CROWDED_SHARE
     };
-    if sampled.iter().all(is_crowded) {
+    if sampled.iter().any(is_crowded) {
         let load = |index: &usize| load(&endpoints[*index], domain);
         return sampled.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)));
     }
