Read the status of an armed rank with the reply to the order

Cause: since a held group is released only after the status of every rank shows that it is armed, the holder made two calls to each agent one after the other while the group stood still.

Change: a call with an order can ask for the status after it, and the agent tells both in one reply, the status within 150 ms or not at all. Agents of earlier builds ignore the field and reply to the order alone; the status is then read as before.

--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -20,7 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::adapters::agent::client::is_superseded_at;
 use crate::adapters::gossip::{decode, encode};
@@ -35,6 +35,9 @@
 const SERVE_MS: u64 = 2_000;
 /// The longest wait for an agent, in milliseconds; longer than the agent's own wait for its rank.
 const CALL_MS: u64 = 250;
+/// The longest time that an agent takes to give an order and to read the rank's status, in milliseconds. Together with a
+/// round trip to the agent it stays below [`CALL_MS`], after which the agent counts as silent.
+const ORDER_AND_STATUS_MS: u64 = 150;
 /// The longest wait for an agent that is sent a map, in milliseconds. All ranks of a group are sent it at once, which
 /// takes a small machine with a slow link several hundred milliseconds for 64 ranks. The group is not held meanwhile.
 const MAP_CALL_MS: u64 = 1_500;
@@ -117,9 +120,19 @@
             RankReply::Counts(counts.map(|counts| last_reading.pack(&counts, base)))
         }
         RankCall::HeldExperts => RankReply::HeldExperts(ranks.held_experts(&rank).await),
-        RankCall::Order { epoch, order } => {
+        RankCall::Order { epoch, order, reads_status: false } => {
             RankReply::Order(give_order(ranks, &rank, epoch, &order).await)
         }
+        RankCall::Order { epoch, order, reads_status: true } => {
+            let status_due = Instant::now() + Duration::from_millis(ORDER_AND_STATUS_MS);
+            match give_order(ranks, &rank, epoch, &order).await {
+                OrderReply::Done => {
+                    let status = timeout_at(status_due, ranks.status(&rank)).await;
+                    RankReply::OrderAndStatus(OrderReply::Done, status.ok().flatten())
+                }
+                reply => RankReply::Order(reply),
+            }
+        }
     };
     Response::new(Full::new(encode(&reply)))
 }
@@ -160,7 +173,7 @@
     epoch: u64,
     order: &RankOrder,
 ) -> OrderReply {
-    let begun = tokio::time::Instant::now();
+    let begun = Instant::now();
     for _ in 1..ORDER_TRIES {
         let reply = ranks.order(rank, epoch, order).await;
         if reply != OrderReply::Unknown || begun.elapsed() > Duration::from_millis(CALL_MS) {
--- a/crates/lycheewood/src/adapters/agent/client.rs
+++ b/crates/lycheewood/src/adapters/agent/client.rs
@@ -62,6 +62,11 @@
     pause_ms: u64,
 }
 
+/// A call that gives an order to a rank.
+fn order_call(epoch: u64, order: &RankOrder, reads_status: bool) -> RankCall {
+    RankCall::Order { epoch, order: order.clone(), reads_status }
+}
+
 /// What became of a call.
 enum Called {
     Reply(RankReply),
@@ -135,7 +140,7 @@
         epoch: u64,
         order: &RankOrder,
     ) -> OrderReply {
-        match self.call_at(relay, rank, RankCall::Order { epoch, order: order.clone() }).await {
+        match self.call_at(relay, rank, order_call(epoch, order, false)).await {
             Called::Reply(RankReply::Order(reply)) => reply,
             Called::NoAgent => self.order(rank, epoch, order).await,
             Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
@@ -216,7 +221,7 @@
     }
 
     async fn order(&self, rank: &RankAddress, epoch: u64, order: &RankOrder) -> OrderReply {
-        match self.call(rank, RankCall::Order { epoch, order: order.clone() }).await {
+        match self.call(rank, order_call(epoch, order, false)).await {
             Called::Reply(RankReply::Order(reply)) => reply,
             Called::NoAgent if self.is_direct_allowed.load(Ordering::Relaxed) => {
                 self.direct.order(rank, epoch, order).await
@@ -224,4 +229,25 @@
             Called::NoAgent | Called::Reply(_) | Called::Unknown => OrderReply::Unknown,
         }
     }
+
+    /// Asks the agent for both with one call, since a group that is held waits for the replies.
+    async fn order_and_status(
+        &self,
+        rank: &RankAddress,
+        epoch: u64,
+        order: &RankOrder,
+    ) -> (OrderReply, Option<RankStatus>) {
+        match self.call(rank, order_call(epoch, order, true)).await {
+            Called::Reply(RankReply::OrderAndStatus(reply, status)) => (reply, status),
+            // From an agent of an earlier build.
+            Called::Reply(RankReply::Order(OrderReply::Done)) => {
+                (OrderReply::Done, self.status(rank).await)
+            }
+            Called::Reply(RankReply::Order(reply)) => (reply, None),
+            Called::NoAgent if self.is_direct_allowed.load(Ordering::Relaxed) => {
+                self.direct.order_and_status(rank, epoch, order).await
+            }
+            Called::NoAgent | Called::Reply(_) | Called::Unknown => (OrderReply::Unknown, None),
+        }
+    }
 }
--- a/crates/lycheewood/src/controllers/expert_groups/switch.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/switch.rs
@@ -19,7 +19,7 @@
 use crate::decisions::placement::ExpertMap;
 use crate::decisions::units::index_below;
 use crate::gateway::GatewayState;
-use crate::group_ports::RankClient as _;
+use crate::group_ports::{RankAddress, RankClient as _};
 use crate::lifecycle::map_switch::{Held, MapSwitch, Prepared, Preparing};
 
 /// Interval at which ranks are polled until the new map is in use, in milliseconds; about one pass.
@@ -128,12 +128,18 @@
         order: &RankOrder,
         rank: usize,
     ) -> Result<Option<RankStatus>, SwitchError> {
-        match self.send_order(epoch, order, rank).await {
-            OrderReply::Done => {}
-            OrderReply::Unknown => return Ok(None),
-            OrderReply::Refused | OrderReply::OtherServer => return Err(SwitchError::Refused),
+        if !self.lease.may_issue_orders() {
+            return Ok(None);
+        }
+        let address = &self.listed.ranks[rank];
+        self.ports.ranks.allow_direct_orders(!self.lease.is_log_unreachable());
+        let (reply, status) = self.ports.ranks.order_and_status(address, epoch, order).await;
+        log_reply(address, epoch, order, reply);
+        match reply {
+            OrderReply::Done => Ok(status),
+            OrderReply::Unknown => Ok(None),
+            OrderReply::Refused | OrderReply::OtherServer => Err(SwitchError::Refused),
         }
-        Ok(self.ports.ranks.status(&self.listed.ranks[rank]).await)
     }
 
     /// The instance that relays a hold order, or `None` for other orders and if no instance is ready. The
@@ -153,17 +159,22 @@
             Some(relay) => self.ports.ranks.order_through(relay, address, epoch, order).await,
             None => self.ports.ranks.order(address, epoch, order).await,
         };
-        if reply != OrderReply::Done {
-            log::info!(
-                "order not confirmed server={} epoch={epoch} order={} reply={reply:?}",
-                address.endpoint,
-                order_name(order)
-            );
-        }
+        log_reply(address, epoch, order, reply);
         reply
     }
 }
 
+/// Logs the reply to an order that is not confirmed.
+fn log_reply(rank: &RankAddress, epoch: u64, order: &RankOrder, reply: OrderReply) {
+    if reply != OrderReply::Done {
+        log::info!(
+            "order not confirmed server={} epoch={epoch} order={} reply={reply:?}",
+            rank.endpoint,
+            order_name(order)
+        );
+    }
+}
+
 /// A random other instance that is ready, or `None` if there is none.
 fn random_relay(state: &GatewayState) -> Option<SocketAddr> {
     let (now, port) = (state.clock.now(), state.settings.relay_address.port());
--- a/crates/lycheewood/src/group_ports.rs
+++ b/crates/lycheewood/src/group_ports.rs
@@ -33,6 +33,20 @@
 
     /// Sends an order that is valid only in the formation `epoch` of the group.
     async fn order(&self, rank: &RankAddress, epoch: u64, order: &RankOrder) -> OrderReply;
+
+    /// Sends an order, and reads the rank's status once the order is carried out. The status is `None` if no reply
+    /// arrives.
+    async fn order_and_status(
+        &self,
+        rank: &RankAddress,
+        epoch: u64,
+        order: &RankOrder,
+    ) -> (OrderReply, Option<RankStatus>) {
+        match self.order(rank, epoch, order).await {
+            OrderReply::Done => (OrderReply::Done, self.status(rank).await),
+            reply => (reply, None),
+        }
+    }
 }
 
 /// Result of an append.
--- a/crates/lycheewood/src/wire/rank_call.rs
+++ b/crates/lycheewood/src/wire/rank_call.rs
@@ -27,9 +27,18 @@
         epoch: u64,
         /// The order.
         order: RankOrder,
+        /// Whether the rank's status is read after the order and told with the reply. Agents of earlier builds ignore
+        /// this and tell the reply alone.
+        #[serde(default, skip_serializing_if = "is_false")]
+        reads_status: bool,
     },
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde calls")]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// A call for one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankRequest {
@@ -178,4 +187,6 @@
     Superseded,
     /// Its reply to an order.
     Order(OrderReply),
+    /// Its reply to an order, and its status after it if it was read in time. Only sent where the call asks for it.
+    OrderAndStatus(OrderReply, Option<RankStatus>),
 }
--- a/crates/lycheewood/tests/agents.rs
+++ b/crates/lycheewood/tests/agents.rs
@@ -14,13 +14,16 @@
 #[derive(Default)]
 struct CountingRankClient {
     orders: AtomicUsize,
+    statuses: AtomicUsize,
     unanswered: usize,
 }
 
 #[async_trait]
 impl RankClient for CountingRankClient {
     async fn status(&self, _: &RankAddress) -> Option<RankStatus> {
-        Some(RankStatus::default())
+        self.statuses.fetch_add(1, Ordering::Relaxed);
+        let step = self.orders.load(Ordering::Relaxed) as u64;
+        Some(RankStatus { step, ..RankStatus::default() })
     }
 
     async fn counts(&self, _: &RankAddress, _: usize) -> Option<RankCounts> {
@@ -123,6 +126,22 @@
     assert_eq!(rank_client.orders.load(Ordering::Relaxed), 4);
 }
 
+/// Guards against a held group that waits for a second call to each agent, which reads whether the rank is armed.
+#[test]
+fn an_agent_tells_the_status_after_an_order_with_its_reply() {
+    let rank_client = Arc::new(CountingRankClient { unanswered: 1, ..Default::default() });
+    let address = (Ipv4Addr::LOCALHOST, 0).into();
+    let agent = Agent::start(address, rank().address, rank_client.clone()).expect("an agent");
+    let direct = Arc::new(CountingRankClient::default());
+    let ranks = AgentRanks::new(direct, agent.address().port(), Clock::system());
+    let order = RankOrder::Arm { version: 1, step: 5 };
+    let (reply, status) = agent.run_until(ranks.order_and_status(&rank(), 1, &order));
+    assert_eq!(reply, OrderReply::Done);
+    // The rank reports the orders so far as its step.
+    assert_eq!(status.map(|status| status.step), Some(2));
+    assert_eq!(rank_client.statuses.load(Ordering::Relaxed), 1);
+}
+
 /// Guards against orders from a holder that was replaced while it could not reach the log.
 #[test]
 fn an_agent_refuses_orders_under_an_earlier_lease() {
--- a/crates/lycheewood/tests/wire.rs
+++ b/crates/lycheewood/tests/wire.rs
@@ -7,12 +7,13 @@
 use ciborium::Value;
 use lycheewood::{
     Ask, AttemptId, Chunk, DocumentAsk, End, Failed, Frame, Head, Heartbeat, HeartbeatExtension,
-    Hello, Incarnation, InstanceId, Load, Offset, Recover, Refused, RefusedReason, RequestKey,
-    Role, Start, Suspects, TargetName, Timestamp, VersionName, Work, common_version, decode,
-    encode,
+    Hello, Incarnation, InstanceId, Load, Offset, RankCall, RankOrder, Recover, Refused,
+    RefusedReason, RequestKey, Role, Start, Suspects, TargetName, Timestamp, VersionName, Work,
+    common_version, decode, encode,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde::{Deserialize, Serialize};
 
 const ATTEMPT: AttemptId = AttemptId { incarnation: Incarnation(7), sequence: 3 };
 
@@ -213,3 +214,32 @@
         ciborium::from_reader(&bytes[..]).expect("a tuple of nine elements");
     assert_eq!((older.1, older.8), (4, vec![(1, 2)]));
 }
+
+/// The call of an order as builds before `reads_status` write and read it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum OlderRankCall {
+    Order { epoch: u64, order: RankOrder },
+}
+
+/// Guards against a rolling update in which an agent cannot read the orders of a holder of another build.
+#[test]
+fn orders_of_builds_with_and_without_a_status_are_read() {
+    let older = OlderRankCall::Order { epoch: 3, order: RankOrder::Hold { step: 7 } };
+    let newer = |reads_status| RankCall::Order {
+        epoch: 3,
+        order: RankOrder::Hold { step: 7 },
+        reads_status,
+    };
+    let bytes = |call: &RankCall| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(call, &mut bytes).expect("write CBOR");
+        bytes
+    };
+    let read: OlderRankCall = ciborium::from_reader(&bytes(&newer(true))[..]).expect("a call");
+    assert_eq!(read, older);
+    let mut older_bytes = Vec::new();
+    ciborium::into_writer(&older, &mut older_bytes).expect("write CBOR");
+    assert_eq!(bytes(&newer(false)), older_bytes, "a call that reads no status keeps its form");
+    let read: RankCall = ciborium::from_reader(&older_bytes[..]).expect("a call");
+    assert_eq!(read, newer(false));
+}
