Move the choice of a proposal's step to the decisions

Which step a lease holder proposes and how the lead grows after aborts were methods of HeldGroup, which needs a log client and cannot be tested without one. They are now ProposalLead and RankProgress in decisions/map_change, with the same behaviour. GRANT_AHEAD_STEPS moves there too, because decisions do not depend on controllers.

--- a/crates/lycheewood/src/controllers/placement/held.rs
+++ b/crates/lycheewood/src/controllers/placement/held.rs
@@ -2,10 +2,11 @@
 
 use crate::clock::Timestamp;
 use crate::controllers::placement::{PlacementConfig, RankMessage};
-use crate::controllers::rank::GRANT_AHEAD_STEPS;
 use crate::decisions::groups::group_rank_count;
 use crate::decisions::leases::CurrentLease;
-use crate::decisions::map_change::{GroupMaps, Resolution, StageStatus, resolve_change};
+use crate::decisions::map_change::{
+    GroupMaps, ProposalLead, RankProgress, Resolution, StageStatus, resolve_change,
+};
 use crate::decisions::placement::{
     ChangeCosts, ExpertMap, LoadForecast, LoadReport, PlacementDecision, PlacementView,
     decide_placement,
@@ -21,9 +22,6 @@
 const SWITCH_STALL_MS: f64 = 150.0;
 /// A change must recover its cost within this time. Expert popularity drifts over hours, not minutes.
 const PAYBACK_HORIZON_MS: f64 = 600_000.0;
-/// Maximum factor on the lead time of a proposal. The factor doubles after each abort, since ranks refuse a
-/// change that comes too late.
-const MAX_LEAD_FACTOR: u64 = 16;
 /// Orders and appends without a visible effect are repeated after the staging timeout divided by this.
 const REPEAT_DIVISOR: u64 = 10;
 
@@ -46,7 +44,7 @@
     /// The newest map and when it was first read, for the minimum interval between changes.
     newest_map: Option<(Offset, Timestamp)>,
     last_proposed_at: Option<Timestamp>,
-    lead_factor: u64,
+    lead: ProposalLead,
 }
 
 impl HeldGroup {
@@ -62,7 +60,7 @@
             // A new holder does not know when the map was changed, so it assumes that it was just now.
             newest_map: maps.newest().map(|map| (map.change, now)),
             last_proposed_at: None,
-            lead_factor: 1,
+            lead: ProposalLead::new(),
         }
     }
 
@@ -145,7 +143,7 @@
         let newest = maps.newest().map(|map| map.change);
         if newest != self.newest_map.map(|(change, _)| change) {
             self.newest_map = newest.map(|change| (change, now));
-            self.lead_factor = 1;
+            self.lead = ProposalLead::new();
         }
     }
 
@@ -186,7 +184,7 @@
             }
             Resolution::Abort if is_due(change.decision_sent_at) => {
                 change.decision_sent_at = Some(now);
-                self.lead_factor = (self.lead_factor * 2).min(MAX_LEAD_FACTOR);
+                self.lead.record_abort();
                 config.append(&change.change.abort(&self.lease, now)?);
                 Ok(())
             }
@@ -206,40 +204,27 @@
             return Ok(());
         }
         let Some(processes) = maps.processes() else { return Ok(()) };
-        let Some((next_step, earliest_step)) = self.change_steps(config, &processes, now) else {
-            return Ok(());
-        };
+        let Some(ranks) = self.rank_progress(&processes) else { return Ok(()) };
+        let lead_ms = config.timing.map_lead_ms;
+        let Some(step) = self.lead.proposal_step(maps, &ranks, lead_ms, now) else { return Ok(()) };
         let Some((map, moves)) = self.choose_map(config, maps, now) else { return Ok(()) };
-        // No rank runs a step without a map, so the first map applies from the next step on.
-        let step = maps.newest().map_or(next_step, |newest| earliest_step.max(newest.step + 1));
         log::info!("map proposed scope={} step={step} moves={moves}", self.lease.scope());
         config.append(&MapChange::propose(&self.lease, step, map, now)?);
         self.last_proposed_at = Some(now);
         Ok(())
     }
 
-    /// The next step of the group, and the earliest step for a change: one that no rank will have granted when
-    /// it receives the order. Both come from the last reports of the current processes; `None` until all of
-    /// these have reported.
-    fn change_steps(
-        &self,
-        config: &PlacementConfig,
-        processes: &[Incarnation],
-        now: Timestamp,
-    ) -> Option<(u64, u64)> {
-        let (mut next_step, mut earliest_step) = (0, 0);
-        for (rank, process) in processes.iter().enumerate() {
+    /// The progress reported by each rank, or `None` until the current processes of all ranks have reported.
+    fn rank_progress(&self, processes: &[Incarnation]) -> Option<Vec<RankProgress>> {
+        let progress = |(rank, process): (usize, &Incarnation)| {
             let report = self.reports.get(rank)?.as_ref()?;
-            if report.incarnation != *process {
-                return None;
-            }
-            let lead_ms = config.timing.map_lead_ms.saturating_mul(self.lead_factor);
-            let ahead_ms = lead_ms.saturating_add(now.ms_since(report.ended));
-            let ahead = steps_in(ahead_ms, report.step_ms).saturating_add(GRANT_AHEAD_STEPS);
-            next_step = next_step.max(report.next_step);
-            earliest_step = earliest_step.max(report.next_step.saturating_add(ahead));
-        }
-        Some((next_step, earliest_step))
+            (report.incarnation == *process).then_some(RankProgress {
+                next_step: report.next_step,
+                step_ms: report.step_ms,
+                measured: report.ended,
+            })
+        };
+        processes.iter().enumerate().map(progress).collect()
     }
 
     /// The map to propose, and the number of expert weights that it moves.
@@ -277,18 +262,6 @@
     }
 }
 
-/// Number of steps that a group runs in `duration_ms`, rounded up. A step time below 1 ms counts as 1 ms, also
-/// 0 for an unknown one.
-#[allow(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    clippy::cast_precision_loss,
-    reason = "a float conversion saturates, and the result is an estimate"
-)]
-fn steps_in(duration_ms: u64, step_ms: f64) -> u64 {
-    (duration_ms as f64 / step_ms.max(1.0)).ceil() as u64
-}
-
 /// Difference between the slowest and the fastest step time, in thousandths of the mean.
 #[allow(clippy::cast_possible_truncation, reason = "a float conversion saturates")]
 fn skew_permille(step_times_ms: &[f64]) -> i64 {
--- a/crates/lycheewood/src/controllers/rank.rs
+++ b/crates/lycheewood/src/controllers/rank.rs
@@ -17,16 +17,13 @@
 use crate::decisions::groups::{GroupState, group_scope};
 use crate::decisions::leases::{FencingGate, OrderRefusal, encode_record};
 use crate::decisions::map_change::{
-    EngineOrder, EngineRankState, GroupMaps, MapRecord, RankGate, StageOrder, StageStatus,
-    can_stage, map_version, next_engine_order,
+    EngineOrder, EngineRankState, GRANT_AHEAD_STEPS, GroupMaps, MapRecord, RankGate, StageOrder,
+    StageStatus, can_stage, map_version, next_engine_order,
 };
 use crate::ids::{FencingNumber, Incarnation, ScopeName};
 use crate::settings::{RankSettings, Timing};
 use crate::wire::message::{Frame, RankReport, StageAsk, StageDone, StageRefused};
 
-/// Steps that are granted to an engine beyond its next step. A map change can only be proposed for a step that
-/// is not granted yet. With fewer steps a slow reply of the daemon stalls the group.
-pub(crate) const GRANT_AHEAD_STEPS: u64 = 16;
 /// Maximum number of orders sent to the engine in a row. A restarted engine needs four to reach its two maps.
 const MAX_CONSECUTIVE_ORDERS: usize = 8;
 
--- a/crates/lycheewood/src/decisions/map_change.rs
+++ b/crates/lycheewood/src/decisions/map_change.rs
@@ -13,11 +13,13 @@
 use crate::ids::{FencingNumber, Incarnation, Offset, ScopeName};
 
 mod engine;
+mod proposal;
 mod rank;
 
 pub use engine::{
     EngineOrder, EngineRankState, EngineStagedMap, can_stage, map_version, next_engine_order,
 };
+pub use proposal::{GRANT_AHEAD_STEPS, ProposalLead, RankProgress};
 pub use rank::{RankGate, StageOrder, StageRefusal};
 
 /// A record about the map of a group.
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -108,9 +108,10 @@
     term_map_version,
 };
 pub use decisions::map_change::{
-    CommittedMap, EngineOrder, EngineRankState, EngineStagedMap, GroupMaps, MapEffect, MapRecord,
-    PendingChange, RankGate, Resolution, StageOrder, StageRefusal, StageStatus, can_stage,
-    map_version, next_engine_order, resolve_change,
+    CommittedMap, EngineOrder, EngineRankState, EngineStagedMap, GRANT_AHEAD_STEPS, GroupMaps,
+    MapEffect, MapRecord, PendingChange, ProposalLead, RankGate, RankProgress, Resolution,
+    StageOrder, StageRefusal, StageStatus, can_stage, map_version, next_engine_order,
+    resolve_change,
 };
 pub use decisions::membership::{
     ConnectionState, Eligibility, InstanceView, ListStatus, MembershipSettings, eligibility,
