Propose a map only once the group uses the newest one

Cause: a rank stages a change only once the newest map is in use, but the holder proposed the next one right after a commit. While the group had not reached the step of the newest map, no rank could stage the proposal. It was aborted after stage_wait_ms, and each abort doubled the lead, up to 16 times. On a busy machine the group was slow to reach the step, so the next map was committed for a step thousands ahead. In traces of map_change_path beside 12 busy processes and two more test runs, every abort of maps_change_while_steps_run had all ranks pending and a newest map ahead of the group; the failed run committed a map for step 10531 at step 2443 with a factor of 16, and 'did not reach step 10536' in 30 s.

Change: ProposalLead::proposal_step returns no step until a rank has reported that the first step of the newest map has run.

Test: a_slow_group_uses_each_map_after_the_lead runs the holder, the ranks' gates and the records without a network, with steps of 2, 6, 20 and 60 ms for reported 2 ms. Before the change it fails with 3 aborts at 2 ms, and without the 2 ms case with 'map 3 of a group with steps of 6 ms is not used after 5156 ms: step 1377, committed [0, 517, 1383], 3 aborts'. It passes now.

--- a/crates/lycheewood/src/decisions/map_change/proposal.rs
+++ b/crates/lycheewood/src/decisions/map_change/proposal.rs
@@ -53,7 +53,8 @@
         self.factor = (self.factor * 2).min(MAX_LEAD_FACTOR);
     }
 
-    /// The step for the next change. `ranks` has the progress reported by each rank, and `lead_ms` is the time
+    /// The step for the next change, or `None` while no rank could stage it because the group has not run the
+    /// first step of the newest map. `ranks` has the progress reported by each rank, and `lead_ms` is the time
     /// that an order needs to reach all ranks.
     #[must_use]
     pub fn proposal_step(
@@ -63,13 +64,17 @@
         lead_ms: u64,
         now: Timestamp,
     ) -> Option<u64> {
+        let next_step = ranks.iter().map(|rank| rank.next_step).max()?;
         let Some(newest) = maps.newest() else {
             // No rank runs a step without a map, so the first map applies from the next step on.
-            return ranks.iter().map(|rank| rank.next_step).max();
+            return Some(next_step);
         };
+        if next_step <= newest.step {
+            return None;
+        }
         let lead_ms = lead_ms.saturating_mul(self.factor);
         let reachable = ranks.iter().map(|rank| rank.reachable_step(lead_ms, now)).max()?;
-        Some(reachable.saturating_add(GRANT_AHEAD_STEPS).max(newest.step + 1))
+        Some(reachable.saturating_add(GRANT_AHEAD_STEPS))
     }
 }
 
--- a/crates/lycheewood/tests/map_change/main.rs
+++ b/crates/lycheewood/tests/map_change/main.rs
@@ -1,6 +1,7 @@
 //! Changes of the expert map under faults: all ranks run each step with the same map.
 
 mod simulation;
+mod slow_group;
 
 use lycheewood::{
     ExpertMap, FencingNumber, GroupMaps, Incarnation, LeaseEffect, LeaseRecord, LeaseTable,
