Extend the lead of proposals once per aborted change

Cause: the holder appends the abort of a change again every tenth of stage_wait_ms until it reads it back, and each append doubled the lead. Found by reading; by calculation four repetitions reach the maximum factor of 16, which takes 0.8 s with a stage_wait_ms of 2,000.

Change: ProposalLead remembers the last aborted change.

Test: a_repeated_abort_extends_the_lead_once fails without it (left 16, right 2).

--- a/crates/lycheewood/src/decisions/map_change/proposal.rs
+++ b/crates/lycheewood/src/decisions/map_change/proposal.rs
@@ -2,6 +2,7 @@
 
 use super::{GroupMaps, PendingChange, StageStatus};
 use crate::clock::Timestamp;
+use crate::ids::Offset;
 
 /// Steps that are granted to an engine beyond its next step. A map change can only be proposed for a step that
 /// is not granted yet. With fewer steps a slow reply of the daemon stalls the group.
@@ -32,6 +33,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProposalLead {
     factor: u64,
+    /// The last aborted change. The abort of a change is repeated until it is read back.
+    last_aborted: Option<Offset>,
 }
 
 impl Default for ProposalLead {
@@ -44,7 +47,7 @@
     /// The lead of a new lease holder, and the lead after each commit.
     #[must_use]
     pub const fn new() -> Self {
-        Self { factor: 1 }
+        Self { factor: 1, last_aborted: None }
     }
 
     /// Doubles the lead after the abort of a change that came too late: a rank refused it, or the group may have
@@ -58,6 +61,9 @@
         ranks: &[RankProgress],
         now: Timestamp,
     ) {
+        if self.last_aborted.replace(pending.change) == Some(pending.change) {
+            return;
+        }
         // All ranks run a step together, so each report limits how far the group has come.
         let reachable = ranks.iter().map(|rank| rank.reachable_step(0, now)).min();
         let may_have_reached = reachable.is_none_or(|reachable| reachable >= pending.step);
--- a/crates/lycheewood/tests/map_change/proposals.rs
+++ b/crates/lycheewood/tests/map_change/proposals.rs
@@ -66,3 +66,19 @@
     lead.record_abort(pending, &not_staged, &[fast, slow], later);
     assert_eq!(leads_ahead(&lead, &maps), 1, "the slow rank cannot have reached the step");
 }
+
+/// Guards against a lead that doubles with each repetition of an abort while the log does not accept it.
+#[test]
+fn a_repeated_abort_extends_the_lead_once() {
+    let (leases, maps) = group();
+    let mut lead = ProposalLead::new();
+    for (offset, leads) in [(4, 2), (5, 4), (6, 8), (7, 16), (8, 16)] {
+        let mut changed = maps.clone();
+        changed.apply(Offset(offset), &propose(616), &leases);
+        let pending = changed.pending().expect("a change");
+        for _ in 0..10 {
+            lead.record_abort(pending, &[StageStatus::Refused], &progress(300), NOW);
+        }
+        assert_eq!(leads_ahead(&lead, &maps), leads);
+    }
+}
