Propose no map for a step that an aborted proposal has passed

Cause: a proposal counts only if its step is later than that of the last one, also if that one was aborted. The holder compared with the newest map only. A shorter lead than that of the aborted proposal, as after a takeover of the lease, gave proposals without effect, each with a whole map, which were appended again every tenth of stage_wait_ms until the group had come closer. In the trace of the failed run of maps_change_while_steps_run, 15 such records in a row named step 2430.

Change: proposal_step returns no step until it is later than the last proposed one. The rule of the replay is unchanged.

Test: no_change_is_proposed_before_the_step_of_an_aborted_one failed before (left Some(616), right None).

--- a/crates/lycheewood/src/decisions/map_change.rs
+++ b/crates/lycheewood/src/decisions/map_change.rs
@@ -162,6 +162,13 @@
         self.maps.last()
     }
 
+    /// The step of the last proposal, whatever its decision. A proposal for this step or an earlier one has no
+    /// effect, unless it is the first one.
+    #[must_use]
+    pub const fn last_proposed_step(&self) -> u64 {
+        self.last_step
+    }
+
     /// The map of `step`, as far as the records have been read.
     #[must_use]
     pub fn map_of_step(&self, step: u64) -> Option<&CommittedMap> {
--- a/crates/lycheewood/src/decisions/map_change/proposal.rs
+++ b/crates/lycheewood/src/decisions/map_change/proposal.rs
@@ -72,9 +72,10 @@
         }
     }
 
-    /// The step for the next change, or `None` while no rank could stage it because the group has not run the
-    /// first step of the newest map. `ranks` has the progress reported by each rank, and `lead_ms` is the time
-    /// that an order needs to reach all ranks.
+    /// The step for the next change, or `None` while a proposal could have no effect: no rank can stage a change
+    /// before the group has run the first step of the newest map, and the step must be later than that of the
+    /// last proposal, which may have been aborted. `ranks` has the progress reported by each rank, and `lead_ms`
+    /// is the time that an order needs to reach all ranks.
     #[must_use]
     pub fn proposal_step(
         &self,
@@ -93,7 +94,8 @@
         }
         let lead_ms = lead_ms.saturating_mul(self.factor);
         let reachable = ranks.iter().map(|rank| rank.reachable_step(lead_ms, now)).max()?;
-        Some(reachable.saturating_add(GRANT_AHEAD_STEPS))
+        let step = reachable.saturating_add(GRANT_AHEAD_STEPS);
+        (step > maps.last_proposed_step()).then_some(step)
     }
 }
 
--- a/crates/lycheewood/tests/map_change/proposals.rs
+++ b/crates/lycheewood/tests/map_change/proposals.rs
@@ -82,3 +82,25 @@
         assert_eq!(leads_ahead(&lead, &maps), leads);
     }
 }
+
+/// Guards against proposals without effect, which a new holder appended again and again because an aborted
+/// change of its predecessor was further ahead than its own lead.
+#[test]
+fn no_change_is_proposed_before_the_step_of_an_aborted_one() {
+    let (leases, mut maps) = group();
+    assert_eq!(maps.apply(Offset(4), &propose(3_000), &leases), MapEffect::Proposed(Offset(4)));
+    let abort = MapRecord::Abort {
+        scope: ScopeName::new(SCOPE),
+        fencing: FencingNumber(1),
+        change: Offset(4),
+    };
+    assert_eq!(maps.apply(Offset(5), &abort, &leases), MapEffect::Aborted(Offset(4)));
+    let lead = ProposalLead::new();
+    let step_at = |next_step| lead.proposal_step(&maps, &progress(next_step), LEAD_MS, NOW);
+    let ahead = LEAD_MS / STEP_MS + GRANT_AHEAD_STEPS;
+    assert_eq!(step_at(100), None);
+    assert_eq!(step_at(3_000 - ahead), None);
+    let step = step_at(3_001 - ahead).expect("a step");
+    assert_eq!(step, 3_001);
+    assert_eq!(maps.apply(Offset(6), &propose(step), &leases), MapEffect::Proposed(Offset(6)));
+}
