Split the simulation of the claims tests by topic

The events, the values, the entries and the endpoints are now files below claims/world, and tests/claims.rs is claims/main.rs, so that the folder stands beside its module. Apart from imports and visibility the lines are the same.

--- a/crates/lycheewood/tests/claims.rs
+++ b/crates/lycheewood/tests/claims/main.rs
@@ -12,7 +12,6 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-#[path = "claims/world.rs"]
 mod world;
 
 use world::{Action, AppendOutcome, Op, SETTINGS, World, claim_key, key, op, record, start};
