Split the end-to-end tests of map changes by topic

The cluster, the faults and the orders of a superseded lease are now files below map_change_path. Apart from imports and visibility the lines are the same; no check changed.

--- a/crates/lycheewood/tests/map_change_path.rs
+++ b/crates/lycheewood/tests/map_change_path/cluster.rs
@@ -1,37 +1,29 @@
-//! End-to-end tests of expert map changes, with a log, entries, rank daemons and an engine.
-
-#[path = "support/deployment.rs"]
-mod deployment;
+//! A group on one engine, with one daemon behind a forwarder for each rank, and entries.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use deployment::{DOCUMENT, Deployment, send};
-use futures_util::{SinkExt, StreamExt};
 use http_body_util::Full;
 use hyper::Request;
 use lycheewood::{
-    CurrentLease, Endpoint, Entry, Frame, GroupMaps, GroupState, Hello, Incarnation, InstanceId,
-    LogClient, Offset, PROTOCOL_MAX, PROTOCOL_MIN, ScopeName, StageAsk, Timestamp, decode, encode,
+    CurrentLease, Endpoint, Entry, GroupMaps, GroupState, LogClient, Offset, ScopeName, Timestamp,
     group_scope, map_version,
 };
 use stand_ins::engine::{Engine, EngineFaults, Rank};
-use stand_ins::faults::Outage;
 use stand_ins::forwarder::Forwarder;
 use stand_ins::instance_list::{Instance, InstanceState, Role};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_tungstenite::client_async;
-use tokio_tungstenite::tungstenite::Message;
 
-const RANKS: usize = 4;
+use crate::deployment::{DOCUMENT, Deployment, send};
+
+pub(crate) const RANKS: usize = 4;
 const EXPERTS: usize = 8;
 const SLOTS: usize = 4;
 const LAYERS: usize = 2;
 /// Timeout of every wait. A group without progress fails the test after it.
-const WAIT_MS: u64 = 30_000;
+pub(crate) const WAIT_MS: u64 = 30_000;
 
 /// Short timings, so that leases pass to another holder and changes are decided within seconds. The lead of a
 /// proposal exceeds the time in which a silent connection is replaced.
@@ -48,16 +40,16 @@
 }
 
 /// A group on one engine, with one daemon behind a forwarder for each rank, and entries.
-struct Cluster {
-    deployment: Deployment,
+pub(crate) struct Cluster {
+    pub(crate) deployment: Deployment,
     engine: Engine,
-    daemons: Vec<Option<Endpoint>>,
-    forwarders: Vec<Forwarder>,
-    scope: ScopeName,
+    pub(crate) daemons: Vec<Option<Endpoint>>,
+    pub(crate) forwarders: Vec<Forwarder>,
+    pub(crate) scope: ScopeName,
 }
 
 impl Cluster {
-    fn start(entries: usize, checks_fencing_numbers: bool) -> Self {
+    pub(crate) fn start(entries: usize, checks_fencing_numbers: bool) -> Self {
         let mut deployment = Deployment::platform(TIMING);
         deployment.publish(
             &DOCUMENT.replace("objective: skew", "objective: skew, min_interval_ms: 1"),
@@ -108,7 +100,7 @@
     }
 
     /// Stops the daemon of a rank without a drain, and starts a replacement.
-    fn replace_daemon(&mut self, rank: usize) {
+    pub(crate) fn replace_daemon(&mut self, rank: usize) {
         self.daemons[rank] = None;
         let daemon = self.deployment.rank_daemon(self.engine.address(), "g", rank, RANKS);
         self.forwarders[rank] = self.deployment.forwarder(daemon.peer_address());
@@ -117,7 +109,7 @@
     }
 
     /// Stops the entry that holds the lease, without a drain.
-    fn stop_holder(&mut self) {
+    pub(crate) fn stop_holder(&mut self) {
         let holder = self.lease().holder.to_string();
         let is_holder = |entry: &Entry| self.incarnation_of(entry) == holder;
         let index = self.deployment.entries.iter().position(is_holder).expect("the holder runs");
@@ -126,7 +118,7 @@
     }
 
     /// The current lease by the whole stream.
-    fn lease(&self) -> CurrentLease {
+    pub(crate) fn lease(&self) -> CurrentLease {
         let log = self.log();
         let page = self.deployment.runtime.block_on(log.read("leases", Offset(0), 0));
         let page = page.expect("the log answers");
@@ -139,7 +131,7 @@
     }
 
     /// The body of a page of the admin interface of a node.
-    fn read_admin(&self, admin: SocketAddr, path: &str) -> String {
+    pub(crate) fn read_admin(&self, admin: SocketAddr, path: &str) -> String {
         let uri = format!("http://{admin}{path}");
         let request = Request::get(uri).body(Full::new(Bytes::new())).expect("a valid request");
         self.deployment.runtime.block_on(send(request)).1
@@ -183,14 +175,14 @@
     }
 
     /// Waits for a committed map later than `change`.
-    fn wait_for_commit_after(&self, change: Option<Offset>) -> Offset {
+    pub(crate) fn wait_for_commit_after(&self, change: Option<Offset>) -> Offset {
         let is_later = |maps: &GroupMaps| maps.newest().map(|map| map.change) > change;
         let state = self.wait_for("a commit", is_later);
         state.maps(&self.scope).and_then(GroupMaps::newest).expect("a map").change
     }
 
     /// Waits for an undecided proposal after `change`, and returns its step.
-    fn wait_for_proposal_after(&self, change: Offset) -> u64 {
+    pub(crate) fn wait_for_proposal_after(&self, change: Offset) -> u64 {
         let is_later = |maps: &GroupMaps| maps.pending().is_some_and(|p| p.change > change);
         let state = self.wait_for("a proposal", is_later);
         state.maps(&self.scope).and_then(GroupMaps::pending).expect("a proposal").step
@@ -208,12 +200,12 @@
     }
 
     /// Makes another expert popular, so that a new map is proposed.
-    fn make_popular(&self, expert: usize) {
+    pub(crate) fn make_popular(&self, expert: usize) {
         self.engine
             .set_faults(move |faults| faults.expert_tokens = tokens_with_popular_expert(expert));
     }
 
-    fn wait_for_step(&self, step: u64) {
+    pub(crate) fn wait_for_step(&self, step: u64) {
         let run = async {
             timeout(Duration::from_millis(WAIT_MS), self.engine.wait_for_step(step)).await
         };
@@ -236,7 +228,7 @@
 
     /// Checks that all ranks ran each step with the map that the stream states for it, and returns the number
     /// of maps used.
-    fn check_maps_of_steps(&self, case: &str) -> usize {
+    pub(crate) fn check_maps_of_steps(&self, case: &str) -> usize {
         let committed = self.committed();
         let mut by_step: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
         for event in self.engine.steps() {
@@ -257,7 +249,7 @@
     }
 
     /// Waits until at least `count` ranks of the engine have staged a map.
-    fn wait_until_staged(&self, count: usize) {
+    pub(crate) fn wait_until_staged(&self, count: usize) {
         let staged = move |ranks: &[Rank]| {
             ranks.iter().filter(|rank| rank.staged.is_some()).count() >= count
         };
@@ -269,7 +261,7 @@
     }
 
     /// Waits until the group has run steps with the map of `change` or a later one.
-    fn wait_until_used(&self, change: Offset) {
+    pub(crate) fn wait_until_used(&self, change: Offset) {
         let step = self
             .wait_for("the commit", |maps| maps.newest().is_some_and(|map| map.change >= change))
             .maps(&self.scope)
@@ -279,178 +271,3 @@
         self.wait_for_step(step + 5);
     }
 }
-
-/// Guards against ranks that use different maps in one step while maps change under load.
-#[test]
-fn maps_change_while_steps_run() {
-    let cluster = Cluster::start(2, true);
-    let mut change = cluster.wait_for_commit_after(None);
-    for expert in 1..4 {
-        cluster.make_popular(expert);
-        change = cluster.wait_for_commit_after(Some(change));
-    }
-    cluster.wait_until_used(change);
-    assert!(
-        cluster.check_maps_of_steps("no fault") >= 4,
-        "fewer maps were used than were committed"
-    );
-    // The group has used the last map, so the daemon of rank 0 has read its commit.
-    let admin = cluster.daemons[0].as_ref().expect("rank 0 runs").admin_address();
-    let state: serde_json::Value =
-        serde_json::from_str(&cluster.read_admin(admin, "/state")).expect("a JSON state");
-    let group = &state["groups"]["groups"][0];
-    assert_eq!(group["scope"], cluster.scope.as_str());
-    assert!(
-        group["map"]["change"].as_u64() >= Some(change.0),
-        "the state shows an old map: {group}"
-    );
-    let metrics = cluster.read_admin(admin, "/metrics");
-    for name in [
-        "map_changes_total{decision=\"committed\"}",
-        "weights_moved_total",
-        "lease_changes_total{change=\"granted\"}",
-    ] {
-        let value = metrics.lines().find_map(|l| l.strip_prefix("lycheewood_")?.strip_prefix(name));
-        assert!(value.is_some_and(|v| v.trim() != "0"), "{name} is missing or 0: {value:?}");
-    }
-}
-
-/// A fault injected while a change is pending.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    DaemonReplaced,
-    ConnectionSilent,
-    LogDown,
-    HolderDropped,
-    EngineIgnoresFencing,
-}
-
-const FAULTS: [Fault; 5] = [
-    Fault::DaemonReplaced,
-    Fault::ConnectionSilent,
-    Fault::LogDown,
-    Fault::HolderDropped,
-    Fault::EngineIgnoresFencing,
-];
-
-impl Fault {
-    /// Sets up what the fault needs before the change is proposed.
-    fn prepare(self, cluster: &Cluster) {
-        if matches!(self, Self::LogDown) {
-            cluster.forwarders[RANKS - 1].silence();
-        }
-    }
-
-    /// Injects the fault while the change for `step` is undecided, as far as the test has read the stream.
-    fn inject(self, cluster: &mut Cluster, step: u64) {
-        match self {
-            Self::DaemonReplaced => cluster.replace_daemon(2),
-            Self::ConnectionSilent => cluster.forwarders[1].silence(),
-            Self::LogDown => {
-                // The last rank's connection is silent, so the change cannot be committed before the outage.
-                cluster.wait_until_staged(RANKS - 1);
-                cluster.deployment.log.set_faults(|f| f.common.outage = Outage::Unavailable);
-                // Staging needs no log: the last rank stages over its new connection, but the holder cannot
-                // append the commit. All ranks must wait at the step.
-                cluster.wait_until_staged(RANKS);
-                cluster.wait_for_step(step - 1);
-                cluster.deployment.log.set_faults(|f| f.common.outage = Outage::None);
-            }
-            Self::HolderDropped | Self::EngineIgnoresFencing => cluster.stop_holder(),
-        }
-    }
-}
-
-/// Guards against two maps in one step, and against a group that stalls for good, when a process, a
-/// connection or the log fails between the proposal of a change and its decision.
-#[test]
-fn a_fault_between_proposal_and_decision_never_splits_a_step() {
-    for fault in FAULTS {
-        let mut cluster = Cluster::start(2, !matches!(fault, Fault::EngineIgnoresFencing));
-        let first = cluster.wait_for_commit_after(None);
-        cluster.wait_until_used(first);
-        // Slow appends keep the change pending long enough for the fault to occur before its decision.
-        cluster.deployment.log.set_faults(|faults| faults.common.delay_ms = 40);
-        fault.prepare(&cluster);
-        cluster.make_popular(1);
-        let step = cluster.wait_for_proposal_after(first);
-        fault.inject(&mut cluster, step);
-        cluster.deployment.log.set_faults(|faults| faults.common.delay_ms = 0);
-        let change = cluster.wait_for_commit_after(Some(first));
-        cluster.make_popular(2);
-        let change = cluster.wait_for_commit_after(Some(change));
-        cluster.wait_until_used(change);
-        let case = format!("{fault:?}");
-        assert!(cluster.check_maps_of_steps(&case) >= 2, "{case}: the map did not change");
-    }
-}
-
-/// Sends orders over a new connection, as an entry that was paused would, and returns the reply to the last one.
-async fn send_orders_as_entry(address: SocketAddr, orders: &[StageAsk]) -> Frame {
-    let hello = Hello {
-        protocol_min: PROTOCOL_MIN,
-        protocol_max: PROTOCOL_MAX,
-        incarnation: Incarnation::random(),
-        instance: InstanceId::new("paused-entry"),
-        role: lycheewood::Role::Entry,
-        endpoint_kind: None,
-        version: None,
-        admin_address: None,
-    };
-    let tcp = TcpStream::connect(address).await.expect("connect to the daemon");
-    let (mut socket, _) =
-        client_async(format!("ws://{address}/"), tcp).await.expect("open a connection");
-    let stage_frames = orders.iter().map(|order| Frame::Stage(order.clone()));
-    for frame in std::iter::once(Frame::Hello(hello)).chain(stage_frames) {
-        socket.send(Message::Binary(encode(&frame))).await.expect("send a frame");
-    }
-    let last = orders.last().map(|order| order.change);
-    loop {
-        let message = socket.next().await.expect("the connection stays").expect("a message");
-        let Message::Binary(bytes) = message else { continue };
-        match decode(&bytes).expect("a frame") {
-            Frame::Staged(done) if Some(done.change) == last => return Frame::Staged(done),
-            Frame::StageRefused(refused) if Some(refused.change) == last => {
-                return Frame::StageRefused(refused);
-            }
-            _ => socket
-                .send(Message::Binary(encode(&Frame::Heartbeat(1))))
-                .await
-                .expect("send a heartbeat"),
-        }
-    }
-}
-
-/// Guards against a rank that obeys a former holder, which was paused while its lease passed to another entry.
-/// The engine ignores fencing numbers, so that only the daemon can refuse the order.
-#[test]
-fn an_order_of_a_superseded_lease_is_refused_by_the_daemon() {
-    let mut cluster = Cluster::start(2, false);
-    let first = cluster.wait_for_commit_after(None);
-    let former_lease = cluster.lease();
-    cluster.stop_holder();
-    cluster.make_popular(1);
-    let change = cluster.wait_for_commit_after(Some(first));
-    cluster.wait_until_used(change);
-    assert!(cluster.lease().fencing > former_lease.fencing, "no later lease was granted");
-    let order = |change, fencing| StageAsk {
-        scope: cluster.scope.clone(),
-        change,
-        step: u64::MAX,
-        fencing,
-    };
-    let daemon = cluster.daemons[0].as_ref().expect("rank 0 runs").peer_address();
-    // A pending order of the current holder must not hide the order of the former one.
-    let pending = order(Offset(change.0 + 1_000), cluster.lease().fencing);
-    let superseded = order(change, former_lease.fencing);
-    for orders in [vec![superseded.clone()], vec![pending, superseded]] {
-        let last_reply = send_orders_as_entry(daemon, &orders);
-        let reply = async { timeout(Duration::from_millis(WAIT_MS), last_reply).await };
-        let reply = cluster.deployment.runtime.block_on(reply).expect("the daemon answers");
-        assert!(
-            matches!(reply, Frame::StageRefused(_)),
-            "order accepted after {orders:?}: {reply:?}"
-        );
-    }
-    cluster.check_maps_of_steps("superseded lease");
-}
