--- a/crates/lycheewood/src/decisions/map_change.rs
+++ b/crates/lycheewood/src/decisions/map_change.rs
@@ -13,11 +13,13 @@
 use crate::ids::{FencingNumber, Incarnation, Offset, ScopeName};
 
 mod engine;
+mod proposal;
 mod rank;
 
 pub use engine::{
     EngineOrder, EngineRankState, EngineStagedMap, can_stage, map_version, next_engine_order,
 };
+pub use proposal::{GRANT_AHEAD_STEPS, ProposalLead, RankProgress};
 pub use rank::{RankGate, StageOrder, StageRefusal};
 
 /// A record about the map of a group.
@@ -160,6 +162,13 @@
         self.maps.last()
     }
 
+    /// The step of the last proposal, whatever its decision. A proposal for this step or an earlier one has no
+    /// effect, unless it is the first one.
+    #[must_use]
+    pub const fn last_proposed_step(&self) -> u64 {
+        self.last_step
+    }
+
     /// The map of `step`, as far as the records have been read.
     #[must_use]
     pub fn map_of_step(&self, step: u64) -> Option<&CommittedMap> {
--- a/crates/lycheewood/tests/map_change/main.rs
+++ b/crates/lycheewood/tests/map_change/main.rs
@@ -1,6 +1,8 @@
 //! Changes of the expert map under faults: all ranks run each step with the same map.
 
+mod proposals;
 mod simulation;
+mod slow_group;
 
 use lycheewood::{
     ExpertMap, FencingNumber, GroupMaps, Incarnation, LeaseEffect, LeaseRecord, LeaseTable,
