Export the lines of fields and differences of any named lists

A check of configurations needs the line of a field of a valid text and the difference of texts whose lists have other names; both existed for documents only. A list in which a name is repeated is compared as a whole: keyed by name, one of the elements hid the other. Valid documents have no such list. The two messages of RouteTableError without a separate remedy get one, and key_label names an API key without revealing it.

--- a/crates/lycheewood/src/document.rs
+++ b/crates/lycheewood/src/document.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod checked;
 pub(crate) mod error;
+pub(crate) mod lines;
 pub(crate) mod patch;
 pub(crate) mod raw;
 mod validation;
--- a/crates/lycheewood/src/document/patch.rs
+++ b/crates/lycheewood/src/document/patch.rs
@@ -6,10 +6,13 @@
 
 use std::fmt;
 
+use serde::Serialize;
 use serde_json::{Map, Value};
 
-/// Lists of named elements, each with the list of named elements that its elements contain, if any.
-const KEYED_LISTS: [(&str, Option<&str>); 3] =
+/// A list of named elements, and the list of named elements that its elements contain, if any.
+pub type KeyedList<'a> = (&'a str, Option<&'a str>);
+
+const KEYED_LISTS: [KeyedList<'static>; 3] =
     [("models", Some("versions")), ("endpoints", None), ("workspaces", None)];
 
 /// Why a patch cannot be applied.
@@ -36,7 +39,7 @@
     if !patch.is_object() {
         return Err(PatchError::NotObject);
     }
-    let mut keyed = to_keyed_form(document);
+    let mut keyed = to_keyed_form(document, &KEYED_LISTS);
     json_patch::merge(&mut keyed, patch);
     to_list_form(keyed)
 }
@@ -44,7 +47,7 @@
 /// The merge patch that turns one valid document into another, both in list form.
 #[must_use]
 pub fn patch_between(old: &Value, new: &Value) -> Value {
-    merge_patch(&to_keyed_form(old), &to_keyed_form(new))
+    merge_patch(&to_keyed_form(old, &KEYED_LISTS), &to_keyed_form(new, &KEYED_LISTS))
 }
 
 fn merge_patch(old: &Value, new: &Value) -> Value {
@@ -65,9 +68,9 @@
     Value::Object(patch)
 }
 
-fn to_keyed_form(document: &Value) -> Value {
+fn to_keyed_form(document: &Value, lists: &[KeyedList<'_>]) -> Value {
     let mut document = document.clone();
-    for (list, inner) in KEYED_LISTS {
+    for &(list, inner) in lists {
         key_list(&mut document, list);
         if let (Some(inner), Some(Value::Object(elements))) = (inner, document.get_mut(list)) {
             elements.values_mut().for_each(|element| key_list(element, inner));
@@ -85,7 +88,10 @@
         let Some(Value::String(name)) = fields.get("name").cloned() else { return };
         let mut fields = fields.clone();
         fields.remove("name");
-        by_name.insert(name, Value::Object(fields));
+        // A repeated name would hide an element; such a list stays a list.
+        if by_name.insert(name, Value::Object(fields)).is_some() {
+            return;
+        }
     }
     *value = Value::Object(by_name);
 }
@@ -124,7 +130,7 @@
 }
 
 /// One changed field between two documents.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Difference {
     /// Path in the keyed form, such as `workspaces.desk.weight`.
     pub path: String,
@@ -149,13 +155,16 @@
 /// elements is ignored.
 #[must_use]
 pub fn difference(old: &Value, new: &Value) -> Vec<Difference> {
+    difference_of(old, new, &KEYED_LISTS)
+}
+
+/// The changed fields between two values, sorted by path. The order of the elements of `lists` is ignored where all of
+/// them have a name and no two have the same.
+#[must_use]
+pub fn difference_of(old: &Value, new: &Value, lists: &[KeyedList<'_>]) -> Vec<Difference> {
+    let (old, new) = (to_keyed_form(old, lists), to_keyed_form(new, lists));
     let mut differences = Vec::new();
-    collect_differences(
-        String::new(),
-        Some(&to_keyed_form(old)),
-        Some(&to_keyed_form(new)),
-        &mut differences,
-    );
+    collect_differences(String::new(), Some(&old), Some(&new), &mut differences);
     differences.sort_by(|left, right| left.path.cmp(&right.path));
     differences
 }
--- a/crates/lycheewood/src/document/raw.rs
+++ b/crates/lycheewood/src/document/raw.rs
@@ -1,14 +1,11 @@
-//! The document as deserialized, before validation, and the source line of each field.
+//! The document as deserialized, before validation.
 
-use std::fmt;
-
-use serde::de::{Deserializer, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use serde_saphyr::Spanned;
 
 use super::checked::Document;
 use super::error::{DocumentErrorKind, InvalidDocument, closest};
+use super::lines::SourceLines;
 
 /// A document before validation. Absent fields stay absent.
 ///
@@ -160,10 +157,9 @@
         Self::from_value(&value)
             .and_then(|raw| Document::try_from(&raw).map(|document| (raw, document)))
             .map_err(|mut invalid| {
-                if let Ok(tree) = serde_saphyr::from_str::<Spanned<YamlNode>>(text) {
-                    for error in &mut invalid.errors {
-                        error.line = Some(line_of(&tree, &error.path));
-                    }
+                let lines = SourceLines::of(text);
+                for error in &mut invalid.errors {
+                    error.line = lines.line(&error.path);
                 }
                 invalid
             })
@@ -207,91 +203,3 @@
         DocumentErrorKind::WrongType(message.to_owned())
     }
 }
-
-/// Any YAML value, with the line of each nested value and key.
-enum YamlNode {
-    Scalar,
-    List(Vec<Spanned<YamlNode>>),
-    Map(Vec<(Spanned<String>, Spanned<YamlNode>)>),
-}
-
-/// The line of the field at `path`, or of its closest ancestor that exists in the text.
-fn line_of(tree: &Spanned<YamlNode>, path: &str) -> u64 {
-    let mut line = tree.referenced.line();
-    let mut node = &tree.value;
-    for segment in path.split(['.', '[']).filter(|segment| !segment.is_empty()) {
-        match node {
-            YamlNode::List(items) => {
-                let index = segment.trim_end_matches(']').parse::<usize>().ok();
-                let Some(item) = index.and_then(|index| items.get(index)) else { break };
-                line = item.referenced.line();
-                node = &item.value;
-            }
-            YamlNode::Map(fields) => {
-                let Some((key, value)) = fields.iter().find(|(key, _)| key.value == segment) else {
-                    break;
-                };
-                line = key.referenced.line();
-                node = &value.value;
-            }
-            YamlNode::Scalar => break,
-        }
-    }
-    line
-}
-
-impl<'de> Deserialize<'de> for YamlNode {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_any(YamlNodeVisitor)
-    }
-}
-
-struct YamlNodeVisitor;
-
-impl<'de> Visitor<'de> for YamlNodeVisitor {
-    type Value = YamlNode;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("any value")
-    }
-
-    fn visit_bool<E>(self, _: bool) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_i64<E>(self, _: i64) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_u64<E>(self, _: u64) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_f64<E>(self, _: f64) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_str<E>(self, _: &str) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_unit<E>(self) -> Result<YamlNode, E> {
-        Ok(YamlNode::Scalar)
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<YamlNode, A::Error> {
-        let mut items = Vec::new();
-        while let Some(item) = seq.next_element()? {
-            items.push(item);
-        }
-        Ok(YamlNode::List(items))
-    }
-
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<YamlNode, A::Error> {
-        let mut fields = Vec::new();
-        while let Some(field) = map.next_entry()? {
-            fields.push(field);
-        }
-        Ok(YamlNode::Map(fields))
-    }
-}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -159,7 +159,10 @@
     PlacementPolicy, Workspace,
 };
 pub use document::error::{DocumentError, DocumentErrorKind, InvalidDocument};
-pub use document::patch::{Difference, PatchError, apply_patch, difference, patch_between};
+pub use document::lines::SourceLines;
+pub use document::patch::{
+    Difference, KeyedList, PatchError, apply_patch, difference, difference_of, patch_between,
+};
 pub use document::raw::{
     RawCallPattern, RawDeadlines, RawDocument, RawEndpointKind, RawModel, RawModelVersion,
     RawPlacement, RawWorkspace,
@@ -206,7 +209,9 @@
 pub use roles::endpoint::Endpoint;
 pub use roles::entry::Entry;
 pub use roles::gateway::{EntryAddresses, Gateway, GatewayHandle};
-pub use routes::checked::{PriorityRange, Route, RouteTable, RouteTableError, RouteWorkspace};
+pub use routes::checked::{
+    PriorityRange, Route, RouteTable, RouteTableError, RouteWorkspace, key_label,
+};
 pub use routes::raw::{
     CallerLimits, CostProfile, EngineProfile, ExpertShape, RawRoute, RawRouteTable,
     RawRouteWorkspace, RawService, RawTrafficShare, RequestKind,
--- a/crates/lycheewood/src/routes/checked.rs
+++ b/crates/lycheewood/src/routes/checked.rs
@@ -14,7 +14,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RouteTableError {
     /// A prefix does not start and end with a slash.
-    #[error("route `{route}`: path_prefix `{prefix}` must begin and end with `/`")]
+    #[error(
+        "route `{route}`: the path prefix `{prefix}` does not begin and end with `/`; write one that does"
+    )]
     Prefix {
         /// The route.
         route: String,
@@ -22,7 +24,7 @@
         prefix: String,
     },
     /// A route names no service with a positive weight.
-    #[error("route `{route}`: give at least one service a positive weight")]
+    #[error("route `{route}`: no service has a weight; give at least one a positive weight")]
     NoService {
         /// The route.
         route: String,
@@ -224,8 +226,15 @@
     digest(&[b"key", key.as_bytes()])
 }
 
+/// A label that tells an API key from others without revealing it, for output of tools.
+#[must_use]
+pub fn key_label(key: &str) -> String {
+    // The first 48 of 128 bits are enough to tell the keys of one table apart.
+    format!("key-{:012x}", u128::from_be_bytes(key_digest(key)) >> 80)
+}
+
 /// The host in lower case, without the port and a trailing dot.
-fn normalize_host(host: &str) -> String {
+pub(crate) fn normalize_host(host: &str) -> String {
     let name = match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
         _ => host,
