Check configurations for entries without effect and contradictory limits

A document or a route table may be valid and still hold an entry that can never take effect or a limit that another one contradicts; nothing reported these. decisions/check.rs finds them in a document or a route table without network or clock. Each finding has a severity, a path, a line where known, a message and a remedy. Errors are exactly what the library refuses.

Only what the configuration alone proves is a warning. Not concluded: rates above what all endpoints take (a configuration does not tell how many there are), regions without endpoints, and attempts above 1 on routes that may not repeat, because such a request goes on to another endpoint after one that has proved not to have run it.

--- a/crates/lycheewood/src/adapters.rs
+++ b/crates/lycheewood/src/adapters.rs
@@ -6,6 +6,7 @@
 pub(crate) mod backend;
 pub(crate) mod caller;
 pub(crate) mod caller_body;
+pub(crate) mod configuration;
 pub(crate) mod forward;
 pub(crate) mod gossip;
 pub(crate) mod http;
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -6,6 +6,7 @@
 pub(crate) mod attempts;
 pub(crate) mod balance;
 pub(crate) mod batch;
+pub(crate) mod check;
 pub(crate) mod claims;
 pub(crate) mod cold;
 pub(crate) mod connections;
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -46,6 +46,7 @@
 
 pub use adapters::agent::client::AgentRanks;
 pub use adapters::api_port::{ApiLimits, serve_api};
+pub use adapters::configuration::read_configuration;
 pub use adapters::http::identified::IdentifiedClient;
 pub use adapters::http::{HttpClient, HttpError};
 pub use adapters::instance_list::{ListClient, ListPage, ListedInstance, ListedState};
@@ -64,6 +65,10 @@
     BalancingCandidate, WorkCandidate, WorkRequest, choose_by_load, choose_by_work,
 };
 pub use decisions::batch::{GapAverage, GroupPace, endpoint_batch, max_batch, paced_batch};
+pub use decisions::check::{
+    CheckReport, Finding, MAX_CONFIGURATION_BYTES, Severity, check_document, check_routes,
+    check_yaml, decode_text, undecodable,
+};
 pub use decisions::claims::record::{
     CLAIMS_SCHEMA, ClaimBatch, ClaimEntry, ClaimKey, ClaimPosition, ClaimRecord,
 };
