--- a/crates/lycheewood-cli/src/cmd.rs
+++ b/crates/lycheewood-cli/src/cmd.rs
@@ -1,6 +1,7 @@
 //! Subcommands, a file each.
 
 pub(crate) mod ask;
+pub(crate) mod check;
 pub(crate) mod completions;
 pub(crate) mod diff;
 pub(crate) mod endpoints;
@@ -36,6 +37,7 @@
         .arg_required_else_help(true)
         .after_help(exit::HELP)
         .subcommand(validate::make_subcommand())
+        .subcommand(check::make_subcommand())
         .subcommand(diff::make_subcommand())
         .subcommand(show::make_subcommand())
         .subcommand(publish::make_subcommand())
--- a/crates/lycheewood-cli/src/main.rs
+++ b/crates/lycheewood-cli/src/main.rs
@@ -24,6 +24,7 @@
     let matches = cmd::command().get_matches();
     let result = match matches.subcommand() {
         Some(("validate", matches)) => cmd::validate::execute(matches),
+        Some(("check", matches)) => cmd::check::execute(matches),
         Some(("diff", matches)) => cmd::diff::execute(matches),
         Some(("show", matches)) => cmd::show::execute(matches),
         Some(("publish", matches)) => cmd::publish::execute(matches),
