Bound connections and unfinished calls at the ports of gateways and agents

Cause: the state port, the relay and the agent's port took any number of connections, and each could hold a call of 1 MiB and a head of 400 KiB for 2 s. A failed accept was repeated at once, without a pause.

Change: the three ports share one server (adapters/instance_port.rs) over ConnectionTable, MemoryBudget and BodyBuffer. A connection counts as idle until its call has arrived whole, so the one that has waited longest makes room, also when the 4 MB for the bodies of a port are in use. The limits: 128 connections at the state port (107 gateways of a domain read the state after a change when 320 instances have three domains), 80 at relays and agents (groups of 72 ranks), heads of 16 KiB, no body at the state port. The budget of callers is a separate one, so that callers cannot keep orders out.

--- a/crates/lycheewood/src/adapters.rs
+++ b/crates/lycheewood/src/adapters.rs
@@ -10,6 +10,7 @@
 pub(crate) mod gossip;
 pub(crate) mod http;
 pub(crate) mod instance_list;
+pub(crate) mod instance_port;
 pub(crate) mod lingering;
 pub(crate) mod log;
 pub(crate) mod metrics;
--- a/crates/lycheewood/src/adapters/agent.rs
+++ b/crates/lycheewood/src/adapters/agent.rs
@@ -6,24 +6,20 @@
 
 pub(crate) mod client;
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+use prometheus::IntCounterVec;
 use tokio::net::TcpListener;
-use tokio::time::timeout;
 
 use crate::adapters::agent::client::is_superseded_at;
 use crate::adapters::gossip::{decode, encode};
+use crate::adapters::instance_port::{InstanceLimits, refusal, serve_instances};
 use crate::decisions::expert_groups::{OrderReply, RankCounts, RankOrder};
 use crate::group_ports::{RankAddress, RankClient};
 use crate::wire::rank_call::{PackedCounts, RankCall, RankReply, RankRequest, Reading};
@@ -31,6 +27,9 @@
 const RANK_PATH: &str = "/rank";
 /// The largest call, in bytes. A map of 32 ranks with 256 experts in 60 sets has about 100,000.
 const MAX_CALL_BYTES: usize = 1024 * 1024;
+/// Most connections at once. An agent is called by the holder of the lease and by relays of its orders, a relay by the
+/// holder: one order at a time for each of up to 72 ranks of a group at most.
+const MAX_CONNECTIONS: usize = 80;
 /// The longest time that a call takes at its agent, in milliseconds.
 const SERVE_MS: u64 = 2_000;
 /// The longest wait for an agent, in milliseconds; longer than the agent's own wait for its rank.
@@ -48,31 +47,31 @@
     Named { agent_port: u16 },
 }
 
-/// Serves calls for ranks.
-pub(crate) async fn serve(listener: TcpListener, ranks: Arc<dyn RankClient>, served: ServedRanks) {
+/// Serves calls for ranks. `ended` counts the connections that are ended without an answer.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    ranks: Arc<dyn RankClient>,
+    served: ServedRanks,
+    ended: Option<IntCounterVec>,
+) {
     let fence = Arc::new(AtomicU64::new(0));
     let last_reading = Arc::new(LastReading::new());
-    loop {
-        let Ok((tcp, _)) = listener.accept().await else { continue };
-        let _ = tcp.set_nodelay(true);
+    let port = match served {
+        ServedRanks::Beside(_) => "agent",
+        ServedRanks::Named { .. } => "relay",
+    };
+    let limits = InstanceLimits {
+        port,
+        max_connections: MAX_CONNECTIONS,
+        max_body_bytes: MAX_CALL_BYTES,
+        total_ms: SERVE_MS,
+    };
+    serve_instances(listener, limits, ended, move |call| {
         let (ranks, fence) = (Arc::clone(&ranks), Arc::clone(&fence));
         let last_reading = Arc::clone(&last_reading);
-        tokio::spawn(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let (ranks, fence) = (Arc::clone(&ranks), Arc::clone(&fence));
-                let last_reading = Arc::clone(&last_reading);
-                async move {
-                    let reply = reply(ranks.as_ref(), served, &fence, &last_reading, request);
-                    Ok::<_, Infallible>(reply.await)
-                }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(tcp), service);
-            let _ = timeout(Duration::from_millis(SERVE_MS), connection).await;
-        });
-    }
+        async move { reply(ranks.as_ref(), served, &fence, &last_reading, &call.body).await }
+    })
+    .await;
 }
 
 async fn reply(
@@ -80,15 +79,10 @@
     served: ServedRanks,
     highest: &AtomicU64,
     last_reading: &LastReading,
-    request: Request<Incoming>,
+    body: &[u8],
 ) -> Response<Full<Bytes>> {
-    let mut refused = Response::new(Full::default());
-    *refused.status_mut() = StatusCode::BAD_REQUEST;
-    let Ok(body) = Limited::new(request.into_body(), MAX_CALL_BYTES).collect().await else {
-        return refused;
-    };
-    let Some(RankRequest { endpoint, fence, address, call }) = decode(&body.to_bytes()) else {
-        return refused;
+    let Some(RankRequest { endpoint, fence, address, call }) = decode(body) else {
+        return refusal(StatusCode::BAD_REQUEST);
     };
     let superseded = || Response::new(Full::new(encode(&RankReply::Superseded)));
     let known = highest.fetch_max(fence, Ordering::Relaxed);
--- a/crates/lycheewood/src/adapters/gossip.rs
+++ b/crates/lycheewood/src/adapters/gossip.rs
@@ -1,24 +1,19 @@
 //! Messages between entry instances: heartbeats and quarantine notices in datagrams, and shared state over HTTP.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Response, StatusCode, Uri};
+use prometheus::IntCounterVec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::timeout;
 
 use crate::adapters::http::{HttpClient, HttpError};
+use crate::adapters::instance_port::{InstanceLimits, refusal, serve_instances};
 use crate::controllers::peers::StateSource;
 use crate::decisions::quarantine::record::QuarantineEntry;
 use crate::decisions::readers::StateFetch;
@@ -27,8 +22,10 @@
 
 /// The largest datagram that is read, in bytes. A heartbeat with 200 endpoints has about 5,000.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-/// The longest time that another instance takes to read the state, in milliseconds.
-const SERVE_MS: u64 = 2_000;
+/// Limits of the port at which others read the state. All gateways of a failure domain may read it at once after a change,
+/// which are 107 when 320 instances have three domains.
+const LIMITS: InstanceLimits =
+    InstanceLimits { port: "state", max_connections: 128, max_body_bytes: 0, total_ms: 2_000 };
 /// The longest wait for another instance's state, in milliseconds.
 const FETCH_MS: u64 = 1_000;
 /// The longest wait for a connection to another instance, in milliseconds.
@@ -101,34 +98,26 @@
         .ok_or_else(|| HttpError::Protocol { address, reason: "the state cannot be read".into() })
 }
 
-/// Serves this instance's state to others.
-pub(crate) async fn serve(listener: TcpListener, source: Arc<StateSource>) {
-    loop {
-        let Ok((tcp, _)) = listener.accept().await else { continue };
+/// Serves this instance's state to others. `ended` counts the connections that are ended without an answer.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    source: Arc<StateSource>,
+    ended: Option<IntCounterVec>,
+) {
+    serve_instances(listener, LIMITS, ended, move |call| {
         let source = Arc::clone(&source);
-        tokio::spawn(async move {
-            let service = service_fn(|request: Request<Incoming>| {
-                let source = Arc::clone(&source);
-                async move { Ok::<_, Infallible>(reply(&request, &source).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(tcp), service);
-            let _ = timeout(Duration::from_millis(SERVE_MS), connection).await;
-        });
-    }
+        async move { reply(&call.uri, &source).await }
+    })
+    .await;
 }
 
-async fn reply(request: &Request<Incoming>, source: &StateSource) -> Response<Full<Bytes>> {
-    if request.uri().path() == STATE_PATH {
-        let parts: Vec<&str> = request.uri().query().unwrap_or_default().split('&').collect();
+async fn reply(uri: &Uri, source: &StateSource) -> Response<Full<Bytes>> {
+    if uri.path() == STATE_PATH {
+        let parts: Vec<&str> = uri.query().unwrap_or_default().split('&').collect();
         let (routes, endpoints) = (parts.contains(&ROUTES_QUERY), parts.contains(&ENDPOINTS_QUERY));
         return Response::new(Full::new(encode(&source.state(routes, endpoints).await)));
     }
-    let mut missing = Response::new(Full::default());
-    *missing.status_mut() = StatusCode::NOT_FOUND;
-    missing
+    refusal(StatusCode::NOT_FOUND)
 }
 
 pub(crate) fn encode<T: Serialize>(message: &T) -> Bytes {
--- a/crates/lycheewood/src/connection_table.rs
+++ b/crates/lycheewood/src/connection_table.rs
@@ -8,7 +8,7 @@
 use crate::clock::{Clock, Timestamp};
 use crate::decisions::connections::{IdleConnection, Room, room_for_connection};
 use crate::decisions::memory::{CONNECTION_BYTES, MemoryUse};
-use crate::memory_budget::{MemoryBudget, Reservation};
+use crate::memory_budget::{BodyBuffer, MemoryBudget, Reservation};
 
 /// The open connections of a port.
 #[derive(Debug)]
@@ -27,6 +27,8 @@
     open: HashMap<u64, Entry>,
     /// Number of connections that have been told to close.
     closing: usize,
+    /// Whether the lack of room has been logged.
+    is_full: bool,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,31 @@
         }
     }
 
+    /// Logs when there is no room for a further connection unless one is closed, and when less than half of the
+    /// connections are open again. To be called for each connection that arrives.
+    pub(crate) fn log_change_of_room(&self, port: &str) {
+        let mut entries = self.entries();
+        let open = entries.open.len();
+        if !entries.is_full && open >= self.max_now(&entries) {
+            entries.is_full = true;
+            log::warn!("connections of instances are all open port={port} open={open}");
+        } else if entries.is_full && open < self.max / 2 {
+            entries.is_full = false;
+            log::info!("connections of instances have room again port={port} open={open}");
+        }
+    }
+
+    /// Closes the connection other than `own` that has been idle longest, unless one is being closed.
+    fn close_other_idle(&self, own: u64) {
+        let mut entries = self.entries();
+        let others = entries.idle().filter(|connection| connection.id != own);
+        if let Room::AfterClosing(id) = room_for_connection(1, 1, others)
+            && entries.closing == 0
+        {
+            entries.close(id);
+        }
+    }
+
     /// Whether a further connection can be taken, if need be after an idle one has been closed.
     pub(crate) fn has_room(&self) -> bool {
         let entries = self.entries();
@@ -149,6 +176,22 @@
         RequestGuard { table: Arc::clone(&self.table), id: self.id }
     }
 
+    /// Appends bytes to a body of this connection. While the budget of the table has no room for them, closes the other
+    /// connections that have been idle longest.
+    pub(crate) async fn push_with_room(&self, body: &mut BodyBuffer, bytes: &[u8]) {
+        loop {
+            let (changed, returned) = (self.table.changed.notified(), self.table.budget.returned());
+            if body.push(bytes).is_ok() {
+                return;
+            }
+            self.table.close_other_idle(self.id);
+            tokio::select! {
+                () = changed => {}
+                () = returned => {}
+            }
+        }
+    }
+
     /// Waits until this connection has to make room for another one. A request that arrives before it is closed
     /// keeps it open.
     pub(crate) async fn closed_to_make_room(&self) {
--- a/crates/lycheewood/src/metrics/gateway/limits.rs
+++ b/crates/lycheewood/src/metrics/gateway/limits.rs
@@ -1,6 +1,6 @@
 //! Metrics of the bounds on memory and connections.
 
-use prometheus::{IntCounter, IntGauge};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 use crate::metrics::registrar::Registrar;
 
@@ -11,6 +11,7 @@
     pub(crate) bodies_late: IntCounter,
     pub(crate) idle_closed: IntCounter,
     pub(crate) accepting: IntGauge,
+    pub(crate) instance_ended: IntCounterVec,
     pub(crate) memory_used: IntGauge,
 }
 
@@ -33,6 +34,11 @@
                 "lycheewood_gateway_accepting",
                 "Whether a further connection of a caller can be taken, 1 or 0.",
             )?,
+            instance_ended: metrics.counters(
+                "lycheewood_gateway_instance_connections_ended_total",
+                "Connections at the ports between instances ended without a reply to a call, by reason: room, late, too_large.",
+                "reason",
+            )?,
             memory_used: metrics.gauge(
                 "lycheewood_gateway_memory_used_bytes",
                 "Bytes of the memory budget in use.",
--- a/crates/lycheewood/src/roles/agent.rs
+++ b/crates/lycheewood/src/roles/agent.rs
@@ -59,7 +59,7 @@
             .build()
             .map_err(|source| StartError::Runtime { source })?;
         let (listener, address) = runtime.block_on(listen("peer_address", address))?;
-        runtime.spawn(agent::serve(listener, ranks, served));
+        runtime.spawn(agent::serve(listener, ranks, served, None));
         log::info!("agent started address={address} serves={served:?}");
         Ok(Self { runtime, address })
     }
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -220,7 +220,8 @@
             state: Arc::clone(&state),
             endpoints: handle.endpoints.clone(),
         });
-        control.handle().spawn(gossip::serve(peers_tcp, source));
+        let ended = state.metrics.limits.instance_ended.clone();
+        control.handle().spawn(gossip::serve(peers_tcp, source, Some(ended)));
         if let Some(address) = state.settings.metrics_address {
             let (listener, _) = control.handle().block_on(listen("metrics_address", address))?;
             control.handle().spawn(metrics::serve(listener, Arc::clone(&state)));
@@ -251,7 +252,8 @@
         let (relay, _) = control.block_on(listen("relay_address", state.settings.relay_address))?;
         let port = state.settings.peer_address.port();
         let served = ServedRanks::Named { agent_port: port };
-        control.spawn(agent::serve(relay, Arc::clone(&ranks), served));
+        let ended = state.metrics.limits.instance_ended.clone();
+        control.spawn(agent::serve(relay, Arc::clone(&ranks), served, Some(ended)));
         let ranks = Arc::new(AgentRanks::new(ranks, port, state.clock));
         control.spawn(expert_groups::run(state, GroupPorts { ranks, log }));
         Ok(())
