Log the first unreadable datagram of a minute instead of each one

Cause: each datagram that cannot be read wrote a log line, and any client can send them. 48,000 of them caused 2,216 to 5,260 lines, which displace others from the queue of the log.

Change: a counter, and a line only for the first one after 60 s without any. The buffer is allocated once instead of for each datagram.

--- a/crates/lycheewood/src/adapters/gossip.rs
+++ b/crates/lycheewood/src/adapters/gossip.rs
@@ -7,13 +7,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Response, StatusCode, Uri};
-use prometheus::IntCounterVec;
+use prometheus::{IntCounter, IntCounterVec};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, UdpSocket};
 
 use crate::adapters::http::{HttpClient, HttpError};
 use crate::adapters::instance_port::{InstanceLimits, refusal, serve_instances};
+use crate::clock::{Clock, Timestamp};
 use crate::controllers::peers::StateSource;
 use crate::decisions::quarantine::record::QuarantineEntry;
 use crate::decisions::readers::StateFetch;
@@ -22,6 +23,8 @@
 
 /// The largest datagram that is read, in bytes. A heartbeat with 200 endpoints has about 5,000.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Time without an unreadable datagram after which the next one is logged again, in milliseconds.
+const UNREADABLE_QUIET_MS: u64 = 60_000;
 /// Limits of the port at which others read the state. All gateways of a failure domain may read it at once after a change,
 /// which are 107 when 320 instances have three domains.
 const LIMITS: InstanceLimits =
@@ -74,14 +77,41 @@
     }
 }
 
-/// Waits for the next datagram. Those that cannot be read are dropped.
-pub(crate) async fn receive(socket: &UdpSocket) -> io::Result<(SocketAddr, Datagram)> {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        let (length, from) = socket.recv_from(&mut buffer).await?;
-        match Datagram::decode(&buffer[..length]) {
-            Some(datagram) => return Ok((from, datagram)),
-            None => log::warn!("datagram unreadable from={from} bytes={length}"),
+/// Receives the datagrams of other instances.
+pub(crate) struct DatagramReceiver {
+    socket: Arc<UdpSocket>,
+    buffer: Vec<u8>,
+    clock: Clock,
+    /// Datagrams that could not be read.
+    unreadable: IntCounter,
+    /// When the last of them arrived.
+    last_unreadable: Option<Timestamp>,
+}
+
+impl DatagramReceiver {
+    pub(crate) fn new(socket: Arc<UdpSocket>, clock: Clock, unreadable: IntCounter) -> Self {
+        let buffer = vec![0; MAX_DATAGRAM_BYTES];
+        Self { socket, buffer, clock, unreadable, last_unreadable: None }
+    }
+
+    /// Waits for the next datagram. Those that cannot be read are dropped.
+    pub(crate) async fn receive(&mut self) -> io::Result<(SocketAddr, Datagram)> {
+        loop {
+            let (length, from) = self.socket.recv_from(&mut self.buffer).await?;
+            match Datagram::decode(&self.buffer[..length]) {
+                Some(datagram) => return Ok((from, datagram)),
+                None => self.note_unreadable(from, length),
+            }
+        }
+    }
+
+    /// Counts a datagram that cannot be read. Any client can send them, so a line is written only for the first one.
+    fn note_unreadable(&mut self, from: SocketAddr, length: usize) {
+        self.unreadable.inc();
+        let now = self.clock.now();
+        let last = self.last_unreadable.replace(now);
+        if last.is_none_or(|last| now.ms_since(last) >= UNREADABLE_QUIET_MS) {
+            log::warn!("datagrams unreadable from={from} bytes={length}");
         }
     }
 }
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::adapters::gossip::{self, Datagram};
+use crate::adapters::gossip::{self, Datagram, DatagramReceiver};
 use crate::clock::Timestamp;
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
 use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
@@ -115,6 +115,8 @@
             tracker.add_address(*seed, state.clock.now());
         }
         let fleet = FleetEstimate::new(state.clock.now());
+        let unreadable = state.metrics.limits.datagrams_unreadable.clone();
+        let receiver = DatagramReceiver::new(Arc::clone(&socket), state.clock, unreadable);
         let (heartbeat_ms, shared) = (state.settings.heartbeat_ms, Arc::clone(&state));
         let controller = Self {
             state,
@@ -125,12 +127,12 @@
             sequence: 0,
             published_at: Timestamp::default(),
             is_fetching: false,
-            socket: Arc::clone(&socket),
+            socket,
             routes,
             endpoints,
         };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
-        tokio::spawn(receive_datagrams(socket, actor.clone(), quarantine));
+        tokio::spawn(receive_datagrams(receiver, actor.clone(), quarantine));
         tokio::spawn(schedule_heartbeats(actor.clone(), heartbeat_ms, shared));
         actor
     }
@@ -362,12 +364,12 @@
 
 /// Passes received heartbeats and quarantine entries to the controllers.
 async fn receive_datagrams(
-    socket: Arc<UdpSocket>,
+    mut receiver: DatagramReceiver,
     actor: ActorRef<PeersController>,
     quarantine: ActorRef<GatewayQuarantine>,
 ) {
     loop {
-        match gossip::receive(&socket).await {
+        match receiver.receive().await {
             Ok((_, Datagram::Quarantine(notice))) => {
                 if quarantine.tell(EntriesReceived(notice.quarantine)).await.is_err() {
                     return;
--- a/crates/lycheewood/src/metrics/gateway/limits.rs
+++ b/crates/lycheewood/src/metrics/gateway/limits.rs
@@ -12,6 +12,7 @@
     pub(crate) idle_closed: IntCounter,
     pub(crate) accepting: IntGauge,
     pub(crate) instance_ended: IntCounterVec,
+    pub(crate) datagrams_unreadable: IntCounter,
     pub(crate) memory_used: IntGauge,
 }
 
@@ -39,6 +40,10 @@
                 "Connections at the ports between instances ended without a reply to a call, by reason: room, late, too_large.",
                 "reason",
             )?,
+            datagrams_unreadable: metrics.counter(
+                "lycheewood_gateway_datagrams_unreadable_total",
+                "Datagrams at the port for other instances that could not be read; they change nothing.",
+            )?,
             memory_used: metrics.gauge(
                 "lycheewood_gateway_memory_used_bytes",
                 "Bytes of the memory budget in use.",
