Bound connections of an endpoint daemon and what they send before a hello

Cause: an endpoint daemon took any number of connections and kept their first message up to the limits of the WebSocket library, 16 MiB for a frame and 64 MiB for a message, for connect_ms.

Change: connections are counted in a ConnectionTable with bounds.max_connections, at most 1,024 (320 entries have one each, and a second one while the first has gone silent), and charged to a MemoryBudget of bounds.memory_bytes. One without a hello counts as idle and makes room. Both ends read at most 24 KiB before the hello (LimitedRead, whose limit is a parameter now). After the hello the peer is an instance, and the limits of the library apply as before.

--- a/crates/lycheewood/src/adapters/forward/limited_read.rs
+++ b/crates/lycheewood/src/adapters/forward/limited_read.rs
@@ -1,4 +1,5 @@
-//! Limits how much is read from an endpoint before its response has a head.
+//! Limits how much is read from a peer before its first message has arrived: the head of an endpoint's response, or the
+//! hello of another instance.
 
 use std::io;
 use std::pin::Pin;
@@ -23,22 +24,25 @@
     }
 }
 
-/// A connection that fails when it receives more than [`MAX_HEAD_BYTES`] before [`HeadArrived`] is set.
+/// A connection that fails when it receives more than `max_bytes` before [`HeadArrived`] is set.
 #[derive(Debug)]
 pub(crate) struct LimitedRead {
     tcp: TcpStream,
+    max_bytes: usize,
     received_bytes: usize,
     head_arrived: HeadArrived,
 }
 
 impl LimitedRead {
-    pub(crate) fn new(tcp: TcpStream) -> (Self, HeadArrived) {
+    pub(crate) fn new(tcp: TcpStream, max_bytes: usize) -> (Self, HeadArrived) {
         let head_arrived = HeadArrived::default();
-        (Self { tcp, received_bytes: 0, head_arrived: head_arrived.clone() }, head_arrived)
+        let limited =
+            Self { tcp, max_bytes, received_bytes: 0, head_arrived: head_arrived.clone() };
+        (limited, head_arrived)
     }
 
     fn is_exceeded(&self) -> bool {
-        !self.head_arrived.0.load(Ordering::Relaxed) && self.received_bytes > MAX_HEAD_BYTES
+        !self.head_arrived.0.load(Ordering::Relaxed) && self.received_bytes > self.max_bytes
     }
 }
 
@@ -49,7 +53,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.is_exceeded() {
-            let reason = format!("more than {MAX_HEAD_BYTES} bytes before the end of the head");
+            let max_bytes = self.max_bytes;
+            let reason = format!("more than {max_bytes} bytes before the end of the head");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
         let filled = buffer.filled().len();
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -112,7 +112,7 @@
     let _ = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
     // Limits what an endpoint may send while the memory budget has no room.
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-    let (tcp, head_arrived) = LimitedRead::new(tcp);
+    let (tcp, head_arrived) = LimitedRead::new(tcp, MAX_HEAD_BYTES);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(tcp))
--- a/crates/lycheewood/src/adapters/peer/connection.rs
+++ b/crates/lycheewood/src/adapters/peer/connection.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead};
 use crate::settings::Timing;
 use crate::wire::codec::{DecodeError, decode, encode};
 use crate::wire::message::{Frame, Hello};
@@ -18,6 +18,10 @@
 /// connection and cleared before each read, while most reads hold a few frames of some 30 bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Bytes that a connection may receive before the hello has been read: the handshake of the WebSocket, the hello, and a
+/// read of what the peer sent after it, which takes at most [`READ_BUFFER_BYTES`]. Any client can open a connection.
+pub(crate) const MAX_HELLO_BYTES: usize = 24 * 1024;
+
 /// How both sides set up their WebSocket.
 pub(crate) fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
@@ -46,7 +50,7 @@
 
 /// An established connection.
 pub(crate) struct Connection {
-    socket: WebSocketStream<TcpStream>,
+    socket: WebSocketStream<LimitedRead>,
     silence: Duration,
     silent_at: Instant,
     heartbeat: tokio::time::Interval,
@@ -54,9 +58,10 @@
 }
 
 impl Connection {
-    /// Exchanges hellos and gives the connection with the peer's hello.
+    /// Exchanges hellos and gives the connection with the peer's hello. Until then at most [`MAX_HELLO_BYTES`] are read.
     pub(crate) async fn establish(
-        socket: WebSocketStream<TcpStream>,
+        socket: WebSocketStream<LimitedRead>,
+        hello_arrived: &HeadArrived,
         ours: &Hello,
         timing: &Timing,
     ) -> Result<(Self, Hello), ConnectionError> {
@@ -70,6 +75,7 @@
         let Frame::Hello(theirs) = connection.receive().await? else {
             return Err(ConnectionError::NoHello);
         };
+        hello_arrived.set();
         let (min, max) = (theirs.protocol_min, theirs.protocol_max);
         common_version((PROTOCOL_MIN, PROTOCOL_MAX), (min, max))
             .ok_or(ConnectionError::Version { min, max })?;
--- a/crates/lycheewood/src/adapters/peer/link/task.rs
+++ b/crates/lycheewood/src/adapters/peer/link/task.rs
@@ -10,7 +10,10 @@
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::client_async_with_config;
 
-use crate::adapters::peer::connection::{Connection, ConnectionError, socket_config};
+use crate::adapters::forward::limited_read::LimitedRead;
+use crate::adapters::peer::connection::{
+    Connection, ConnectionError, MAX_HELLO_BYTES, socket_config,
+};
 use crate::adapters::peer::documents;
 use crate::adapters::peer::link::{AttemptEvent, Command, Link, LinkConfig};
 use crate::controllers::load::{LinkEvent, LinkEventKind};
@@ -117,9 +120,11 @@
                 TcpStream::connect(self.address).await.map_err(|e| transport(e.to_string()))?;
             tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
             let url = format!("ws://{}/", self.address);
+            let (tcp, hello_arrived) = LimitedRead::new(tcp, MAX_HELLO_BYTES);
             let open = client_async_with_config(url, tcp, Some(socket_config()));
             let (socket, _) = open.await.map_err(|e| transport(e.to_string()))?;
-            Connection::establish(socket, &self.config.hello, &self.config.timing).await
+            let LinkConfig { hello, timing, .. } = &self.config;
+            Connection::establish(socket, &hello_arrived, hello, timing).await
         };
         match timeout(Duration::from_millis(self.config.timing.connect_ms), open).await {
             Ok(result) => result,
--- a/crates/lycheewood/src/adapters/peer/server.rs
+++ b/crates/lycheewood/src/adapters/peer/server.rs
@@ -11,13 +11,19 @@
 use tokio::time::timeout;
 use tokio_tungstenite::accept_async_with_config;
 
-use crate::adapters::peer::connection::{Connection, ConnectionError, socket_config};
+use crate::adapters::forward::limited_read::LimitedRead;
+use crate::adapters::instance_port::accept;
+use crate::adapters::peer::connection::{
+    Connection, ConnectionError, MAX_HELLO_BYTES, socket_config,
+};
 use crate::adapters::peer::documents;
+use crate::connection_table::{ConnectionSlot, ConnectionTable};
 use crate::controllers::attempts::{
     AttemptAction, EntryConnected, QueryAttempt, RecoverAttempt, StartAttempt,
 };
 use crate::controllers::rank::{AttachPeer, StageChange};
 use crate::ids::AttemptId;
+use crate::memory_budget::MemoryBudget;
 use crate::response::{ResponseBuffer, is_final};
 use crate::roles::endpoint::EndpointState;
 use crate::roles::endpoint::execution;
@@ -27,53 +33,72 @@
 /// Frames that wait for the socket before their senders wait.
 const OUT_QUEUE: usize = 1_024;
 
+/// Most connections at once, if the settings allow as many. 320 entries have one each, and a second one while the first
+/// has gone silent.
+const MAX_CONNECTIONS: usize = 1_024;
+
 /// Accepts entries until `stop` is set, then waits until every connection has sent its answers.
 pub(crate) async fn serve(
     listener: TcpListener,
     state: Arc<EndpointState>,
     mut stop: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    let mut connections = JoinSet::new();
+    let bounds = &state.settings.bounds;
+    let max = bounds.max_connections.min(MAX_CONNECTIONS);
+    let memory = MemoryBudget::for_machine(bounds.memory_bytes);
+    let table = ConnectionTable::new(max, memory, state.clock);
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((tcp, _)) = accepted else { continue };
-                let (state, stop) = (Arc::clone(&state), stop.clone());
-                connections.spawn(async move {
-                    if let Err(ConnectionError::Silent { .. }) = connection(tcp, &state, stop).await
-                    {
-                        state.metrics.connections_silent.inc();
-                    }
-                });
+            (tcp, slot) = accept(&listener, &table, "entries") => {
+                tokio::spawn(serve_connection(tcp, slot, Arc::clone(&state), stop.clone()));
             }
-            // Takes finished connections out of the set.
-            Some(_) = connections.join_next(), if !connections.is_empty() => {}
             () = stopped(&mut stop) => break,
         }
     }
     drop(listener);
-    while connections.join_next().await.is_some() {}
+    table.all_ended().await;
     Ok(())
 }
 
+/// Serves one connection. It counts as idle until its hello has arrived.
+async fn serve_connection(
+    tcp: TcpStream,
+    slot: ConnectionSlot,
+    state: Arc<EndpointState>,
+    stop: watch::Receiver<bool>,
+) {
+    tokio::select! {
+        biased;
+        ended = connection(tcp, &slot, &state, stop) => {
+            if let Err(ConnectionError::Silent { .. }) = ended {
+                state.metrics.connections_silent.inc();
+            }
+        }
+        () = slot.closed_to_make_room() => state.metrics.peers_closed.inc(),
+    }
+}
+
 async fn connection(
     tcp: TcpStream,
+    slot: &ConnectionSlot,
     state: &Arc<EndpointState>,
     stop: watch::Receiver<bool>,
 ) -> Result<(), ConnectionError> {
     let transport = |reason: String| ConnectionError::Transport { reason };
     tcp.set_nodelay(true).map_err(|e| transport(e.to_string()))?;
     let timing = state.settings.timing;
+    let (tcp, hello_arrived) = LimitedRead::new(tcp, MAX_HELLO_BYTES);
     let establish = async {
         let socket = accept_async_with_config(tcp, Some(socket_config()))
             .await
             .map_err(|e| transport(e.to_string()))?;
-        Connection::establish(socket, &state.hello(), &timing).await
+        Connection::establish(socket, &hello_arrived, &state.hello(), &timing).await
     };
     let (connection, entry) =
         timeout(Duration::from_millis(timing.connect_ms), establish)
             .await
             .map_err(|_| transport("no hello within the connect timeout".into()))??;
+    let _in_progress = slot.begin_request();
     let (out, frames) = mpsc::channel(OUT_QUEUE);
     if let Some(rank) = &state.rank {
         let peer = AttachPeer { entry: entry.incarnation, frames: out.clone() };
--- a/crates/lycheewood/src/metrics.rs
+++ b/crates/lycheewood/src/metrics.rs
@@ -20,6 +20,7 @@
     pub(crate) first_piece_seconds: Histogram,
     pub(crate) endpoints_connected: IntGauge,
     pub(crate) connections_silent: IntCounter,
+    pub(crate) peers_closed: IntCounter,
     pub(crate) list_errors: IntCounter,
     pub(crate) log_errors: IntCounter,
     pub(crate) log_end_reversals: IntCounter,
@@ -74,6 +75,10 @@
                 "lycheewood_connections_silent_total",
                 "Connections closed because nothing arrived for the silence timeout.",
             )?,
+            peers_closed: metrics.counter(
+                "lycheewood_peer_connections_closed_total",
+                "Connections without a hello closed to make room for new ones at an endpoint daemon.",
+            )?,
             list_errors: metrics.counter(
                 "lycheewood_instance_list_errors_total",
                 "Reads of the instance list that failed.",
--- a/crates/lycheewood/src/settings.rs
+++ b/crates/lycheewood/src/settings.rs
@@ -97,7 +97,7 @@
     pub body_timeout_ms: u64,
     /// How long a caller may read nothing of an answer, or keep a connection without any sign of life.
     pub caller_stall_ms: u64,
-    /// Connections from callers at once.
+    /// Connections from callers at once; at an endpoint daemon, from entries.
     pub max_connections: usize,
     /// Attempts that an endpoint daemon runs at once.
     pub max_attempts: u32,
