Pass on what endpoints state after a request was sent to two of them

Cause: when an answer counted as lost, the second attempt began with the assumption that the first may have run, and the assumption stayed after the first endpoint had refused the request. The caller got 502 (may have run) in place of 503 (not run). A refusal of the other endpoint also replaced an error response of the first if the error came before it.

Change: whether the first attempt has run is known when it ends, and a refusal never replaces an error response. The same rule holds for attempts one after the other.

Result: the three new tests fail before (502 in each) and pass after.

--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -90,7 +90,7 @@
         log::info!("endpoint error id={} server={} status={status}", head.request_id, endpoint.id);
         admitted.avoid.push(endpoint.id.clone());
         admitted.may_have_run = Some(UnknownCode::EndpointLost);
-        admitted.last_response = Some((response, false));
+        admitted.keep_response(response, false);
         return CheckOutcome::Retry(Box::new(admitted));
     }
     state.loads.record_success(&endpoint.id);
@@ -111,7 +111,7 @@
     if status == StatusCode::SERVICE_UNAVAILABLE && record_group_refusal(state, endpoint) {
         admitted.attempts.take_back();
         admitted.refused_by.push(endpoint.id.clone());
-        admitted.last_response = Some((response, true));
+        admitted.keep_response(response, true);
         return;
     }
     admitted.avoid.push(endpoint.id.clone());
@@ -128,7 +128,7 @@
         admitted.misdirected += 1;
     } else {
         state.loads.record_failure(&endpoint.id, now);
-        admitted.last_response = Some((response, true));
+        admitted.keep_response(response, true);
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/exchange.rs
+++ b/crates/lycheewood/src/filters/forward/exchange.rs
@@ -299,7 +299,8 @@
             prompt_parts: Arc::clone(&self.prompt_parts),
             trials: std::mem::take(&mut self.trials),
             attempts: self.attempts.clone(),
-            may_have_run: Some(UnknownCode::EndpointLost),
+            // Whether the attempt at `endpoint` has run is known only when it ends.
+            may_have_run: self.may_have_run,
             last_response: None,
             ..*self
         };
@@ -324,7 +325,18 @@
         self.misdirected = self.misdirected.max(retry.misdirected);
         self.trials.extend(retry.trials);
         self.may_have_run = self.may_have_run.or(retry.may_have_run);
-        self.last_response = self.last_response.take().or(retry.last_response);
+        if let Some((response, is_refusal)) = retry.last_response {
+            self.keep_response(response, is_refusal);
+        }
+    }
+
+    /// Keeps a response for the caller if no further attempt has another one. A refusal does not replace an error, since
+    /// the endpoint that sent the error has run the request.
+    pub(crate) fn keep_response(&mut self, response: BufferedResponse, is_refusal: bool) {
+        let has_error = matches!(self.last_response, Some((_, false)));
+        if !(is_refusal && has_error) {
+            self.last_response = Some((response, is_refusal));
+        }
     }
 
     /// Whether another endpoint may get the request after one that may already have run it.
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -30,6 +30,8 @@
     Endless(Vec<u8>, Vec<u8>),
     /// Writes the first bytes, and the others once the flag is set, then closes the connection.
     Pause(Vec<u8>, Arc<AtomicBool>, Vec<u8>),
+    /// Writes these bytes once the flag is set, and sends nothing more until the gateway closes the connection.
+    HangAfter(Arc<AtomicBool>, Vec<u8>),
     /// Writes the first bytes once and the others every 50 ms, until the gateway closes the connection.
     Trickle(Vec<u8>, Vec<u8>),
     /// Ends the endpoint: no connection is accepted any more, and this one is closed.
@@ -303,11 +305,15 @@
         Action::Write(bytes) => write_and_close(tcp, &bytes),
         Action::Pause(first, goes_on, rest) => {
             let _ = tcp.write_all(&first);
-            while !goes_on.load(Ordering::Relaxed) {
-                thread::park_timeout(Duration::from_millis(5));
-            }
+            wait_for_flag(&goes_on);
             write_and_close(tcp, &rest);
         }
+        Action::HangAfter(goes_on, bytes) => {
+            wait_for_flag(&goes_on);
+            let _ = tcp.write_all(&bytes);
+            let _ = tcp.read_to_end(&mut Vec::new());
+            let _ = closed_tx.send(name.to_owned());
+        }
         Action::Trickle(first, repeated) => {
             let _ = tcp.write_all(&first);
             while tcp.write_all(&repeated).is_ok() {
@@ -331,6 +337,12 @@
     }
 }
 
+fn wait_for_flag(flag: &AtomicBool) {
+    while !flag.load(Ordering::Relaxed) {
+        thread::park_timeout(Duration::from_millis(5));
+    }
+}
+
 fn write_and_close(mut tcp: TcpStream, bytes: &[u8]) {
     let _ = tcp.write_all(bytes);
     let _ = tcp.shutdown(Shutdown::Write);
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -107,6 +107,27 @@
     }
 }
 
+/// Guards against hiding an endpoint's error response behind a 502 when the next endpoint refuses the request.
+#[test]
+fn a_server_error_is_passed_on_when_the_next_server_refuses() {
+    let mut harness = Harness::with_routes();
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    for id in ["s1", "s2"] {
+        let arrivals = Arc::clone(&arrivals);
+        harness.start_endpoint(id, move |received| {
+            match arrivals.fetch_add(1, Ordering::Relaxed) {
+                0 => {
+                    let lines = "X-Seal: s\r\n";
+                    Action::Write(response(received, "500 Internal Server Error", lines, "bad"))
+                }
+                _ => refusal(received),
+            }
+        });
+    }
+    let reply = harness.call(&request("/read/x", "id-1"));
+    assert_eq!((harness.received().len(), reply.status, reply.body.as_str()), (2, 500, "bad"));
+}
+
 /// Guards against failing a request because one endpoint cannot be reached.
 #[test]
 fn a_server_that_cannot_be_reached_does_not_count_as_an_attempt() {
--- a/crates/lycheewood/tests/gateway/silence.rs
+++ b/crates/lycheewood/tests/gateway/silence.rs
@@ -186,3 +186,43 @@
         assert_eq!(attempts(&harness).len(), 2);
     }
 }
+
+/// Guards against telling a caller that its request may have run although both endpoints state that it has not. One
+/// that refused late, after its answer had counted as lost, got a 502 for the caller.
+#[test]
+fn refusals_of_both_endpoints_are_passed_on_as_not_run() {
+    let mut harness = Harness::with_routes();
+    let goes_on = Arc::new(AtomicBool::new(false));
+    let flag = Arc::clone(&goes_on);
+    start_endpoints(&mut harness, 2, move |attempt, received| match attempt {
+        0 => Action::HangAfter(Arc::clone(&flag), refusal(received)),
+        _ => Action::Hang(refusal(received)),
+    });
+    let reply = call_beside_others(&harness, &request("/read/x", "id-1"), || {
+        goes_on.fetch_or(harness.closed.try_recv().is_ok(), Ordering::Relaxed);
+    });
+    assert_eq!((reply.status, reply.body.as_str()), (503, "full"));
+    assert_eq!(attempts(&harness).len(), 2);
+}
+
+/// Guards against a 502 in place of an error response when the other endpoint refuses after the error has arrived.
+#[test]
+fn an_error_of_the_first_endpoint_is_passed_on_when_the_other_refuses_later() {
+    let mut harness = Harness::with_routes();
+    let (errs, refuses) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    let (first, second) = (Arc::clone(&errs), Arc::clone(&refuses));
+    start_endpoints(&mut harness, 2, move |attempt, received| match attempt {
+        0 => {
+            let error = response(received, "500 Internal Server Error", "X-Seal: s\r\n", "bad");
+            Action::HangAfter(Arc::clone(&first), error)
+        }
+        _ => Action::HangAfter(Arc::clone(&second), refusal(received)),
+    });
+    let reply = call_beside_others(&harness, &request("/read/x", "id-1"), || {
+        errs.fetch_or(attempts(&harness).len() > 1, Ordering::Relaxed);
+        // The gateway closes the connection of the first endpoint once it has read the error.
+        refuses.fetch_or(harness.closed.try_recv().is_ok(), Ordering::Relaxed);
+    });
+    assert_eq!((reply.status, reply.body.as_str()), (500, "bad"));
+    assert_eq!(attempts(&harness).len(), 2);
+}
