Let a request wait for a trial of the same one at gateways

Cause: a request that was in flight at a crash runs again as a trial, and copies of it were refused at once while the trial was in force. A gateway hears of the end of a trial in a datagram that it handles on its control thread, after the caller at the other gateway has the answer. On a busy machine the caller's next request met a trial that had ended and got 503. This is one cause of a_request_that_endpoints_answer_is_not_quarantined, which allows one failure. The other one was chance: its two crashing endpoints could get the first request one after the other, which quarantines it. The test now crashes the first endpoint before any answer, after one at the other gateway, or after both, and allows no failure.

Change: such a request waits for the end of the trial, as long as requests wait for a place, and decides again at each change of the table.

--- a/crates/lycheewood/src/controllers/gateway_quarantine.rs
+++ b/crates/lycheewood/src/controllers/gateway_quarantine.rs
@@ -145,6 +145,7 @@
         self.state.metrics.suspects.set(i64::try_from(self.table.len()).unwrap_or(i64::MAX));
         self.published.store(Arc::new(self.table.clone()));
         // Requests that wait may have become suspects, or may run now.
+        self.state.quarantine_changed.notify_waiters();
         self.state.waiting_room.wake();
     }
 
--- a/crates/lycheewood/src/decisions/quarantine.rs
+++ b/crates/lycheewood/src/decisions/quarantine.rs
@@ -238,6 +238,31 @@
         decisions.fold(QuarantineDecision::Run, QuarantineDecision::stricter)
     }
 
+    /// When the trials of other attempts end that alone keep `attempt` from running a request with these fingerprints.
+    /// `None` if it may run, or if it is refused for another reason.
+    #[must_use]
+    pub fn trial_end(
+        &self,
+        fingerprints: &[Fingerprint],
+        version: Option<&VersionName>,
+        attempt: AttemptId,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let mut end = None;
+        for fingerprint in fingerprints {
+            let decision = self.decide(fingerprint, version, attempt, now);
+            let QuarantineDecision::RefuseUntil(until) = decision else { continue };
+            let is_reported =
+                self.direct_report_until(fingerprint).is_some_and(|until| until > now);
+            let suspect = self.suspects.get(fingerprint);
+            if is_reported || suspect.is_none_or(|suspect| suspect.is_refused(version, now)) {
+                return None;
+            }
+            end = end.max(Some(until));
+        }
+        end
+    }
+
     fn direct_report_until(&self, fingerprint: &Fingerprint) -> Option<Timestamp> {
         let first = ReportId { incarnation: Incarnation(0), sequence: 0 };
         let reports = self.direct_reports.range((*fingerprint, first)..);
--- a/crates/lycheewood/src/filters/forward/quarantine.rs
+++ b/crates/lycheewood/src/filters/forward/quarantine.rs
@@ -1,8 +1,10 @@
 //! Refuses requests that are quarantined because they crash endpoints, and runs suspects as trials.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::clock::Timestamp;
 use crate::controllers::quarantine::{RequestTrial, WithdrawTrial};
@@ -28,18 +30,53 @@
     }
 }
 
-/// Time until which a request is refused, if it is.
-pub(crate) fn refused_until(
+/// Waits until `expires` for the end of a trial in another place that alone keeps the request from running. Another
+/// gateway tells of the end after its caller has the answer, so a refusal at once may be out of date.
+///
+/// # Errors
+///
+/// The time until which the request is refused.
+pub(crate) async fn wait_for_trial(
+    state: &GatewayState,
+    admitted: &Admitted,
+    expires: Timestamp,
+) -> Result<(), Timestamp> {
+    let mut has_waited = false;
+    loop {
+        // Created before the check, so that no change in between is missed.
+        let changed = state.quarantine_changed.notified();
+        let now = state.clock.now();
+        let until = match decide(state, admitted, None, now) {
+            QuarantineDecision::RefuseUntil(until) => until,
+            QuarantineDecision::Run
+            | QuarantineDecision::NeedsTrial
+            | QuarantineDecision::RunAlone { .. } => return Ok(()),
+        };
+        let trial_end = trial_end(state, admitted, now).ok_or(until)?;
+        if now >= expires {
+            return Err(until);
+        }
+        let wait_ms = trial_end.min(expires).ms_since(now).max(1);
+        if !std::mem::replace(&mut has_waited, true) {
+            state.metrics.trial_waits.inc();
+        }
+        // Decides again after a timeout as after a change.
+        let _ = timeout(Duration::from_millis(wait_ms), changed).await;
+    }
+}
+
+/// When the trial ends that alone keeps the request from running. A request with a trial of its own does not wait for
+/// another one, whose request may wait for it.
+pub(crate) fn trial_end(
     state: &GatewayState,
     admitted: &Admitted,
     now: Timestamp,
 ) -> Option<Timestamp> {
-    match decide(state, admitted, None, now) {
-        QuarantineDecision::RefuseUntil(until) => Some(until),
-        QuarantineDecision::Run
-        | QuarantineDecision::NeedsTrial
-        | QuarantineDecision::RunAlone { .. } => None,
+    if !admitted.trials.is_empty() {
+        return None;
     }
+    let none = no_attempt(state);
+    state.quarantined.load().trial_end(&admitted.fingerprints(), None, none, now)
 }
 
 /// Called immediately before a request is sent in `attempt`. Starts a trial if the request is a suspect; the trial
@@ -85,8 +122,11 @@
     now: Timestamp,
 ) -> QuarantineDecision {
     let trial = admitted.trials.first().map(|trial| trial.attempt);
-    // Without a trial or an attempt, no trial is its own.
-    let none = AttemptId { incarnation: state.incarnation, sequence: 0 };
-    let attempt = trial.or(attempt).unwrap_or(none);
+    let attempt = trial.or(attempt).unwrap_or(no_attempt(state));
     state.quarantined.load().decide_all(&admitted.fingerprints(), None, attempt, now)
 }
+
+/// Stands for a request without a trial or an attempt: no trial is its own.
+fn no_attempt(state: &GatewayState) -> AttemptId {
+    AttemptId { incarnation: state.incarnation, sequence: 0 }
+}
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -19,6 +19,7 @@
 use crate::filters::forward::select::places::Places;
 use crate::filters::forward::select::usable::{is_none_usable, usable_entries};
 use crate::gateway::GatewayState;
+use crate::ids::AttemptId;
 use crate::lifecycle::attempt::Attempt;
 use crate::lifecycle::place_wait::PlaceWait;
 use crate::load_tracker::InFlightGuard;
@@ -64,24 +65,19 @@
         return Selection::None(admitted);
     }
     let attempt = Attempt::plan(state.next_attempt());
-    if let Some(until) = quarantine::refused_until(state, &admitted, now) {
-        record_quarantined(state, head, &mut admitted, until);
-        return Selection::None(admitted);
-    }
     let Place { endpoint, in_flight } =
-        match wait_for_endpoint(state, &admitted, head.received).await {
+        match find_permitted(state, &mut admitted, head.received, attempt.id()).await {
             Ok(place) => place,
-            Err(NoEndpoint { retry_after_ms }) => {
+            Err(Refusal::Quarantined(until)) => {
+                record_quarantined(state, head, &mut admitted, until);
+                return Selection::None(admitted);
+            }
+            Err(Refusal::NoEndpoint(NoEndpoint { retry_after_ms })) => {
                 admitted.retry_after_ms = retry_after_ms;
                 record_no_endpoint(state, head, &mut admitted);
                 return Selection::None(admitted);
             }
         };
-    // Checked again, because an endpoint may have crashed while the request waited.
-    if let Err(until) = quarantine::permit(state, &mut admitted, attempt.id()).await {
-        record_quarantined(state, head, &mut admitted, until);
-        return Selection::None(admitted);
-    }
     let is_first =
         admitted.attempts.get() + admitted.misdirected == 0 && admitted.refused_by.is_empty();
     if !is_first {
@@ -98,6 +94,41 @@
     Selection::Selected(Exchange { head, view, now, stage: selected })
 }
 
+/// Why a request gets no place.
+enum Refusal {
+    /// Quarantined until this time, or another attempt runs its trial until then.
+    Quarantined(Timestamp),
+    NoEndpoint(NoEndpoint),
+}
+
+/// Finds an endpoint for a request that the quarantine permits to run.
+async fn find_permitted(
+    state: &Arc<GatewayState>,
+    admitted: &mut Admitted,
+    received: Timestamp,
+    attempt: AttemptId,
+) -> Result<Place, Refusal> {
+    let expires = queue_deadlines(admitted, received).expires();
+    loop {
+        let permitted = quarantine::wait_for_trial(state, admitted, expires).await;
+        permitted.map_err(Refusal::Quarantined)?;
+        let place = wait_for_endpoint(state, admitted, received).await;
+        let place = place.map_err(Refusal::NoEndpoint)?;
+        let trials = admitted.trials.len();
+        // Checked again, because an endpoint may have crashed while the request waited.
+        let Err(until) = quarantine::permit(state, admitted, attempt).await else {
+            return Ok(place);
+        };
+        // Trials of some of its fingerprints would keep others from running while this request waits.
+        admitted.trials.truncate(trials);
+        // Another trial may have begun while the request waited for its own.
+        let now = state.clock.now();
+        if now >= expires || quarantine::trial_end(state, admitted, now).is_none() {
+            return Err(Refusal::Quarantined(until));
+        }
+    }
+}
+
 /// Records and logs that the request is quarantined, or that another attempt runs its trial.
 fn record_quarantined(
     state: &GatewayState,
@@ -224,6 +255,11 @@
     }
 }
 
+/// How long a request waits before its first attempt.
+fn queue_deadlines(admitted: &Admitted, received: Timestamp) -> QueueDeadlines {
+    QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline)
+}
+
 /// How a request waits for a place.
 fn wait_terms(admitted: &Admitted, received: Timestamp) -> WaitTerms {
     // Without a limit of the batch there is nothing to wait for.
@@ -234,7 +270,7 @@
     let request = PlaceRequest {
         priority,
         received,
-        deadlines: QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline),
+        deadlines: queue_deadlines(admitted, received),
         is_unrestricted: admitted.avoid.is_empty(),
     };
     WaitTerms {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -88,6 +88,8 @@
     pub(crate) is_reader: watch::Sender<bool>,
     /// Requests that are suspected to crash endpoints.
     pub(crate) quarantined: Arc<ArcSwap<QuarantineTable>>,
+    /// Notified when `quarantined` has changed.
+    pub(crate) quarantine_changed: Notify,
     /// Requests that endpoints have completed lately, and prompt parts for which they have sent output.
     completions: Mutex<CompletionTable>,
     /// Set when the controllers start, before any request is served.
@@ -162,6 +164,7 @@
             early_heartbeat,
             is_reader: watch::Sender::new(true),
             quarantined: Arc::new(ArcSwap::from_pointee(GatewayQuarantine::empty_table())),
+            quarantine_changed: Notify::new(),
             completions: Mutex::default(),
             quarantine: OnceLock::new(),
             topic_health: TopicHealth::default(),
--- a/crates/lycheewood/src/metrics/gateway.rs
+++ b/crates/lycheewood/src/metrics/gateway.rs
@@ -25,6 +25,7 @@
     pub(crate) silences: IntCounterVec,
     pub(crate) version_refusals: IntCounter,
     pub(crate) endpoint_crashes: IntCounter,
+    pub(crate) trial_waits: IntCounter,
     pub(crate) suspects: IntGauge,
     /// The choice of endpoints.
     pub(crate) routing: RoutingMetrics,
@@ -80,6 +81,10 @@
                 "lycheewood_gateway_version_refusals_total",
                 "Attempts answered with 421 for a request that expects a version.",
             )?,
+            trial_waits: metrics.counter(
+                "lycheewood_gateway_trial_waits_total",
+                "Requests that waited for the end of a trial of the same request or prompt part.",
+            )?,
             endpoint_crashes: metrics.counter(
                 "lycheewood_gateway_endpoint_crashes_total",
                 "Requests whose endpoint ended while it may have run them.",
--- a/crates/lycheewood/tests/gateway/crashes.rs
+++ b/crates/lycheewood/tests/gateway/crashes.rs
@@ -1,10 +1,14 @@
 //! Requests that crash the endpoints that run them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
 
 use lycheewood::EndpointAvailability;
 
-use crate::harness::{Action, Harness, ReceivedRequest, header_value, ok_response, request};
+use crate::harness::{Action, Harness, ReceivedRequest, Reply, header_value, ok_response, request};
 
 /// Number of endpoints, more than may ever crash.
 const ENDPOINTS: usize = 12;
@@ -19,13 +23,17 @@
 }
 
 /// Starts two gateways that know each other and the same endpoints. The first one records what arrives.
-fn two_gateways(script: fn(&ReceivedRequest) -> Action) -> (Harness, Harness) {
+fn two_gateways(
+    script: impl Fn(&ReceivedRequest) -> Action + Send + Sync + 'static,
+) -> (Harness, Harness) {
+    let script = Arc::new(script);
     let mut first = Harness::with_routes();
     let mut second = Harness::start_with_seeds(vec![first.peer_address()]);
     second.offer_routes(crate::harness::routes(1));
     for index in 0..ENDPOINTS {
         let id = format!("s{index}");
-        let address: SocketAddr = first.start_endpoint(&id, script);
+        let script = Arc::clone(&script);
+        let address: SocketAddr = first.start_endpoint(&id, move |received| script(received));
         second.list_endpoint(&id, address, EndpointAvailability::Ready);
     }
     for gateway in [&first, &second] {
@@ -68,22 +76,65 @@
 /// loses no attempt, although it was running at endpoints that crashed.
 #[test]
 fn a_request_that_endpoints_answer_is_not_quarantined() {
-    let (first, second) = two_gateways(|received| {
-        // Two endpoints end while they run the request, as on any day; the others answer it.
-        if received.head.contains("x-expect: s0\r") || received.head.contains("x-expect: s1\r") {
-            Action::Crash
-        } else {
-            Action::Write(ok_response(received, "ok"))
-        }
-    });
-    let mut failures = 0;
-    for number in 0..40 {
-        for gateway in [&first, &second] {
-            let reply = gateway.call(&request("/read/popular", &format!("id-{number}")));
-            failures += usize::from(reply.status != 200);
+    // Two endpoints end while they run the request, as on any day; the others answer it. The first crash comes before
+    // any answer, after an answer at the other gateway, or after answers at both.
+    for crashes in [[0, 9], [1, 9], [4, 9]] {
+        let arrivals = Arc::new(AtomicUsize::new(0));
+        let (first, second) = two_gateways(move |received| {
+            if crashes.contains(&arrivals.fetch_add(1, Ordering::Relaxed)) {
+                Action::Crash
+            } else {
+                Action::Write(ok_response(received, "ok"))
+            }
+        });
+        for number in 0..40 {
+            for (name, gateway) in [("first", &first), ("second", &second)] {
+                let reply = gateway.call(&request("/read/popular", &format!("id-{number}")));
+                assert_eq!(reply.status, 200, "{crashes:?}: {name} {number}: {reply:?}");
+            }
         }
     }
-    assert!(failures <= 1, "{failures} of 80 requests failed");
+}
+
+/// Guards against refusing a request because the same one is on trial: it waits for the end of the trial, of which the
+/// gateway may hear late.
+#[test]
+fn a_request_waits_for_a_trial_of_the_same_one() {
+    let mut harness = Harness::with_routes();
+    let (arrivals, ends) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+    for id in ["s0", "s1", "s2"] {
+        let (arrivals, ends) = (Arc::clone(&arrivals), Arc::clone(&ends));
+        harness.start_endpoint(id, move |received| {
+            let is_other = received.head.contains("/other ");
+            match if is_other { 2 } else { arrivals.fetch_add(1, Ordering::Relaxed) } {
+                0 => Action::Crash,
+                // The second attempt of the first request is the trial.
+                1 => Action::Pause(Vec::new(), Arc::clone(&ends), ok_response(received, "ok")),
+                _ => Action::Write(ok_response(received, "ok")),
+            }
+        });
+    }
+    harness.wait_until_ready();
+    let call = |id: &str| {
+        let (tcp, request) = (harness.connect(), request("/read/popular", id));
+        thread::spawn(move || Reply::read(tcp, &request))
+    };
+    let tried = call("id-1");
+    while arrivals.load(Ordering::Relaxed) < 2 {
+        thread::park_timeout(Duration::from_millis(5));
+    }
+    let waiting = call("id-2");
+    // Requests that are served meanwhile give the waiting one time to be refused.
+    for number in 0..10 {
+        let reply = harness.call(&request("/read/other", &format!("other-{number}")));
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    assert_eq!(arrivals.load(Ordering::Relaxed), 2, "the request runs beside its trial");
+    ends.store(true, Ordering::Relaxed);
+    for reply in [tried, waiting].map(|call| call.join().expect("a reply")) {
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    assert_eq!(arrivals.load(Ordering::Relaxed), 3);
 }
 
 /// A request with these shared prompt parts, and a last part of its own.
--- a/crates/lycheewood/tests/gateway_quarantine.rs
+++ b/crates/lycheewood/tests/gateway_quarantine.rs
@@ -94,6 +94,34 @@
     assert_eq!(decide(&table, &[2, 7], 4), QuarantineDecision::Run);
 }
 
+/// Guards against a request that waits for a trial although it is quarantined, and against one that is refused at once
+/// although only a trial of another attempt keeps it from running.
+#[test]
+fn only_a_trial_of_another_attempt_is_waited_for() {
+    let mut table = table();
+    let (own, other) = (attempt(1, 1), attempt(2, 1));
+    let trial = |n| QuarantineEntry::Trial {
+        fingerprint: fingerprint(n),
+        attempt: other,
+        version: None,
+        duration_ms: 500,
+    };
+    let end = |table: &QuarantineTable, requests: &[u8], attempt, at_ms| {
+        let fingerprints: Vec<_> = requests.iter().copied().map(fingerprint).collect();
+        table.trial_end(&fingerprints, None, attempt, ms(at_ms))
+    };
+    table.apply_unordered(crash("e1", 0, &[1, 2], &[7]), ms(0));
+    assert_eq!(end(&table, &[1], own, 1), None, "no trial runs");
+    table.apply_unordered(trial(1), ms(1));
+    assert_eq!(end(&table, &[1], own, 2), Some(ms(501)));
+    assert_eq!(end(&table, &[1, 2], own, 2), Some(ms(501)));
+    assert_eq!(end(&table, &[1], other, 2), None, "its own trial");
+    assert_eq!(end(&table, &[1, 7], own, 2), None, "the prompt part is quarantined");
+    assert_eq!(end(&table, &[1], own, 501), None, "the trial is over");
+    table.apply_unordered(crash("e2", 0, &[1], &[]), ms(502));
+    assert_eq!(end(&table, &[1], own, 503), None, "the request is quarantined");
+}
+
 /// Guards against a prompt part that crashes endpoints without bound while entries are late, lost or repeated.
 ///
 /// Each gateway knows its own reports at once. Others get them late or only by a repetition. Within one period of
