--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod harness;
 mod leaving;
 mod lost_answers;
+mod messages;
 mod overload;
 mod priorities;
 mod regions;
