Do not take a pause of the own process for silence of a peer

Cause: a connection between entry and endpoint daemon counts as silent when no frame has been read for silence_ms. When a process goes on after a longer pause, its timers end before it learns of the frames that arrived meanwhile, and select! chose at random where both were known. The entry closed connections to endpoints that had sent heartbeats all the time, and refused calls as not run (503) until new ones were open.

Change: frames come before silence, and after the time without a frame the connection waits 20 ms more for frames that have arrived already. Silence is found 20 ms later than before.

--- a/crates/lycheewood-daemon/tests/support/processes.rs
+++ b/crates/lycheewood-daemon/tests/support/processes.rs
@@ -65,6 +65,11 @@
   claim_wait_ms: 3000
 ";
 
+/// The settings of each daemon beside its role and addresses, with connections that count as silent after `silence_ms`.
+pub(crate) fn settings(silence_ms: u64) -> String {
+    format!("{SETTINGS}  silence_ms: {silence_ms}\n")
+}
+
 /// One process of ours. Dropping it kills it.
 pub(crate) struct Process {
     child: Child,
@@ -262,7 +267,7 @@
             log,
             list,
             runtime,
-            settings: format!("{SETTINGS}  silence_ms: {SILENCE_MS}\n"),
+            settings: settings(SILENCE_MS),
             log_address,
             list_address,
             directory,
@@ -274,8 +279,7 @@
     /// Like [`Deployment::start`], with two entries, one service, and connections
     /// that count as silent after `silence_ms`.
     pub(crate) fn start_with_silence(silence_ms: u64) -> Self {
-        let settings = format!("{SETTINGS}  silence_ms: {silence_ms}\n");
-        let deployment = Self::start_with_settings(&settings, 2, 0, 1);
+        let deployment = Self::start_with_settings(&settings(silence_ms), 2, 0, 1);
         deployment.publish();
         deployment.wait_until_ready();
         deployment
@@ -283,8 +287,7 @@
 
     /// Starts the platform and the daemons, and publishes nothing.
     pub(crate) fn start_without_document(entries: usize, engines: usize, services: usize) -> Self {
-        let settings = format!("{SETTINGS}  silence_ms: {SILENCE_MS}\n");
-        Self::start_with_settings(&settings, entries, engines, services)
+        Self::start_with_settings(&settings(SILENCE_MS), entries, engines, services)
     }
 
     /// Like [`Deployment::start_without_document`], with `settings` in place of the tests' own.
--- a/crates/lycheewood/src/adapters/peer/connection.rs
+++ b/crates/lycheewood/src/adapters/peer/connection.rs
@@ -18,6 +18,10 @@
 /// connection and cleared before each read, while most reads hold a few frames of some 30 bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time in which frames that have arrived are read after the time without a frame is over, in milliseconds. When a paused
+/// process goes on, its timers end before it learns of the frames that have arrived meanwhile.
+const UNREAD_GRACE_MS: u64 = 20;
+
 /// How both sides set up their WebSocket.
 pub(crate) fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
@@ -49,6 +53,8 @@
     socket: WebSocketStream<TcpStream>,
     silence: Duration,
     silent_at: Instant,
+    /// Whether the time without a frame is over and only frames that have arrived already are waited for.
+    is_overdue: bool,
     heartbeat: tokio::time::Interval,
     heartbeats_sent: u64,
 }
@@ -64,7 +70,8 @@
         let mut heartbeat = interval(Duration::from_millis(timing.heartbeat_ms));
         heartbeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let silent_at = Instant::now() + silence;
-        let mut connection = Self { socket, silence, silent_at, heartbeat, heartbeats_sent: 0 };
+        let mut connection =
+            Self { socket, silence, silent_at, is_overdue: false, heartbeat, heartbeats_sent: 0 };
         connection.feed(&Frame::Hello(ours.clone())).await?;
         connection.flush().await?;
         let Frame::Hello(theirs) = connection.receive().await? else {
@@ -80,15 +87,22 @@
     pub(crate) async fn receive(&mut self) -> Result<Frame, ConnectionError> {
         loop {
             tokio::select! {
+                // Frames come before silence, which holds only if none has arrived. Heartbeats come first, so that frames
+                // without end do not hold them up.
+                biased;
+                _ = self.heartbeat.tick() => self.send_heartbeat().await?,
                 message = self.socket.next() => {
-                    self.silent_at = Instant::now() + self.silence;
+                    (self.silent_at, self.is_overdue) = (Instant::now() + self.silence, false);
                     if let Some(frame) = decode_message(message)? {
                         return Ok(frame);
                     }
                 }
-                _ = self.heartbeat.tick() => self.send_heartbeat().await?,
                 () = sleep_until(self.silent_at) => {
-                    return Err(self.silent());
+                    if self.is_overdue {
+                        return Err(self.silent());
+                    }
+                    let grace = Duration::from_millis(UNREAD_GRACE_MS);
+                    (self.silent_at, self.is_overdue) = (Instant::now() + grace, true);
                 }
             }
         }
