Try another port when the chosen one is taken for datagrams

Cause: a gateway whose peer_address has port 0 listens for connections on a port that the system chooses, and for datagrams on the same one. The system chooses among the ports that are free for TCP. If another process had the port for UDP, the start failed with "address already in use".

Change: with port 0 up to 32 other ports are tried. A port that is set in the settings is still the only one.

--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -3,12 +3,13 @@
 //! It knows no platform. Route tables, endpoints and instances come in through [`GatewayHandle`]; what
 //! callers ask about the gateway is answered from there as well.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kameo::actor::ActorRef;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Handle, Runtime};
 use tokio::task::JoinHandle;
 
@@ -37,6 +38,8 @@
 
 /// One thread carries the traffic: the instances have a fraction of one core.
 const TRAFFIC_THREADS: usize = 1;
+/// Maximum number of ports that are free for TCP and taken for UDP before the start fails.
+const MAX_UNUSABLE_PORTS: usize = 32;
 /// Time for which callers may cache the addresses, in milliseconds. Short, because a caller with the address of a
 /// dead instance loses a second; not shorter, because every lookup costs processor time.
 const ADDRESSES_VALID_MS: u64 = 1_000;
@@ -205,13 +208,8 @@
             GatewayMetrics::new().map_err(|e| StartError::Metrics { reason: e.to_string() })?;
         let (callers, caller_address) =
             traffic.block_on(listen("caller_address", settings.caller_address))?;
-        // With port 0 the system chooses the port for TCP, and UDP uses the same.
-        let (peers_tcp, peer_address) =
-            control.handle().block_on(listen("peer_address", settings.peer_address))?;
-        let peers_udp =
-            control.handle().block_on(UdpSocket::bind(peer_address)).map_err(|source| {
-                StartError::Listen { field: "peer_address", address: peer_address, source }
-            })?;
+        let (peers_tcp, peers_udp, peer_address) =
+            control.handle().block_on(listen_to_peers(settings.peer_address))?;
         let settings = GatewaySettings { caller_address, peer_address, ..settings };
         metrics.limits.accepting.set(1);
         let state = Arc::new(GatewayState::new(settings, Arc::new(metrics)));
@@ -314,6 +312,31 @@
     }
 }
 
+/// Listens for connections and datagrams of other gateways on the same port. With port 0 the system chooses a port that
+/// is free for TCP, and others are tried while it is taken for UDP.
+async fn listen_to_peers(
+    address: SocketAddr,
+) -> Result<(TcpListener, UdpSocket, SocketAddr), StartError> {
+    // Kept open, so that the system chooses another port.
+    let mut unusable = Vec::new();
+    loop {
+        let (tcp, bound) = listen("peer_address", address).await?;
+        match UdpSocket::bind(bound).await {
+            Ok(udp) => return Ok((tcp, udp, bound)),
+            Err(source)
+                if source.kind() == ErrorKind::AddrInUse
+                    && address.port() == 0
+                    && unusable.len() < MAX_UNUSABLE_PORTS =>
+            {
+                unusable.push(tcp);
+            }
+            Err(source) => {
+                return Err(StartError::Listen { field: "peer_address", address: bound, source });
+            }
+        }
+    }
+}
+
 fn start_controllers(
     state: &Arc<GatewayState>,
     peers_udp: UdpSocket,
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -1,7 +1,7 @@
 //! Test harness: a gateway, scripted endpoints, and callers that read whole responses.
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -20,6 +20,8 @@
 use crate::regions::region_map;
 pub(crate) use crate::tables::{TIMEOUT_MS, routes};
 
+/// A loopback address whose port the system chooses.
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Behaviour of a scripted endpoint on one connection.
@@ -72,19 +74,23 @@
 
 impl Harness {
     pub(crate) fn start() -> Self {
-        Self::start_with_seeds(Vec::new())
+        Self::start_with(ANY_PORT, Vec::new())
     }
 
     /// Starts a gateway that exchanges heartbeats with the gateways at `seeds`.
     pub(crate) fn start_with_seeds(seeds: Vec<SocketAddr>) -> Self {
+        Self::start_with(ANY_PORT, seeds)
+    }
+
+    /// Starts a gateway that other gateways reach at `peer_address`.
+    pub(crate) fn start_with(peer_address: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
         let header = |name: &'static str| name.parse().expect("a header name");
-        let any = "127.0.0.1:0".parse().expect("an address");
         let settings = GatewaySettings {
             instance: InstanceId::new("gateway"),
             failure_domain: FailureDomain::new("a"),
-            caller_address: any,
-            peer_address: any,
-            relay_address: any,
+            caller_address: ANY_PORT,
+            peer_address,
+            relay_address: ANY_PORT,
             seeds,
             metrics_address: None,
             headers: HeaderNames {
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod lost_answers;
 mod messages;
 mod overload;
+mod ports;
 mod priorities;
 mod regions;
 mod retries;
