Keep the ports of the endpoints that gateway tests end

Cause: an endpoint that a test ends gave its port back, and the port of an endpoint that must not be reachable was free from the beginning. Another test or process could listen there, so that the gateway reached it: a_server_that_cannot_be_reached_does_not_count_as_an_attempt got 502 for 200 in 1 of 10 runs (5 copies with 32 threads beside 30 busy processes).

Change: a socket that does not listen holds each port until the harness ends. Connections to it are refused.

--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -13,6 +13,7 @@
     FailureDomain, Gateway, GatewaySettings, GroupMembership, HeaderNames, InstanceId, Offset,
     RawRouteTable, RetryLimits, ShutdownSettings, TargetName,
 };
+use socket2::{Domain, SockRef, Socket, Type};
 
 pub(crate) use crate::messages::{
     Reply, SHORT_DEADLINE_MS, header_value, ok_response, request, request_within, response,
@@ -22,6 +23,8 @@
 
 /// A loopback address whose port the system chooses.
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Connections that wait to be accepted by an endpoint, as many as the standard library sets.
+const BACKLOG: i32 = 128;
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Behaviour of a scripted endpoint on one connection.
@@ -64,6 +67,8 @@
     pauses: Receiver<Duration>,
     pauses_tx: Sender<Duration>,
     next_offset: u64,
+    /// Keep the ports of endpoints, also after those have ended.
+    reserved: Vec<Socket>,
     /// Start of the endpoints that are listed next, in Unix milliseconds.
     pub(crate) started_ms: u64,
     /// Failure domain of the endpoints that are listed next.
@@ -128,6 +133,7 @@
             pauses,
             pauses_tx,
             next_offset: 0,
+            reserved: Vec::new(),
             started_ms: 0,
             domain: "a",
             cold_left_ms: 0,
@@ -155,8 +161,10 @@
         id: &str,
         script: impl Fn(&ReceivedRequest) -> Action + Send + Sync + 'static,
     ) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let address = self.reserve_port();
+        let socket = bind(address);
+        socket.listen(BACKLOG).expect("the endpoint listens");
+        let listener = TcpListener::from(socket);
         let received = Arc::clone(&self.received);
         let (closed_tx, pauses_tx) = (self.closed_tx.clone(), self.pauses_tx.clone());
         let script: Arc<Script> = Arc::new(script);
@@ -178,6 +186,15 @@
         address
     }
 
+    /// An address that refuses connections while nothing listens there. No other process gets its port before the
+    /// harness ends.
+    pub(crate) fn reserve_port(&mut self) -> SocketAddr {
+        let socket = bind(ANY_PORT);
+        let address = socket.local_addr().ok().and_then(|address| address.as_socket());
+        self.reserved.push(socket);
+        address.expect("an address")
+    }
+
     /// Starts an endpoint that is a rank of a group of two.
     pub(crate) fn start_rank(
         &mut self,
@@ -312,6 +329,14 @@
     }
 }
 
+/// Opens a socket that does not listen. Two of them may have the same address.
+fn bind(address: SocketAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("an option");
+    socket.bind(&address.into()).expect("a port");
+    socket
+}
+
 fn serve(
     mut tcp: TcpStream,
     listener: &TcpListener,
@@ -359,7 +384,7 @@
             let _ = closed_tx.send(name.to_owned());
         }
         Action::Crash => {
-            socket2::SockRef::from(listener).shutdown(Shutdown::Both).expect("a listener");
+            SockRef::from(listener).shutdown(Shutdown::Both).expect("a listener");
         }
     }
 }
--- a/crates/lycheewood/tests/gateway/retries.rs
+++ b/crates/lycheewood/tests/gateway/retries.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 
@@ -134,7 +133,7 @@
 fn a_server_that_cannot_be_reached_does_not_count_as_an_attempt() {
     let mut harness = Harness::with_routes();
     harness.start_endpoint("s1", |received| Action::Write(ok_response(received, "ok")));
-    let unused = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let unused = harness.reserve_port();
     harness.list_endpoint("s2", unused, EndpointAvailability::Ready);
     for id in ["id-1", "id-2", "id-3", "id-4", "id-5"] {
         assert_eq!(harness.call(&request("/once/x", id)).status, 200);
