--- a/crates/lycheewood/tests/load_patterns/main.rs
+++ b/crates/lycheewood/tests/load_patterns/main.rs
@@ -11,6 +11,7 @@
 mod lost_answers;
 mod model;
 mod patterns;
+mod restart;
 mod start_with_waiting_callers;
 mod steady;
 mod urgent_bursts;
