Send probes to groups of which a gateway knows nothing yet

Cause: after a restart of all instances gateways sent their full load into groups that stalled. It was refused together when the stall ended, and each refused request needs the retry budget for its next attempt. Change: group_tracker.rs holds the status of each listed group in place of the refusing groups of the load tracker. An unknown group gets one probe, as one that refuses does. The first event opens it, or a later formation in the list, or an event that another gateway tells of in HeartbeatExtension.open_groups. The head of a stream is no evidence any more. A request whose queue time ends before all groups of its service can serve is refused at once.

--- a/crates/lycheewood/src/decisions/group_status.rs
+++ b/crates/lycheewood/src/decisions/group_status.rs
@@ -4,6 +4,7 @@
 //! started.
 
 use crate::clock::Timestamp;
+use crate::decisions::digest::digest;
 use crate::decisions::endpoint_list::GroupMembership;
 use crate::decisions::units::{ceil_ms, float_ms, unit_interval};
 
@@ -18,7 +19,7 @@
 const MAX_PROBE_PERIOD_MS: u64 = 3_000;
 /// Age up to which an event shows other gateways that a group serves, in milliseconds. Shorter than the stall after
 /// which a group refuses.
-const REPORTED_EVENT_MS: u64 = 1_000;
+pub(crate) const REPORTED_EVENT_MS: u64 = 1_000;
 /// Time for which other gateways are told that a closed group serves, in milliseconds. Several heartbeats between failure
 /// domains.
 const NEWS_MS: u64 = 5_000;
@@ -236,3 +237,9 @@
     let least_ms = serves_from.ms_since(now).min(longest_ms);
     least_ms + ceil_ms(float_ms(longest_ms - least_ms) * unit_interval(random))
 }
+
+/// A short name of a group for heartbeats.
+pub(crate) fn group_tag(group: &str) -> u32 {
+    let [a, b, c, d, ..] = digest(&[b"group", group.as_bytes()]);
+    u32::from_be_bytes([a, b, c, d])
+}
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -11,13 +11,16 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
+use crate::decisions::group_status::{GroupEntry, forming_return_ms};
 use crate::decisions::queue::{QueueDeadlines, QueuePhase, first_look};
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::decisions::urgency::{PlaceRequest, spread_return_ms, waiting_priority};
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
 use crate::filters::forward::quarantine;
 use crate::filters::forward::select::places::Places;
-use crate::filters::forward::select::usable::{is_none_usable, usable_entries};
+use crate::filters::forward::select::usable::{
+    has_closed_group, is_none_usable, serves_from, usable_entries,
+};
 use crate::gateway::GatewayState;
 use crate::lifecycle::attempt::Attempt;
 use crate::lifecycle::place_wait::PlaceWait;
@@ -31,7 +34,7 @@
 /// Maximum number of refusals of a request by refusing groups. Each uses a retry, and a group that forms again
 /// is ready by then.
 const MAX_GROUP_REFUSALS: usize = 8;
-/// Interval of checks whether a refusing group is due for a probe, in milliseconds.
+/// Interval of checks whether a closed group is due for a probe, in milliseconds.
 const GROUP_POLL_MS: u64 = 50;
 
 /// No endpoint can take the request.
@@ -91,9 +94,6 @@
         }
         state.metrics.retries.inc();
     }
-    if let Some(group) = &endpoint.group {
-        state.loads.record_group_probe(&group.name, state.clock.now());
-    }
     let selected = Selected { admitted, endpoint, attempt, in_flight };
     Selection::Selected(Exchange { head, view, now, stage: selected })
 }
@@ -169,6 +169,10 @@
             let instances = view.peers.peers.len() + 1;
             let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
             if may_claim && let Some(endpoint) = places.choose(state, admitted, now) {
+                if !may_enter(state, &endpoint, now) {
+                    // Another request has just been sent as the probe, so the group is left out now.
+                    continue;
+                }
                 // Counted before the next request in turn looks for a place.
                 let cost = admitted.estimate_cost(state, now);
                 let work = cost.map(|cost| state.loads.work.start_request(&endpoint, cost, now));
@@ -187,13 +191,24 @@
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
             return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
-        let is_refused = has_refusing_group(state, &view, admitted);
+        let closed = state.loads.groups.closed(now);
+        let has_closed_group = has_closed_group(state, &view, admitted, &closed);
+        if has_closed_group {
+            let serves_from = serves_from(state, &view, admitted, &closed, now);
+            if serves_from > deadlines.expires() {
+                record_wait(state, true, "group_forms", now.ms_since(received));
+                let random = rand::random();
+                let return_ms = forming_return_ms(admitted.deadline, serves_from, random, now);
+                let retry_after_ms = wait.expire(return_ms).retry_after_ms();
+                return Err(NoEndpoint { retry_after_ms });
+            }
+        }
         let may_wait = admitted.gap_limit.is_some()
-            || is_refused
+            || has_closed_group
             || pause_end.is_some()
             || next_window.is_some();
         let cannot_be_served_in_time =
-            !is_refused && pause_end.is_none() && guard.cannot_be_served_in_time(now);
+            !has_closed_group && pause_end.is_none() && guard.cannot_be_served_in_time(now);
         if !may_wait || cannot_be_served_in_time || phase == QueuePhase::Expired {
             let end = if cannot_be_served_in_time { "too_late" } else { "expired" };
             record_wait(state, has_waited || cannot_be_served_in_time, end, now.ms_since(received));
@@ -208,7 +223,7 @@
         let phase_end = deadlines.phase_end(now);
         let mut remaining_ms =
             pause_end.map_or(phase_end, |end| end.min(phase_end)).ms_since(now).max(1);
-        if is_refused {
+        if has_closed_group {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
         if let Some(open) = next_window {
@@ -224,6 +239,15 @@
     }
 }
 
+/// Whether a request may be sent to an endpoint: its group is open, or the request is the probe that is due.
+fn may_enter(state: &GatewayState, endpoint: &EndpointEntry, now: Timestamp) -> bool {
+    let entry = state.loads.groups.enter(endpoint, now);
+    if entry == GroupEntry::Probe {
+        state.metrics.routing.group_probes.inc();
+    }
+    entry != GroupEntry::Closed
+}
+
 /// How a request waits for a place.
 fn wait_terms(admitted: &Admitted, received: Timestamp) -> WaitTerms {
     // Without a limit of the batch there is nothing to wait for.
@@ -274,10 +298,3 @@
     }
     entries().filter_map(|entry| exclusions.pause_end(entry, now)).min()
 }
-
-/// Whether a group of the service refuses requests, as it does while it forms.
-fn has_refusing_group(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
-    let groups = usable_entries(state, view, admitted).filter_map(|entry| entry.group.as_ref());
-    let mut groups = groups.map(|group| &group.name);
-    groups.any(|group| state.loads.is_group_refusing(group))
-}
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -20,6 +20,7 @@
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::load_tracker::InFlightGuard;
 use crate::outcome::UnknownCode;
+use crate::routes::raw::RequestKind;
 
 /// Timeout for connecting to an endpoint, in milliseconds. Endpoints are at most a few milliseconds away; one
 /// that does not answer is gone, or its accept queue is full.
@@ -60,6 +61,7 @@
         Ok(connection) => connection,
         Err(error) => {
             state.loads.record_failure(&endpoint.id, state.clock.now());
+            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             state.metrics.attempts.with_label_values(&["not_sent"]).inc();
             log::info!(
                 "attempt not sent id={} server={} address={} reason=\"{error}\"",
@@ -138,8 +140,9 @@
             record_exclusion(state, &endpoint, &response);
             if response.status().is_success() {
                 state.loads.record_activity(&endpoint.id, state.clock.now());
-                if let Some(group) = &endpoint.group {
-                    state.loads.record_group_answer(&group.name);
+                // The head of a stream may be sent before the group has made its first step.
+                if admitted.route.kind != RequestKind::Streaming {
+                    state.record_group_event(&endpoint);
                 }
             }
             let responded = Responded { admitted, endpoint, attempt, in_flight, response };
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -288,6 +288,13 @@
         self.started.get().copied()
     }
 
+    /// Records that an endpoint has sent an event, or answered a request without events, so its group serves.
+    pub(crate) fn record_group_event(&self, endpoint: &EndpointEntry) {
+        if self.loads.groups.record_event(endpoint, self.clock.now()) {
+            self.early_heartbeat.notify_one();
+        }
+    }
+
     /// Adds a caller's request to the retry budget of its service.
     pub(crate) fn count_request(&self, service: &TargetName) {
         let policy = self.retry_policy();
--- /dev/null
+++ b/crates/lycheewood/src/group_tracker.rs
@@ -0,0 +1,219 @@
+//! What this gateway knows of the groups of ranks that wait for each other.
+//!
+//! Traffic threads update it directly, because each request to a closed group must see the one before. The lock is held
+//! for one map operation, or for one pass over the few groups.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::clock::Timestamp;
+use crate::decisions::endpoint_list::{EndpointEntry, GroupMembership};
+use crate::decisions::group_status::{
+    GroupAvailability, GroupEntry, GroupStatus, ListedFormation, REPORTED_EVENT_MS, group_tag,
+};
+use crate::waiting_room::WaitingRoom;
+
+/// A group to which only probes are sent.
+#[derive(Clone, Debug)]
+pub(crate) struct ClosedGroup {
+    pub(crate) name: String,
+    /// Whether no probe is due.
+    pub(crate) is_paused: bool,
+    /// The earliest time at which it can serve.
+    pub(crate) serves_from: Timestamp,
+}
+
+#[derive(Debug, Default)]
+struct Groups {
+    by_name: HashMap<String, GroupStatus>,
+    /// When other gateways have lately received an event, by tag of the group. Heartbeats may arrive before the list.
+    reported: HashMap<u32, Timestamp>,
+}
+
+impl Groups {
+    /// Opens the groups for which a report of another gateway is evidence. Returns whether there are any.
+    fn open_reported(&mut self, now: Timestamp) -> bool {
+        let reported = &self.reported;
+        let closed = self.by_name.iter_mut().filter(|(_, status)| status.is_closed());
+        let mut has_opened = false;
+        for (name, status) in closed {
+            let Some(event) = reported.get(&group_tag(name)) else { continue };
+            if status.record_reported(*event, now) {
+                log_opened(name, "heartbeat");
+                has_opened = true;
+            }
+        }
+        has_opened
+    }
+}
+
+fn log_opened(group: &str, evidence: &str) {
+    log::info!("group open group={group} evidence={evidence}");
+}
+
+/// The groups that are listed.
+#[derive(Debug)]
+pub(crate) struct GroupTracker {
+    groups: Mutex<Groups>,
+    /// Number of gateways that share the probes of closed groups.
+    gateways: AtomicU32,
+    /// Whether all other gateways must learn at once that a group has opened.
+    has_news: AtomicBool,
+    /// Woken when a group has opened.
+    waiting_room: Arc<WaitingRoom>,
+}
+
+impl GroupTracker {
+    pub(crate) fn new(waiting_room: Arc<WaitingRoom>) -> Self {
+        Self {
+            groups: Mutex::default(),
+            gateways: AtomicU32::new(1),
+            has_news: AtomicBool::new(false),
+            waiting_room,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Groups> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn with<T>(&self, membership: &GroupMembership, act: impl FnOnce(&mut GroupStatus) -> T) -> T {
+        let mut groups = self.lock();
+        if let Some(status) = groups.by_name.get_mut(&membership.name) {
+            return act(status);
+        }
+        let first = GroupStatus::new(ListedFormation::from(membership));
+        act(groups.by_name.entry(membership.name.clone()).or_insert(first))
+    }
+
+    /// Sets the number of gateways that share the probes, this one included.
+    pub(crate) fn set_gateways(&self, gateways: u32) {
+        self.gateways.store(gateways, Ordering::Relaxed);
+    }
+
+    /// Takes in the list of endpoints, and forgets the groups that are not listed.
+    pub(crate) fn record_listed<'a>(
+        &self,
+        entries: impl Iterator<Item = &'a EndpointEntry>,
+        now: Timestamp,
+    ) {
+        let mut latest: HashMap<&str, ListedFormation> = HashMap::new();
+        for membership in entries.filter_map(|entry| entry.group.as_ref()) {
+            let listed = ListedFormation::from(membership);
+            let known = latest.entry(&membership.name).or_insert(listed);
+            *known = listed.max(*known);
+        }
+        let mut groups = self.lock();
+        groups.by_name.retain(|name, _| latest.contains_key(name.as_str()));
+        let mut has_opened = false;
+        for (name, listed) in latest {
+            let Some(status) = groups.by_name.get_mut(name) else {
+                log::info!("group unknown group={name}");
+                groups.by_name.insert(name.to_owned(), GroupStatus::new(listed));
+                continue;
+            };
+            if status.record_listed(listed) {
+                log_opened(name, "list");
+                has_opened = true;
+            }
+        }
+        has_opened |= groups.open_reported(now);
+        drop(groups);
+        self.wake_if(has_opened);
+    }
+
+    /// Takes in from which groups another gateway has received events, by tag, and how long ago in milliseconds.
+    pub(crate) fn record_reported(&self, open_groups: &[(u32, u32)], now: Timestamp) {
+        if open_groups.is_empty() {
+            return;
+        }
+        let mut groups = self.lock();
+        groups.reported.retain(|_, event| now.ms_since(*event) <= REPORTED_EVENT_MS);
+        for (tag, age_ms) in open_groups {
+            let event_ms = now.unix_ms().saturating_sub(u64::from(*age_ms));
+            let latest = groups.reported.entry(*tag).or_default();
+            *latest = Timestamp::from_unix_ms(event_ms).max(*latest);
+        }
+        let has_opened = groups.open_reported(now);
+        drop(groups);
+        self.wake_if(has_opened);
+    }
+
+    fn wake_if(&self, has_opened: bool) {
+        if has_opened {
+            self.waiting_room.wake();
+        }
+    }
+
+    /// The groups to which only probes are sent. Usually empty.
+    pub(crate) fn closed(&self, now: Timestamp) -> Vec<ClosedGroup> {
+        let groups = self.lock();
+        let closed = groups.by_name.iter().filter(|(_, status)| status.is_closed());
+        let closed = closed.map(|(name, status)| ClosedGroup {
+            name: name.clone(),
+            is_paused: status.is_paused(now),
+            serves_from: status.serves_from(now),
+        });
+        closed.collect()
+    }
+
+    /// Asks to send a request to an endpoint. Open if it belongs to no group.
+    pub(crate) fn enter(&self, endpoint: &EndpointEntry, now: Timestamp) -> GroupEntry {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        endpoint.group.as_ref().map_or(GroupEntry::Open, |group| {
+            self.with(group, |status| status.enter(gateways, rand::random(), now))
+        })
+    }
+
+    /// Records that a request could not be sent to an endpoint.
+    pub(crate) fn record_unsent(&self, endpoint: &EndpointEntry, now: Timestamp) {
+        if let Some(group) = &endpoint.group {
+            self.with(group, |status| status.record_unsent(now));
+        }
+    }
+
+    /// Records an event of an endpoint, or its answer to a request without events. Returns whether this has opened its
+    /// group, which all other gateways should learn at once.
+    pub(crate) fn record_event(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
+        let Some(group) = &endpoint.group else { return false };
+        let has_opened = self.with(group, |status| status.record_event(now));
+        if has_opened {
+            log_opened(&group.name, "event");
+            self.has_news.store(true, Ordering::Relaxed);
+        }
+        self.wake_if(has_opened);
+        has_opened
+    }
+
+    /// Records that an endpoint has refused a request for its whole group.
+    pub(crate) fn record_refusal(&self, group: &GroupMembership, now: Timestamp) {
+        let (gateways, random) = (self.gateways.load(Ordering::Relaxed), rand::random());
+        let listed = ListedFormation::from(group);
+        let (is_news, availability) = self.with(group, |status| {
+            (status.record_refusal(listed, gateways, random, now), status.availability())
+        });
+        if is_news {
+            let has_stalled =
+                matches!(availability, GroupAvailability::Refusing { forming_since: Some(_), .. });
+            let (name, epoch) = (&group.name, group.epoch);
+            log::info!("group refuses group={name} epoch={epoch} has_stalled={has_stalled}");
+        }
+    }
+
+    /// The groups that other gateways are told to be open, by tag, with the age of their last event in milliseconds.
+    /// `has_started` tells whether another gateway has started lately.
+    pub(crate) fn open_groups(&self, has_started: bool, now: Timestamp) -> Vec<(u32, u32)> {
+        let groups = self.lock();
+        let ages = groups.by_name.iter().filter_map(|(name, status)| {
+            let age_ms = status.reported_age_ms(has_started, now)?;
+            Some((group_tag(name), u32::try_from(age_ms).unwrap_or(u32::MAX)))
+        });
+        ages.collect()
+    }
+
+    /// Whether all other gateways must learn at once that a group has opened. Asked once for each such change.
+    pub(crate) fn take_news(&self) -> bool {
+        self.has_news.swap(false, Ordering::Relaxed)
+    }
+}
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -27,6 +27,7 @@
 mod filters;
 mod gateway;
 mod group_ports;
+mod group_tracker;
 mod ids;
 mod lifecycle;
 mod load_tracker;
