Test real gateways before a group that stalls and forms

Change: two gateways share a fake group of two ranks that stalls, refuses and serves. One test sends 12 requests into the stall, the other one lets the ranks send heads of streams before the stall.

--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod priorities;
 mod regions;
+mod restart;
 mod retries;
 mod silence;
 mod streams;
