--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
 use crate::decisions::units::mix;
+use crate::group_tracker::GroupTracker;
 use crate::ids::{AttemptId, Incarnation, InstanceId, TargetName};
 use crate::lifecycle::shutdown::Phase;
 use crate::load_tracker::LoadTracker;
@@ -141,6 +142,7 @@
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
         let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
         let work = Arc::new(WorkTracker::new(Arc::clone(&metrics)));
+        let groups = GroupTracker::new(Arc::clone(&waiting_room), Arc::clone(&metrics));
         Self {
             callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
             memory,
@@ -153,7 +155,7 @@
             endpoints: Arc::default(),
             evacuations: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work)),
+            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work, groups)),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
             started: OnceLock::new(),
--- a/crates/lycheewood/src/group_tracker.rs
+++ b/crates/lycheewood/src/group_tracker.rs
@@ -12,6 +12,7 @@
 use crate::decisions::group_status::{
     GroupAvailability, GroupEntry, GroupStatus, ListedFormation, REPORTED_EVENT_MS, group_tag,
 };
+use crate::metrics::gateway::GatewayMetrics;
 use crate::waiting_room::WaitingRoom;
 
 /// A group to which only probes are sent.
@@ -32,26 +33,18 @@
 }
 
 impl Groups {
-    /// Opens the groups for which a report of another gateway is evidence. Returns whether there are any.
-    fn open_reported(&mut self, now: Timestamp) -> bool {
+    /// Opens the groups for which a report of another gateway is evidence. Returns their names.
+    fn open_reported(&mut self, now: Timestamp) -> Vec<String> {
         let reported = &self.reported;
         let closed = self.by_name.iter_mut().filter(|(_, status)| status.is_closed());
-        let mut has_opened = false;
-        for (name, status) in closed {
-            let Some(event) = reported.get(&group_tag(name)) else { continue };
-            if status.record_reported(*event, now) {
-                log_opened(name, "heartbeat");
-                has_opened = true;
-            }
-        }
-        has_opened
+        let opened = closed.filter_map(|(name, status)| {
+            let event = reported.get(&group_tag(name))?;
+            status.record_reported(*event, now).then(|| name.clone())
+        });
+        opened.collect()
     }
 }
 
-fn log_opened(group: &str, evidence: &str) {
-    log::info!("group open group={group} evidence={evidence}");
-}
-
 /// The groups that are listed.
 #[derive(Debug)]
 pub(crate) struct GroupTracker {
@@ -62,15 +55,17 @@
     has_news: AtomicBool,
     /// Woken when a group has opened.
     waiting_room: Arc<WaitingRoom>,
+    metrics: Arc<GatewayMetrics>,
 }
 
 impl GroupTracker {
-    pub(crate) fn new(waiting_room: Arc<WaitingRoom>) -> Self {
+    pub(crate) fn new(waiting_room: Arc<WaitingRoom>, metrics: Arc<GatewayMetrics>) -> Self {
         Self {
             groups: Mutex::default(),
             gateways: AtomicU32::new(1),
             has_news: AtomicBool::new(false),
             waiting_room,
+            metrics,
         }
     }
 
@@ -106,21 +101,22 @@
         }
         let mut groups = self.lock();
         groups.by_name.retain(|name, _| latest.contains_key(name.as_str()));
-        let mut has_opened = false;
+        let mut opened = Vec::new();
         for (name, listed) in latest {
             let Some(status) = groups.by_name.get_mut(name) else {
-                log::info!("group unknown group={name}");
                 groups.by_name.insert(name.to_owned(), GroupStatus::new(listed));
+                self.count_change("unknown");
+                log::info!("group unknown group={name}");
                 continue;
             };
             if status.record_listed(listed) {
-                log_opened(name, "list");
-                has_opened = true;
+                opened.push(name.to_owned());
             }
         }
-        has_opened |= groups.open_reported(now);
+        let reported = groups.open_reported(now);
         drop(groups);
-        self.wake_if(has_opened);
+        self.report_opened(&opened, "list");
+        self.report_opened(&reported, "heartbeat");
     }
 
     /// Takes in from which groups another gateway has received events, by tag, and how long ago in milliseconds.
@@ -135,13 +131,22 @@
             let latest = groups.reported.entry(*tag).or_default();
             *latest = Timestamp::from_unix_ms(event_ms).max(*latest);
         }
-        let has_opened = groups.open_reported(now);
+        let opened = groups.open_reported(now);
         drop(groups);
-        self.wake_if(has_opened);
+        self.report_opened(&opened, "heartbeat");
     }
 
-    fn wake_if(&self, has_opened: bool) {
-        if has_opened {
+    fn count_change(&self, status: &str) {
+        self.metrics.routing.group_changes.with_label_values(&[status]).inc();
+    }
+
+    /// Counts and logs that groups have opened, and wakes the requests that wait for them.
+    fn report_opened(&self, groups: &[String], evidence: &str) {
+        for group in groups {
+            self.count_change("open");
+            log::info!("group open group={group} evidence={evidence}");
+        }
+        if !groups.is_empty() {
             self.waiting_room.wake();
         }
     }
@@ -179,10 +184,9 @@
         let Some(group) = &endpoint.group else { return false };
         let has_opened = self.with(group, |status| status.record_event(now));
         if has_opened {
-            log_opened(&group.name, "event");
             self.has_news.store(true, Ordering::Relaxed);
+            self.report_opened(std::slice::from_ref(&group.name), "event");
         }
-        self.wake_if(has_opened);
         has_opened
     }
 
@@ -194,6 +198,7 @@
             (status.record_refusal(listed, gateways, random, now), status.availability())
         });
         if is_news {
+            self.count_change("refusing");
             let has_stalled =
                 matches!(availability, GroupAvailability::Refusing { forming_since: Some(_), .. });
             let (name, epoch) = (&group.name, group.epoch);
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -75,9 +75,13 @@
 }
 
 impl LoadTracker {
-    pub(crate) fn new(waiting_room: Arc<WaitingRoom>, work: Arc<WorkTracker>) -> Self {
+    pub(crate) fn new(
+        waiting_room: Arc<WaitingRoom>,
+        work: Arc<WorkTracker>,
+        groups: GroupTracker,
+    ) -> Self {
         Self {
-            groups: GroupTracker::new(Arc::clone(&waiting_room)),
+            groups,
             waiting_room,
             work,
             gaps: Mutex::default(),
--- a/crates/lycheewood/src/metrics/gateway/routing.rs
+++ b/crates/lycheewood/src/metrics/gateway/routing.rs
@@ -15,6 +15,7 @@
     pub(crate) slow_endpoints: IntCounter,
     pub(crate) probes: IntCounter,
     pub(crate) group_probes: IntCounter,
+    pub(crate) group_changes: IntCounterVec,
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) refused_unusable: IntCounter,
     pub(crate) cold_sent: IntCounter,
@@ -54,6 +55,11 @@
                 "lycheewood_gateway_group_probes_total",
                 "Requests sent to groups that refuse or of which nothing is known since the start.",
             )?,
+            group_changes: metrics.counters(
+                "lycheewood_gateway_group_changes_total",
+                "Changes of what this gateway knows of a group, by what it knows then: unknown, refusing, open.",
+                "status",
+            )?,
             evacuated_domains: metrics.gauge(
                 "lycheewood_gateway_evacuated_domains",
                 "Failure domains that the operator has evacuated.",
