Probe a group that has served as before, and keep what lapsed groups were

Cause: with many gateways the next probe of one of them may be 3 s away, which is meant for a restart. A rank that is full looks like a refusing group to a gateway with little traffic, and no other gateway would probe it. A group whose entries lapse while the list is away counted as unknown when it was listed again. Change: only a group that has not served since the start shares probes between gateways. Status is kept while a group is not listed, up to 64 groups. A request that is not sent after all, or whose connection ends without an answer, does not hold up the next probe.

--- a/crates/lycheewood/src/decisions/group_status.rs
+++ b/crates/lycheewood/src/decisions/group_status.rs
@@ -88,6 +88,8 @@
     last_event: Option<Timestamp>,
     /// When an event that this gateway received has opened the group.
     opened: Option<Timestamp>,
+    /// Whether the group has been open since this gateway started.
+    has_served: bool,
 }
 
 impl GroupStatus {
@@ -95,7 +97,15 @@
     #[must_use]
     pub fn new(listed: ListedFormation) -> Self {
         let (availability, next_probe) = (GroupAvailability::Unknown, Timestamp::default());
-        Self { availability, listed, last_probe: None, next_probe, last_event: None, opened: None }
+        Self {
+            availability,
+            listed,
+            last_probe: None,
+            next_probe,
+            last_event: None,
+            opened: None,
+            has_served: false,
+        }
     }
 
     /// What is known of the group.
@@ -116,7 +126,13 @@
         self.is_closed() && now < self.next_probe
     }
 
-    /// Asks to send a request. `gateways` share the probes.
+    /// Number of gateways that share the probes. A group that has served may refuse at this gateway alone, for instance
+    /// because the rank is full, so no other one probes it.
+    const fn sharing(&self, gateways: u32) -> u32 {
+        if self.has_served { 1 } else { gateways }
+    }
+
+    /// Asks to send a request. `gateways` share the probes after a start.
     pub fn enter(&mut self, gateways: u32, random: u64, now: Timestamp) -> GroupEntry {
         if !self.is_closed() {
             return GroupEntry::Open;
@@ -125,7 +141,7 @@
             return GroupEntry::Closed;
         }
         self.last_probe = Some(now);
-        self.next_probe = next_probe(gateways, random, now);
+        self.next_probe = next_probe(self.sharing(gateways), random, now);
         GroupEntry::Probe
     }
 
@@ -134,6 +150,12 @@
         self.next_probe = now;
     }
 
+    /// Records that the connection of a request has ended without an answer. That says nothing of the group, so another
+    /// one follows soon, also with many gateways.
+    pub fn record_lost(&mut self, now: Timestamp) {
+        self.next_probe = self.next_probe.min(now.plus_ms(PROBE_INTERVAL_MS));
+    }
+
     /// Records an event, or the answer to a request without events. Returns whether this opens the group.
     pub fn record_event(&mut self, now: Timestamp) -> bool {
         self.last_event = Some(now);
@@ -160,7 +182,7 @@
         };
         self.availability = GroupAvailability::Refusing { refused: now, forming_since };
         self.listed = self.listed.max(listed);
-        self.next_probe = next_probe(gateways, random, now);
+        self.next_probe = next_probe(self.sharing(gateways), random, now);
         is_news
     }
 
@@ -183,6 +205,7 @@
     }
 
     fn open(&mut self) -> bool {
+        self.has_served = true;
         std::mem::replace(&mut self.availability, GroupAvailability::Open)
             != GroupAvailability::Open
     }
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -82,6 +82,7 @@
         };
     // Checked again, because an endpoint may have crashed while the request waited.
     if let Err(until) = quarantine::permit(state, &mut admitted, attempt.id()).await {
+        state.loads.groups.record_unsent(&endpoint, state.clock.now());
         record_quarantined(state, head, &mut admitted, until);
         return Selection::None(admitted);
     }
@@ -89,6 +90,7 @@
         admitted.attempts.get() + admitted.misdirected == 0 && admitted.refused_by.is_empty();
     if !is_first {
         if !state.try_acquire_retry(&admitted.service) {
+            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             state.metrics.retries_denied.inc();
             return Selection::None(admitted);
         }
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -89,6 +89,7 @@
         Ok(response) => response,
         Err(error) => {
             log::warn!("request cannot be encoded id={} reason=\"{error}\"", head.request_id);
+            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             admitted.avoid.push(endpoint.id.clone());
             return SendOutcome::Retry(admitted);
         }
@@ -150,6 +151,7 @@
             return SendOutcome::Responded(Exchange { head, view, now, stage: responded });
         }
         WaitOutcome::Response(Err(error)) => {
+            state.loads.groups.record_lost(&endpoint, state.clock.now());
             crash::report_if_crashed(state, head, &admitted, &endpoint, Output::None).await;
             (UnknownCode::EndpointLost, error.to_string())
         }
--- a/crates/lycheewood/src/group_tracker.rs
+++ b/crates/lycheewood/src/group_tracker.rs
@@ -15,6 +15,9 @@
 use crate::metrics::gateway::GatewayMetrics;
 use crate::waiting_room::WaitingRoom;
 
+/// Number of groups above which those that are not listed are forgotten.
+const MAX_GROUPS: usize = 64;
+
 /// A group to which only probes are sent.
 #[derive(Clone, Debug)]
 pub(crate) struct ClosedGroup {
@@ -87,7 +90,8 @@
         self.gateways.store(gateways, Ordering::Relaxed);
     }
 
-    /// Takes in the list of endpoints, and forgets the groups that are not listed.
+    /// Takes in the list of endpoints. A group that is listed again is known from before, because entries may lapse while
+    /// the list is away.
     pub(crate) fn record_listed<'a>(
         &self,
         entries: impl Iterator<Item = &'a EndpointEntry>,
@@ -100,7 +104,9 @@
             *known = listed.max(*known);
         }
         let mut groups = self.lock();
-        groups.by_name.retain(|name, _| latest.contains_key(name.as_str()));
+        if groups.by_name.len() > MAX_GROUPS {
+            groups.by_name.retain(|name, _| latest.contains_key(name.as_str()));
+        }
         let mut opened = Vec::new();
         for (name, listed) in latest {
             let Some(status) = groups.by_name.get_mut(name) else {
@@ -178,6 +184,13 @@
         }
     }
 
+    /// Records that the connection to an endpoint has ended without an answer.
+    pub(crate) fn record_lost(&self, endpoint: &EndpointEntry, now: Timestamp) {
+        if let Some(group) = &endpoint.group {
+            self.with(group, |status| status.record_lost(now));
+        }
+    }
+
     /// Records an event of an endpoint, or its answer to a request without events. Returns whether this has opened its
     /// group, which all other gateways should learn at once.
     pub(crate) fn record_event(&self, endpoint: &EndpointEntry, now: Timestamp) -> bool {
--- a/crates/lycheewood/tests/load_patterns/restart.rs
+++ b/crates/lycheewood/tests/load_patterns/restart.rs
@@ -180,9 +180,27 @@
     assert_eq!(status.enter(1, u64::MAX, at(0)), GroupEntry::Probe);
     assert_eq!(status.enter(1, u64::MAX, at(1)), GroupEntry::Closed);
     assert_eq!(status.enter(1, u64::MAX, at(250)), GroupEntry::Probe);
-    // A connection that was not made says nothing of the group.
+    // A connection that was not made says nothing of the group, and neither does one that has ended.
     status.record_unsent(at(260));
     assert_eq!(status.enter(1, u64::MAX, at(260)), GroupEntry::Probe);
+    let mut one_of_many = unknown();
+    one_of_many.enter(72, u64::MAX, at(0));
+    assert_eq!(one_of_many.enter(72, u64::MAX, at(250)), GroupEntry::Closed, "others probe");
+    one_of_many.record_lost(at(300));
+    assert_eq!(one_of_many.enter(72, u64::MAX, at(301)), GroupEntry::Closed);
+    assert_eq!(one_of_many.enter(72, u64::MAX, at(550)), GroupEntry::Probe);
+}
+
+/// Guards against a gateway that waits for the probes of others because one rank has refused its request while the group
+/// serves: others have no reason to probe it, nor to tell of it.
+#[test]
+fn a_group_that_has_served_is_probed_by_each_gateway() {
+    let mut status = unknown();
+    status.record_event(at(0));
+    status.record_refusal(listed(1, true), 72, u64::MAX, at(60_000));
+    assert_eq!(status.enter(72, u64::MAX, at(60_000)), GroupEntry::Closed);
+    assert_eq!(status.enter(72, u64::MAX, at(60_250)), GroupEntry::Probe);
+    assert_eq!(status.enter(72, u64::MAX, at(60_500)), GroupEntry::Probe);
 }
 
 /// Guards against requests that wait while the group serves.
