--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod overload;
 mod priorities;
 mod regions;
+mod restart;
 mod retries;
 mod silence;
 mod streams;
