--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod ports;
 mod priorities;
 mod regions;
+mod restart;
 mod retries;
 mod silence;
 mod streams;
