Copy the heads of requests and responses out of the read buffers

Cause: a header value and the target of a request are slices of the buffer that the HTTP library read them into. A stream keeps the heads of its request and response, and with them two buffers of 8 KiB, beside the two that the library allocates to read on.

Change: the values are copied into one block of their own size when the head arrives, and the target is copied as well.

Tests gateway (75), agents (9), rank_confirmation (4) pass.

--- a/crates/lycheewood/src/adapters/forward/caller.rs
+++ b/crates/lycheewood/src/adapters/forward/caller.rs
@@ -23,7 +23,7 @@
 
 use crate::adapters::caller_body::CallerBody;
 use crate::adapters::forward::caller::encode::{RequestRecord, ResponseBody};
-use crate::adapters::forward::headers::max_header_fields;
+use crate::adapters::forward::headers::{detach_from_buffer, max_header_fields};
 use crate::adapters::lingering::{LingeringStream, UnreadBody, bound_receive_buffers};
 use crate::connection_table::{ConnectionSlot, RequestGuard};
 use crate::decisions::cost::{LengthHint, TokenUsage};
@@ -208,8 +208,12 @@
     let key = header_text(&AUTHORIZATION).and_then(bearer_token).map(str::to_owned);
     let shared_prompt_parts =
         header_text(&names.prompt_parts).map(shared_parts).unwrap_or_default();
-    let target = parts.uri.path_and_query().cloned();
+    // Copied, since the target also keeps the buffer that it was read into.
+    let copy = |target: &PathAndQuery| target.as_str().parse().unwrap_or_else(|_| target.clone());
+    let target = parts.uri.path_and_query().map(copy);
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let mut headers = parts.headers;
+    detach_from_buffer(&mut headers);
     Ok(RequestHead {
         method: parts.method,
         target,
@@ -222,7 +226,7 @@
         length_hint,
         last_event_id,
         received: state.clock.now(),
-        headers: parts.headers,
+        headers,
     })
 }
 
--- a/crates/lycheewood/src/adapters/forward/headers.rs
+++ b/crates/lycheewood/src/adapters/forward/headers.rs
@@ -1,9 +1,10 @@
 //! Hop-by-hop headers, which a proxy does not forward.
 
+use bytes::BytesMut;
 use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -48,3 +49,16 @@
     let passed = passed.filter(|(name, _)| !HOP_BY_HOP.contains(name) && !named.contains(name));
     passed.map(|(name, value)| (name.clone(), value.clone())).collect()
 }
+
+/// Copies the values out of the buffer that they were read into. Each value keeps the whole buffer of the HTTP library, 8
+/// KiB, for as long as the head is kept, which is the duration of a stream.
+pub(crate) fn detach_from_buffer(headers: &mut HeaderMap) {
+    let mut copies = BytesMut::with_capacity(headers.values().map(HeaderValue::len).sum());
+    for value in headers.values_mut() {
+        copies.extend_from_slice(value.as_bytes());
+        // The bytes of a value are valid in a value.
+        if let Ok(copy) = HeaderValue::from_maybe_shared(copies.split().freeze()) {
+            *value = copy;
+        }
+    }
+}
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -22,7 +22,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::adapters::forward::headers::end_to_end;
+use crate::adapters::forward::headers::{detach_from_buffer, end_to_end};
 use crate::adapters::forward::limited_read::{HeadArrived, LimitedRead, MAX_HEAD_BYTES};
 use crate::decisions::memory::{MemoryUse, RECEIVE_BUFFER_BYTES};
 use crate::filters::forward::exchange::RequestHead;
@@ -144,7 +144,8 @@
             let response =
                 self.sender.send_request(request).await.map_err(UpstreamError::Connection)?;
             self.head_arrived.set();
-            let (parts, body) = response.into_parts();
+            let (mut parts, body) = response.into_parts();
+            detach_from_buffer(&mut parts.headers);
             Ok(UpstreamResponse { parts, body, _sender: self.sender, _task: self.task })
         }))
     }
