Keep the state of a forwarded stream once instead of three times

Cause: the stream of events and its future each had room for the whole state of a relay, in a block of some 9 KB (debug build).

Change: the state is boxed.

Test gateway passes (75).

--- a/crates/lycheewood/src/adapters/forward/caller/encode.rs
+++ b/crates/lycheewood/src/adapters/forward/caller/encode.rs
@@ -142,15 +142,17 @@
 
 /// A body that forwards events as they arrive.
 fn events(record: RequestRecord, relay: Relay, guard: RequestGuard) -> ResponseBody {
-    let frames = stream::unfold(Some((record, relay, guard)), |state| async move {
-        let (mut record, mut relay, guard) = state?;
+    // Boxed, since the stream and its future each have room for the state.
+    let frames = stream::unfold(Some(Box::new((record, relay, guard))), |state| async move {
+        let mut state = state?;
+        let (record, relay, _) = &mut *state;
         let next = relay.next().await;
         record.events = relay.events();
         record.endpoint = Some(relay.endpoint().to_string());
         match next {
             Some(Ok(event)) => {
                 record.record_event();
-                Some((Ok(Frame::data(event)), Some((record, relay, guard))))
+                Some((Ok(Frame::data(event)), Some(state)))
             }
             Some(Err(reason)) => {
                 record.outcome = "cut";
