Set the timeout that the check of route tables is tested with

Cause: the routes that the gateway tests share got a timeout of 60 s, and this test expected 2 s, so the merge of both failed.

Change: the test sets the timeout of its own table.

--- a/crates/lycheewood/tests/check.rs
+++ b/crates/lycheewood/tests/check.rs
@@ -150,6 +150,8 @@
 /// The table of the gateway's tests with its service and a second workspace.
 fn table() -> RawRouteTable {
     let mut table = tables::routes(1);
+    // The edits are just above this timeout.
+    table.routes.iter_mut().for_each(|route| route.timeout_ms = 2_000);
     table.services.push(service("work"));
     table.workspaces.push(RawRouteWorkspace {
         name: "second".to_owned(),
