Take out the probes of groups after a restart

Cause: with probes fewer requests are refused while groups form, but those that wait are late, take the places of the first batch when a group opens, and make the requests that arrive then late as well.

--- a/crates/lycheewood/src/controllers/endpoint_list.rs
+++ b/crates/lycheewood/src/controllers/endpoint_list.rs
@@ -83,8 +83,6 @@
         let listed: HashSet<&InstanceId> = table.all().map(|entry| &entry.id).collect();
         self.loads.retain(|endpoint| listed.contains(endpoint));
         self.cold.retain(|endpoint| listed.contains(endpoint));
-        // Before the list is published, so that reports of other instances count for the first request.
-        self.loads.groups.record_listed(table.all().map(Arc::as_ref), self.clock.now());
         self.published.store(Arc::new(CurrentEndpoints { table }));
         self.state_received.notify_waiters();
     }
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -149,7 +149,6 @@
             caller_address: state.settings.caller_address,
             processor_millicores: state.settings.processor_millicores,
         });
-        let has_started = self.tracker.has_started_lately(state.clock.now());
         let (in_flight, work_ms) = (state.loads.in_flight(), state.loads.work.work_ms());
         let failures = state.loads.failures(state.clock.now()).into_iter();
         let failures = failures.map(|(id, weight)| (endpoint_tag(&id), encode_failures(weight)));
@@ -168,7 +167,6 @@
                 work_ms: work_ms.iter().map(|(id, ms)| (endpoint_tag(id), *ms)).collect(),
                 failures,
                 waiting: state.waiting_room.waiting(),
-                open_groups: state.loads.groups.open_groups(has_started, state.clock.now()),
                 evacuations: state.evacuations.load().evacuations(),
             },
         }
@@ -218,7 +216,6 @@
     /// Updates the number of gateways that share the limits of cold endpoints.
     fn update_fleet(&mut self, now: Timestamp) {
         let view = self.tracker.fleet(self.state.settings.peer_address, now);
-        self.state.loads.groups.set_gateways(view.heard + 1);
         let fleet = self.fleet.update(&view, now);
         if self.state.cold.set_fleet(fleet) != fleet {
             let FleetView { heard, known, unconfirmed } = view;
@@ -295,8 +292,6 @@
         let was_ready = former.map(|peer| peer.is_advertisable(now));
         let is_news = former.is_none_or(|peer| peer.heartbeat.differs_in_state(&heartbeat));
         let evacuations = heartbeat.extension.evacuations.clone();
-        // Also from an instance whose name is not known yet: it repeats its name every few seconds only.
-        self.state.loads.groups.record_reported(&heartbeat.extension.open_groups, now);
         if !self.tracker.apply(from, heartbeat, now) {
             return;
         }
@@ -327,7 +322,6 @@
         let waiting = &heartbeat.extension.waiting;
         let is_broadcast = is_broadcast
             || self.state.waiting_room.is_news(waiting)
-            || self.state.loads.groups.take_news()
             || heartbeat.leading.is_some()
             || self.sequence <= INITIAL_FULL_HEARTBEATS
             || self.sequence.is_multiple_of(HEARTBEATS_PER_CROSS_DOMAIN);
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -20,7 +20,6 @@
 pub(crate) mod evacuation;
 pub(crate) mod events;
 pub(crate) mod expert_groups;
-pub(crate) mod group_status;
 pub(crate) mod groups;
 pub(crate) mod leases;
 pub(crate) mod limits;
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -6,7 +6,6 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::cold::FleetView;
-use crate::decisions::group_status::has_started_lately;
 use crate::decisions::units::ceil_ms;
 use crate::decisions::urgency::WaitingCounts;
 use crate::ids::{FailureDomain, Incarnation, InstanceId};
@@ -176,13 +175,6 @@
         }
     }
 
-    /// Whether another instance has started lately.
-    pub(crate) fn has_started_lately(&self, now: Timestamp) -> bool {
-        let mut fresh =
-            self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
-        fresh.any(|peer| has_started_lately(peer.heartbeat.sequence))
-    }
-
     /// Removes instances without a heartbeat, and unconfirmed addresses that were not added again, for
     /// [`PEER_FORGET_MS`].
     pub fn expire(&mut self, now: Timestamp) {
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -141,7 +141,12 @@
     let members =
         entries.filter(|entry| entry.group.as_ref().is_some_and(|other| other.name == group.name));
     let now = state.clock.now();
-    state.loads.record_group_refusal(group, members.map(|entry| &entry.id), now)
+    let is_refusing =
+        state.loads.record_group_refusal(&group.name, members.map(|entry| &entry.id), now);
+    if is_refusing {
+        log::info!("group refuses group={} epoch={}", group.name, group.epoch);
+    }
+    is_refusing
 }
 
 /// Why the head of a response is rejected.
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -153,7 +153,6 @@
                 state.record_completion(*part);
             }
         }
-        state.record_group_event(&self.endpoint);
         let now = state.clock.now();
         let previous = self.last_event_at.replace(now);
         // Several events that arrive together were waited for once.
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -11,16 +11,13 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
-use crate::decisions::group_status::{GroupEntry, forming_return_ms};
 use crate::decisions::queue::{QueueDeadlines, QueuePhase, first_look};
 use crate::decisions::retries::{RefusalCause, come_back_ms};
 use crate::decisions::urgency::{PlaceRequest, spread_return_ms, waiting_priority};
 use crate::filters::forward::exchange::{Admitted, Exchange, RequestHead, Selected, View};
 use crate::filters::forward::quarantine;
 use crate::filters::forward::select::places::Places;
-use crate::filters::forward::select::usable::{
-    has_closed_group, is_none_usable, serves_from, usable_entries,
-};
+use crate::filters::forward::select::usable::{is_none_usable, usable_entries};
 use crate::gateway::GatewayState;
 use crate::ids::AttemptId;
 use crate::lifecycle::attempt::Attempt;
@@ -35,7 +32,7 @@
 /// Maximum number of refusals of a request by refusing groups. Each uses a retry, and a group that forms again
 /// is ready by then.
 const MAX_GROUP_REFUSALS: usize = 8;
-/// Interval of checks whether a closed group is due for a probe, in milliseconds.
+/// Interval of checks whether a refusing group is due for a probe, in milliseconds.
 const GROUP_POLL_MS: u64 = 50;
 
 /// No endpoint can take the request.
@@ -85,12 +82,14 @@
         admitted.attempts.get() + admitted.misdirected == 0 && admitted.refused_by.is_empty();
     if !is_first {
         if !state.try_acquire_retry(&admitted.service) {
-            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             state.metrics.retries_denied.inc();
             return Selection::None(admitted);
         }
         state.metrics.retries.inc();
     }
+    if let Some(group) = &endpoint.group {
+        state.loads.record_group_probe(&group.name, state.clock.now());
+    }
     let selected = Selected { admitted, endpoint, attempt, in_flight };
     Selection::Selected(Exchange { head, view, now, stage: selected })
 }
@@ -120,7 +119,6 @@
         let Err(until) = quarantine::permit(state, admitted, attempt).await else {
             return Ok(place);
         };
-        state.loads.groups.record_unsent(&place.endpoint, state.clock.now());
         // Trials of some of its fingerprints would keep others from running while this request waits.
         admitted.trials.truncate(trials);
         // Another trial may have begun while the request waited for its own.
@@ -202,10 +200,6 @@
             let instances = view.peers.peers.len() + 1;
             let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
             if may_claim && let Some(endpoint) = places.choose(state, admitted, now) {
-                if !may_enter(state, &endpoint, now) {
-                    // Another request has just been sent as the probe, so the group is left out now.
-                    continue;
-                }
                 // Counted before the next request in turn looks for a place.
                 let cost = admitted.estimate_cost(state, now);
                 let work = cost.map(|cost| state.loads.work.start_request(&endpoint, cost, now));
@@ -224,24 +218,13 @@
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
             return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
         }
-        let closed = state.loads.groups.closed(now);
-        let has_closed_group = has_closed_group(state, &view, admitted, &closed);
-        if has_closed_group {
-            let serves_from = serves_from(state, &view, admitted, &closed, now);
-            if serves_from > deadlines.expires() {
-                record_wait(state, true, "group_forms", now.ms_since(received));
-                let random = rand::random();
-                let return_ms = forming_return_ms(admitted.deadline, serves_from, random, now);
-                let retry_after_ms = wait.expire(return_ms).retry_after_ms();
-                return Err(NoEndpoint { retry_after_ms });
-            }
-        }
+        let is_refused = has_refusing_group(state, &view, admitted);
         let may_wait = admitted.gap_limit.is_some()
-            || has_closed_group
+            || is_refused
             || pause_end.is_some()
             || next_window.is_some();
         let cannot_be_served_in_time =
-            !has_closed_group && pause_end.is_none() && guard.cannot_be_served_in_time(now);
+            !is_refused && pause_end.is_none() && guard.cannot_be_served_in_time(now);
         if !may_wait || cannot_be_served_in_time || phase == QueuePhase::Expired {
             let end = if cannot_be_served_in_time { "too_late" } else { "expired" };
             record_wait(state, has_waited || cannot_be_served_in_time, end, now.ms_since(received));
@@ -256,7 +239,7 @@
         let phase_end = deadlines.phase_end(now);
         let mut remaining_ms =
             pause_end.map_or(phase_end, |end| end.min(phase_end)).ms_since(now).max(1);
-        if has_closed_group {
+        if is_refused {
             remaining_ms = remaining_ms.min(GROUP_POLL_MS);
         }
         if let Some(open) = next_window {
@@ -277,15 +260,6 @@
     QueueDeadlines::new(received, admitted.route.target_ms, admitted.deadline)
 }
 
-/// Whether a request may be sent to an endpoint: its group is open, or the request is the probe that is due.
-fn may_enter(state: &GatewayState, endpoint: &EndpointEntry, now: Timestamp) -> bool {
-    let entry = state.loads.groups.enter(endpoint, now);
-    if entry == GroupEntry::Probe {
-        state.metrics.routing.group_probes.inc();
-    }
-    entry != GroupEntry::Closed
-}
-
 /// How a request waits for a place.
 fn wait_terms(admitted: &Admitted, received: Timestamp) -> WaitTerms {
     // Without a limit of the batch there is nothing to wait for.
@@ -336,3 +310,10 @@
     }
     entries().filter_map(|entry| exclusions.pause_end(entry, now)).min()
 }
+
+/// Whether a group of the service refuses requests, as it does while it forms.
+fn has_refusing_group(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
+    let groups = usable_entries(state, view, admitted).filter_map(|entry| entry.group.as_ref());
+    let mut groups = groups.map(|group| &group.name);
+    groups.any(|group| state.loads.is_group_refusing(group))
+}
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -11,7 +11,7 @@
 use crate::decisions::units::mix;
 use crate::decisions::urgency::{PlaceTotals, reserved_limit, reserved_places};
 use crate::filters::forward::exchange::{Admitted, GapLimit, View};
-use crate::filters::forward::select::usable::{closed_group, is_cold, is_usable};
+use crate::filters::forward::select::usable::{is_cold, is_usable};
 use crate::filters::forward::select::works::Works;
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
@@ -163,7 +163,7 @@
     let cold_per_s = routes.and_then(|routes| routes.table.cold_per_s.get(service).copied());
     let cold_period_ms = cold_per_s.map(|cold_per_s| state.cold.period_ms(cold_per_s));
     let exclusions = state.loads.exclusions();
-    let closed = state.loads.groups.closed(now);
+    let paused = state.loads.paused_groups(now);
     let own_slow = state.leading().map(|leading| leading.slow).unwrap_or_default();
     let slowdown_percent = |tag: u32| {
         let own = own_slow.iter().find(|(slow, _)| *slow == tag).map(|(_, percent)| *percent);
@@ -174,7 +174,7 @@
     let endpoints = table.tagged_endpoints(service).zip(loads);
     endpoints
         .filter(|((entry, _), load)| {
-            let is_paused = closed_group(&closed, entry).is_some_and(|group| group.is_paused);
+            let is_paused = entry.group.as_ref().is_some_and(|group| paused.contains(&group.name));
             let is_wanted = !load.is_misdirected && !is_paused && !exclusions.contains(entry, now);
             is_wanted && is_usable(state, view, admitted, entry)
         })
--- a/crates/lycheewood/src/filters/forward/select/usable.rs
+++ b/crates/lycheewood/src/filters/forward/select/usable.rs
@@ -6,7 +6,6 @@
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::exchange::{Admitted, View};
 use crate::gateway::GatewayState;
-use crate::group_tracker::ClosedGroup;
 
 /// Whether a request may be sent to an endpoint: its failure domain is not evacuated, and in a region that the request's
 /// route and workspace allow.
@@ -38,39 +37,6 @@
     entries.filter(|entry| is_usable(state, view, admitted, entry))
 }
 
-/// The group of an endpoint, if it is among the `closed` ones.
-pub(super) fn closed_group<'a>(
-    closed: &'a [ClosedGroup],
-    entry: &EndpointEntry,
-) -> Option<&'a ClosedGroup> {
-    let group = entry.group.as_ref()?;
-    closed.iter().find(|closed| closed.name == group.name)
-}
-
-/// Whether a group of the service is closed, as after the start and while it forms.
-pub(super) fn has_closed_group(
-    state: &GatewayState,
-    view: &View,
-    admitted: &Admitted,
-    closed: &[ClosedGroup],
-) -> bool {
-    let mut entries = usable_entries(state, view, admitted);
-    !closed.is_empty() && entries.any(|entry| closed_group(closed, entry).is_some())
-}
-
-/// The earliest time at which an endpoint that the request may be sent to can serve, as far as its group tells.
-pub(super) fn serves_from(
-    state: &GatewayState,
-    view: &View,
-    admitted: &Admitted,
-    closed: &[ClosedGroup],
-    now: Timestamp,
-) -> Timestamp {
-    let entries = usable_entries(state, view, admitted);
-    let times = entries.map(|entry| closed_group(closed, entry).map_or(now, |g| g.serves_from));
-    times.min().unwrap_or(now)
-}
-
 /// Whether the service has endpoints, and the request may be sent to none of them. Waiting does not help then.
 pub(super) fn is_none_usable(state: &GatewayState, view: &View, admitted: &Admitted) -> bool {
     let has_endpoints = !view.endpoints.table.endpoints(&admitted.service).is_empty();
--- a/crates/lycheewood/src/filters/forward/send.rs
+++ b/crates/lycheewood/src/filters/forward/send.rs
@@ -20,7 +20,6 @@
 use crate::lifecycle::attempt::{Attempt, Dispatched};
 use crate::load_tracker::InFlightGuard;
 use crate::outcome::UnknownCode;
-use crate::routes::raw::RequestKind;
 
 /// Timeout for connecting to an endpoint, in milliseconds. Endpoints are at most a few milliseconds away; one
 /// that does not answer is gone, or its accept queue is full.
@@ -61,7 +60,6 @@
         Ok(connection) => connection,
         Err(error) => {
             state.loads.record_failure(&endpoint.id, state.clock.now());
-            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             state.metrics.attempts.with_label_values(&["not_sent"]).inc();
             log::info!(
                 "attempt not sent id={} server={} address={} reason=\"{error}\"",
@@ -89,7 +87,6 @@
         Ok(response) => response,
         Err(error) => {
             log::warn!("request cannot be encoded id={} reason=\"{error}\"", head.request_id);
-            state.loads.groups.record_unsent(&endpoint, state.clock.now());
             admitted.avoid.push(endpoint.id.clone());
             return SendOutcome::Retry(admitted);
         }
@@ -141,9 +138,8 @@
             record_exclusion(state, &endpoint, &response);
             if response.status().is_success() {
                 state.loads.record_activity(&endpoint.id, state.clock.now());
-                // The head of a stream may be sent before the group has made its first step.
-                if admitted.route.kind != RequestKind::Streaming {
-                    state.record_group_event(&endpoint);
+                if let Some(group) = &endpoint.group {
+                    state.loads.record_group_answer(&group.name);
                 }
             }
             let responded = Responded { admitted, endpoint, attempt, in_flight, response };
@@ -151,7 +147,6 @@
             return SendOutcome::Responded(Exchange { head, view, now, stage: responded });
         }
         WaitOutcome::Response(Err(error)) => {
-            state.loads.groups.record_lost(&endpoint, state.clock.now());
             crash::report_if_crashed(state, head, &admitted, &endpoint, Output::None).await;
             (UnknownCode::EndpointLost, error.to_string())
         }
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -24,7 +24,6 @@
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
 use crate::decisions::units::mix;
-use crate::group_tracker::GroupTracker;
 use crate::ids::{AttemptId, Incarnation, InstanceId, TargetName};
 use crate::lifecycle::shutdown::Phase;
 use crate::load_tracker::LoadTracker;
@@ -144,7 +143,6 @@
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
         let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
         let work = Arc::new(WorkTracker::new(Arc::clone(&metrics)));
-        let groups = GroupTracker::new(Arc::clone(&waiting_room), Arc::clone(&metrics));
         Self {
             callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
             memory,
@@ -157,7 +155,7 @@
             endpoints: Arc::default(),
             evacuations: Arc::default(),
             peers: Arc::default(),
-            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work, groups)),
+            loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work)),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
             started: OnceLock::new(),
@@ -293,13 +291,6 @@
         self.started.get().copied()
     }
 
-    /// Records that an endpoint has sent an event, or answered a request without events, so its group serves.
-    pub(crate) fn record_group_event(&self, endpoint: &EndpointEntry) {
-        if self.loads.groups.record_event(endpoint, self.clock.now()) {
-            self.early_heartbeat.notify_one();
-        }
-    }
-
     /// Adds a caller's request to the retry budget of its service.
     pub(crate) fn count_request(&self, service: &TargetName) {
         let policy = self.retry_policy();
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -27,7 +27,6 @@
 mod filters;
 mod gateway;
 mod group_ports;
-mod group_tracker;
 mod ids;
 mod lifecycle;
 mod load_tracker;
@@ -100,10 +99,6 @@
     UnfinishedSwitch, find_unfinished_switch, held_steps, idle_map, imbalance, may_release_hold,
     next_map, switch_lead_ms, switch_step,
 };
-pub use decisions::group_status::{
-    GroupAvailability, GroupEntry, GroupStatus, ListedFormation, forming_return_ms,
-    has_started_lately,
-};
 pub use decisions::groups::{
     GroupEffect, GroupSnapshot, GroupSnapshotView, GroupState, MAX_RANKS, ReplayError,
     group_rank_count, group_scope, group_snapshot_due,
--- a/crates/lycheewood/src/load_tracker.rs
+++ b/crates/lycheewood/src/load_tracker.rs
@@ -8,9 +8,8 @@
 
 use crate::clock::Timestamp;
 use crate::decisions::batch::GapAverage;
-use crate::decisions::endpoint_list::{EndpointEntry, GroupMembership};
+use crate::decisions::endpoint_list::EndpointEntry;
 use crate::decisions::units::decay;
-use crate::group_tracker::GroupTracker;
 use crate::ids::{InstanceId, TargetName};
 use crate::waiting_room::WaitingRoom;
 use crate::work_tracker::{WorkGuard, WorkTracker};
@@ -53,6 +52,9 @@
 /// Longest pause that an endpoint can ask for, in milliseconds, so that a wrong value does not exclude it for good.
 const MAX_PAUSE_MS: u64 = 600_000;
 
+/// Interval between the requests that probe a refusing group, in milliseconds. A group forms again in about
+/// 600 ms, and each refused request uses retry budget.
+const GROUP_PROBE_INTERVAL_MS: u64 = 200;
 /// A group that has sent this instance something within this time, in milliseconds, is not refusing as a whole:
 /// a refusal concerns only the endpoint that sent it.
 const GROUP_ACTIVITY_MS: u64 = 300;
@@ -60,10 +62,10 @@
 /// Loads of the endpoints that this instance has sent requests to.
 #[derive(Debug)]
 pub(crate) struct LoadTracker {
-    /// Woken when a request has ended.
+    /// Woken when a request has ended or a group accepts requests again.
     waiting_room: Arc<WaitingRoom>,
-    /// Groups of ranks that wait for each other.
-    pub(crate) groups: GroupTracker,
+    /// Groups that refuse requests, with the time of their next probe.
+    refusing_groups: Mutex<HashMap<String, Timestamp>>,
     /// Gaps between the events of streams, by group.
     gaps: Mutex<HashMap<String, GapAverage>>,
     loads: Mutex<HashMap<InstanceId, EndpointLoad>>,
@@ -75,15 +77,11 @@
 }
 
 impl LoadTracker {
-    pub(crate) fn new(
-        waiting_room: Arc<WaitingRoom>,
-        work: Arc<WorkTracker>,
-        groups: GroupTracker,
-    ) -> Self {
+    pub(crate) fn new(waiting_room: Arc<WaitingRoom>, work: Arc<WorkTracker>) -> Self {
         Self {
-            groups,
             waiting_room,
             work,
+            refusing_groups: Mutex::default(),
             gaps: Mutex::default(),
             loads: Mutex::default(),
             excluded: Mutex::default(),
@@ -170,22 +168,54 @@
         Exclusions(self.lock_excluded().clone())
     }
 
+    fn lock_refusing_groups(&self) -> MutexGuard<'_, HashMap<String, Timestamp>> {
+        self.refusing_groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that an endpoint of a group has refused a request. Returns whether the whole group counts as
     /// refusing, because none of its endpoints has sent anything recently.
     pub(crate) fn record_group_refusal<'a>(
         &self,
-        group: &GroupMembership,
+        group: &str,
         endpoints: impl Iterator<Item = &'a InstanceId>,
         now: Timestamp,
     ) -> bool {
         let is_active =
             self.activity_age_ms(endpoints, now).is_some_and(|age| age < GROUP_ACTIVITY_MS);
         if !is_active {
-            self.groups.record_refusal(group, now);
+            self.lock_refusing_groups()
+                .insert(group.to_owned(), now.plus_ms(GROUP_PROBE_INTERVAL_MS));
         }
         !is_active
     }
 
+    /// Records that an endpoint of a group has answered, and wakes the requests that wait for the group.
+    pub(crate) fn record_group_answer(&self, group: &str) {
+        if self.lock_refusing_groups().remove(group).is_some() {
+            self.waiting_room.wake();
+        }
+    }
+
+    /// Groups that refuse and whose next probe is not due. Usually empty.
+    pub(crate) fn paused_groups(&self, now: Timestamp) -> Vec<String> {
+        let refusing = self.lock_refusing_groups();
+        let paused = refusing.iter().filter(|(_, next_probe)| now < **next_probe);
+        paused.map(|(group, _)| group.clone()).collect()
+    }
+
+    /// Whether a group has refused a request and not answered one since.
+    pub(crate) fn is_group_refusing(&self, group: &str) -> bool {
+        self.lock_refusing_groups().contains_key(group)
+    }
+
+    /// Records that a request is sent to a group. If the group is refusing, other requests wait for the result
+    /// of this one.
+    pub(crate) fn record_group_probe(&self, group: &str, now: Timestamp) {
+        if let Some(next_probe) = self.lock_refusing_groups().get_mut(group) {
+            *next_probe = now.plus_ms(GROUP_PROBE_INTERVAL_MS);
+        }
+    }
+
     fn lock_gaps(&self) -> MutexGuard<'_, HashMap<String, GapAverage>> {
         self.gaps.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/lycheewood/src/metrics/gateway/routing.rs
+++ b/crates/lycheewood/src/metrics/gateway/routing.rs
@@ -14,8 +14,6 @@
     pub(crate) chosen_by_work: IntCounter,
     pub(crate) slow_endpoints: IntCounter,
     pub(crate) probes: IntCounter,
-    pub(crate) group_probes: IntCounter,
-    pub(crate) group_changes: IntCounterVec,
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) refused_unusable: IntCounter,
     pub(crate) cold_sent: IntCounter,
@@ -31,7 +29,7 @@
             )?,
             waits: metrics.counters(
                 "lycheewood_gateway_waits_total",
-                "Requests that waited for a place at an endpoint, by end: granted, expired, too_late, group_forms.",
+                "Requests that waited for a place at an endpoint, by end: granted, expired, too_late.",
                 "end",
             )?,
             wait_seconds: metrics.histogram(
@@ -51,15 +49,6 @@
                 "lycheewood_gateway_probes_total",
                 "Requests sent to slow endpoints, which measure their pace.",
             )?,
-            group_probes: metrics.counter(
-                "lycheewood_gateway_group_probes_total",
-                "Requests sent to groups that refuse or of which nothing is known since the start.",
-            )?,
-            group_changes: metrics.counters(
-                "lycheewood_gateway_group_changes_total",
-                "Changes of what this gateway knows of a group, by what it knows then: unknown, refusing, open.",
-                "status",
-            )?,
             evacuated_domains: metrics.gauge(
                 "lycheewood_gateway_evacuated_domains",
                 "Failure domains that the operator has evacuated.",
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -89,14 +89,6 @@
         self.state.evacuations.load().evacuations()
     }
 
-    /// Groups of endpoints that get only probes from this instance, because they refuse or nothing is known of them since
-    /// the start.
-    #[must_use]
-    pub fn closed_groups(&self) -> Vec<String> {
-        let closed = self.state.loads.groups.closed(self.state.clock.now());
-        closed.into_iter().map(|group| group.name).collect()
-    }
-
     /// Whether this instance should read the platform's topics. The others fetch updates from their peers.
     #[must_use]
     pub fn is_reader(&self) -> bool {
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -80,10 +80,6 @@
     /// Requests that wait at this instance for a place at an endpoint, by priority.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub waiting: Vec<(u8, u32)>,
-    /// Groups from which this instance has lately received events, by tag, and the age of the last one in milliseconds.
-    /// Left out unless another instance has started lately or the group has just opened.
-    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
-    pub open_groups: Vec<(u32, u32)>,
 }
 
 /// The failure domains that the operator has evacuated.
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -201,14 +201,8 @@
         id: &str,
         rank: usize,
         script: impl Fn(&ReceivedRequest) -> Action + Send + Sync + 'static,
-    ) -> SocketAddr {
+    ) {
         let address = self.start_endpoint(id, script);
-        self.list_rank(id, address, rank);
-        address
-    }
-
-    /// Adds a rank of a group of two to the endpoint list.
-    pub(crate) fn list_rank(&mut self, id: &str, address: SocketAddr, rank: usize) {
         let group =
             GroupMembership { name: "g".to_owned(), epoch: 1, rank, size: 2, is_open: true };
         self.list_entry(id, address, EndpointAvailability::Ready, Some(group));
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -15,7 +15,6 @@
 mod ports;
 mod priorities;
 mod regions;
-mod restart;
 mod retries;
 mod silence;
 mod streams;
--- a/crates/lycheewood/tests/load_patterns/main.rs
+++ b/crates/lycheewood/tests/load_patterns/main.rs
@@ -11,7 +11,6 @@
 mod lost_answers;
 mod model;
 mod patterns;
-mod restart;
 mod start_with_waiting_callers;
 mod steady;
 mod urgent_bursts;
--- a/crates/lycheewood/tests/wire.rs
+++ b/crates/lycheewood/tests/wire.rs
@@ -199,8 +199,8 @@
     assert_eq!(plain.len(), 9, "an empty extension is left out");
     assert_eq!(read(plain.clone()), heartbeat);
 
-    let (work_ms, open_groups) = (vec![(1, 30)], vec![(5, 20)]);
-    let extension = HeartbeatExtension { work_ms, open_groups, ..HeartbeatExtension::default() };
+    let work_ms = vec![(1, 30)];
+    let extension = HeartbeatExtension { work_ms, ..HeartbeatExtension::default() };
     let extended = Heartbeat { extension, ..heartbeat };
     let mut newer = elements(&extended);
     let Some(Value::Map(fields)) = newer.last_mut() else { panic!("an extension") };
