Retry the append that ends the trial of a suspect

Cause: an entry appended the clearance of a completed trial once, and gave it up after platform_reply_ms or at the first error. The request that had completed its trial then stayed refused until the deadline of the trial, and needed another one. The same held for a withdrawn trial.

Change: the entry appends the end of a trial up to ten times, as endpoint daemons append reports. The end names its attempt, so a second copy has no effect.

--- a/crates/lycheewood/src/controllers/quarantine.rs
+++ b/crates/lycheewood/src/controllers/quarantine.rs
@@ -28,15 +28,21 @@
 const MAX_TRIAL_MS: u64 = 600_000;
 /// Maximum number of suspects in the table, of about 200 bytes each.
 const MAX_SUSPECTS: usize = 10_000;
-/// Number of times that the append of one report is tried. After that, only the entries that were connected
-/// at the crash have it.
-const MAX_REPORT_APPENDS: u32 = 10;
+/// Number of times that one append is tried. After that, only the entries that were connected at the crash have a
+/// report, and a trial holds until its deadline.
+const MAX_APPENDS: u32 = 10;
 
 /// Appends the report of a crash and retries a failed append. A report that is appended twice counts once.
 pub(crate) fn append_suspect_report(log: LogClient, report: SuspectReport, timing: Timing) {
-    let payload = QuarantineRecord::new(QuarantineEntry::Suspects(report)).to_json();
+    append_with_retries(log, QuarantineEntry::Suspects(report), timing);
+}
+
+/// Appends an entry that has the same effect once or several times, and retries a failed append. The log may have an
+/// append that failed.
+fn append_with_retries(log: LogClient, entry: QuarantineEntry, timing: Timing) {
+    let payload = QuarantineRecord::new(entry).to_json();
     tokio::spawn(async move {
-        for _ in 0..MAX_REPORT_APPENDS {
+        for _ in 0..MAX_APPENDS {
             if log.append(QUARANTINE, payload.clone()).await.is_ok() {
                 return;
             }
@@ -81,6 +87,7 @@
 #[derive(Actor)]
 pub(crate) struct QuarantineController {
     log: LogClient,
+    timing: Timing,
     table: QuarantineTable,
     published: Arc<ArcSwap<QuarantineTable>>,
     waiters: HashMap<AttemptId, Waiter>,
@@ -110,6 +117,7 @@
     ) -> ActorRef<Self> {
         let controller = Self {
             log: log.clone(),
+            timing,
             table: Self::empty_table(&timing),
             published,
             waiters: HashMap::new(),
@@ -167,10 +175,10 @@
         self.published.store(Arc::new(self.table.clone()));
     }
 
-    fn append(&self, entry: QuarantineEntry) {
-        let (log, payload) = (self.log.clone(), QuarantineRecord::new(entry).to_json());
-        // If the append fails, the request stays refused until its trial or suspicion expires.
-        tokio::spawn(async move { log.append(QUARANTINE, payload).await });
+    /// Appends the end of a trial. It names the attempt, so a second copy has no effect. Until the log has it, the
+    /// request stays refused until the deadline of its trial.
+    fn append_trial_end(&self, entry: QuarantineEntry) {
+        append_with_retries(self.log.clone(), entry, self.timing);
     }
 }
 
@@ -191,12 +199,11 @@
 
     async fn handle(&mut self, request: RequestTrial, _: &mut Context<Self, ()>) {
         let RequestTrial { fingerprint, attempt, version, duration_ms, reply } = request;
-        self.append(QuarantineEntry::Trial {
-            fingerprint,
-            attempt,
-            version: version.clone(),
-            duration_ms,
-        });
+        let trial =
+            QuarantineEntry::Trial { fingerprint, attempt, version: version.clone(), duration_ms };
+        let (log, payload) = (self.log.clone(), QuarantineRecord::new(trial).to_json());
+        // Not retried: a copy that arrives after the request has given up would hold a trial that nobody runs.
+        tokio::spawn(async move { log.append(QUARANTINE, payload).await });
         self.waiters.retain(|_, waiter| !waiter.reply.is_closed());
         self.waiters.insert(attempt, Waiter { fingerprint, version, reply });
     }
@@ -207,7 +214,7 @@
 
     async fn handle(&mut self, clear: ClearSuspect, _: &mut Context<Self, ()>) {
         let ClearSuspect { fingerprint, attempt } = clear;
-        self.append(QuarantineEntry::Cleared { fingerprint, attempt });
+        self.append_trial_end(QuarantineEntry::Cleared { fingerprint, attempt });
     }
 }
 
@@ -216,7 +223,7 @@
 
     async fn handle(&mut self, withdraw: WithdrawTrial, _: &mut Context<Self, ()>) {
         let WithdrawTrial { fingerprint, attempt } = withdraw;
-        self.append(QuarantineEntry::Withdrawn { fingerprint, attempt });
+        self.append_trial_end(QuarantineEntry::Withdrawn { fingerprint, attempt });
     }
 }
 
--- a/crates/lycheewood/tests/crashing_requests.rs
+++ b/crates/lycheewood/tests/crashing_requests.rs
@@ -231,6 +231,47 @@
     });
 }
 
+/// Guards against a suspect that stays refused for the whole deadline of its trial although it has completed it,
+/// because the log was unavailable for a moment when the clearance was appended.
+#[test]
+fn a_completed_trial_clears_its_suspect_after_a_failed_append() {
+    let mut deployment = Deployment::platform(TIMING);
+    // A trial holds until the deadline of its request, which must be longer than this test waits.
+    let document = DOCUMENT.replace("default_ms: 20000", "default_ms: 120000");
+    deployment.publish(&document, None);
+    deployment.add_engines(1, &crash_faults());
+    deployment.serve_with(1);
+    let entries = addresses(&deployment);
+    let engine = deployment.engines().next().expect("an engine");
+    let is_answered = |status: u16, _: &str| status == 200;
+    deployment.runtime.block_on(async {
+        engine.set_faults(|faults| faults.stall_after_tokens = Some(2));
+        let ask = request(entries[0], "/v1/completions", None, &completion("suspect", 4));
+        let suspect = tokio::spawn(send(ask));
+        engine.wait_for_load(|load| load.running == 1).await;
+        engine.crash().await;
+        suspect.await.expect("the caller");
+        deployment.log.wait_for_records("quarantine", 1).await;
+        engine.restart().await;
+        let trial = send_until(&entries, "suspect", 4, is_answered);
+        let outage = async {
+            engine.wait_for_load(|load| load.running == 1).await;
+            deployment.log.set_faults(|faults| faults.common.outage = Outage::Unavailable);
+            engine.set_faults(|faults| faults.stall_after_tokens = None);
+        };
+        let both = timeout(Duration::from_millis(WAIT_MS), async { tokio::join!(trial, outage) });
+        both.await.expect("the trial completes");
+        let trials = trial_count(&deployment);
+        // The append of the clearance fails before another request has been answered.
+        send_until(&entries, "other", 4, is_answered).await;
+        deployment.log.set_faults(|faults| faults.common.outage = Outage::None);
+        let cleared = send_until(&entries, "suspect", 4, is_answered);
+        let cleared = timeout(Duration::from_millis(WAIT_MS), cleared).await;
+        cleared.expect("the suspect stays refused");
+        assert_eq!(trial_count(&deployment), trials, "the suspect ran another trial");
+    });
+}
+
 /// Guards against a crash that is not reported, because the load report shows the engine down before the
 /// attempt on it fails.
 #[test]
