Admit a request to an idle service although earlier ones were slow

Cause: a request is refused with deadline_unreachable if twice the mean slot holding time exceeds the time that it has left. Only a completed request changes the mean, and the first one sets it. After a slow moment of its machine an entry refused every request with a shorter deadline for good, also without load.

Change: a request that need not wait for a slot is admitted while the entry has no other one in flight, so that one at a time measures the time anew.

--- a/crates/lycheewood/src/decisions/admission.rs
+++ b/crates/lycheewood/src/decisions/admission.rs
@@ -217,7 +217,8 @@
     }
 }
 
-/// Decides whether to admit a request. `random` spreads the retry delays of refused callers.
+/// Decides whether to admit a request. `random` spreads the retry delays of refused callers. A request that would take
+/// too long by the mean holding time alone is admitted while this entry has no other one in flight.
 ///
 /// # Errors
 ///
@@ -238,7 +239,10 @@
     let wait_ms = (in_system + 1.0 - capacity).max(0.0) * hold_ms / capacity;
     let required_ms = wait_ms * policy.margin + hold_ms * policy.hold_margin;
     let remaining_ms = float_ms(request.deadline.ms_since(now));
-    if remaining_ms <= 0.0 || required_ms > remaining_ms {
+    // The mean holding time changes only when a request completes. Refused by it alone, no request would ever run again
+    // after a few slow ones.
+    let is_probe = state.in_flight.count() == 0 && wait_ms <= 0.0;
+    if remaining_ms <= 0.0 || (required_ms > remaining_ms && !is_probe) {
         return refuse(NotRunCode::DeadlineUnreachable, required_ms - remaining_ms);
     }
     // One request per workspace is exempt; otherwise low priorities of small workspaces would never run.
--- a/crates/lycheewood/tests/limits.rs
+++ b/crates/lycheewood/tests/limits.rs
@@ -181,6 +181,26 @@
     assert_eq!(admit(0).unwrap_err().code, NotRunCode::DeadlineUnreachable);
 }
 
+/// Guards against an entry that refuses every request for good after a slow one: its mean slot holding time changes only
+/// when a request completes.
+#[test]
+fn an_idle_entry_admits_a_request_although_earlier_ones_were_slow() {
+    let policy = AdmissionPolicy::default();
+    let workspace = workspace("w", 1);
+    let mut state = AdmissionState::default();
+    let first = admit(&policy, &state, &LOAD, &request(&workspace, 5, 4_000), NOW, 0).unwrap();
+    state.on_admitted(&workspace.name, NOW);
+    state.on_end(&workspace.name, &first, 3_000, true, NOW);
+    // Past the time over which changes of the load are averaged.
+    let now = NOW.plus_ms(10_000);
+    let ask = AdmissionRequest { first_sent: now, ..request(&workspace, 5, 14_000) };
+    assert!(admit(&policy, &state, &LOAD, &ask, now, 0).is_ok());
+    // One such request at a time finds out whether the endpoints are faster now.
+    state.on_admitted(&workspace.name, now);
+    let refused = admit(&policy, &state, &LOAD, &ask, now, 0).unwrap_err();
+    assert_eq!(refused.code, NotRunCode::DeadlineUnreachable);
+}
+
 /// Guards against an entry that admits everything because it starts during a load peak.
 #[test]
 fn entry_without_measurements_bounds_what_it_admits() {
