Test a silent stream whose deadline passes as others begin to answer

a_stream_leaves_a_server_that_is_silent_alone once got 502 for 200 at a load average of 30. The other endpoint had no recent answer after 1.1 s, and the next check came with the deadline.

--- a/crates/lycheewood/tests/gateway/streams.rs
+++ b/crates/lycheewood/tests/gateway/streams.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use crate::harness::{
     Action, Harness, ReceivedRequest, Reply, SHORT_DEADLINE_MS, header_value, ok_response, request,
@@ -191,6 +192,33 @@
     }
 }
 
+/// Guards against a 502, as if a connection had been lost, for a silent stream whose deadline passes just as another
+/// endpoint is to be asked: no attempt is left to tell what became of the request.
+#[test]
+fn a_silent_stream_ends_at_its_deadline_although_others_begin_to_answer() {
+    // After the last check for silence before the deadline, so that the next one is at the deadline.
+    const OTHERS_FROM: Duration = Duration::from_millis(SHORT_DEADLINE_MS - 300);
+    let mut harness = Harness::with_routes();
+    start_endpoints(&mut harness, 2, |_, _| Action::Hang(Vec::new()));
+    harness.wait_until_ready();
+    let (tcp, started) = (harness.connect(), Instant::now());
+    let stream = request_within(SHORT_DEADLINE_MS, "/stream/x", "id-1");
+    let caller = std::thread::spawn(move || Reply::read(tcp, &stream));
+    for number in 0.. {
+        if caller.is_finished() {
+            break;
+        }
+        let left = OTHERS_FROM.saturating_sub(started.elapsed());
+        if left.is_zero() {
+            harness.call(&request("/read/x", &format!("other-{number}")));
+        } else {
+            std::thread::park_timeout(left);
+        }
+    }
+    let reply = caller.join().expect("a reply");
+    assert_eq!((reply.status, reply.is_complete), (504, true), "{}", reply.body);
+}
+
 /// Guards against streams that move to another endpoint while a whole group is stalled: the next endpoint would
 /// be silent as well, and the retry budget would be used up.
 #[test]
