--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -372,13 +372,14 @@
     serve(own_ip(9), move |tcp| store.serve(tcp))
 }
 
-// ---- Case 6: a request that arrives at the end of the lingering phase of a planned stop
+// ---- Case 6: requests whose bodies are still arriving when the lingering phase of a planned stop ends
 
 /// One request of a caller.
 #[derive(Clone, Debug)]
 struct Sent {
     id: String,
-    /// When its last byte was written, in milliseconds after the signal.
+    /// When its first and its last byte were written, in milliseconds after the signal.
+    begun_ms: f64,
     sent_ms: f64,
     status: Option<u16>,
     is_whole: bool,
@@ -390,16 +391,20 @@
 const GRACE_MS: f64 = 8_000.0;
 /// Requests that were sent later than this after the signal are not excused when the end of the grace cuts them.
 const EXCUSED_UNTIL_MS: f64 = 3_000.0;
+/// Answers take 5.4 s. With the upload they end below the caller's deadline and the route's timeout.
+const EVENTS: u32 = 18;
+const GAP: Duration = Duration::from_millis(300);
 /// The longest time that a caller waits, and the timeout of the route.
 const DEADLINE_MS: f64 = 8_000.0;
-const GATEWAYS: u8 = 4;
+const GATEWAYS: u8 = 2;
 /// Callers of each gateway, which send one request each, `BETWEEN` apart.
-const CALLERS: usize = 60;
-const FIRST_AFTER: Duration = Duration::from_micros(2_999_800);
-const BETWEEN: Duration = Duration::from_micros(100);
-/// Answers take this long, below the caller's deadline and the route's timeout of 8 s.
-const EVENTS: u32 = 20;
-const GAP: Duration = Duration::from_millis(300);
+const CALLERS: usize = 20;
+const FIRST_AFTER: Duration = Duration::from_millis(2_600);
+const BETWEEN: Duration = Duration::from_millis(10);
+/// A body is sent in this many pieces, which takes a second: less than `header_timeout_ms`, which is 3,000.
+const PIECES: usize = 11;
+const PIECE: [u8; 2_000] = [b'p'; 2_000];
+const BETWEEN_PIECES: Duration = Duration::from_millis(100);
 
 fn planned_stop(binary: &Path, trouble: bool) -> Outcome<(bool, String)> {
     let runs = Runs::default();
@@ -434,8 +439,8 @@
         let mark = if *is_lost { " LOST" } else { "" };
         let _ = writeln!(
             text,
-            "{} sent_ms={:.3} status={:?} whole={} ended_ms={:.1} run_ms={:?}{mark}",
-            sent.id, sent.sent_ms, sent.status, sent.is_whole, sent.ended_ms, sent.run_ms
+            "{} begun_ms={:.1} sent_ms={:.1} status={:?} whole={} ended_ms={:.1} run_ms={:?}{mark}",
+            sent.id, sent.begun_ms, sent.sent_ms, sent.status, sent.is_whole, sent.ended_ms, sent.run_ms
         );
     }
     if !trouble && whole < requests.len() {
@@ -444,7 +449,7 @@
     Ok((lost > 0, text))
 }
 
-/// Stops one gateway and sends requests around the end of the third second after the signal. Gives a summary, and each
+/// Stops one gateway and sends requests that begin before the end of the third second after the signal, and end later. Gives a summary, and each
 /// request with whether it was lost.
 fn stop_one(
     number: usize,
@@ -469,7 +474,7 @@
     }
     // Taken after the signal was sent, so that no request counts as later than it is.
     let signalled = Instant::now();
-    let ms = |at: Instant| at.duration_since(signalled).as_secs_f64() * 1_000.0;
+    let ms = move |at: Instant| at.duration_since(signalled).as_secs_f64() * 1_000.0;
     let mut look_ups = Vec::new();
     for second in 1..=2 {
         thread::sleep(Duration::from_millis(second * 1_000).saturating_sub(signalled.elapsed()));
@@ -483,40 +488,51 @@
             if left.is_zero() {
                 break;
             }
-            // The last part is waited for without a sleep, which would end late.
-            thread::sleep(left.saturating_sub(Duration::from_millis(1)));
+            thread::sleep(left);
         }
         let id = format!("{number:04x}{caller:012x}");
-        let request = format!(
+        let head = format!(
             "POST /draft/{caller} HTTP/1.1\r\nHost: draft.example\r\nX-Lycheewood-Request-Id: {id}\r\n\
-             X-Lycheewood-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\nhi"
+             X-Lycheewood-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer key-1\r\nContent-Length: {}\r\n\r\n",
+            PIECES * PIECE.len()
         );
-        // Before the write, so that no request counts as later than it is.
-        let sent_ms = ms(Instant::now());
-        let is_sent = tcp.write_all(request.as_bytes()).is_ok();
         readers.push(thread::spawn(move || {
-            let mut sent = Sent { id, sent_ms, status: None, is_whole: false, ended_ms: 0.0, run_ms: None };
+            let begun_ms = ms(Instant::now());
+            let mut is_sent = tcp.write_all(head.as_bytes()).is_ok();
+            let mut sent_ms = begun_ms;
+            for piece in 0..PIECES {
+                if piece > 0 {
+                    thread::sleep(BETWEEN_PIECES);
+                }
+                // Before the write, so that no request counts as later than it is.
+                sent_ms = ms(Instant::now());
+                is_sent = is_sent && tcp.write_all(&PIECE).is_ok();
+            }
+            let mut sent =
+                Sent { id, begun_ms, sent_ms, status: None, is_whole: false, ended_ms: 0.0, run_ms: None };
             let _ = tcp.set_read_timeout(Some(Duration::from_secs(9)));
-            if let Some(head) = is_sent.then(|| read_head(&mut tcp)).flatten() {
+            // A refusal may come before the last piece.
+            if let Some(head) = read_head(&mut tcp) {
                 sent.status = head.line.split(' ').nth(1).and_then(|status| status.parse().ok());
                 sent.is_whole = match head.field("transfer-encoding") {
                     "chunked" => read_chunked(&mut tcp).is_some(),
                     _ => read_sized(&mut tcp, &head).is_some(),
                 };
             }
-            (sent, Instant::now())
+            sent.ended_ms = ms(Instant::now());
+            sent
         }));
     }
     let mut requests = Vec::new();
     for reader in readers {
-        let (sent, ended) = reader.join().map_err(|_| "a caller panicked".to_owned())?;
+        let sent = reader.join().map_err(|_| "a caller panicked".to_owned())?;
         let run = runs.lock().expect("no panic").get(&sent.id).copied();
         let run_ms = run.map(|(begun, ended)| (ms(begun), ended.map(ms)));
-        let sent = Sent { ended_ms: ms(ended), run_ms, ..sent };
+        let sent = Sent { run_ms, ..sent };
         let is_lost = sent.sent_ms > EXCUSED_UNTIL_MS
             && sent.status == Some(200)
             && !sent.is_whole
-            && sent.ended_ms < sent.sent_ms + DEADLINE_MS
+            && sent.ended_ms < sent.begun_ms + DEADLINE_MS
             && sent.ended_ms < GRACE_MS + 1_000.0
             && sent.run_ms.is_some();
         requests.push((sent, is_lost));
