--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -12,6 +12,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitCode, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,6 +23,8 @@
 const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 type Outcome<T> = Result<T, String>;
 
@@ -35,6 +38,7 @@
     let case_run = match case.as_str() {
         "planned-stop" => planned_stop(Path::new(binary), trouble),
         "settings" => settings_change(Path::new(binary), trouble),
+        "reader-freeze" => reader_freeze(Path::new(binary), trouble),
         _ => Err(format!("no case {case}")),
     };
     let (code, text) = match case_run {
@@ -130,7 +134,7 @@
 // ---- The platform's store: topics with one partition, appends, long polls and the newest record of each key
 
 #[derive(Clone, Default)]
-struct Store(Arc<(Mutex<HashMap<String, Vec<Vec<u8>>>>, Condvar)>);
+struct Store(Arc<(Mutex<HashMap<String, Vec<Vec<u8>>>>, Condvar)>, Arc<Mutex<Option<Instant>>>);
 
 impl Store {
     fn put(&self, topic: &str, key: &str, value: &str) {
@@ -141,6 +145,11 @@
         self.0.1.notify_all();
     }
 
+    /// When the last read of the list of servers began.
+    fn last_list_read(&self) -> Option<Instant> {
+        *self.1.lock().expect("no panic")
+    }
+
     fn serve(&self, mut tcp: TcpStream) {
         let Some(head) = read_head(&mut tcp) else { return };
         let Some(body) = read_sized(&mut tcp, &head) else { return };
@@ -170,6 +179,9 @@
                 }
             }
             "/v1/log-read" => {
+                if topic == "keyed.servers" {
+                    *self.1.lock().expect("no panic") = Some(Instant::now());
+                }
                 let from = number("from").unwrap_or(0);
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0) as u64);
                 let is_empty = |topics: &mut HashMap<String, Vec<Vec<u8>>>| {
@@ -274,9 +286,9 @@
 }
 
 impl Gateway {
-    fn write_settings(folder: &Path, ip: Ipv4Addr, store: SocketAddr, grace: &str) -> Outcome<()> {
+    fn write_settings(folder: &Path, number: u8, ip: Ipv4Addr, store: SocketAddr, grace: &str) -> Outcome<()> {
         let settings = format!(
-            "node_name=front-a-1\nrole=gateway\nmachine_class=front\nserves=front,directory\nip={ip}\nzone=zone-a\n\
+            "node_name=front-a-{number}\nrole=gateway\nmachine_class=front\nserves=front,directory\nip={ip}\nzone=zone-a\n\
              region=region-a\nzones.zone-a=region-a\nlisten.front={ip}:{FRONT_PORT}\nlisten.ready={ip}:{READY_PORT}\n\
              listen.directory={ip}:{DIRECTORY_PORT}\ninternal_ports=7340,7355\nseeds={ip}:8229\nlimits.cpu_share=0.17\n\
              limits.cores=1\nlimits.memory_mb=182\nlimits.max_fds=2940\nheartbeat_ms=1200\nbounds.drain_ms=2000\n\
@@ -304,7 +316,7 @@
         let name = format!("lycheewood-review-2-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
-        Self::write_settings(&folder, ip, store, "8")?;
+        Self::write_settings(&folder, number, ip, store, "8")?;
         let child = Self::spawn(binary, &folder)?;
         let gateway = Self { child, folder, ip, store };
         if gateway.wait_until_ready(Duration::from_secs(20)) { Ok(gateway) } else { Err("not ready".into()) }
@@ -410,7 +422,7 @@
     let runs = Runs::default();
     let store = start_platform(3, &runs, EVENTS, GAP)?;
     let mut stops = Vec::new();
-    for number in 0..GATEWAYS {
+    for number in 1..=GATEWAYS {
         let gateway = Gateway::start(binary, number, own_ip(10 + number), store)?;
         let runs = Arc::clone(&runs);
         stops.push((gateway, runs));
@@ -550,14 +562,14 @@
     Ok((summary, requests))
 }
 
-// ---- Case 7: settings
+// ---- Case 8: settings
 
 fn settings_change(binary: &Path, trouble: bool) -> Outcome<(bool, String)> {
     let runs = Runs::default();
     let store = start_platform(1, &runs, 2, Duration::from_millis(20))?;
-    let mut gateway = Gateway::start(binary, 0, own_ip(10), store)?;
+    let mut gateway = Gateway::start(binary, 1, own_ip(10), store)?;
     if trouble {
-        Gateway::write_settings(&gateway.folder, gateway.ip, gateway.store, "7.5")?;
+        Gateway::write_settings(&gateway.folder, 1, gateway.ip, gateway.store, "7.5")?;
     }
     gateway.signal(SIGHUP);
     thread::sleep(Duration::from_millis(500));
@@ -580,3 +592,233 @@
     text.extend(log.lines().filter(|line| line.contains("grace")).map(|line| format!("log: {line}\n")));
     Ok((is_broken, text))
 }
+
+// ---- Case 7: the instance that reads the list of servers stands still for a moment while a server leaves
+
+/// A request that has reached a server.
+#[derive(Clone, Debug)]
+struct Arrival {
+    id: String,
+    server: usize,
+    at: Instant,
+    /// Whether the server has sent its whole answer.
+    is_answered: bool,
+}
+
+/// A plain server that runs requests which must not be repeated.
+#[derive(Clone)]
+struct JobServer {
+    number: usize,
+    address: SocketAddr,
+    is_gone: Arc<AtomicBool>,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+const JOB_MS: u64 = 60;
+const DRAIN_MS: f64 = 2_000.0;
+/// A server that leaves goes on for `drain_ms` and a little longer.
+const LEAVES_AFTER: Duration = Duration::from_millis(2_250);
+/// Longest freeze on the site: 4 s.
+const FREEZE: Duration = Duration::from_millis(620);
+/// Age of the read of the list at which the instance is frozen; a read waits for a second.
+const FROZEN_AT_AGE: Duration = Duration::from_millis(930);
+const LEAVING_SERVERS: usize = 3;
+const JOB_SERVERS: usize = 7;
+const JOB_CALLERS: usize = 8;
+
+impl JobServer {
+    fn start(number: usize, arrivals: &Arc<Mutex<Vec<Arrival>>>) -> Outcome<Self> {
+        let ip = own_ip(100 + u8::try_from(number).expect("few servers"));
+        let listener = TcpListener::bind((ip, 0)).map_err(|error| error.to_string())?;
+        listener.set_nonblocking(true).map_err(|error| error.to_string())?;
+        let address = listener.local_addr().map_err(|error| error.to_string())?;
+        let is_gone = Arc::new(AtomicBool::new(false));
+        let server = Self { number, address, is_gone, arrivals: Arc::clone(arrivals) };
+        let serving = server.clone();
+        thread::spawn(move || {
+            while !serving.is_gone.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((tcp, _)) => {
+                        let _ = tcp.set_nonblocking(false);
+                        let server = serving.clone();
+                        thread::spawn(move || server.run(tcp));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        });
+        Ok(server)
+    }
+
+    fn id(&self) -> String {
+        format!("i-{:08x}", self.number)
+    }
+
+    fn entry(&self) -> String {
+        let address = self.address;
+        format!(
+            "{{\"service\":\"jobs\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":24,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1700000000000}}"
+        )
+    }
+
+    fn run(&self, mut tcp: TcpStream) {
+        let Some(head) = read_head(&mut tcp) else { return };
+        if read_sized(&mut tcp, &head).is_none() || self.is_gone.load(Ordering::Relaxed) {
+            return;
+        }
+        let id = head.field("x-lycheewood-request-id").to_owned();
+        let index = {
+            let mut arrivals = self.arrivals.lock().expect("no panic");
+            let server = self.number;
+            arrivals.push(Arrival { id: id.clone(), server, at: Instant::now(), is_answered: false });
+            arrivals.len() - 1
+        };
+        thread::sleep(Duration::from_millis(JOB_MS));
+        // The process of a server that has ended answers nothing more.
+        if self.is_gone.load(Ordering::Relaxed) {
+            return;
+        }
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nX-Lycheewood-Request-Id: {id}\r\nX-Lycheewood-Response-Seal: 0.{id}\r\n\
+             Content-Length: 4\r\nConnection: close\r\n\r\ndone"
+        );
+        if tcp.write_all(answer.as_bytes()).is_ok() {
+            self.arrivals.lock().expect("no panic")[index].is_answered = true;
+        }
+    }
+}
+
+const JOB_CONFIGURATION: &str = "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"job.example\",\
+    \"path_prefix\":\"/job/\",\"kind\":\"non_idempotent\",\"timeout_ms\":4000,\"target_latency_ms\":300,\"priority\":2,\
+    \"service\":\"jobs\",\"max_attempts\":2,\"anonymous\":false,\"sticky\":false}],\"services\":[{\"name\":\"jobs\",\
+    \"health_path\":\"/health\",\"max_connections\":900,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\
+    \"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},\
+    \"tenants\":[{\"name\":\"t-1\",\"api_keys\":[\"key-1\"]}]}";
+
+/// Sends one request after the other on a kept connection until `is_over`. Gives the answers by id.
+fn send_jobs(front: SocketAddr, caller: &str, is_over: &AtomicBool) -> Vec<(String, Option<u16>)> {
+    let mut answers = Vec::new();
+    let mut kept: Option<TcpStream> = None;
+    for number in 0_u32.. {
+        if is_over.load(Ordering::Relaxed) {
+            break;
+        }
+        let Some(mut tcp) = kept.take().or_else(|| TcpStream::connect(front).ok()) else { break };
+        let _ = tcp.set_read_timeout(Some(Duration::from_secs(5)));
+        let id = format!("{caller}-{number:08x}");
+        let request = format!(
+            "POST /job/{id} HTTP/1.1\r\nHost: job.example\r\nX-Lycheewood-Request-Id: {id}\r\n\
+             X-Lycheewood-Deadline-Ms: 4000\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        let sent = tcp.write_all(request.as_bytes());
+        let head = sent.ok().and_then(|()| read_head(&mut tcp));
+        let status = head.as_ref().and_then(|head| head.line.split(' ').nth(1)?.parse().ok());
+        let is_whole = head.as_ref().is_some_and(|head| read_sized(&mut tcp, head).is_some());
+        if is_whole && head.is_some_and(|head| head.field("connection") != "close") {
+            kept = Some(tcp);
+        }
+        answers.push((id, status));
+        thread::sleep(Duration::from_millis(5));
+    }
+    answers
+}
+
+fn reader_freeze(binary: &Path, trouble: bool) -> Outcome<(bool, String)> {
+    let store = Store::default();
+    store.put("keyed.op", "config", JOB_CONFIGURATION);
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    let mut servers = Vec::new();
+    for number in 0..JOB_SERVERS {
+        let server = JobServer::start(number, &arrivals)?;
+        store.put("keyed.servers", &server.id(), &server.entry());
+        servers.push(server);
+    }
+    let serving = store.clone();
+    let address = serve(own_ip(9), move |tcp| serving.serve(tcp))?;
+    let mut gateways = Vec::new();
+    for number in 1..=3 {
+        gateways.push(Gateway::start(binary, number, own_ip(10 + number), address)?);
+    }
+    // The first by name reads for all; the others stop to read within this time.
+    thread::sleep(Duration::from_secs(4));
+    let begun = Instant::now();
+    let ms = |at: Instant| at.duration_since(begun).as_secs_f64() * 1_000.0;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
+    // Callers use the second and the third instance only, which are never touched.
+    for gateway in &gateways[1..] {
+        let front = SocketAddr::from((gateway.ip, FRONT_PORT));
+        for caller in 0..JOB_CALLERS {
+            let (name, is_over) = (format!("{}-{caller}", gateway.ip.octets()[3]), Arc::clone(&is_over));
+            callers.push(thread::spawn(move || send_jobs(front, &name, &is_over)));
+        }
+    }
+    let mut removals = Vec::new();
+    for server in &servers[..LEAVING_SERVERS] {
+        thread::sleep(Duration::from_secs(4));
+        // Waits for a read of the list that has waited for most of its second.
+        let read = loop {
+            let read = store.last_list_read().ok_or("nobody reads the list of servers")?;
+            if read.elapsed() < FROZEN_AT_AGE {
+                break read;
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        thread::sleep((read + FROZEN_AT_AGE).saturating_duration_since(Instant::now()));
+        if trouble {
+            gateways[0].signal(SIGSTOP);
+        }
+        let frozen = Instant::now();
+        thread::sleep(Duration::from_millis(20));
+        store.put("keyed.servers", &server.id(), "");
+        // After the store has taken it, so that no request counts as later than it is.
+        let removed = Instant::now();
+        removals.push(removed);
+        thread::sleep((frozen + FREEZE).saturating_duration_since(Instant::now()));
+        if trouble {
+            gateways[0].signal(SIGCONT);
+        }
+        thread::sleep((removed + LEAVES_AFTER).saturating_duration_since(Instant::now()));
+        server.is_gone.store(true, Ordering::Relaxed);
+    }
+    thread::sleep(Duration::from_secs(2));
+    is_over.store(true, Ordering::Relaxed);
+    let mut answers = HashMap::new();
+    for caller in callers {
+        answers.extend(caller.join().map_err(|_| "a caller panicked".to_owned())?);
+    }
+    let arrivals = arrivals.lock().expect("no panic");
+    let mut text = format!("trouble={trouble} requests={} runs={}\n", answers.len(), arrivals.len());
+    let mut late = 0;
+    let mut lines = String::new();
+    for arrival in arrivals.iter() {
+        let Some(removed) = removals.get(arrival.server) else { continue };
+        if arrival.at <= *removed {
+            continue;
+        }
+        let after_ms = ms(arrival.at) - ms(*removed);
+        let is_late = after_ms > DRAIN_MS;
+        late += usize::from(is_late);
+        let status = answers.get(&arrival.id).copied().flatten();
+        let _ = writeln!(
+            lines,
+            "server {} request {} reached it {after_ms:.1} ms after its removal, answered by it={} status={status:?}{}",
+            arrival.server,
+            arrival.id,
+            arrival.is_answered,
+            if is_late { " DRAIN" } else { "" }
+        );
+    }
+    let mut statuses: BTreeMap<Option<u16>, usize> = BTreeMap::new();
+    for status in answers.values() {
+        *statuses.entry(*status).or_default() += 1;
+    }
+    let lost = arrivals.iter().filter(|arrival| !arrival.is_answered).count();
+    let _ = writeln!(
+        text,
+        "answers by status={statuses:?}\nreached a server more than {DRAIN_MS} ms after its removal={late}\n\
+         run and not answered, because the server had ended={lost}"
+    );
+    Ok((late > 0, text + &lines))
+}
