Log and count the limits that endpoints name

Each gateway now logs when an endpoint names another limit or none any more, and counts values that are no rate. Nothing acts on it yet.

--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -14,6 +14,7 @@
 pub(crate) mod demand;
 pub(crate) mod digest;
 pub(crate) mod directory;
+pub(crate) mod endpoint_limits;
 pub(crate) mod endpoint_list;
 pub(crate) mod entries;
 pub(crate) mod estimate;
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -7,6 +7,8 @@
 use hyper::header::CONTENT_ENCODING;
 use tokio::time::timeout;
 
+use crate::adapters::forward::upstream::UpstreamResponse;
+use crate::decisions::endpoint_limits::RequestRate;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::ForwardedResponse;
 use crate::filters::forward::crash::{self, Output};
@@ -41,6 +43,7 @@
     if let Err(error) = check_head(state, head, &stage) {
         return retry_after_head_error(state, head, stage, error);
     }
+    record_limit(state, &stage.endpoint, &stage.response);
     let is_stream = stage.admitted.route.kind == RequestKind::Streaming;
     if is_stream && stage.response.status().is_success() {
         state.metrics.attempts.with_label_values(&["answered"]).inc();
@@ -98,6 +101,26 @@
     CheckOutcome::Respond(ForwardedResponse::Buffered(response))
 }
 
+/// Records the limit that an endpoint names in a response. Only a success shows that it has none any more: another endpoint
+/// at its address may have sent a refusal.
+fn record_limit(state: &GatewayState, endpoint: &EndpointEntry, response: &UpstreamResponse) {
+    let value = response.headers().get(&state.settings.headers.request_limit);
+    let limit = value.map(|value| RequestRate::try_from(value.to_str().unwrap_or_default()));
+    match limit {
+        Some(Ok(limit)) if response.status() != StatusCode::MISDIRECTED_REQUEST => {
+            state.limits.observe(endpoint, Some(limit), state.clock.now());
+        }
+        Some(Err(error)) => {
+            state.metrics.routing.limits_unreadable.inc();
+            log::warn!("endpoint limit unreadable server={} reason=\"{error}\"", endpoint.id);
+        }
+        None if response.status().is_success() => {
+            state.limits.observe(endpoint, None, state.clock.now());
+        }
+        Some(Ok(_)) | None => {}
+    }
+}
+
 /// Updates the load tracker and the request's attempts after a refusal of an endpoint.
 fn record_refusal(
     state: &GatewayState,
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::decisions::units::mix;
 use crate::ids::{AttemptId, Incarnation, InstanceId, TargetName};
 use crate::lifecycle::shutdown::Phase;
+use crate::limit_tracker::LimitTracker;
 use crate::load_tracker::LoadTracker;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::gateway::GatewayMetrics;
@@ -66,6 +67,8 @@
     pub(crate) evacuations: Arc<ArcSwap<EvacuationTable>>,
     pub(crate) peers: Arc<ArcSwap<PeerTable>>,
     pub(crate) loads: Arc<LoadTracker>,
+    /// Limits that endpoints name in their responses.
+    pub(crate) limits: Arc<LimitTracker>,
     /// Windows for requests to cold endpoints.
     pub(crate) cold: Arc<ColdTracker>,
     pub(crate) in_flight: watch::Sender<usize>,
@@ -156,6 +159,7 @@
             evacuations: Arc::default(),
             peers: Arc::default(),
             loads: Arc::new(LoadTracker::new(Arc::clone(&waiting_room), work)),
+            limits: Arc::default(),
             in_flight: watch::Sender::new(0),
             state_received: Arc::default(),
             started: OnceLock::new(),
--- a/crates/lycheewood/src/gateway/settings.rs
+++ b/crates/lycheewood/src/gateway/settings.rs
@@ -28,6 +28,8 @@
     pub not_run: HeaderName,
     /// Set to `1` by an endpoint that is about to stop.
     pub leaving: HeaderName,
+    /// Requests per second that an endpoint takes from all gateways together, a decimal number.
+    pub request_limit: HeaderName,
     /// Parts of the request's prompt in order, as `id:tokens` entries separated by commas. Requests may share all
     /// parts but the last one.
     pub prompt_parts: HeaderName,
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -29,6 +29,7 @@
 mod group_ports;
 mod ids;
 mod lifecycle;
+mod limit_tracker;
 mod load_tracker;
 mod logging;
 mod memory_budget;
@@ -84,6 +85,7 @@
 pub use decisions::demand::{DemandReport, DemandTable};
 pub use decisions::digest::{DigestError, Fingerprint, KeyDigest};
 pub use decisions::directory::{CallerPlace, EntryView, nearest_entries};
+pub use decisions::endpoint_limits::{LimitBook, LimitReport, RequestRate, RequestRateError};
 pub use decisions::endpoint_list::{
     EndpointAvailability, EndpointChange, EndpointEntry, EndpointIndex, EndpointList,
     EndpointRecord, GroupMembership,
--- a/crates/lycheewood/src/metrics/gateway/routing.rs
+++ b/crates/lycheewood/src/metrics/gateway/routing.rs
@@ -17,6 +17,7 @@
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) refused_unusable: IntCounter,
     pub(crate) cold_sent: IntCounter,
+    pub(crate) limits_unreadable: IntCounter,
     pub(crate) fleet_assumed: IntGauge,
 }
 
@@ -61,6 +62,10 @@
                 "lycheewood_gateway_cold_sent_total",
                 "Attempts at endpoints that were cold and whose service limits them.",
             )?,
+            limits_unreadable: metrics.counter(
+                "lycheewood_gateway_limits_unreadable_total",
+                "Responses that name a limit of their endpoint which is not a rate.",
+            )?,
             fleet_assumed: metrics.gauge(
                 "lycheewood_gateway_fleet_assumed",
                 "Gateways that this one shares the limits of cold endpoints with.",
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -107,6 +107,7 @@
                 signature: header("x-seal"),
                 not_run: header("x-not-run"),
                 leaving: header("x-leaving"),
+                request_limit: header("x-limit"),
                 prompt_parts: header("x-parts"),
                 failed_endpoint: header("x-failed"),
                 priority: header("x-priority"),
