Show that endpoints get more requests than they say they take

One gateway sends a limited endpoint half of 80 requests beside another one; four gateways send it 70 where one and a half times the limit and 8 are allowed.

--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod evacuations;
 mod harness;
 mod leaving;
+mod limits;
 mod lost_answers;
 mod messages;
 mod overload;
