Keep to the limits that endpoints name, over all gateways

Callers saw nothing at first: an endpoint that names in its answers how many requests a second it takes got its usual share of all requests, several times the limit, from gateways that had passed its answers on.

Keeping to it alone would not do either, since the limit is for all gateways together.

Change: gateways tell each other in heartbeats which limits they have read, with the age of the response. Requests to a limited endpoint need a permit. One gateway allots the permits of an endpoint, chosen by rendezvous hashing among those that are heard and ready. Gateways that hear a part of the fleet use that part of the limit. A permit that is not used lapses.

--- a/crates/lycheewood/src/adapters/gossip.rs
+++ b/crates/lycheewood/src/adapters/gossip.rs
@@ -19,6 +19,7 @@
 use crate::decisions::quarantine::record::QuarantineEntry;
 use crate::decisions::readers::StateFetch;
 use crate::wire::heartbeat::{Heartbeat, SharedState};
+use crate::wire::permit_message::PermitMessage;
 use crate::wire::quarantine_notice::QuarantineNotice;
 
 /// The largest datagram that is read, in bytes. A heartbeat with 200 endpoints has about 5,000.
@@ -63,17 +64,28 @@
     }
 }
 
+/// Sends a message about permits.
+pub(crate) fn send_permit_message(
+    socket: &UdpSocket,
+    message: &PermitMessage,
+    address: SocketAddr,
+) {
+    let _ = socket.try_send_to(&encode(message), address);
+}
+
 /// A datagram of another instance.
 pub(crate) enum Datagram {
     Heartbeat(Box<Heartbeat>),
+    Permit(PermitMessage),
     Quarantine(QuarantineNotice),
 }
 
 impl Datagram {
     fn decode(bytes: &[u8]) -> Option<Self> {
-        // A heartbeat is an array and a notice is a map, so no datagram can be read as both.
+        // A heartbeat is an array, and the others are maps with different keys, so no datagram can be read as two.
         let heartbeat = decode(bytes).map(Box::new).map(Self::Heartbeat);
-        heartbeat.or_else(|| decode(bytes).map(Self::Quarantine))
+        let permit = || decode(bytes).map(Self::Permit);
+        heartbeat.or_else(permit).or_else(|| decode(bytes).map(Self::Quarantine))
     }
 }
 
--- a/crates/lycheewood/src/cold_tracker.rs
+++ b/crates/lycheewood/src/cold_tracker.rs
@@ -30,9 +30,14 @@
         self.fleet.swap(fleet, Ordering::Relaxed)
     }
 
+    /// The number of gateways that share the limits.
+    pub(crate) fn fleet(&self) -> u32 {
+        self.fleet.load(Ordering::Relaxed)
+    }
+
     /// Time between two windows for an endpoint of a service, in milliseconds.
     pub(crate) fn period_ms(&self, cold_per_s: f64) -> u64 {
-        window_period_ms(cold_per_s, &self.bounds, self.fleet.load(Ordering::Relaxed))
+        window_period_ms(cold_per_s, &self.bounds, self.fleet())
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<InstanceId, ColdWindows>> {
--- a/crates/lycheewood/src/controllers.rs
+++ b/crates/lycheewood/src/controllers.rs
@@ -14,6 +14,7 @@
 pub(crate) mod load;
 pub(crate) mod membership;
 pub(crate) mod peers;
+pub(crate) mod permits;
 pub(crate) mod placement;
 pub(crate) mod quarantine;
 pub(crate) mod rank;
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -17,8 +17,10 @@
 use crate::clock::Timestamp;
 use crate::controllers::endpoint_list::{EndpointListController, EndpointListUpdate, ExportList};
 use crate::controllers::gateway_quarantine::{EntriesReceived, GatewayQuarantine};
+use crate::controllers::permits::{PermitMessageReceived, PermitsController};
 use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
 use crate::decisions::cold::{FleetEstimate, FleetView};
+use crate::decisions::endpoint_limits::{LimitReport, RequestRate};
 use crate::decisions::peers::{PeerTracker, encode_failures};
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
@@ -109,6 +111,7 @@
         routes: ActorRef<RoutesController>,
         endpoints: ActorRef<EndpointListController>,
         quarantine: ActorRef<GatewayQuarantine>,
+        permits: ActorRef<PermitsController>,
     ) -> ActorRef<Self> {
         let mut tracker = PeerTracker::default();
         for seed in &state.settings.seeds {
@@ -132,7 +135,7 @@
             endpoints,
         };
         let actor = Self::spawn_with_mailbox(controller, mailbox::unbounded());
-        tokio::spawn(receive_datagrams(receiver, actor.clone(), quarantine));
+        tokio::spawn(receive_datagrams(receiver, actor.clone(), quarantine, permits));
         tokio::spawn(schedule_heartbeats(actor.clone(), heartbeat_ms, shared));
         actor
     }
@@ -168,6 +171,7 @@
                 failures,
                 waiting: state.waiting_room.waiting(),
                 evacuations: state.evacuations.load().evacuations(),
+                limits: state.limits.reports(state.clock.now()),
             },
         }
     }
@@ -182,6 +186,18 @@
         }
     }
 
+    /// Takes in the limits that another instance has read in responses.
+    fn adopt_limits(&self, limits: &[LimitReport], now: Timestamp) {
+        for LimitReport { tag, limit, .. } in self.state.limits.adopt(limits, now) {
+            let per_s = limit.map(RequestRate::per_s);
+            log::info!("endpoint limit tag={tag:08x} per_s={per_s:?} source=peer");
+            // Requests that wait for a permit need none any more.
+            if limit.is_none() {
+                self.state.waiting_room.wake();
+            }
+        }
+    }
+
     /// Publishes the peer table and the outcome of the reader election.
     fn publish(&mut self) {
         let now = self.state.clock.now();
@@ -292,10 +308,12 @@
         let was_ready = former.map(|peer| peer.is_advertisable(now));
         let is_news = former.is_none_or(|peer| peer.heartbeat.differs_in_state(&heartbeat));
         let evacuations = heartbeat.extension.evacuations.clone();
+        let limits = heartbeat.extension.limits.clone();
         if !self.tracker.apply(from, heartbeat, now) {
             return;
         }
         self.adopt_evacuations(evacuations);
+        self.adopt_limits(&limits, now);
         if was_ready != Some(is_ready) {
             log::info!("peer changed address={from} ready={is_ready} former={was_ready:?}");
         }
@@ -367,6 +385,7 @@
     mut receiver: DatagramReceiver,
     actor: ActorRef<PeersController>,
     quarantine: ActorRef<GatewayQuarantine>,
+    permits: ActorRef<PermitsController>,
 ) {
     loop {
         match receiver.receive().await {
@@ -375,6 +394,11 @@
                     return;
                 }
             }
+            Ok((from, Datagram::Permit(message))) => {
+                if permits.tell(PermitMessageReceived { from, message }).await.is_err() {
+                    return;
+                }
+            }
             Ok((from, Datagram::Heartbeat(heartbeat))) => {
                 if actor.tell(HeartbeatReceived { from, heartbeat: *heartbeat }).await.is_err() {
                     return;
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -30,6 +30,7 @@
 pub(crate) mod memory;
 pub(crate) mod pace;
 pub(crate) mod peers;
+pub(crate) mod permits;
 pub(crate) mod placement;
 pub mod publication;
 pub(crate) mod quarantine;
--- a/crates/lycheewood/src/decisions/endpoint_limits.rs
+++ b/crates/lycheewood/src/decisions/endpoint_limits.rs
@@ -15,6 +15,9 @@
 /// How long a gateway tells the others that it has seen a limit end, in milliseconds. Several heartbeats, since datagrams
 /// are occasionally lost.
 const ENDED_TOLD_MS: u64 = 5_000;
+/// How long a limit is kept without a response of its endpoint, in milliseconds. Far longer than the time between two
+/// requests to a limited endpoint, so that what is forgotten is not in use.
+const LIMIT_MEMORY_MS: u64 = 600_000;
 
 /// A rate of requests, in requests per 1,000 seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -96,12 +99,6 @@
         self.observations.get(&tag)?.limit
     }
 
-    /// Whether no endpoint has a limit or had one lately.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.observations.is_empty()
-    }
-
     /// Records the limit that a response of the endpoint names, or that it names none. Returns whether the limit changes.
     pub fn observe(&mut self, tag: u32, limit: Option<RequestRate>, now: Timestamp) -> bool {
         let known = self.limit(tag);
@@ -139,11 +136,12 @@
         reports.filter(|r| r.limit.is_some() || r.age_ms < ENDED_TOLD_MS).collect()
     }
 
-    /// Removes endpoints for which `keep` returns `false`, and limits that ended long ago.
-    pub fn retain(&mut self, keep: impl Fn(u32) -> bool, now: Timestamp) {
-        self.observations.retain(|tag, observation| {
-            let is_told = now.ms_since(observation.seen) < ENDED_TOLD_MS;
-            keep(*tag) && (observation.limit.is_some() || is_told)
+    /// Removes limits without a response for a long time, and those that have ended and of which all were told.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.observations.retain(|_, observation| {
+            let memory_ms =
+                if observation.limit.is_some() { LIMIT_MEMORY_MS } else { ENDED_TOLD_MS };
+            now.ms_since(observation.seen) < memory_ms
         });
     }
 }
--- a/crates/lycheewood/src/decisions/peers.rs
+++ b/crates/lycheewood/src/decisions/peers.rs
@@ -107,6 +107,14 @@
         &self.waiting
     }
 
+    /// Number of other instances that were heard lately.
+    #[must_use]
+    pub fn heard(&self, now: Timestamp) -> u32 {
+        let heard =
+            self.peers.values().filter(|peer| now.ms_since(peer.received) < PEER_TIMEOUT_MS);
+        u32::try_from(heard.count()).unwrap_or(u32::MAX)
+    }
+
     /// Requests in flight from all other instances to an endpoint.
     #[must_use]
     pub fn in_flight(&self, endpoint: &InstanceId) -> u32 {
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -108,14 +108,14 @@
     let limit = value.map(|value| RequestRate::try_from(value.to_str().unwrap_or_default()));
     match limit {
         Some(Ok(limit)) if response.status() != StatusCode::MISDIRECTED_REQUEST => {
-            state.limits.observe(endpoint, Some(limit), state.clock.now());
+            state.observe_limit(endpoint, Some(limit));
         }
         Some(Err(error)) => {
             state.metrics.routing.limits_unreadable.inc();
             log::warn!("endpoint limit unreadable server={} reason=\"{error}\"", endpoint.id);
         }
         None if response.status().is_success() => {
-            state.limits.observe(endpoint, None, state.clock.now());
+            state.observe_limit(endpoint, None);
         }
         Some(Ok(_)) | None => {}
     }
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -199,7 +199,9 @@
             next_window = places.next_window.filter(|open| *open <= deadlines.expires());
             let instances = view.peers.peers.len() + 1;
             let may_claim = guard.may_claim(places.totals(), view.peers.waiting(), instances, now);
-            if may_claim && let Some(endpoint) = places.choose(state, admitted, now) {
+            if may_claim
+                && let Some(endpoint) = places.choose(state, admitted, deadlines.expires(), now)
+            {
                 // Counted before the next request in turn looks for a place.
                 let cost = admitted.estimate_cost(state, now);
                 let work = cost.map(|cost| state.loads.work.start_request(&endpoint, cost, now));
--- a/crates/lycheewood/src/filters/forward/select/places.rs
+++ b/crates/lycheewood/src/filters/forward/select/places.rs
@@ -15,6 +15,7 @@
 use crate::filters::forward::select::works::Works;
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
+use crate::limit_tracker::PermitAvailability;
 
 /// An endpoint that may get the request.
 pub(super) struct Available<'a> {
@@ -29,11 +30,27 @@
     pub(super) slowdown_percent: Option<u32>,
     /// Whether it gets the request only if no other can: its domain was given back lately.
     is_held_back: bool,
+    /// Whether there is a permit for it, if it has named a limit.
+    permit: Option<PermitAvailability>,
     /// Time between this instance's windows for the endpoint, if it is cold and its service limits that.
     cold_period_ms: Option<u64>,
 }
 
 impl<'a> Available<'a> {
+    /// Whether it has named a limit and this instance has no permit for it.
+    fn lacks_permit(&self) -> bool {
+        self.permit.is_some_and(|permit| permit != PermitAvailability::Granted)
+    }
+
+    /// When it may get a request at the earliest, as far as that is limited.
+    fn next_permit(&self) -> Option<Timestamp> {
+        match self.permit? {
+            PermitAvailability::Granted => None,
+            PermitAvailability::Ask { look_again } => Some(look_again),
+            PermitAvailability::AskFrom(ask_from) => Some(ask_from),
+        }
+    }
+
     pub(super) fn candidate(&self) -> BalancingCandidate<'a> {
         BalancingCandidate {
             id: &self.entry.id,
@@ -50,7 +67,7 @@
 pub(super) struct Places<'a> {
     available: Vec<Available<'a>>,
     totals: PlaceTotals,
-    /// When the next window of a cold endpoint begins that could take the request.
+    /// When the first cold or limited endpoint may take the request.
     pub(super) next_window: Option<Timestamp>,
     /// Work of the engines, if the cost of the request is estimated.
     works: Option<Works<'a>>,
@@ -94,7 +111,7 @@
             Some(state.cold.next_open(&endpoint.entry.id, period_ms, now))
         };
         let untried = available.iter().filter(|e| !admitted.avoid.contains(&e.entry.id));
-        let next_window = untried.filter_map(next_open).min();
+        let next_window = untried.filter_map(|e| next_open(e).max(e.next_permit())).min();
         available.retain(|endpoint| next_open(endpoint).is_none_or(|open| open <= now));
         Self { available, totals, next_window, works }
     }
@@ -104,31 +121,51 @@
         self.totals
     }
 
-    /// The best endpoint for the request. Uses this instance's window if the endpoint is cold.
+    /// The best endpoint for the request. Uses this instance's window if the endpoint is cold, and a permit if it has
+    /// named a limit. Asks for a permit if the best endpoint lacks one.
     pub(super) fn choose(
         &self,
         state: &GatewayState,
         admitted: &Admitted,
+        expires: Timestamp,
         now: Timestamp,
     ) -> Option<Arc<EndpointEntry>> {
-        let mut left: Vec<_> = self.available.iter().collect();
+        let is_refused =
+            |e: &&Available<'_>| matches!(e.permit, Some(PermitAvailability::AskFrom(_)));
+        let mut left: Vec<_> = self.available.iter().filter(|e| !is_refused(e)).collect();
         loop {
             let usual: Vec<_> = left.iter().filter(|e| !e.is_held_back).copied().collect();
             let chosen = self
                 .choose_among(&usual, state, admitted)
                 .or_else(|| self.choose_among(&left, state, admitted))?;
-            let Some(period_ms) = chosen.cold_period_ms else {
-                return Some(Arc::clone(chosen.entry));
-            };
-            if state.cold.try_use(&chosen.entry.id, period_ms, now) {
-                state.metrics.routing.cold_sent.inc();
+            if chosen.lacks_permit() {
+                self.ask_for_permit(state, admitted, chosen.tag, expires, now);
+                left.retain(|endpoint| !endpoint.lacks_permit());
+                continue;
+            }
+            if try_use(state, chosen, now) {
                 return Some(Arc::clone(chosen.entry));
             }
-            // Another request has used the window.
+            // Another request has used the window or the permit.
             left.retain(|endpoint| endpoint.entry.id != chosen.entry.id);
         }
     }
 
+    /// Asks for a permit, unless this instance already expects one for each request that waits.
+    fn ask_for_permit(
+        &self,
+        state: &GatewayState,
+        admitted: &Admitted,
+        tag: u32,
+        expires: Timestamp,
+        now: Timestamp,
+    ) {
+        let expected = state.limits.expected(self.available.iter().map(|e| e.tag), now);
+        if expected < state.waiting_room.waiting_for(&admitted.service) {
+            state.ask_for_permit(tag, expires.ms_since(now));
+        }
+    }
+
     /// The best of some of the endpoints for the request.
     fn choose_among<'e>(
         &self,
@@ -150,6 +187,22 @@
     }
 }
 
+/// Uses the window and the permit that an endpoint needs. Returns whether the request may be sent there.
+fn try_use(state: &GatewayState, endpoint: &Available<'_>, now: Timestamp) -> bool {
+    if endpoint.permit.is_some() {
+        if state.limits.redeem(endpoint.tag, now).is_none() {
+            return false;
+        }
+        state.metrics.routing.permits_used.inc();
+    }
+    let Some(period_ms) = endpoint.cold_period_ms else { return true };
+    let is_open = state.cold.try_use(&endpoint.entry.id, period_ms, now);
+    if is_open {
+        state.metrics.routing.cold_sent.inc();
+    }
+    is_open
+}
+
 /// The endpoints of a service that want requests, with their loads.
 fn available_endpoints<'a>(
     state: &GatewayState,
@@ -185,6 +238,7 @@
             in_flight: load.in_flight + view.peers.in_flight_by_tag(tag),
             failures: load.failures + view.peers.failures_by_tag(tag),
             slowdown_percent: slowdown_percent(tag),
+            permit: state.limits.availability(tag, now),
             cold_period_ms: cold_period_ms.filter(|_| is_cold(view, entry, now)),
             is_held_back: draw >= view.evacuations.share_percent(&entry.failure_domain, now),
         })
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -14,8 +14,10 @@
 use crate::cold_tracker::ColdTracker;
 use crate::connection_table::ConnectionTable;
 use crate::controllers::gateway_quarantine::{GatewayQuarantine, RecordCompletion};
+use crate::controllers::permits::{NeedPermit, PermitsController};
 use crate::decisions::cold::STARTING_FLEET;
 use crate::decisions::digest::Fingerprint;
+use crate::decisions::endpoint_limits::RequestRate;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
 use crate::decisions::evacuation::EvacuationTable;
 use crate::decisions::peers::PeerTable;
@@ -97,6 +99,8 @@
     completions: Mutex<CompletionTable>,
     /// Set when the controllers start, before any request is served.
     quarantine: OnceLock<ActorRef<GatewayQuarantine>>,
+    /// Set when the controllers start, before any request is served.
+    permits: OnceLock<ActorRef<PermitsController>>,
     topic_health: TopicHealth,
     /// Published in heartbeats while this instance holds the lease on the expert groups.
     leading: Mutex<Option<Leading>>,
@@ -171,6 +175,7 @@
             quarantine_changed: Notify::new(),
             completions: Mutex::default(),
             quarantine: OnceLock::new(),
+            permits: OnceLock::new(),
             topic_health: TopicHealth::default(),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -231,6 +236,33 @@
         let _ = self.quarantine.set(quarantine);
     }
 
+    /// Sets the controller of the permits. Only the first call has an effect.
+    pub(crate) fn set_permits(&self, permits: ActorRef<PermitsController>) {
+        let _ = self.permits.set(permits);
+    }
+
+    /// Asks for a permit to send a request to a limited endpoint within `within_ms`.
+    pub(crate) fn ask_for_permit(&self, tag: u32, within_ms: u64) {
+        if let Some(permits) = self.permits.get() {
+            let _ = permits.tell(NeedPermit { tag, within_ms }).try_send();
+        }
+    }
+
+    /// Records the limit that a response of an endpoint names, or that it names none, and tells the others of a change.
+    pub(crate) fn observe_limit(&self, endpoint: &EndpointEntry, limit: Option<RequestRate>) {
+        if !self.limits.observe(endpoint_tag(&endpoint.id), limit, self.clock.now()) {
+            return;
+        }
+        match limit {
+            Some(limit) => {
+                let per_s = limit.per_s();
+                log::info!("endpoint limit server={} per_s={per_s} source=response", endpoint.id);
+            }
+            None => log::info!("endpoint limit ended server={} source=response", endpoint.id),
+        }
+        self.early_heartbeat.notify_one();
+    }
+
     fn lock_completions(&self) -> MutexGuard<'_, CompletionTable> {
         self.completions.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -130,6 +130,7 @@
 };
 pub use decisions::pace::{EndpointPace, PaceChange, ServicePace, group_slowdown};
 pub use decisions::peers::{Peer, PeerTable, PeerTracker, PeerWork};
+pub use decisions::permits::{PermitAllotment, QueuedPermit, permit_source};
 pub use decisions::placement::{
     ChangeCosts, ExpertMap, ExpertMapError, ExpertMove, KeepReason, LoadForecast, LoadReport,
     PlacementChange, PlacementDecision, PlacementView, decide_placement,
@@ -201,6 +202,9 @@
     Armed as SwitchArmed, Held as SwitchHeld, Holding as SwitchHolding, MapSwitch,
     Prepared as SwitchPrepared, Preparing as SwitchPreparing,
 };
+pub use lifecycle::permit::{
+    Granted as PermitGranted, Permit, Requested as PermitRequested, Used as PermitUsed,
+};
 pub use lifecycle::place_wait::{
     Expired as PlaceWaitExpired, Granted as PlaceWaitGranted, PlaceWait,
     Waiting as PlaceWaitWaiting,
--- a/crates/lycheewood/src/lifecycle.rs
+++ b/crates/lycheewood/src/lifecycle.rs
@@ -5,5 +5,6 @@
 pub(crate) mod lease;
 pub(crate) mod map_change;
 pub(crate) mod map_switch;
+pub(crate) mod permit;
 pub(crate) mod place_wait;
 pub(crate) mod shutdown;
--- a/crates/lycheewood/src/metrics/gateway/routing.rs
+++ b/crates/lycheewood/src/metrics/gateway/routing.rs
@@ -18,6 +18,8 @@
     pub(crate) refused_unusable: IntCounter,
     pub(crate) cold_sent: IntCounter,
     pub(crate) limits_unreadable: IntCounter,
+    pub(crate) permit_replies: IntCounterVec,
+    pub(crate) permits_used: IntCounter,
     pub(crate) fleet_assumed: IntGauge,
 }
 
@@ -66,6 +68,15 @@
                 "lycheewood_gateway_limits_unreadable_total",
                 "Responses that name a limit of their endpoint which is not a rate.",
             )?,
+            permit_replies: metrics.counters(
+                "lycheewood_gateway_permit_replies_total",
+                "Replies to requests for permits for limited endpoints, by result: granted, refused.",
+                "result",
+            )?,
+            permits_used: metrics.counter(
+                "lycheewood_gateway_permits_used_total",
+                "Attempts at endpoints that have named a limit.",
+            )?,
             fleet_assumed: metrics.gauge(
                 "lycheewood_gateway_fleet_assumed",
                 "Gateways that this one shares the limits of cold endpoints with.",
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -21,6 +21,7 @@
 use crate::controllers::expert_groups::{self, GroupPorts};
 use crate::controllers::gateway_quarantine::GatewayQuarantine;
 use crate::controllers::peers::{AddPeers, PeersController, StateSource};
+use crate::controllers::permits::PermitsController;
 use crate::controllers::routes::{
     PLATFORM_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes,
 };
@@ -359,12 +360,15 @@
     let peers_udp = Arc::new(peers_udp);
     let quarantine = GatewayQuarantine::start(state, Arc::clone(&peers_udp));
     state.set_quarantine(quarantine.clone());
+    let permits = PermitsController::start(state, Arc::clone(&peers_udp));
+    state.set_permits(permits.clone());
     let peers = PeersController::start(
         Arc::clone(state),
         peers_udp,
         routes.clone(),
         endpoints.clone(),
         quarantine,
+        permits,
     );
     GatewayHandle { state: Arc::clone(state), routes, endpoints, peers }
 }
--- a/crates/lycheewood/src/waiting_room.rs
+++ b/crates/lycheewood/src/waiting_room.rs
@@ -178,6 +178,11 @@
         self.lock().waiting(self.clock.now()).pairs()
     }
 
+    /// Number of requests that wait here for an endpoint of a service.
+    pub(crate) fn waiting_for(&self, service: &TargetName) -> usize {
+        self.lock().services.get(service).map_or(0, |queue| queue.waiters.len())
+    }
+
     /// Whether all instances should get a heartbeat with these counts at once. Most heartbeats go to the own failure
     /// domain only.
     pub(crate) fn is_news(&self, counts: &[(u8, u32)]) -> bool {
--- a/crates/lycheewood/src/wire.rs
+++ b/crates/lycheewood/src/wire.rs
@@ -7,6 +7,7 @@
 pub(crate) mod codec;
 pub(crate) mod heartbeat;
 pub(crate) mod message;
+pub(crate) mod permit_message;
 pub(crate) mod quarantine_notice;
 pub(crate) mod rank_call;
 mod visitors;
--- a/crates/lycheewood/src/wire/heartbeat.rs
+++ b/crates/lycheewood/src/wire/heartbeat.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decisions::digest::digest;
+use crate::decisions::endpoint_limits::LimitReport;
 use crate::decisions::endpoint_list::EndpointChange;
 use crate::ids::{FailureDomain, Incarnation, InstanceId, Offset};
 use crate::routes::raw::RawRouteTable;
@@ -80,6 +81,9 @@
     /// Requests that wait at this instance for a place at an endpoint, by priority.
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     pub waiting: Vec<(u8, u32)>,
+    /// Limits that this instance has read in responses of endpoints.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
 }
 
 /// The failure domains that the operator has evacuated.
