--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -161,12 +161,26 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<(StatusCode, Bytes), HttpError> {
+        let reply = self.exchange_whole(method, path, headers, body, timeout_ms).await?;
+        Ok((reply.status(), reply.into_body()))
+    }
+
+    /// Sends a request with headers and reads the whole reply with its headers, whatever its status.
+    async fn exchange_whole(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Response<Bytes>, HttpError> {
         let address = self.address;
         let exchange = async {
             let response = self.open(method, path, headers, body, timeout_ms).await?;
-            let status = response.status();
-            let body = self.read_body(response).await?;
-            Ok((status, body))
+            let (status, headers) = (response.status(), response.headers().clone());
+            let mut reply = Response::new(self.read_body(response).await?);
+            (*reply.status_mut(), *reply.headers_mut()) = (status, headers);
+            Ok(reply)
         };
         match timeout(Duration::from_millis(timeout_ms), exchange).await {
             Ok(result) => result,
@@ -192,16 +206,32 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Bytes, HttpError> {
-        let address = self.address;
-        let (status, body) = self.exchange(method, path, &[], body, timeout_ms).await?;
-        check_status(address, status, body)
+        Ok(self.call_whole(method, path, body, timeout_ms).await?.into_body())
+    }
+
+    /// The same, with the headers of the reply.
+    ///
+    /// # Errors
+    ///
+    /// When no such reply arrives within `timeout_ms`.
+    pub async fn call_whole(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let reply = self.exchange_whole(method, path, &[], body, timeout_ms).await?;
+        check_status(self.address, reply)
     }
 }
 
-fn check_status(address: SocketAddr, status: StatusCode, body: Bytes) -> Result<Bytes, HttpError> {
+fn check_status(address: SocketAddr, reply: Response<Bytes>) -> Result<Response<Bytes>, HttpError> {
+    let status = reply.status();
     if status.is_success() {
-        return Ok(body);
+        return Ok(reply);
     }
+    let body = reply.into_body();
     let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
     Err(HttpError::Status { address, status: status.as_u16(), body: text })
 }
