--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -105,7 +105,30 @@
     Incarnation
 );
 
+/// Number of bits of an [`Offset`] that count the records of one era.
+const INDEX_BITS: u32 = 40;
+
+/// A log that comes back from an old copy gives some of its offsets out again, and begins a new era. The era stands in the
+/// upper bits, so a record of a later era is always behind those of earlier ones.
 impl Offset {
+    /// The offset of the record that the log numbers `index` in an era. The first era is 0.
+    #[must_use]
+    pub const fn in_era(era: u64, index: u64) -> Self {
+        Self((era << INDEX_BITS) | (index & ((1 << INDEX_BITS) - 1)))
+    }
+
+    /// The era of the log.
+    #[must_use]
+    pub const fn era(self) -> u64 {
+        self.0 >> INDEX_BITS
+    }
+
+    /// The offset as the log numbers it in its era.
+    #[must_use]
+    pub const fn index(self) -> u64 {
+        self.0 & ((1 << INDEX_BITS) - 1)
+    }
+
     /// The offset after this one.
     #[must_use]
     pub const fn next(self) -> Self {
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -90,6 +90,12 @@
         self.state.evacuations.load().evacuations()
     }
 
+    /// Whether endpoints of a failure domain get no requests because it is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
+        self.state.evacuations.load().is_evacuated(domain)
+    }
+
     /// Whether this instance should read the platform's topics. The others fetch updates from their peers.
     #[must_use]
     pub fn is_reader(&self) -> bool {
