Follow a store that comes back from an old copy

The holder of the group lease had each renewal refused and each read answered 410 for 20 s after the return, and the next term began below offsets given out before, so agents refused it. Instances that had to read a topic again waited until it was as long as before; an endpoint that drained at a lower offset stayed in use.

Cause: an offset was taken for a position in time.

Change: an Offset carries the era of the store in its upper bits, so all that compares offsets holds across a return: topics, the endpoint list, evacuations, fetches between instances, the lease, fencing numbers and versions of maps. Known endpoints stay as they are until they write something newer, by their start and count of writes. Evacuations that the copy lacks are kept for 5 s. Each instance writes its address again. The holder of the lease goes on if the last record is its own.

--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -166,7 +166,11 @@
     }
 
     /// Sends a request with headers and reads the whole reply with its headers, whatever its status.
-    async fn exchange_whole(
+    ///
+    /// # Errors
+    ///
+    /// When no whole reply arrives within `timeout_ms`.
+    pub async fn exchange_whole(
         &self,
         method: Method,
         path: &str,
@@ -206,22 +210,16 @@
         body: Bytes,
         timeout_ms: u64,
     ) -> Result<Bytes, HttpError> {
-        Ok(self.call_whole(method, path, body, timeout_ms).await?.into_body())
+        let reply = self.exchange_whole(method, path, &[], body, timeout_ms).await?;
+        Ok(self.require_success(reply)?.into_body())
     }
 
-    /// The same, with the headers of the reply.
+    /// The reply, if it has a 2xx status.
     ///
     /// # Errors
     ///
-    /// When no such reply arrives within `timeout_ms`.
-    pub async fn call_whole(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        timeout_ms: u64,
-    ) -> Result<Response<Bytes>, HttpError> {
-        let reply = self.exchange_whole(method, path, &[], body, timeout_ms).await?;
+    /// [`HttpError::Status`] otherwise.
+    pub fn require_success(&self, reply: Response<Bytes>) -> Result<Response<Bytes>, HttpError> {
         check_status(self.address, reply)
     }
 }
--- a/crates/lycheewood/src/controllers/expert_groups/lease.rs
+++ b/crates/lycheewood/src/controllers/expert_groups/lease.rs
@@ -18,7 +18,7 @@
 use crate::decisions::peers::PeerTable;
 use crate::gateway::GatewayState;
 use crate::group_ports::{AppendOutcome, LeaseLog};
-use crate::ids::Incarnation;
+use crate::ids::{Incarnation, Offset};
 
 /// Minimum delay after a failed call to the log, in milliseconds. Each call is billed, and an outage of the log
 /// rarely ends within a shorter time.
@@ -305,19 +305,23 @@
 
     /// Reads the records after the last known end and applies them. Returns whether the log replied.
     async fn read_new_records(&mut self) -> bool {
-        let Some((first, records)) = self.log.read(self.state().end).await else {
+        let known_end = self.state().end;
+        let Some((first, records)) = self.log.read(known_end).await else {
             self.record_failure();
             return false;
         };
+        let is_later_era = Offset(first).era() > Offset(known_end).era();
         let mut offset = first;
-        let mut is_own = true;
+        // In a later era the log is read from its start, so only its last record shows who holds the lease.
+        let mut is_own = !is_later_era;
         let mut is_release = None;
         let mut holder = None;
         for bytes in &records {
             offset += 1;
             match serde_json::from_slice::<GroupLeaseRecord>(bytes) {
                 Ok(record) => {
-                    is_own &= record.holder == self.incarnation;
+                    let is_own_record = record.holder == self.incarnation;
+                    is_own = is_own_record && (is_own || is_later_era);
                     is_release = Some(record.is_release);
                     holder = record.address.map(|address| (record.holder, address));
                 }
@@ -329,6 +333,9 @@
                 }
             }
         }
+        if is_later_era {
+            log::info!("group records read again end={offset} known={known_end} is_own={is_own}");
+        }
         let mut shared = self.lease.lock();
         if !is_own {
             shared.state.mark_lost();
--- a/crates/lycheewood/src/decisions/endpoint_list.rs
+++ b/crates/lycheewood/src/decisions/endpoint_list.rs
@@ -58,6 +58,9 @@
     /// An endpoint may start again under the identifier that it had.
     #[serde(default)]
     pub started_ms: u64,
+    /// Number of writes of this incarnation up to this one; 0 if it does not say.
+    #[serde(default)]
+    pub write_count: u64,
     /// Time for which the endpoint was still cold when the entry was written, in milliseconds; 0 if it was warm.
     #[serde(default)]
     pub cold_left_ms: u64,
@@ -155,6 +158,8 @@
 struct LatestRecord {
     offset: Offset,
     entry: Option<Arc<EndpointEntry>>,
+    /// The last entry that the endpoint is known to have written, also after its removal.
+    last_write: WriteNumber,
     /// Until when the endpoint is cold. The time left counts from when this process first sees the record, because the
     /// clock of its writer may differ.
     cold_until: Timestamp,
@@ -162,11 +167,19 @@
     expires: Option<Timestamp>,
 }
 
+/// Orders the entries that an endpoint has written, by its start and its count of writes.
+type WriteNumber = (u64, u64);
+
+fn write_number(entry: &EndpointEntry) -> WriteNumber {
+    (entry.started_ms, entry.write_count)
+}
+
 /// Whether two entries of an endpoint differ. The time left until it is warm differs with each renewal, so it counts
 /// only whether there is any.
 fn is_changed(former: Option<&EndpointEntry>, entry: Option<&EndpointEntry>) -> bool {
     let comparable = |entry: &EndpointEntry| EndpointEntry {
         cold_left_ms: u64::from(entry.cold_left_ms > 0),
+        write_count: 0,
         ..entry.clone()
     };
     former.map(comparable) != entry.map(comparable)
@@ -226,6 +239,7 @@
         }
         let former = latest.and_then(|latest| latest.entry.clone());
         let former_cold_until = latest.map(|latest| latest.cold_until).unwrap_or_default();
+        let former_write = latest.map(|latest| latest.last_write).unwrap_or_default();
         let (entry, expires) = match record {
             EndpointRecord::Entry(entry) => (Some(Arc::new(entry)), None),
             EndpointRecord::Unreadable => (None, None),
@@ -239,16 +253,24 @@
             _ => former_cold_until,
         };
         let is_changed = is_changed(former.as_deref(), entry.as_deref());
-        self.records.insert(id, LatestRecord { offset, entry, cold_until, expires });
+        let last_write = entry.as_deref().map_or(former_write, write_number);
+        self.records.insert(id, LatestRecord { offset, entry, last_write, cold_until, expires });
         is_changed
     }
 
     /// Replaces the list with a snapshot of the newest record of each endpoint, read when the log ended at
     /// `end`. A snapshot older than the list is ignored. Returns whether the snapshot was applied.
+    ///
+    /// The first snapshot of a later era comes from a log that went back to an old copy. What is known of an endpoint stays
+    /// in force until the endpoint itself says something newer. Entries that the copy lacks remain usable for the grace
+    /// period, because live endpoints write them again.
     pub fn replace(&mut self, newest: Vec<EndpointChange>, end: Offset, now: Timestamp) -> bool {
         if end < self.next {
             return false;
         }
+        if end.era() > self.next.era() && !self.records.is_empty() {
+            self.on_list_recovered(now);
+        }
         let absent: Vec<InstanceId> = {
             let present: std::collections::HashSet<&InstanceId> =
                 newest.iter().map(|change| &change.id).collect();
@@ -260,12 +282,32 @@
             self.apply(EndpointChange { offset: last, id, record: EndpointRecord::Removed }, now);
         }
         for change in newest {
-            self.apply(change, now);
+            if !self.keep_known(&change) {
+                self.apply(change, now);
+            }
         }
         self.next = self.next.max(end);
         true
     }
 
+    /// Keeps what is known of an endpoint if a record of a later era is not newer than that. Returns whether it is kept.
+    fn keep_known(&mut self, change: &EndpointChange) -> bool {
+        let Some(latest) = self.records.get_mut(&change.id) else { return false };
+        if change.offset.era() <= latest.offset.era() {
+            return false;
+        }
+        let is_kept = match &change.record {
+            EndpointRecord::Entry(entry) => write_number(entry) <= latest.last_write,
+            // Another writer's record says nothing of the endpoint.
+            EndpointRecord::Unreadable => true,
+            EndpointRecord::Removed => false,
+        };
+        if is_kept {
+            latest.offset = change.offset;
+        }
+        is_kept
+    }
+
     /// Removes endpoints whose grace period has ended and returns whether there were any.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let mut is_changed = false;
--- a/crates/lycheewood/src/decisions/evacuation.rs
+++ b/crates/lycheewood/src/decisions/evacuation.rs
@@ -18,6 +18,10 @@
 /// have become cold shortly before; their entries are read again within this time.
 const RETURN_COLD_MS: u64 = 4_000;
 
+/// Time for which domains stay evacuated whose records are missing after the operator's topic has gone back to an old copy,
+/// in milliseconds. The operator writes them again unless they were given back meanwhile.
+const KEPT_MS: u64 = 5_000;
+
 /// One record of the operator that concerns a domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EvacuationChange {
@@ -35,6 +39,8 @@
     /// The first offset of the operator's topic that has not been applied.
     next: Offset,
     evacuated: BTreeSet<FailureDomain>,
+    /// Domains whose evacuation the topic has lost, and until when they stay evacuated.
+    kept: BTreeMap<FailureDomain, Timestamp>,
     /// When this instance learned that a domain was given back.
     returned: BTreeMap<FailureDomain, Timestamp>,
 }
@@ -55,19 +61,24 @@
 
     /// Whether requests must not go to endpoints of a domain.
     #[must_use]
-    pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
-        self.evacuated.contains(domain)
+    pub fn is_evacuated(&self, domain: &FailureDomain, now: Timestamp) -> bool {
+        self.evacuated.contains(domain) || self.kept.get(domain).is_some_and(|until| now < *until)
+    }
+
+    /// When this instance learned that a domain was given back, or stopped to keep it evacuated.
+    fn returned(&self, domain: &FailureDomain) -> Option<Timestamp> {
+        self.returned.get(domain).or_else(|| self.kept.get(domain)).copied()
     }
 
     /// Share of the requests that may go to endpoints of a domain, in percent: 0 while it is evacuated, and rising in
     /// steps after it was given back.
     #[must_use]
     pub fn share_percent(&self, domain: &FailureDomain, now: Timestamp) -> u32 {
-        if self.is_evacuated(domain) {
+        if self.is_evacuated(domain, now) {
             return 0;
         }
-        let Some(returned) = self.returned.get(domain) else { return 100 };
-        let age_ms = now.ms_since(*returned);
+        let Some(returned) = self.returned(domain) else { return 100 };
+        let age_ms = now.ms_since(returned);
         let step = RETURN_STEPS.iter().find(|(until_ms, _)| age_ms < *until_ms);
         step.map_or(100, |(_, percent)| *percent)
     }
@@ -75,14 +86,18 @@
     /// Until when the endpoints of a domain count as cold because it was given back.
     #[must_use]
     pub fn cold_until(&self, domain: &FailureDomain) -> Option<Timestamp> {
-        self.returned.get(domain).map(|returned| returned.plus_ms(RETURN_COLD_MS))
+        self.returned(domain).map(|returned| returned.plus_ms(RETURN_COLD_MS))
     }
 
     /// Applies records that were read in order; all below `next` have been read. Records below the present position
     /// are known already. Returns whether the evacuated domains have changed.
     pub fn apply(&mut self, changes: &[EvacuationChange], next: Offset, now: Timestamp) -> bool {
         let mut evacuated = self.evacuated.clone();
-        for change in changes.iter().filter(|change| change.offset >= self.next) {
+        let known = self.next;
+        for change in changes.iter().filter(|change| change.offset >= known) {
+            if self.kept.remove(&change.domain).is_some() && !change.is_evacuated {
+                self.returned.insert(change.domain.clone(), now);
+            }
             if change.is_evacuated {
                 evacuated.insert(change.domain.clone());
             } else {
@@ -99,8 +114,18 @@
         if state.next <= self.next {
             return false;
         }
+        let domains: BTreeSet<FailureDomain> = state.domains.into_iter().collect();
+        let is_later_era = state.next.era() > self.next.era();
         self.next = state.next;
-        self.set(state.domains.into_iter().collect(), now)
+        self.kept.retain(|domain, _| !domains.contains(domain));
+        if is_later_era {
+            let lost = self.evacuated.difference(&domains);
+            self.kept.extend(lost.map(|domain| (domain.clone(), now.plus_ms(KEPT_MS))));
+            let is_changed = self.evacuated != domains;
+            self.evacuated = domains;
+            return is_changed;
+        }
+        self.set(domains, now)
     }
 
     fn set(&mut self, evacuated: BTreeSet<FailureDomain>, now: Timestamp) -> bool {
--- a/crates/lycheewood/src/decisions/log_lease.rs
+++ b/crates/lycheewood/src/decisions/log_lease.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Timestamp;
-use crate::ids::{Incarnation, InstanceId};
+use crate::ids::{Incarnation, InstanceId, Offset};
 
 /// Duration of the lease from its last record, in milliseconds. It is short so that a new holder soon
 /// completes the work of a crashed one; a holder that cannot reach the log continues for [`OUTAGE_GRACE_MS`].
@@ -45,11 +45,17 @@
 /// Number of bits of a map version that count the maps of one term.
 const VERSION_BITS: u32 = 20;
 
-/// Version of the `count`th map of the term that began with the record at `fence`. No two maps have the same
-/// version, and versions of a later term are higher. Versions stay below 2^53, so that JSON numbers are exact.
+/// Number of bits of a map version that count the records of one era of the log.
+const RECORD_BITS: u32 = 27;
+
+/// Version of the `count`th map of the term that began with the record at `fence`, an [`Offset`]. No two maps have the same
+/// version, and versions of a later term are higher, also after the log has come back from an old copy. Versions stay
+/// below 2^53 for 64 eras, so that JSON numbers are exact.
 #[must_use]
 pub const fn term_map_version(fence: u64, count: u64) -> u64 {
-    ((fence + 1) << VERSION_BITS) | (count & ((1 << VERSION_BITS) - 1))
+    let fence = Offset(fence);
+    let term = (fence.era() << RECORD_BITS) + fence.index() + 1;
+    (term << VERSION_BITS) | (count & ((1 << VERSION_BITS) - 1))
 }
 
 /// Rank that receives the `Hold` order for a switch to `version`. Holds of different versions go to
@@ -90,7 +96,7 @@
 /// State of the lease as one process knows it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseState {
-    /// End of the log, as far as this process knows.
+    /// End of the log as an [`Offset`], as far as this process knows.
     pub end: u64,
     /// Time at which this process first knew that end.
     end_seen_at: Option<Timestamp>,
@@ -191,7 +197,7 @@
     /// if the log is empty or ends with a release, and otherwise after the whole duration and the margin.
     #[must_use]
     pub fn acquirable_at(&self) -> Option<Timestamp> {
-        let is_free = self.end == 0 || self.is_released;
+        let is_free = Offset(self.end).index() == 0 || self.is_released;
         let wait_ms = if is_free { 0 } else { LEASE_DURATION_MS + ORDER_MARGIN_MS };
         self.end_seen_at.map(|seen_at| seen_at.plus_ms(wait_ms))
     }
--- a/crates/lycheewood/src/filters/forward/select/usable.rs
+++ b/crates/lycheewood/src/filters/forward/select/usable.rs
@@ -16,7 +16,7 @@
     entry: &EndpointEntry,
 ) -> bool {
     let domain = &entry.failure_domain;
-    !view.evacuations.is_evacuated(domain)
+    !view.evacuations.is_evacuated(domain, state.clock.now())
         && admitted.allowed_regions().permits(state.settings.regions.region(domain))
 }
 
--- a/crates/lycheewood/src/group_ports.rs
+++ b/crates/lycheewood/src/group_ports.rs
@@ -60,10 +60,11 @@
     Unknown,
 }
 
-/// A log that accepts a record only from a writer that knows all records before it.
+/// A log that accepts a record only from a writer that knows all records before it. Its offsets are those of
+/// [`Offset`](crate::Offset), so those of a log that has come back from an old copy are higher than all before.
 #[async_trait]
 pub trait LeaseLog: Send + Sync {
-    /// Appends a record if the log ends at offset `end`.
+    /// Appends a record if the log ends at offset `end`, which includes its era.
     async fn append_at(&self, end: u64, record: Bytes) -> AppendOutcome;
 
     /// Reads the records from offset `from` on, and returns them with the offset of the first. Records that the
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::{Handle, Runtime};
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::adapters::agent::ServedRanks;
 use crate::adapters::agent::client::AgentRanks;
@@ -93,7 +94,7 @@
     /// Whether endpoints of a failure domain get no requests because it is evacuated.
     #[must_use]
     pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
-        self.state.evacuations.load().is_evacuated(domain)
+        self.state.evacuations.load().is_evacuated(domain, self.state.clock.now())
     }
 
     /// Whether this instance should read the platform's topics. The others fetch updates from their peers.
@@ -121,6 +122,19 @@
         self.state.endpoints.load().table.next
     }
 
+    /// Waits until the endpoint list is in a later era than `era`, and then for a random time of up to `spread_ms`
+    /// milliseconds, because all instances learn of an era at once.
+    pub async fn wait_for_later_era(&self, era: u64, spread_ms: u64) {
+        loop {
+            let changed = self.state.state_received.notified();
+            if self.endpoints_next().era() > era {
+                break;
+            }
+            changed.await;
+        }
+        sleep(Duration::from_millis(rand::random_range(0..=spread_ms))).await;
+    }
+
     /// Records of the endpoint list that were read in order; all below `next` have been read now.
     pub fn apply_endpoints(&self, changes: Vec<EndpointChange>, next: Offset) {
         let _ = self.endpoints.tell(EndpointListUpdate::Records { changes, next }).try_send();
--- a/crates/lycheewood/tests/cold.rs
+++ b/crates/lycheewood/tests/cold.rs
@@ -226,6 +226,7 @@
         group: None,
         started_ms: 1,
         cold_left_ms,
+        write_count: 0,
     })
 }
 
--- a/crates/lycheewood/tests/evacuation.rs
+++ b/crates/lycheewood/tests/evacuation.rs
@@ -41,10 +41,10 @@
     let mut table = EvacuationTable::default();
     let records = [change(0, "a", true), change(1, "b", true), change(2, "a", false)];
     assert!(table.apply(&records, Offset(3), NOW));
-    assert!(!table.is_evacuated(&domain("a")) && table.is_evacuated(&domain("b")));
+    assert!(!table.is_evacuated(&domain("a"), NOW) && table.is_evacuated(&domain("b"), NOW));
     // History may be dropped: the newest records no longer name the domain.
     assert!(table.replace(state(5, &[]), NOW));
-    assert!(!table.is_evacuated(&domain("b")));
+    assert!(!table.is_evacuated(&domain("b"), NOW));
 }
 
 /// Guards against the load of a whole domain coming back at once to endpoints that may be cold.
@@ -78,3 +78,35 @@
     table.apply(&[], Offset(1), NOW);
     assert_eq!(table.evacuations(), Some(state(1, &[])));
 }
+
+/// Guards against requests to an evacuated domain whose record the store has lost, and against a domain that stays
+/// evacuated for ever because its record is not written again.
+#[test]
+fn a_domain_stays_evacuated_for_a_while_after_its_record_was_lost() {
+    let later_era = |index, domains: &[&str]| Evacuations {
+        next: Offset::in_era(1, index),
+        ..state(0, domains)
+    };
+    let mut table = EvacuationTable::default();
+    assert!(table.replace(state(9, &["a", "b", "c"]), NOW));
+    assert!(table.replace(later_era(2, &["c", "d"]), NOW));
+    for name in ["a", "b", "c", "d"] {
+        assert!(table.is_evacuated(&domain(name), NOW), "{name}");
+    }
+    // One record is written again, and one domain is given back.
+    let record = |index, name, is_evacuated| EvacuationChange {
+        offset: Offset::in_era(1, index),
+        ..change(0, name, is_evacuated)
+    };
+    table.apply(&[record(2, "a", true), record(3, "b", false)], Offset::in_era(1, 4), NOW);
+    assert!(!table.is_evacuated(&domain("b"), NOW));
+    assert_eq!(table.share_percent(&domain("b"), NOW), 10);
+    assert!(table.is_evacuated(&domain("a"), NOW.plus_ms(60_000)));
+    let mut lost = EvacuationTable::default();
+    assert!(lost.replace(state(9, &["a"]), NOW));
+    assert!(lost.replace(later_era(1, &[]), NOW));
+    let kept_until = (0..60_000).find(|ms| !lost.is_evacuated(&domain("a"), NOW.plus_ms(*ms)));
+    let given_back = NOW.plus_ms(kept_until.expect("the domain is given back"));
+    assert_eq!(lost.share_percent(&domain("a"), given_back), 10);
+    assert_eq!(lost.share_percent(&domain("a"), given_back.plus_ms(60_000)), 100);
+}
--- a/crates/lycheewood/tests/forwarding.rs
+++ b/crates/lycheewood/tests/forwarding.rs
@@ -91,6 +91,7 @@
         group: None,
         started_ms: 0,
         cold_left_ms: 0,
+        write_count: 0,
     })
 }
 
--- a/crates/lycheewood/tests/gateway/harness.rs
+++ b/crates/lycheewood/tests/gateway/harness.rs
@@ -247,6 +247,7 @@
             group,
             started_ms: self.started_ms,
             cold_left_ms: self.cold_left_ms,
+            write_count: 0,
         };
         self.apply_record(id, EndpointRecord::Entry(entry));
     }
--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -1,6 +1,6 @@
 //! Control of expert groups by a gateway, with an in-memory lease log and stub ranks.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -17,10 +17,11 @@
 
 const RANKS: usize = 2;
 
-/// An in-memory log that can be made unreachable.
+/// An in-memory log that can be made unreachable and go back.
 #[derive(Default)]
 struct MemoryLog {
     records: Mutex<Vec<Bytes>>,
+    era: AtomicU64,
     reads: AtomicUsize,
     is_unreachable: AtomicBool,
 }
@@ -32,7 +33,7 @@
             return AppendOutcome::Unknown;
         }
         let mut records = self.records.lock().expect("no panic");
-        if records.len() as u64 != end {
+        if self.offset(records.len()).0 != end {
             return AppendOutcome::EndMismatch;
         }
         records.push(record);
@@ -45,8 +46,25 @@
             return None;
         }
         let records = self.records.lock().expect("no panic");
-        let from = usize::try_from(from).expect("an index");
-        Some((from as u64, records[from..].to_vec()))
+        let is_later_era = Offset(from).era() < self.era.load(Ordering::Relaxed);
+        let index = if is_later_era { 0 } else { Offset(from).index() };
+        let index = usize::try_from(index).expect("an index");
+        Some((self.offset(index).0, records[index..].to_vec()))
+    }
+}
+
+impl MemoryLog {
+    fn offset(&self, index: usize) -> Offset {
+        Offset::in_era(self.era.load(Ordering::Relaxed), index as u64)
+    }
+
+    /// Loses all but the first `kept` records, and begins a new era. Returns how many there were.
+    fn go_back(&self, kept: usize) -> usize {
+        let mut records = self.records.lock().expect("no panic");
+        let length = records.len();
+        records.truncate(kept);
+        self.era.fetch_add(1, Ordering::Relaxed);
+        length
     }
 }
 
@@ -144,6 +162,17 @@
         self.ranks.status_reads.load(Ordering::Relaxed)
     }
 
+    /// Waits until the log has at least `count` records, for 10 s at least.
+    fn wait_for_records(&self, count: usize) {
+        for _ in 0..2_000 {
+            if self.log.records.lock().expect("no panic").len() >= count {
+                return;
+            }
+            thread::park_timeout(Duration::from_millis(5));
+        }
+        panic!("the log has fewer than {count} records");
+    }
+
     /// Waits for `more` further status reads. Fails after 30 s, far longer than they take.
     fn wait_for_status_reads(&self, more: usize) {
         let target = self.status_reads() + more;
@@ -191,6 +220,7 @@
         group: Some(membership),
         started_ms: 0,
         cold_left_ms: 0,
+        write_count: 0,
     };
     EndpointChange { offset: Offset(rank as u64), id, record: EndpointRecord::Entry(entry) }
 }
@@ -211,6 +241,25 @@
     harness.gateway.shutdown();
 }
 
+/// Guards against a lease that is neither renewed nor taken until its log is as long as it was before it went back, or
+/// until the holder has waited for 20 s. The kept records end with one of the holder, or of a process before it.
+#[test]
+fn the_lease_goes_on_after_the_log_went_back() {
+    for kept in [2, 1] {
+        let harness = TestGateway::start(&[record_of_other_holder(true)]);
+        harness.wait_for_records(6);
+        let length = harness.log.go_back(kept);
+        assert!(length >= 6);
+        harness.wait_for_records(kept + 2);
+        let records = harness.log.records.lock().expect("no panic").clone();
+        let holder = |bytes: &Bytes| {
+            serde_json::from_slice::<GroupLeaseRecord>(bytes).expect("a record").holder
+        };
+        assert!(records[kept..].iter().all(|record| holder(record) != Incarnation(1)));
+        harness.gateway.shutdown();
+    }
+}
+
 /// Guards against a process that polls the log until the lease of another process expires. Each read is
 /// billed, and after a power failure all instances wait at once.
 #[test]
--- a/crates/lycheewood/tests/log_lease.rs
+++ b/crates/lycheewood/tests/log_lease.rs
@@ -1,7 +1,7 @@
 //! Lease over expert groups that is held by records of a log.
 
 use lycheewood::{
-    HolderFailureDetector, Incarnation, InstanceId, LeaseCandidate, LeaseState, Timestamp,
+    HolderFailureDetector, Incarnation, InstanceId, LeaseCandidate, LeaseState, Offset, Timestamp,
     holding_rank, term_map_version,
 };
 
@@ -123,3 +123,22 @@
     assert!(candidate(0, 0).precedes(&candidate(1, 0)));
     assert!(!small.precedes(&small));
 }
+
+/// Guards against a new holder whose orders and maps are refused because the log has gone back to a lower offset, and
+/// against followers that take the announcements of an earlier era for newer ones.
+#[test]
+fn terms_of_a_later_era_come_after_all_before() {
+    let (before, after) = (Offset::in_era(0, 5_000), Offset::in_era(1, 3));
+    assert!(after.0 > before.0);
+    assert!(term_map_version(after.0, 1) > term_map_version(before.0, 900_000));
+    assert!(term_map_version(Offset::in_era(63, 5_000_000).0, 900_000) < 1 << 53);
+    let mut follower = LeaseState::default();
+    follower.record_announced_end(before.0, at(0));
+    follower.record_announced_end(after.0, at(1_000));
+    follower.record_read(after.0, false, at(2_000));
+    assert_eq!(follower.acquirable_at(), Some(at(2_150)));
+    // A log without records is free in any era.
+    let mut empty = LeaseState::default();
+    empty.record_read(Offset::in_era(2, 0).0, false, at(0));
+    assert!(empty.may_acquire(at(0)));
+}
--- a/crates/lycheewood/tests/permits.rs
+++ b/crates/lycheewood/tests/permits.rs
@@ -105,11 +105,8 @@
     mean_per_s: f64,
 }
 
-/// Every gateway always has a request that waits for the endpoint.
-fn simulate(gateways: u64, rate: RequestRate, faults: &[Fault], seed: u64) -> Outcome {
-    let mut words = Words(seed);
-    let mut fleet: Vec<SimulatedGateway> = (0..gateways).map(SimulatedGateway::new).collect();
-    for gateway in &mut fleet {
+fn plan_faults(fleet: &mut [SimulatedGateway], faults: &[Fault], words: &mut Words) {
+    for gateway in fleet {
         if !faults.is_empty() && words.below(3) == 0 {
             let fault = faults[usize::try_from(words.below(faults.len() as u64)).expect("small")];
             // Parts begin and end for all at once.
@@ -118,39 +115,54 @@
             gateway.fault = Some((fault, from, from + length_ms));
         }
     }
+}
+
+/// Whether two gateways are in the same part of the fleet.
+fn hears(fleet: &[SimulatedGateway], a: usize, b: usize, elapsed_ms: u64) -> bool {
+    fleet[a].has(Fault::Part, elapsed_ms) == fleet[b].has(Fault::Part, elapsed_ms)
+}
+
+/// Starts the gateways anew whose restart is over, and sends the heartbeats that are due.
+fn exchange_heartbeats(fleet: &mut [SimulatedGateway], elapsed_ms: u64) {
+    let now = START.plus_ms(elapsed_ms);
+    for index in 0..fleet.len() {
+        if fleet[index].fault.is_some_and(|(kind, _, to)| {
+            kind == Fault::Restart && (to..to + STEP_MS).contains(&elapsed_ms)
+        }) {
+            let fault = fleet[index].fault;
+            let number = u64::try_from(index).expect("small");
+            let restarted = SimulatedGateway { fault, ..SimulatedGateway::new(number) };
+            fleet[index] = SimulatedGateway { fleet: FleetEstimate::new(now), ..restarted };
+        }
+        if elapsed_ms.is_multiple_of(HEARTBEAT_MS) && fleet[index].is_running(elapsed_ms) {
+            let from = fleet[index].address;
+            for other in (0..fleet.len()).filter(|other| *other != index) {
+                if hears(fleet, index, other, elapsed_ms) && fleet[other].is_running(elapsed_ms) {
+                    fleet[other].heard.insert(from, now);
+                }
+            }
+        }
+    }
+}
+
+/// Every gateway always has a request that waits for the endpoint.
+fn simulate(gateways: u64, rate: RequestRate, faults: &[Fault], seed: u64) -> Outcome {
+    let mut words = Words(seed);
+    let mut fleet: Vec<SimulatedGateway> = (0..gateways).map(SimulatedGateway::new).collect();
+    plan_faults(&mut fleet, faults, &mut words);
     let index_of: HashMap<SocketAddr, usize> =
         fleet.iter().enumerate().map(|(index, gateway)| (gateway.address, index)).collect();
     let mut messages: VecDeque<(u64, SocketAddr, SocketAddr, SimulatedMessage)> = VecDeque::new();
     let (mut sent, mut sequence) = (Vec::new(), 0);
     for elapsed_ms in (0..LENGTH_MS).step_by(usize::try_from(STEP_MS).expect("small")) {
         let now = START.plus_ms(elapsed_ms);
-        let hears = |fleet: &[SimulatedGateway], a: usize, b: usize| {
-            fleet[a].has(Fault::Part, elapsed_ms) == fleet[b].has(Fault::Part, elapsed_ms)
-        };
-        for index in 0..fleet.len() {
-            if fleet[index].fault.is_some_and(|(kind, _, to)| {
-                kind == Fault::Restart && (to..to + STEP_MS).contains(&elapsed_ms)
-            }) {
-                let fault = fleet[index].fault;
-                let number = u64::try_from(index).expect("small");
-                let restarted = SimulatedGateway { fault, ..SimulatedGateway::new(number) };
-                fleet[index] = SimulatedGateway { fleet: FleetEstimate::new(now), ..restarted };
-            }
-            if elapsed_ms % HEARTBEAT_MS == 0 && fleet[index].is_running(elapsed_ms) {
-                let from = fleet[index].address;
-                for other in (0..fleet.len()).filter(|other| *other != index) {
-                    if hears(&fleet, index, other) && fleet[other].is_running(elapsed_ms) {
-                        fleet[other].heard.insert(from, now);
-                    }
-                }
-            }
-        }
+        exchange_heartbeats(&mut fleet, elapsed_ms);
         let (due, later): (VecDeque<_>, VecDeque<_>) =
             messages.drain(..).partition(|(at, ..)| *at <= elapsed_ms);
         messages = later;
         for (_, from, to, message) in due {
             let (sender, index) = (index_of[&from], index_of[&to]);
-            if !hears(&fleet, sender, index) || !fleet[index].is_running(elapsed_ms) {
+            if !hears(&fleet, sender, index, elapsed_ms) || !fleet[index].is_running(elapsed_ms) {
                 continue;
             }
             let gateway = &mut fleet[index];
--- a/crates/lycheewood/tests/rank_confirmation.rs
+++ b/crates/lycheewood/tests/rank_confirmation.rs
@@ -184,6 +184,7 @@
         GroupMembership { name: "g".to_owned(), epoch: 1, rank, size: RANKS, is_open: true };
     let entry = EndpointEntry {
         cold_left_ms: 0,
+        write_count: 0,
         id: id.clone(),
         service: TargetName::new("engines"),
         address: rank_address(rank, 9),
