Give up responses without end that wait for memory

Callers of other endpoints were refused, or got no response, for as long as requests to a faulty endpoint had time: 40 bodies without end took the whole memory budget together, and each waited for room that the others held. With a deadline of 120 s ordinary requests were answered after 120 s.

Cause: each response may grow to 4 MiB, and one that has run waits for room without a limit.

Change: a body of unknown length, and an event of a stream, waits at most 2 s for room, the less the more it holds, and is given up then. Bodies with a length wait as before.

--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
@@ -50,6 +50,8 @@
     Connection(hyper::Error),
     #[error("the response body exceeds {max_bytes} bytes")]
     TooLarge { max_bytes: usize },
+    #[error("the memory budget has no room for a response of unknown length")]
+    NoMemory,
     #[error("the request cannot be encoded: {0}")]
     Request(hyper::http::Error),
 }
@@ -221,19 +223,25 @@
     }
 
     /// Reads the body to its end, or fails when it exceeds `max_bytes`. It is not read on while the memory budget has no
-    /// room, because a request that has run cannot be refused.
+    /// room, because a request that has run cannot be refused. Only a body of unknown length, which may have no end, is
+    /// given up when there is no room for some time.
     pub(crate) async fn read_to_end(
         mut self,
         max_bytes: usize,
         budget: &MemoryBudget,
     ) -> Result<Bytes, UpstreamError> {
+        let has_length = self.body.size_hint().exact().is_some();
         let mut buffer = BodyBuffer::new(budget.charge(MemoryUse::Response, 0), max_bytes);
         while let Some(bytes) = self.next().await {
             let bytes = bytes?;
             if buffer.len() + bytes.len() > max_bytes {
                 return Err(UpstreamError::TooLarge { max_bytes });
             }
-            buffer.push_when_free(&bytes).await;
+            if has_length {
+                buffer.push_when_free(&bytes).await;
+            } else {
+                buffer.push_within(&bytes).await.map_err(|_| UpstreamError::NoMemory)?;
+            }
         }
         Ok(buffer.finish())
     }
--- a/crates/lycheewood/src/decisions/events.rs
+++ b/crates/lycheewood/src/decisions/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of one event in bytes. An endpoint that exceeds it does not send an event stream.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
--- a/crates/lycheewood/src/decisions/memory.rs
+++ b/crates/lycheewood/src/decisions/memory.rs
@@ -79,3 +79,16 @@
     let capacity = needed_bytes.saturating_add(needed_bytes / 2);
     capacity.next_multiple_of(BUFFER_STEP_BYTES).min(max_bytes.max(needed_bytes))
 }
+
+/// Longest time for which a response of unknown length waits for memory, in milliseconds.
+const MAX_RESPONSE_WAIT_MS: u64 = 2_000;
+
+/// How long a response of unknown length waits for memory when it holds `held_bytes` of at most `max_bytes`, in
+/// milliseconds. It may have no end, and responses that all wait for each other would keep the memory until their
+/// deadlines. The largest gives up first, so that the others can go on.
+#[must_use]
+pub(crate) fn response_wait_ms(held_bytes: usize, max_bytes: usize) -> u64 {
+    let left_bytes = max_bytes.saturating_sub(held_bytes);
+    let whole = |bytes: usize| u64::try_from(bytes).unwrap_or(u64::MAX);
+    MAX_RESPONSE_WAIT_MS.saturating_mul(whole(left_bytes)) / whole(max_bytes.max(1))
+}
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -7,14 +7,14 @@
 use crate::adapters::forward::upstream::UpstreamResponse;
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EndpointEntry;
-use crate::decisions::events::{EventSplitter, event_id};
-use crate::decisions::memory::{MemoryUse, REQUEST_BYTES};
+use crate::decisions::events::{EventSplitter, MAX_EVENT_BYTES, event_id};
+use crate::decisions::memory::{MemoryUse, REQUEST_BYTES, response_wait_ms};
 use crate::decisions::resume::{EventDecision, EventOrigin, EventSequence};
 use crate::filters::forward::crash::Output;
 use crate::filters::forward::exchange::{Admitted, Responded};
 use crate::gateway::GatewayState;
 use crate::load_tracker::InFlightGuard;
-use crate::memory_budget::Reservation;
+use crate::memory_budget::{BudgetExhausted, Reservation};
 
 /// An event that the caller does not have yet.
 #[derive(Debug)]
@@ -109,7 +109,9 @@
                 }
             }
             if let Some(more_bytes) = self.unread.as_ref().map(Bytes::len) {
-                self.reserve(more_bytes).await;
+                if self.reserve(more_bytes).await.is_err() {
+                    return Read::Broken("the memory budget has no room for an event".to_owned());
+                }
                 if let Some(bytes) = self.unread.take()
                     && let Err(error) = self.splitter.push(&bytes)
                 {
@@ -138,11 +140,14 @@
     }
 
     /// Reserves memory for bytes that wait for the end of their event, as soon as the budget has room for them.
-    async fn reserve(&mut self, more_bytes: usize) {
-        let needed_bytes = self.splitter.buffered_bytes() + more_bytes;
-        if needed_bytes > REQUEST_BYTES {
-            self.large_event.grow_when_free(needed_bytes).await;
+    async fn reserve(&mut self, more_bytes: usize) -> Result<(), BudgetExhausted> {
+        let held_bytes = self.splitter.buffered_bytes();
+        let needed_bytes = held_bytes + more_bytes;
+        if needed_bytes <= REQUEST_BYTES {
+            return Ok(());
         }
+        let wait_ms = response_wait_ms(held_bytes, MAX_EVENT_BYTES);
+        self.large_event.grow_within(needed_bytes, wait_ms).await
     }
 
     /// Records at the first event that the endpoint has processed the prompt, and at later ones the time since the
--- a/crates/lycheewood/src/memory_budget.rs
+++ b/crates/lycheewood/src/memory_budget.rs
@@ -2,11 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
-use crate::decisions::memory::{MemoryUse, budget_bytes, buffer_capacity, may_reserve};
+use crate::decisions::memory::{
+    MemoryUse, budget_bytes, buffer_capacity, may_reserve, response_wait_ms,
+};
 
 /// The budget has no room for the bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -141,6 +145,20 @@
         self.budget.return_bytes(returned_bytes);
     }
 
+    /// Raises the reservation to `bytes` as soon as the budget has room for the difference.
+    ///
+    /// # Errors
+    ///
+    /// When it has none within `wait_ms` milliseconds; the reservation stays as it is.
+    pub(crate) async fn grow_within(
+        &mut self,
+        bytes: usize,
+        wait_ms: u64,
+    ) -> Result<(), BudgetExhausted> {
+        let grown = timeout(Duration::from_millis(wait_ms), self.grow_when_free(bytes)).await;
+        grown.map_err(|_| BudgetExhausted)
+    }
+
     /// Raises the reservation to `bytes` as soon as the budget has room for the difference.
     pub(crate) async fn grow_when_free(&mut self, bytes: usize) {
         let budget = self.budget.clone();
@@ -211,6 +229,19 @@
         Ok(())
     }
 
+    /// Appends bytes as soon as the budget has room for them.
+    ///
+    /// # Errors
+    ///
+    /// When it has none within the time that a response of unknown length waits; the buffer stays as it is.
+    pub(crate) async fn push_within(&mut self, bytes: &[u8]) -> Result<(), BudgetExhausted> {
+        let capacity = self.needed_capacity(bytes.len());
+        let wait_ms = response_wait_ms(self.bytes.len(), self.max_bytes);
+        self.reservation.grow_within(self.base_bytes + self.copies * capacity, wait_ms).await?;
+        self.append(bytes, capacity);
+        Ok(())
+    }
+
     /// Appends bytes as soon as the budget has room for them.
     pub(crate) async fn push_when_free(&mut self, bytes: &[u8]) {
         let capacity = self.needed_capacity(bytes.len());
