Reject responses whose status is not a final one

Callers could get the answer of a faulty endpoint with status 101, or above 599, as an answer.

Cause: the check of a response's head looked at the id and the signature, not at the status. An interim response other than 101 never gets so far. Change: a status outside 200 to 599 is an attempt without a response (502, or another endpoint for a request that may repeat).

--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -175,6 +175,8 @@
 /// Why the head of a response is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 enum HeadError {
+    #[error("the status is not a final one from 200 to 599")]
+    Status,
     #[error("the response carries another request id or none")]
     OtherRequest,
     #[error("the successful response lacks the endpoint's signature")]
@@ -190,6 +192,10 @@
 ) -> Result<(), HeadError> {
     let names = &state.settings.headers;
     let headers = responded.response.headers();
+    // Gateways ask for no upgrade of the protocol, so 101 is no response either.
+    if !(200..600).contains(&responded.response.status().as_u16()) {
+        return Err(HeadError::Status);
+    }
     let echo = headers.get(&names.request_id);
     if echo.is_none_or(|echo| echo.as_bytes() != head.request_id.as_bytes()) {
         return Err(HeadError::OtherRequest);
--- a/crates/lycheewood/tests/gateway/answers.rs
+++ b/crates/lycheewood/tests/gateway/answers.rs
@@ -41,6 +41,29 @@
     }
 }
 
+/// Guards against passing on what is no final response of the protocol because of its status.
+#[test]
+fn an_answer_without_a_final_status_is_never_passed_on() {
+    for kind in ["once", "stream"] {
+        for status in
+            ["000", "00", "0", "007", "099", "101", "102", "103", "600", "999", "1000", "20", "2xx"]
+        {
+            let mut harness = Harness::with_routes();
+            let line = format!("{status} Status");
+            harness.start_endpoint("s1", move |received| {
+                Action::Write(response(received, &line, "X-Seal: s\r\n", "hi"))
+            });
+            let reply = harness.call(&request(&format!("/{kind}/x"), "id-1"));
+            assert_eq!(reply.status, 502, "{kind} {status}: {reply:?}");
+            assert_eq!(
+                harness.received().len(),
+                1,
+                "{status}: sent again although it may have run"
+            );
+        }
+    }
+}
+
 /// Guards against taking a second response on a connection for the response to the next request.
 #[test]
 fn a_second_answer_belongs_to_no_request() {
