Pass on nothing that a planned stop could cut off

Cause: the phase of the stop was checked once, when the head had been read. Requests were passed on after a slow body, or after a wait for a place, and in the milliseconds between 3 s after the signal and the change of the phase.

Change: once new requests are refused, a request that no endpoint has got is refused as not run if its deadline lies behind the end of the stop.

The test in tests/gateway/callers.rs got 200 instead of 503 before.

--- a/crates/lycheewood/src/filters/forward/read_body.rs
+++ b/crates/lycheewood/src/filters/forward/read_body.rs
@@ -37,6 +37,10 @@
     };
     let body = body.read(&state.memory, limits).await;
     let body = body.map_err(|error| refusal(state, limits, error))?.finish();
+    // A planned stop may have begun while the body arrived.
+    if state.could_cut_off(deadline) {
+        return Err(RequestError::not_run(NotRunCode::Draining, 0));
+    }
     let service = route.service(rand::random()).clone();
     let is_plain = route.kind != RequestKind::Streaming
         && !routes.table.engine_profiles.contains_key(&service);
--- a/crates/lycheewood/src/filters/forward/select.rs
+++ b/crates/lycheewood/src/filters/forward/select.rs
@@ -72,6 +72,11 @@
                 record_quarantined(state, head, &mut admitted, until);
                 return Selection::None(admitted);
             }
+            Err(Refusal::Draining) => {
+                admitted.no_endpoint_code = NotRunCode::Draining;
+                admitted.retry_after_ms = 0;
+                return Selection::None(admitted);
+            }
             Err(Refusal::NoEndpoint(NoEndpoint { retry_after_ms })) => {
                 admitted.retry_after_ms = retry_after_ms;
                 record_no_endpoint(state, head, &mut admitted);
@@ -98,9 +103,17 @@
 enum Refusal {
     /// Quarantined until this time, or another attempt runs its trial until then.
     Quarantined(Timestamp),
+    /// A planned stop could cut it off.
+    Draining,
     NoEndpoint(NoEndpoint),
 }
 
+impl From<NoEndpoint> for Refusal {
+    fn from(none: NoEndpoint) -> Self {
+        Self::NoEndpoint(none)
+    }
+}
+
 /// Finds an endpoint for a request that the quarantine permits to run.
 async fn find_permitted(
     state: &Arc<GatewayState>,
@@ -113,7 +126,7 @@
         let permitted = quarantine::wait_for_trial(state, admitted, expires).await;
         permitted.map_err(Refusal::Quarantined)?;
         let place = wait_for_endpoint(state, admitted, received).await;
-        let place = place.map_err(Refusal::NoEndpoint)?;
+        let place = place?;
         let trials = admitted.trials.len();
         // Checked again, because an endpoint may have crashed while the request waited.
         let Err(until) = quarantine::permit(state, admitted, attempt).await else {
@@ -177,7 +190,8 @@
     state: &Arc<GatewayState>,
     admitted: &Admitted,
     received: Timestamp,
-) -> Result<Place, NoEndpoint> {
+) -> Result<Place, Refusal> {
+    let is_unsent = admitted.attempts.get() == 0 && admitted.may_have_run.is_none();
     let terms = wait_terms(admitted, received);
     let deadlines = terms.request.deadlines;
     let guard = state.waiting_room.enter(&admitted.service, terms);
@@ -191,6 +205,9 @@
     let mut has_waited = false;
     loop {
         let now = state.clock.now();
+        if is_unsent && state.could_cut_off(admitted.deadline) {
+            return Err(Refusal::Draining);
+        }
         let phase = wait.phase(now);
         let view = View::load(state);
         let mut next_window = None;
@@ -214,11 +231,11 @@
         if is_none_usable(state, &view, admitted) {
             state.metrics.routing.refused_unusable.inc();
             let retry_after_ms = come_back_ms(RefusalCause::Full, rand::random());
-            return Err(NoEndpoint { retry_after_ms });
+            return Err(NoEndpoint { retry_after_ms }.into());
         }
         let pause_end = pause_end(state, &view, admitted, now);
         if let Some(pause_end) = pause_end.filter(|end| *end > deadlines.expires()) {
-            return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) });
+            return Err(NoEndpoint { retry_after_ms: pause_end.ms_since(now) }.into());
         }
         let is_refused = has_refusing_group(state, &view, admitted);
         let may_wait = admitted.gap_limit.is_some()
@@ -231,9 +248,8 @@
             let end = if cannot_be_served_in_time { "too_late" } else { "expired" };
             record_wait(state, has_waited || cannot_be_served_in_time, end, now.ms_since(received));
             let retry_after_ms = return_ms(admitted, now);
-            return Err(NoEndpoint {
-                retry_after_ms: wait.expire(retry_after_ms).retry_after_ms(),
-            });
+            let retry_after_ms = wait.expire(retry_after_ms).retry_after_ms();
+            return Err(NoEndpoint { retry_after_ms }.into());
         }
         if !std::mem::replace(&mut has_waited, true) {
             guard.begin_to_wait(now);
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -105,6 +105,8 @@
     /// Published in heartbeats while this instance holds the lease on the expert groups.
     leading: Mutex<Option<Leading>>,
     phase: watch::Sender<Phase>,
+    /// When a planned stop ends at the latest, once one has begun.
+    stops_at: OnceLock<Timestamp>,
     retry_budgets: Mutex<HashMap<TargetName, RetryBudget>>,
     next_sequence: AtomicU64,
 }
@@ -179,6 +181,7 @@
             topic_health: TopicHealth::default(),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
+            stops_at: OnceLock::new(),
             retry_budgets: Mutex::default(),
             next_sequence: AtomicU64::new(1),
         }
@@ -304,6 +307,17 @@
         self.phase.send_replace(phase);
     }
 
+    /// Sets the time at which a planned stop ends at the latest. Only the first call has an effect.
+    pub(crate) fn set_stops_at(&self, stops_at: Timestamp) {
+        let _ = self.stops_at.set(stops_at);
+    }
+
+    /// Whether a request that no endpoint has got yet must be refused, because a planned stop could cut it off.
+    pub(crate) fn could_cut_off(&self, deadline: Timestamp) -> bool {
+        self.phase() == Phase::Refusing
+            && self.stops_at.get().is_some_and(|stops_at| *stops_at < deadline)
+    }
+
     /// Whether callers may be directed to this instance.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving && self.knows_state() && self.callers.has_room()
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -315,7 +315,9 @@
     pub fn shutdown(self) {
         let Self { handle, callers, traffic, .. } = self;
         let state = handle.state;
-        let within = Duration::from_millis(state.settings.shutdown_timeout_ms);
+        let timeout_ms = state.settings.shutdown_timeout_ms;
+        state.set_stops_at(state.clock.now().plus_ms(timeout_ms));
+        let within = Duration::from_millis(timeout_ms);
         traffic.block_on(async {
             let leaving = async {
                 let settings = state.settings.shutdown;
--- a/crates/lycheewood/tests/gateway/callers.rs
+++ b/crates/lycheewood/tests/gateway/callers.rs
@@ -1,10 +1,11 @@
 //! Routing, authentication, route table updates and graceful shutdown.
 
 use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use crate::harness::{
-    Action, Harness, Reply, TIMEOUT_MS, header_value, ok_response, request, routes,
+    Action, Harness, Reply, TIMEOUT_MS, header_value, ok_response, request, request_within, routes,
 };
 
 /// Guards against a 404 from an instance that has no route table yet; it must answer 503.
@@ -135,6 +136,34 @@
     stopping.join().expect("the gateway stops");
 }
 
+/// Guards against a planned stop that passes on requests whose bodies end when new ones are refused already, and cuts them
+/// off at its end.
+#[test]
+fn a_planned_stop_passes_on_nothing_that_it_could_cut_off() {
+    let mut harness = Harness::with_routes();
+    harness.start_endpoint("s1", |received| Action::Write(ok_response(received, "ok")));
+    harness.wait_until_ready();
+    let requests = [request("/once/x", "id-1"), request_within(3_000, "/once/x", "id-2")];
+    let open = requests.map(|request| {
+        let mut tcp = harness.connect();
+        let (first, rest) = request.split_at(request.len() - 2);
+        tcp.write_all(first.as_bytes()).expect("a part is sent");
+        (tcp, rest.to_owned())
+    });
+    let gateway = harness.gateway.take().expect("the gateway runs");
+    let address = gateway.caller_address();
+    let stopping = std::thread::spawn(move || gateway.shutdown());
+    // New callers are refused from the moment on at which new requests are.
+    while TcpStream::connect(address).is_ok() {
+        std::thread::park_timeout(std::time::Duration::from_millis(5));
+    }
+    let replies = open.map(|(tcp, rest)| Reply::read(tcp, &rest));
+    let statuses = replies.map(|reply| reply.status);
+    assert_eq!(statuses, [503, 200], "only the request that ends before the stop is passed on");
+    assert_eq!(harness.received().len(), 1);
+    stopping.join().expect("the gateway stops");
+}
+
 /// Guards against a limit on the number of header fields beside the one on their size: requests with over 100 fields
 /// got 431.
 #[test]
