Take a late call for an outage only if entries can have expired

Callers whose requests may not repeat got 502: gateways sent requests to a removed endpoint until it ended, after the gateway that reads the list had been frozen for 0.6 s.

Cause: a call that took over 1.5 s counted as an outage of the store, and each removal that it brought was kept back for 1.5 s, here and at all who fetched the list. The store had been there all the while.

Change: the call must be as long as the shortest outage in which an entry can expire, two renewals (2.4 s with a heartbeat_ms of 1,200). A freeze that makes a call that long is noticed by the others, which read themselves.

--- a/crates/lycheewood/src/decisions/endpoint_list.rs
+++ b/crates/lycheewood/src/decisions/endpoint_list.rs
@@ -190,6 +190,19 @@
 /// the shortest drain time, which is 2,000 ms.
 const EXPIRY_GRACE_MS: u64 = 1_500;
 
+/// Intervals of its renewals without one after which an entry is removed from the list.
+const EXPIRY_RENEWALS: u64 = 3;
+/// Time by which the length of a call to the list may differ from that of the outage that it spans, in milliseconds.
+const CALL_MARGIN_MS: u64 = 100;
+
+/// Whether entries may have expired in an outage of the list that a call of `call_ms` has spanned. Entries are renewed
+/// every `renewal_ms`, so the oldest one expires in an outage that lasts one interval less than the expiry. A shorter call
+/// was late for another reason, such as a pause of this process, and what it brings was removed on purpose.
+#[must_use]
+pub const fn may_span_expiry(call_ms: u64, renewal_ms: u64) -> bool {
+    call_ms.saturating_add(CALL_MARGIN_MS) >= (EXPIRY_RENEWALS - 1).saturating_mul(renewal_ms)
+}
+
 /// The list of endpoints, built from the newest record of each.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointList {
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -88,7 +88,7 @@
 pub use decisions::endpoint_limits::{LimitBook, LimitReport, RequestRate, RequestRateError};
 pub use decisions::endpoint_list::{
     EndpointAvailability, EndpointChange, EndpointEntry, EndpointIndex, EndpointList,
-    EndpointRecord, GroupMembership,
+    EndpointRecord, GroupMembership, may_span_expiry,
 };
 pub use decisions::entries::{
     EntrySelection, EntrySelectionSettings, InstanceCandidate, select_entries, watched_endpoints,
--- a/crates/lycheewood/tests/readers.rs
+++ b/crates/lycheewood/tests/readers.rs
@@ -5,6 +5,7 @@
 use lycheewood::{
     About, FailureDomain, Heartbeat, HeartbeatExtension, Incarnation, InstanceId, LagMonitor,
     LocalState, Offset, PeerTracker, ReaderCandidate, ReaderElection, StateFetch, Timestamp,
+    may_span_expiry,
 };
 use proptest::prelude::*;
 
@@ -249,3 +250,17 @@
         }
     }
 }
+
+/// Guards against a removed endpoint that stays in use because a call was late for another reason than an outage of the
+/// list, such as a pause of the process that reads it. Entries are renewed every 1,200 ms and expire after 3,600 ms.
+#[test]
+fn only_a_call_that_is_as_long_as_an_outage_may_span_expired_entries() {
+    // A long poll of 1,000 ms, and a pause that other instances do not notice.
+    for call_ms in [0, 1_000, 1_620, 1_799, 2_000] {
+        assert!(!may_span_expiry(call_ms, 1_200), "{call_ms} ms");
+    }
+    // Entries that were renewed just before an outage expire last, those before it first.
+    for call_ms in [2_400, 2_500, 3_600, 60_000] {
+        assert!(may_span_expiry(call_ms, 1_200), "{call_ms} ms");
+    }
+}
