Schedule one timer for the permits of an endpoint

Each request for a permit started a timer of its own, and each of them the next one, so a full queue of 256 would have had as many chains. Found in reading the diff; the sums and the order of permits do not change. Waiting requests are also woken at once when their own gateway sees a limit end.

--- a/crates/lycheewood/src/controllers/permits.rs
+++ b/crates/lycheewood/src/controllers/permits.rs
@@ -1,7 +1,7 @@
 //! The permits controller: allots the permits of limited endpoints to all gateways, and asks others for those that they
 //! allot.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,7 +43,7 @@
     pub(crate) message: PermitMessage,
 }
 
-/// Permits of an endpoint may be due.
+/// The next permit of an endpoint is due.
 struct GrantDue {
     /// Tag of the endpoint.
     tag: u32,
@@ -55,13 +55,20 @@
     state: Arc<GatewayState>,
     /// By tag of the endpoint.
     allotments: HashMap<u32, PermitAllotment>,
+    /// Endpoints for which a [`GrantDue`] is on its way.
+    scheduled: HashSet<u32>,
     socket: Arc<UdpSocket>,
 }
 
 impl PermitsController {
     /// Starts the controller on the current runtime.
     pub(crate) fn start(state: &Arc<GatewayState>, socket: Arc<UdpSocket>) -> ActorRef<Self> {
-        let controller = Self { state: Arc::clone(state), allotments: HashMap::new(), socket };
+        let controller = Self {
+            state: Arc::clone(state),
+            allotments: HashMap::new(),
+            scheduled: HashSet::new(),
+            socket,
+        };
         Self::spawn_with_mailbox(controller, mailbox::unbounded())
     }
 
@@ -114,7 +121,9 @@
         for QueuedPermit { from, sequence, .. } in granted {
             self.answer(from, PermitReply { tag, sequence, retry_after_ms: None }, now);
         }
-        if let Some(next_grant) = next_grant {
+        if let Some(next_grant) = next_grant
+            && self.scheduled.insert(tag)
+        {
             let (actor, wait_ms) = (actor.clone(), next_grant.ms_since(now).max(1));
             tokio::spawn(async move {
                 sleep(Duration::from_millis(wait_ms)).await;
@@ -162,6 +171,7 @@
     type Reply = ();
 
     async fn handle(&mut self, GrantDue { tag }: GrantDue, context: &mut Context<Self, ()>) {
+        self.scheduled.remove(&tag);
         let now = self.state.clock.now();
         let is_source = self.source(tag, now) == self.state.settings.peer_address;
         match self.state.limits.limit(tag) {
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -256,12 +256,13 @@
         if !self.limits.observe(endpoint_tag(&endpoint.id), limit, self.clock.now()) {
             return;
         }
-        match limit {
-            Some(limit) => {
-                let per_s = limit.per_s();
-                log::info!("endpoint limit server={} per_s={per_s} source=response", endpoint.id);
-            }
-            None => log::info!("endpoint limit ended server={} source=response", endpoint.id),
+        if let Some(limit) = limit {
+            let per_s = limit.per_s();
+            log::info!("endpoint limit server={} per_s={per_s} source=response", endpoint.id);
+        } else {
+            log::info!("endpoint limit ended server={} source=response", endpoint.id);
+            // Requests that wait for a permit need none any more.
+            self.waiting_room.wake();
         }
         self.early_heartbeat.notify_one();
     }
