Do not let an absurd era wrap an offset around

Store-Era is a number that the store chooses. From 2^24 on, its upper bits were shifted out, and later offsets came before earlier ones. Found in reading the diff.

--- a/crates/lycheewood/src/ids.rs
+++ b/crates/lycheewood/src/ids.rs
@@ -111,10 +111,14 @@
 /// A log that comes back from an old copy gives some of its offsets out again, and begins a new era. The era stands in the
 /// upper bits, so a record of a later era is always behind those of earlier ones.
 impl Offset {
-    /// The offset of the record that the log numbers `index` in an era. The first era is 0.
+    /// The offset of the record that the log numbers `index` in an era. The first era is 0. Values that are too large count
+    /// as the largest one, so that they are never behind smaller ones.
     #[must_use]
     pub const fn in_era(era: u64, index: u64) -> Self {
-        Self((era << INDEX_BITS) | (index & ((1 << INDEX_BITS) - 1)))
+        let (max_era, max_index) = (u64::MAX >> INDEX_BITS, (1 << INDEX_BITS) - 1);
+        let era = if era > max_era { max_era } else { era };
+        let index = if index > max_index { max_index } else { index };
+        Self((era << INDEX_BITS) | index)
     }
 
     /// The era of the log.
--- a/crates/lycheewood/tests/log_lease.rs
+++ b/crates/lycheewood/tests/log_lease.rs
@@ -137,6 +137,9 @@
     follower.record_announced_end(after.0, at(1_000));
     follower.record_read(after.0, false, at(2_000));
     assert_eq!(follower.acquirable_at(), Some(at(2_150)));
+    // Absurd values do not wrap around.
+    assert!(Offset::in_era(u64::MAX, 0) > Offset::in_era(7, u64::MAX));
+    assert_eq!(Offset::in_era(7, u64::MAX).era(), 7);
     // A log without records is free in any era.
     let mut empty = LeaseState::default();
     empty.record_read(Offset::in_era(2, 0).0, false, at(0));
