Bound the memory of responses without end, also in streams

Traced beside busy processes:

- Buffers that the HTTP library reads into grew to 128 KiB each, and the budget does not count them.
A read takes at most 16 KiB now.
- Bodies that grow together while some are given up leave holes in the heap, so 35 MB of budget could take 55.
Large responses of unknown length leave half of the budget to others now; those with a length may use all of it.

--- a/crates/lycheewood/src/adapters/forward/limited_read.rs
+++ b/crates/lycheewood/src/adapters/forward/limited_read.rs
@@ -14,6 +14,10 @@
 /// the HTTP library skips without a limit.
 pub(crate) const MAX_HEAD_BYTES: usize = 128 * 1024;
 
+/// Maximum number of bytes of one read. The HTTP library enlarges its buffers to what a read can fill, and the memory
+/// budget does not count them.
+const MAX_READ_BYTES: usize = 16 * 1024;
+
 /// Lifts the limit of a connection once the head of the response has arrived.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HeadArrived(Arc<AtomicBool>);
@@ -57,9 +61,12 @@
             let reason = format!("more than {max_bytes} bytes before the end of the head");
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
-        let filled = buffer.filled().len();
-        let polled = Pin::new(&mut self.tcp).poll_read(context, buffer);
-        self.received_bytes += buffer.filled().len() - filled;
+        let max_bytes = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(max_bytes));
+        let polled = Pin::new(&mut self.tcp).poll_read(context, &mut part);
+        let received_bytes = part.filled().len();
+        buffer.advance(received_bytes);
+        self.received_bytes += received_bytes;
         polled
     }
 }
--- a/crates/lycheewood/src/adapters/forward/upstream.rs
+++ b/crates/lycheewood/src/adapters/forward/upstream.rs
@@ -231,7 +231,9 @@
         budget: &MemoryBudget,
     ) -> Result<Bytes, UpstreamError> {
         let has_length = self.body.size_hint().exact().is_some();
-        let mut buffer = BodyBuffer::new(budget.charge(MemoryUse::Response, 0), max_bytes);
+        let memory_use =
+            if has_length { MemoryUse::Response } else { MemoryUse::UnboundedResponse };
+        let mut buffer = BodyBuffer::new(budget.charge(memory_use, 0), max_bytes);
         while let Some(bytes) = self.next().await {
             let bytes = bytes?;
             if buffer.len() + bytes.len() > max_bytes {
--- a/crates/lycheewood/src/decisions/memory.rs
+++ b/crates/lycheewood/src/decisions/memory.rs
@@ -33,6 +33,8 @@
     Request,
     /// A response that is read to its end before it is passed on. Its request has run, so it is the last to wait.
     Response,
+    /// A response, or an event of one, whose length is not known. It may have no end.
+    UnboundedResponse,
 }
 
 /// The bytes that a process may hand out on a machine with `memory_bytes`; `None` if that is 0, which means that the
@@ -51,9 +53,10 @@
 pub fn kept_free_bytes(total_bytes: usize, memory_use: MemoryUse, held_bytes: usize) -> usize {
     match memory_use {
         MemoryUse::Request if held_bytes > SMALL_REQUEST_BYTES => total_bytes / 4,
+        MemoryUse::UnboundedResponse if held_bytes > SMALL_REQUEST_BYTES => total_bytes / 2,
         MemoryUse::Request => total_bytes / 8,
         MemoryUse::Connection => total_bytes / 16,
-        MemoryUse::Response => 0,
+        MemoryUse::Response | MemoryUse::UnboundedResponse => 0,
     }
 }
 
--- a/crates/lycheewood/src/filters/forward/relay/source.rs
+++ b/crates/lycheewood/src/filters/forward/relay/source.rs
@@ -48,6 +48,8 @@
     unread: Option<Bytes>,
     /// Memory of an event that is larger than what each request reserves.
     large_event: Reservation,
+    /// When a wait for memory ends that has begun.
+    waits_until: Option<Timestamp>,
     /// When the last event of this endpoint was read.
     last_event_at: Option<Timestamp>,
     /// Whether bytes of the next event were waited for. Bytes that were there already say nothing of when they were
@@ -68,7 +70,8 @@
             response,
             splitter: EventSplitter::default(),
             unread: None,
-            large_event: state.memory.charge(MemoryUse::Response, 0),
+            large_event: state.memory.charge(MemoryUse::UnboundedResponse, 0),
+            waits_until: None,
             last_event_at: None,
             has_waited: false,
             in_flight,
@@ -109,7 +112,7 @@
                 }
             }
             if let Some(more_bytes) = self.unread.as_ref().map(Bytes::len) {
-                if self.reserve(more_bytes).await.is_err() {
+                if self.reserve(more_bytes, state.clock.now()).await.is_err() {
                     return Read::Broken("the memory budget has no room for an event".to_owned());
                 }
                 if let Some(bytes) = self.unread.take()
@@ -140,14 +143,19 @@
     }
 
     /// Reserves memory for bytes that wait for the end of their event, as soon as the budget has room for them.
-    async fn reserve(&mut self, more_bytes: usize) -> Result<(), BudgetExhausted> {
+    async fn reserve(&mut self, more_bytes: usize, now: Timestamp) -> Result<(), BudgetExhausted> {
         let held_bytes = self.splitter.buffered_bytes();
         let needed_bytes = held_bytes + more_bytes;
         if needed_bytes <= REQUEST_BYTES {
             return Ok(());
         }
+        // The wait may be cancelled and begin again, for instance by each check for a stall.
         let wait_ms = response_wait_ms(held_bytes, MAX_EVENT_BYTES);
-        self.large_event.grow_within(needed_bytes, wait_ms).await
+        let waits_until = *self.waits_until.get_or_insert(now.plus_ms(wait_ms));
+        let left_ms = waits_until.ms_since(now);
+        let grown = self.large_event.grow_within(needed_bytes, left_ms).await;
+        self.waits_until = None;
+        grown
     }
 
     /// Records at the first event that the endpoint has processed the prompt, and at later ones the time since the
--- a/crates/lycheewood/tests/memory_budget.rs
+++ b/crates/lycheewood/tests/memory_budget.rs
@@ -45,6 +45,9 @@
     assert!(may_reserve(total, total - 1, MemoryUse::Response, MAX_BODY_BYTES, 1));
     assert!(!may_reserve(total, total, MemoryUse::Response, MAX_BODY_BYTES, 1));
     assert!(!may_reserve(total, 1, MemoryUse::Response, 1, usize::MAX));
+    // One that may have no end leaves room to those that have one.
+    assert!(!may_reserve(total, used, MemoryUse::UnboundedResponse, MAX_BODY_BYTES, 1));
+    assert!(may_reserve(total, used, MemoryUse::UnboundedResponse, SMALL_REQUEST_BYTES, 1));
 }
 
 /// Guards against buffers that grow far beyond what has arrived, or beyond the largest body. All of a buffer is reserved.
