--- a/crates/lycheewood/tests/group_control.rs
+++ b/crates/lycheewood/tests/group_control.rs
@@ -250,6 +250,11 @@
         harness.wait_for_records(6);
         let length = harness.log.go_back(kept);
         assert!(length >= 6);
+        let reads = harness.log.reads.load(Ordering::Relaxed);
+        harness.wait_for_records(kept + 1);
+        // A holder whose record is the last one renews it, and reads no more than after any refused append.
+        let reads = harness.log.reads.load(Ordering::Relaxed) - reads;
+        assert!(kept == 1 || reads <= 2, "the term was given up: {reads} reads");
         harness.wait_for_records(kept + 2);
         let records = harness.log.records.lock().expect("no panic").clone();
         let holder = |bytes: &Bytes| {
