Reject replies of services whose status is not a final one

The other request path had the same fault as the gateway's: an entry passed a service's reply with status 101, or above 599, on to its caller. Status 000 is rejected by the HTTP library there as well.

Cause: the client of services took any status. Change: one check for both paths, is_final_status.

--- a/crates/lycheewood/src/adapters/backend.rs
+++ b/crates/lycheewood/src/adapters/backend.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::adapters::http::{HttpClient, HttpError};
+use crate::adapters::http::{HttpClient, HttpError, is_final_status};
 use crate::clock::Timestamp;
 use crate::ids::AttemptId;
 use crate::wire::message::Load;
@@ -236,6 +236,10 @@
             let body = Bytes::from(call.body);
             let response = self.http.open(method, call.path, &headers, body, timeout_ms).await?;
             let status = response.status().as_u16();
+            if !is_final_status(status) {
+                let reason = format!("{status} is no final status");
+                return Err(HttpError::Protocol { address, reason });
+            }
             let content_type = response
                 .headers()
                 .get(header::CONTENT_TYPE)
--- a/crates/lycheewood/src/adapters/http.rs
+++ b/crates/lycheewood/src/adapters/http.rs
@@ -224,6 +224,11 @@
     }
 }
 
+/// Whether a status ends an exchange in which no upgrade of the protocol was asked for.
+pub(crate) const fn is_final_status(status: u16) -> bool {
+    200 <= status && status < 600
+}
+
 fn check_status(address: SocketAddr, reply: Response<Bytes>) -> Result<Response<Bytes>, HttpError> {
     let status = reply.status();
     if status.is_success() {
--- a/crates/lycheewood/src/filters/forward/check.rs
+++ b/crates/lycheewood/src/filters/forward/check.rs
@@ -8,6 +8,7 @@
 use tokio::time::timeout;
 
 use crate::adapters::forward::upstream::UpstreamResponse;
+use crate::adapters::http::is_final_status;
 use crate::decisions::endpoint_limits::RequestRate;
 use crate::decisions::endpoint_list::EndpointEntry;
 use crate::filters::forward::ForwardedResponse;
@@ -192,8 +193,7 @@
 ) -> Result<(), HeadError> {
     let names = &state.settings.headers;
     let headers = responded.response.headers();
-    // Gateways ask for no upgrade of the protocol, so 101 is no response either.
-    if !(200..600).contains(&responded.response.status().as_u16()) {
+    if !is_final_status(responded.response.status().as_u16()) {
         return Err(HeadError::Status);
     }
     let echo = headers.get(&names.request_id);
