Let a stream win a race with its first event, not its head

Cause: keeps a silent endpoint until another has responded, and took the head of a response for that. The other endpoint may accept the request and then pause or break off. The first connection was closed by then, and no attempt was left.

Change: a raced attempt that gets a stream waits for its first event, and the caller gets the head of the endpoint whose event was first. If both fail, the caller gets 502 or 504 in place of a 200 that is cut.

--- a/crates/lycheewood/src/filters/forward.rs
+++ b/crates/lycheewood/src/filters/forward.rs
@@ -131,24 +131,28 @@
 async fn race(state: &Arc<GatewayState>, mut waiting: Exchange<'_, Waiting>) -> AttemptOutcome {
     let (head, endpoint) = (Arc::clone(waiting.head), waiting.stage.endpoint.id.clone());
     let retry = waiting.stage.admitted.split_retry(&endpoint);
-    let mut second = attempt_to_end(Arc::clone(state), Arc::clone(&head), retry);
+    let retry = attempt_to_end(Arc::clone(state), Arc::clone(&head), retry);
+    let mut second = Box::pin(async { with_first_event(retry.await).await });
     let mut first = Box::pin(async {
         let sent = send::wait_to_end(state, waiting).await;
-        match sent {
+        let end = match sent {
             SendOutcome::Responded(responded) => match check::apply(state, responded).await {
-                CheckOutcome::Respond(response) => Ok(response),
-                CheckOutcome::Retry(retry) => Err(retry),
+                CheckOutcome::Respond(response) => AttemptEnd::Response(response),
+                CheckOutcome::Retry(failed) => AttemptEnd::Exhausted(failed),
             },
-            SendOutcome::Retry(retry) => Err(Box::new(retry)),
-            SendOutcome::Stalled(waiting) => Err(Box::new(waiting.stage.admitted)),
-        }
+            SendOutcome::Retry(failed) => AttemptEnd::Exhausted(Box::new(failed)),
+            SendOutcome::Stalled(waiting) => {
+                AttemptEnd::Exhausted(Box::new(waiting.stage.admitted))
+            }
+        };
+        with_first_event(end).await
     });
     let outcome = tokio::select! {
         biased;
         first = &mut first => match first {
-            Ok(response) => ("returned", AttemptOutcome::Respond(response)),
+            AttemptEnd::Response(response) => ("returned", AttemptOutcome::Respond(response)),
             // The first endpoint has failed, so the other one decides.
-            Err(failed) => match second.await {
+            AttemptEnd::Exhausted(failed) => match second.await {
                 AttemptEnd::Response(response) => ("moved", AttemptOutcome::Respond(response)),
                 AttemptEnd::Exhausted(mut admitted) => {
                     // An error response of the first endpoint is passed on.
@@ -163,8 +167,8 @@
                 ("moved", AttemptOutcome::Respond(response))
             }
             AttemptEnd::Exhausted(other) => match first.await {
-                Ok(response) => ("refused", AttemptOutcome::Respond(response)),
-                Err(mut admitted) => {
+                AttemptEnd::Response(response) => ("refused", AttemptOutcome::Respond(response)),
+                AttemptEnd::Exhausted(mut admitted) => {
                     admitted.rejoin(*other);
                     ("refused", AttemptOutcome::Retry(admitted))
                 }
@@ -176,3 +180,17 @@
     log::info!("silence ended id={} server={endpoint} result={result}", head.request_id);
     outcome
 }
+
+/// Waits until a stream has an event, or has ended without one. An endpoint that accepts a request may still break off or
+/// be silent, so its head alone does not end the wait for another endpoint.
+async fn with_first_event(end: AttemptEnd) -> AttemptEnd {
+    match end {
+        AttemptEnd::Response(ForwardedResponse::Streaming(mut stream)) => {
+            match stream.relay.wait_for_event().await {
+                Ok(()) => AttemptEnd::Response(ForwardedResponse::Streaming(stream)),
+                Err(error) => AttemptEnd::Exhausted(Box::new(stream.relay.into_admitted(error))),
+            }
+        }
+        end => end,
+    }
+}
--- a/crates/lycheewood/src/filters/forward/relay.rs
+++ b/crates/lycheewood/src/filters/forward/relay.rs
@@ -18,11 +18,12 @@
 use crate::decisions::resume::{EventSequence, is_same_media_type};
 use crate::decisions::stall::{ResponsePart, stall_timeout_ms};
 use crate::filters::forward::crash;
-use crate::filters::forward::exchange::{RequestHead, Responded};
+use crate::filters::forward::exchange::{Admitted, RequestHead, Responded};
 use crate::filters::forward::relay::challenger::{Challenger, Progress};
 use crate::filters::forward::relay::source::{NewEvent, Read, Source};
 use crate::gateway::GatewayState;
 use crate::ids::InstanceId;
+use crate::outcome::UnknownCode;
 
 /// Why a stream ends before its last event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -59,6 +60,7 @@
             may_challenge: true,
             sequence,
             events: 0,
+            received: Received::Nothing,
         };
         Self { status, headers, relay }
     }
@@ -83,6 +85,15 @@
     /// The events that the caller has.
     sequence: EventSequence,
     events: u64,
+    /// What has been received before the caller was sent the head.
+    received: Received,
+}
+
+/// What [`Relay::next`] returns without waiting.
+enum Received {
+    Nothing,
+    Event(Bytes),
+    End,
 }
 
 /// What a stream waited for has happened.
@@ -104,8 +115,33 @@
         &self.source.endpoint.id
     }
 
+    /// Waits until [`Relay::next`] has an event or the end of the stream.
+    pub(crate) async fn wait_for_event(&mut self) -> Result<(), StreamError> {
+        self.received = self.receive().await.transpose()?.map_or(Received::End, Received::Event);
+        Ok(())
+    }
+
+    /// Ends a stream of which the caller has received nothing, and returns its request.
+    pub(crate) fn into_admitted(self, error: StreamError) -> Admitted {
+        let mut admitted = self.source.into_admitted();
+        admitted.may_have_run = Some(match error {
+            StreamError::Deadline => UnknownCode::DeadlinePassed,
+            StreamError::Broken => UnknownCode::EndpointLost,
+        });
+        admitted
+    }
+
     /// The next event, or `None` after the last one.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
+        match std::mem::replace(&mut self.received, Received::Nothing) {
+            Received::Nothing => self.receive().await,
+            Received::Event(event) => Some(Ok(event)),
+            Received::End => None,
+        }
+    }
+
+    /// Receives the next event, or `None` after the last one.
+    async fn receive(&mut self) -> Option<Result<Bytes, StreamError>> {
         self.source.quiet_since = self.state.clock.now();
         loop {
             match self.progress().await {
--- a/crates/lycheewood/tests/gateway/silence.rs
+++ b/crates/lycheewood/tests/gateway/silence.rs
@@ -99,6 +99,77 @@
     }
 }
 
+/// Guards against a stream that is lost because its endpoint pauses before the head and the other one accepts the request,
+/// but then pauses or breaks off before its first event.
+#[test]
+fn an_accepted_stream_does_not_replace_a_silent_one_before_its_first_event() {
+    // Each passes through the gateway, so it has read the head of the other endpoint before the first one goes on.
+    const OTHERS_AFTER_HEAD: usize = 20;
+    type Script = fn(&ReceivedRequest) -> Action;
+    let others: [(&str, Script); 4] = [
+        ("pauses", |received| Action::Hang(head(received).into_bytes())),
+        ("breaks off", |received| Action::Write(head(received).into_bytes())),
+        ("pauses within an event", |received| {
+            Action::Hang((head(received) + &chunk("id: 1\nda")).into_bytes())
+        }),
+        ("breaks off within an event", |received| {
+            Action::Write((head(received) + &chunk("id: 1\nda")).into_bytes())
+        }),
+    ];
+    for (case, other) in others {
+        let mut harness = Harness::with_routes();
+        let goes_on = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&goes_on);
+        start_endpoints(&mut harness, 2, move |attempt, received| {
+            if attempt > 0 {
+                return other(received);
+            }
+            let answer = head(received) + &chunk(&events(1, 6)) + "0\r\n\r\n";
+            Action::Pause(Vec::new(), Arc::clone(&flag), answer.into_bytes())
+        });
+        let mut others_after_head = 0;
+        let reply = call_beside_others(&harness, &request("/stream/x", "id-1"), || {
+            others_after_head += usize::from(attempts(&harness).len() > 1);
+            goes_on.fetch_or(others_after_head >= OTHERS_AFTER_HEAD, Ordering::Relaxed);
+        });
+        assert_eq!((reply.status, reply.is_complete), (200, true), "{case}");
+        assert_eq!(reply.body, events(1, 6), "{case}");
+        let attempts = attempts(&harness);
+        assert_eq!(attempts.len(), 2, "{case}");
+        let seal = header_value(&reply.head, "x-seal");
+        assert_eq!(seal.as_ref(), attempts.first(), "{case}");
+    }
+}
+
+/// Guards against a stream that ends with the silent endpoint although another one has accepted it, and against the head
+/// of a success for a request that no endpoint serves.
+#[test]
+fn an_accepted_stream_goes_on_when_the_silent_endpoint_breaks_off() {
+    for has_events in [true, false] {
+        let mut harness = Harness::with_routes();
+        let (breaks, goes_on) =
+            (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (first, second) = (Arc::clone(&breaks), Arc::clone(&goes_on));
+        start_endpoints(&mut harness, 2, move |attempt, received| {
+            if attempt == 0 {
+                return Action::Pause(Vec::new(), Arc::clone(&first), Vec::new());
+            }
+            let rest = if has_events { chunk(&events(1, 6)) + "0\r\n\r\n" } else { String::new() };
+            let head = head(received).into_bytes();
+            Action::Pause(head, Arc::clone(&second), rest.into_bytes())
+        });
+        let reply = call_beside_others(&harness, &request("/stream/x", "id-1"), || {
+            goes_on.fetch_or(breaks.load(Ordering::Relaxed), Ordering::Relaxed);
+            breaks.fetch_or(attempts(&harness).len() > 1, Ordering::Relaxed);
+        });
+        let (status, body) =
+            if has_events { (200, events(1, 6)) } else { (502, reply.body.clone()) };
+        assert_eq!((reply.status, reply.is_complete), (status, true), "{has_events}");
+        assert_eq!(reply.body, body);
+        assert_eq!(attempts(&harness).len(), 2);
+    }
+}
+
 /// Guards against a stream that moves to an endpoint that accepts it and sends nothing, while the first endpoint goes
 /// on. The connection to the other endpoint is closed, so that it stops to work.
 #[test]
