Wait for an unreachable endpoint while another one is asked

Callers saw: a completion ended with 504 `endpoint_lost` when the connection to its endpoint daemon was cut for a moment and the only other endpoint was full. The first one held the whole answer.

When a new connection fails, a repeatable answer was abandoned and asked for elsewhere; a refusal there ended it (`Relay::next`, `await_head`).

Change: the other endpoint is asked beside the first one (filters/relay/elsewhere.rs), and the first to send something continues the answer. A refusal elsewhere changes nothing; further tries count against the retry budget.

--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -1,5 +1,9 @@
 //! Relays an answer to the caller chunk by chunk and resumes a broken one at another endpoint.
+//!
+//! An endpoint that cannot be reached may still hold the answer. It is waited for while another one is asked, and
+//! whichever sends something first continues the answer.
 
+mod elsewhere;
 mod recovery;
 mod source;
 
@@ -20,6 +24,7 @@
 use crate::outcome::{RequestError, UnknownCode, UnknownOutcome};
 use crate::wire::message::Head;
 
+use elsewhere::Elsewhere;
 pub(crate) use recovery::{RecoveryOutcome, await_recovery};
 use source::{Source, SourceEvent};
 
@@ -57,6 +62,16 @@
     state: Arc<EntryState>,
     request: Arc<Request>,
     source: Source,
+    /// The attempt at another endpoint while that of `source` cannot be reached.
+    elsewhere: Elsewhere,
+    /// An event that has been received and not returned.
+    received: Option<AnswerEvent>,
+}
+
+/// What an answer waited for has happened.
+enum Progress {
+    Source(SourceEvent),
+    Elsewhere(Result<Box<Answer>, RequestError>),
 }
 
 /// Waits for the head of the answer.
@@ -71,34 +86,60 @@
         let now = state.clock.now();
         Ok(HeadOutcome::Retry(Exchange { request, view, document, now, stage: admitted }))
     };
-    match source.next_event(state).await {
-        SourceEvent::Head(head) => {
-            let relay = Relay { state: Arc::clone(state), request: Arc::clone(request), source };
-            Ok(HeadOutcome::Answer(Box::new(Answer { head, relay })))
-        }
-        // A link delivers the head before any chunk.
-        SourceEvent::Bytes(_) | SourceEvent::End => {
-            Err(unknown_error(&mut source, request, UnknownCode::EndpointLost))
-        }
-        SourceEvent::NotRun(not_run) => {
-            count_attempt(state, "refused");
-            free_key(state, &source.admitted, request, attempt);
-            let mut admitted = source.abandon(None);
-            admitted.last_refusal = Some(not_run);
-            retry_with(admitted)
-        }
-        SourceEvent::Broken(code) => {
-            count_attempt(state, "failed");
-            source.record_failure(FAILURE_PENALTY_MS);
-            let repeatable = !source.admitted.spec.non_idempotent;
-            if repeatable && code != UnknownCode::DeadlinePassed {
-                return retry_with(source.abandon(Some(code)));
+    let mut elsewhere = Elsewhere::default();
+    loop {
+        match progress(state, &mut source, &mut elsewhere).await {
+            Progress::Source(SourceEvent::Head(head)) => {
+                let relay = Relay::new(state, request, source);
+                return Ok(HeadOutcome::Answer(Box::new(Answer { head, relay })));
+            }
+            // A link delivers the head before any chunk.
+            Progress::Source(SourceEvent::Bytes(_) | SourceEvent::End) => {
+                return Err(unknown_error(&mut source, request, UnknownCode::EndpointLost));
             }
-            Err(unknown_error(&mut source, request, code))
+            Progress::Source(SourceEvent::NotRun(not_run)) => {
+                count_attempt(state, "refused");
+                if let Some(answer) = elsewhere.finish().await {
+                    return Ok(HeadOutcome::Answer(answer));
+                }
+                free_key(state, &source.admitted, request, attempt);
+                let mut admitted = source.abandon(None);
+                admitted.last_refusal = Some(not_run);
+                return retry_with(admitted);
+            }
+            Progress::Source(SourceEvent::Broken(code)) => {
+                count_attempt(state, "failed");
+                source.record_failure(FAILURE_PENALTY_MS);
+                let repeatable = !source.admitted.spec.non_idempotent;
+                if repeatable && code != UnknownCode::DeadlinePassed {
+                    return match elsewhere.finish().await {
+                        Some(answer) => Ok(HeadOutcome::Answer(answer)),
+                        None => retry_with(source.abandon(Some(code))),
+                    };
+                }
+                return Err(unknown_error(&mut source, request, code));
+            }
+            Progress::Source(SourceEvent::Unreachable) => elsewhere.start(state, request, &source),
+            Progress::Elsewhere(Ok(answer)) => {
+                count_attempt(state, "failed");
+                source.record_failure(FAILURE_PENALTY_MS);
+                return Ok(HeadOutcome::Answer(answer));
+            }
+            Progress::Elsewhere(Err(error)) => source.on_failed_elsewhere(&error),
         }
     }
 }
 
+/// Waits for the endpoint that is to answer, and for the one that was asked in its place.
+async fn progress(state: &EntryState, source: &mut Source, elsewhere: &mut Elsewhere) -> Progress {
+    tokio::select! {
+        // What the first endpoint has sent goes before what another one has sent at the same time.
+        biased;
+        event = source.next_event(state) => Progress::Source(event),
+        end = elsewhere.end() => Progress::Elsewhere(end),
+    }
+}
+
 /// Frees the key of an attempt for which the endpoint proved that it did not run.
 fn free_key(state: &EntryState, admitted: &Admitted, request: &Request, attempt: AttemptId) {
     if let (true, Some(key)) = (admitted.spec.non_idempotent, &request.key) {
@@ -122,38 +163,63 @@
 }
 
 impl Relay {
+    fn new(state: &Arc<EntryState>, request: &Arc<Request>, source: Source) -> Self {
+        let (state, request) = (Arc::clone(state), Arc::clone(request));
+        Self { state, request, source, elsewhere: Elsewhere::default(), received: None }
+    }
+
     /// Returns the next event. [`AnswerEvent::End`] and [`AnswerEvent::Aborted`] are final.
     pub(crate) async fn next(&mut self) -> AnswerEvent {
         loop {
-            match self.source.next_event(&self.state).await {
-                SourceEvent::Head(_) => {}
-                SourceEvent::Bytes(bytes) => {
+            if let Some(event) = self.received.take() {
+                return event;
+            }
+            match progress(&self.state, &mut self.source, &mut self.elsewhere).await {
+                Progress::Source(SourceEvent::Head(_)) => {}
+                Progress::Source(SourceEvent::Bytes(bytes)) => {
+                    self.elsewhere.stop();
                     self.state.metrics.answer_pieces.inc();
                     self.record_first_chunk_latency();
                     return AnswerEvent::Bytes(bytes);
                 }
-                SourceEvent::End => {
+                Progress::Source(SourceEvent::End) => {
+                    self.elsewhere.stop();
                     count_attempt(&self.state, "done");
                     self.clear_suspect();
                     return AnswerEvent::End;
                 }
-                SourceEvent::NotRun(_) => {
+                Progress::Source(SourceEvent::NotRun(_)) => {
                     count_attempt(&self.state, "refused");
                     if !self.resume().await {
                         return self.abort(UnknownCode::EndpointLost);
                     }
                 }
-                SourceEvent::Broken(code) => {
+                Progress::Source(SourceEvent::Broken(code)) => {
                     count_attempt(&self.state, "failed");
                     self.source.record_failure(FAILURE_PENALTY_MS);
                     if code == UnknownCode::DeadlinePassed || !self.resume().await {
                         return self.abort(code);
                     }
                 }
+                Progress::Source(SourceEvent::Unreachable) => {
+                    self.elsewhere.start(&self.state, &self.request, &self.source);
+                }
+                Progress::Elsewhere(Ok(answer)) => {
+                    count_attempt(&self.state, "failed");
+                    self.source.record_failure(FAILURE_PENALTY_MS);
+                    self.take_over(*answer);
+                }
+                Progress::Elsewhere(Err(error)) => self.source.on_failed_elsewhere(&error),
             }
         }
     }
 
+    /// Continues with the answer of another endpoint, and cancels the attempt before.
+    fn take_over(&mut self, mut answer: Answer) {
+        std::mem::swap(&mut self.source, &mut answer.relay.source);
+        self.received = answer.relay.received.take();
+    }
+
     fn record_first_chunk_latency(&self) {
         let admitted = &self.source.admitted;
         if let (1, Some(admission)) = (admitted.next_chunk, &admitted.admission) {
@@ -179,6 +245,10 @@
     /// Resumes a model's answer from the next token on another endpoint with the same version. After an
     /// attempt that yielded no chunk, this counts against the retry budget like any other retry.
     async fn resume(&mut self) -> bool {
+        if let Some(answer) = self.elsewhere.finish().await {
+            self.take_over(*answer);
+            return true;
+        }
         let admitted = &self.source.admitted;
         if admitted.spec.non_idempotent || admitted.version.is_none() {
             return false;
@@ -198,8 +268,8 @@
         }
         // Boxed because the future of the chain contains this one.
         match Box::pin(crate::filters::attempt(&self.state, &self.request, admitted)).await {
-            Ok(mut answer) => {
-                std::mem::swap(&mut self.source, &mut answer.relay.source);
+            Ok(answer) => {
+                self.take_over(answer);
                 true
             }
             Err(_) => false,
--- a/crates/lycheewood/src/filters/relay/recovery.rs
+++ b/crates/lycheewood/src/filters/relay/recovery.rs
@@ -39,8 +39,7 @@
         match timeout_at(source.deadline, source.events.recv()).await {
             Ok(Some(AttemptEvent::Accepted | AttemptEvent::Unreachable)) => {}
             Ok(Some(AttemptEvent::Head(head))) => {
-                let request = Arc::clone(request);
-                let relay = Relay { state: Arc::clone(state), request, source };
+                let relay = Relay::new(state, request, source);
                 return RecoveryOutcome::Answer(Box::new(Answer { head, relay }));
             }
             Ok(Some(AttemptEvent::Refused(..))) => return RecoveryOutcome::Promised,
--- a/crates/lycheewood/src/filters/relay/source.rs
+++ b/crates/lycheewood/src/filters/relay/source.rs
@@ -15,7 +15,7 @@
 use crate::filters::route;
 use crate::ids::Incarnation;
 use crate::lifecycle::attempt::{Attempt, Dispatched, NotRunProof};
-use crate::outcome::{NotRun, NotRunCode, UnknownCode};
+use crate::outcome::{NotRun, NotRunCode, RequestError, UnknownCode};
 use crate::telemetry::HopSpan;
 use crate::wire::message::{Ask, Head};
 
@@ -49,6 +49,8 @@
     NotRun(NotRun),
     /// The attempt may have run, and its endpoint cannot supply the rest of the answer.
     Broken(UnknownCode),
+    /// The endpoint cannot be reached, and another one can serve the request. It may still hold the answer.
+    Unreachable,
 }
 
 impl Source {
@@ -143,15 +145,14 @@
                 }
                 Ok(Some(AttemptEvent::Unreachable)) => {
                     if self.can_retry_elsewhere(state) {
-                        return SourceEvent::Broken(UnknownCode::EndpointLost);
+                        return SourceEvent::Unreachable;
                     }
                 }
             }
         }
     }
 
-    /// Whether another endpoint can continue the request. If none can, the request waits for this one,
-    /// which may still hold the answer.
+    /// Whether another endpoint can continue the request.
     fn can_retry_elsewhere(&self, state: &EntryState) -> bool {
         let (view, now) = (View::load(state), state.clock.now());
         !self.admitted.spec.non_idempotent
@@ -185,6 +186,14 @@
         }
     }
 
+    /// Records that no other endpoint has continued the request.
+    pub(super) fn on_failed_elsewhere(&mut self, error: &RequestError) {
+        self.admitted.attempts += 1;
+        if let RequestError::Unknown(unknown) = error {
+            self.admitted.unknown_outcome.get_or_insert(unknown.code);
+        }
+    }
+
     /// Records the attempt as failed. An error weighs at least as much as a missed deadline.
     pub(super) fn record_failure(&mut self, penalty_ms: u64) {
         if let Some(flight) = &mut self.flight {
--- a/crates/lycheewood/tests/silence.rs
+++ b/crates/lycheewood/tests/silence.rs
@@ -14,7 +14,7 @@
     Backend, DOCUMENT, Deployment, TOKEN, completion, expected_text, request, send, text_of,
 };
 use lycheewood::{Clock, Offset, RequestKey};
-use stand_ins::engine::EngineFaults;
+use stand_ins::engine::{Engine, EngineFaults};
 use stand_ins::forwarder::Forwarder;
 use stand_ins::service::Service;
 use tokio::time::timeout;
@@ -122,6 +122,52 @@
     }
 }
 
+/// Settings of endpoints that run one attempt at a time.
+const ONE_ATTEMPT: &str = "\
+timing: {heartbeat_ms: 50, long_poll_ms: 500, load_report_ms: 100, entries_valid_ms: 10, entry_linger_ms: 20, \
+entry_refuse_ms: 10, drain_notice_ms: 10}
+bounds: {max_attempts: 1}
+";
+
+/// Guards against an answer that ends because its endpoint is cut off for a moment and the only other one is full: the
+/// endpoint still holds it.
+#[test]
+fn an_answer_waits_for_its_endpoint_while_the_other_one_is_full() {
+    const FAILED_CONNECTIONS: u64 = 6;
+    let mut deployment = platform(ONE_ATTEMPT);
+    deployment.add_engines(2, &slow_engine());
+    deployment.add_entry();
+    let forwarders: Vec<Forwarder> = (0..2)
+        .map(|index| deployment.forwarder(deployment.slots[index].daemon.peer_address()))
+        .collect();
+    deployment.announce_at(|index, _| forwarders[index].address());
+    deployment.wait_until_ready();
+    let entry = deployment.entries[0].caller_address();
+    let completion =
+        |prompt: &str, tokens| request(entry, "/v1/completions", None, &completion(prompt, tokens));
+    let engines: Vec<&Engine> = deployment.engines().collect();
+    let answer = deployment.runtime.block_on(async {
+        let other = tokio::spawn(send(completion("other", 1_000)));
+        let own = tokio::select! {
+            () = engines[0].wait_for_load(|load| load.running == 1) => 1,
+            () = engines[1].wait_for_load(|load| load.running == 1) => 0,
+        };
+        let answer = tokio::spawn(send(completion("watched", TOKENS)));
+        engines[own].wait_for_load(|load| load.running == 1).await;
+        forwarders[own].cut();
+        // The entry asks the full endpoint after the first failed connection.
+        let opened = forwarders[own].opened() + FAILED_CONNECTIONS;
+        forwarders[own].wait_for_opened_above(opened).await;
+        forwarders[own].restore();
+        let answer = answer.await.expect("the caller");
+        other.abort();
+        answer
+    });
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    assert_eq!(text_of(&answer.1), expected_text("watched", u64::from(TOKENS)));
+    assert_eq!(deployment.engine_runs(), 2);
+}
+
 /// Guards against a daemon that mistakes a silent connection to its engine for a crashed engine.
 #[test]
 fn an_answer_survives_a_silent_connection_to_its_engine() {
--- a/crates/stand-ins/src/forwarder.rs
+++ b/crates/stand-ins/src/forwarder.rs
@@ -1,4 +1,5 @@
-//! A TCP forwarder whose open connections can go silent: no reset and no end, while new ones work.
+//! A TCP forwarder whose open connections can go silent, with no reset and no end, while new ones work, and that can be
+//! cut.
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -11,6 +12,7 @@
 pub struct Forwarder {
     address: SocketAddr,
     silenced: watch::Sender<u64>,
+    is_cut: watch::Sender<bool>,
     opened: watch::Receiver<u64>,
     task: JoinHandle<()>,
 }
@@ -27,9 +29,10 @@
         let listener = TcpListener::from_std(listener)?;
         let address = listener.local_addr()?;
         let (silenced, receiver) = watch::channel(0);
+        let (is_cut, cut_receiver) = watch::channel(false);
         let (opened_sender, opened) = watch::channel(0);
-        let task = tokio::spawn(accept(listener, target, receiver, opened_sender));
-        Ok(Self { address, silenced, opened, task })
+        let task = tokio::spawn(accept(listener, target, receiver, cut_receiver, opened_sender));
+        Ok(Self { address, silenced, is_cut, opened, task })
     }
 
     /// Where it listens.
@@ -43,6 +46,16 @@
         self.silenced.send_modify(|count| *count += 1);
     }
 
+    /// Closes all connections, and new ones at once, until [`Forwarder::restore`].
+    pub fn cut(&self) {
+        self.is_cut.send_replace(true);
+    }
+
+    /// Forwards new connections again.
+    pub fn restore(&self) {
+        self.is_cut.send_replace(false);
+    }
+
     /// Connections that were ever opened.
     #[must_use]
     pub fn opened(&self) -> u64 {
@@ -67,11 +80,19 @@
     listener: TcpListener,
     target: SocketAddr,
     silences: watch::Receiver<u64>,
+    cuts: watch::Receiver<bool>,
     opened: watch::Sender<u64>,
 ) {
     while let Ok((near, _)) = listener.accept().await {
         opened.send_modify(|count| *count += 1);
-        tokio::spawn(forward(near, target, silences.clone()));
+        let (silences, mut cuts) = (silences.clone(), cuts.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                biased;
+                _ = cuts.wait_for(|is_cut| *is_cut) => {}
+                () = forward(near, target, silences) => {}
+            }
+        });
     }
 }
 
