Do not take a pause of this process for an outage of the store

Callers saw: requests reached an endpoint up to 2,249 ms after its removal, after its end at 2,250 ms, where drain_ms is 2,000.

Cause: compares the length of a call with the shortest outage in which an entry can expire, two renewals. The length includes the time for which the process was stopped. With a heartbeat_ms of 1,200 a pause that the other gateways do not notice (0.8 s) cannot make a call that long; with 750 or less it can, and the removal that the call brings is taken for an expired entry and kept for 1.5 s by all gateways. The length of a call alone cannot tell one from the other.

Change: outages are measured in the running time of the process (decisions/running_time.rs), which the heartbeat of the control thread ticks. `endpoint list recovered` in the log tells when removed endpoints are kept.

--- a/crates/lycheewood/src/controllers/endpoint_list.rs
+++ b/crates/lycheewood/src/controllers/endpoint_list.rs
@@ -117,6 +117,14 @@
     }
 }
 
+impl EndpointListController {
+    /// Logs that removed endpoints are kept for some time after an outage of the list.
+    fn log_grace(&self, source: &str, now: Timestamp) {
+        let grace_ms = self.list.grace_left_ms(now);
+        log::info!("endpoint list recovered source={source} grace_ms={grace_ms}");
+    }
+}
+
 /// Formats a record as `key=value` pairs for a log line.
 fn describe(record: &EndpointRecord) -> String {
     match record {
@@ -157,6 +165,7 @@
             EndpointListUpdate::Shared(SharedEndpoints { changes, end, lapse_left_ms }) => {
                 if lapse_left_ms > 0 {
                     self.list.extend_grace(lapse_left_ms, now);
+                    self.log_grace("peer", now);
                 }
                 if !self.replace(changes, end, "peer", now) {
                     return;
@@ -164,6 +173,7 @@
             }
             EndpointListUpdate::ListRecovered => {
                 self.list.on_list_recovered(now);
+                self.log_grace("platform", now);
                 return;
             }
         }
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -333,7 +333,9 @@
         SendHeartbeat { is_broadcast }: SendHeartbeat,
         context: &mut Context<Self, ()>,
     ) {
-        self.tracker.expire(self.state.clock.now());
+        let now = self.state.clock.now();
+        self.state.record_tick(now);
+        self.tracker.expire(now);
         let mut heartbeat = self.next_heartbeat();
         let settings = &self.state.settings;
         // A lease holder sends every heartbeat to all instances, because its silence allows a takeover.
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -41,6 +41,7 @@
 pub(crate) mod resume;
 pub(crate) mod retries;
 pub(crate) mod routing;
+pub(crate) mod running_time;
 pub(crate) mod shares;
 pub(crate) mod stall;
 pub(crate) mod units;
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
 use crate::decisions::retries::{RetryBudget, RetryPolicy};
+use crate::decisions::running_time::RunningTime;
 use crate::decisions::stall::{ResponsePart, is_stalled, may_be_queued};
 use crate::decisions::units::mix;
 use crate::ids::{AttemptId, Incarnation, InstanceId, TargetName};
@@ -102,6 +103,7 @@
     /// Set when the controllers start, before any request is served.
     permits: OnceLock<ActorRef<PermitsController>>,
     topic_health: TopicHealth,
+    running_time: Mutex<RunningTime>,
     /// Published in heartbeats while this instance holds the lease on the expert groups.
     leading: Mutex<Option<Leading>>,
     phase: watch::Sender<Phase>,
@@ -152,6 +154,7 @@
         let seed = mix(u64::from(endpoint_tag(&settings.instance)));
         let waiting_room = Arc::new(WaitingRoom::new(clock, seed, Arc::clone(&early_heartbeat)));
         let work = Arc::new(WorkTracker::new(Arc::clone(&metrics)));
+        let running_time = RunningTime::new(settings.heartbeat_ms, clock.now());
         Self {
             callers: ConnectionTable::new(settings.max_callers, memory.clone(), clock),
             memory,
@@ -179,6 +182,7 @@
             quarantine: OnceLock::new(),
             permits: OnceLock::new(),
             topic_health: TopicHealth::default(),
+            running_time: Mutex::new(running_time),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             stops_at: OnceLock::new(),
@@ -212,6 +216,17 @@
         }
     }
 
+    /// Records that the control thread runs. Called with each heartbeat.
+    pub(crate) fn record_tick(&self, now: Timestamp) {
+        self.running_time.lock().unwrap_or_else(PoisonError::into_inner).tick(now);
+    }
+
+    /// Time for which the control thread has run, in milliseconds.
+    pub(crate) fn running_ms(&self) -> u64 {
+        let now = self.clock.now();
+        self.running_time.lock().unwrap_or_else(PoisonError::into_inner).running_ms(now)
+    }
+
     /// Records whether the last read of a platform topic succeeded.
     pub(crate) fn record_topic_reply(&self, topic: PlatformTopic, is_answered: bool) {
         let was_answered = self.topic_health.flag(topic).swap(is_answered, Ordering::Relaxed);
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -152,6 +152,7 @@
 pub use decisions::routing::{
     NoEndpoint, RouteCandidate, RouteRequest, RoutingPolicy, choose_endpoint,
 };
+pub use decisions::running_time::RunningTime;
 pub use decisions::shares::{DemandMeter, EntryDemand, SharePolicy, allocate_shares};
 pub use decisions::stall::{
     ResponsePart, is_stalled, lost_answer_ms, may_be_queued, stall_timeout_ms,
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -150,6 +150,13 @@
         self.state.endpoint_list_stale.notified().await;
     }
 
+    /// Time for which this process has run, in milliseconds. It does not include the time for which the process was
+    /// stopped, so an outage is measured with it.
+    #[must_use]
+    pub fn running_ms(&self) -> u64 {
+        self.state.running_ms()
+    }
+
     /// Reports that the endpoint list has recovered from an outage.
     pub fn on_endpoint_list_recovered(&self) {
         let _ = self.endpoints.tell(EndpointListUpdate::ListRecovered).try_send();
