Believe a report of a list outage only with evidence of one's own

Cause: the gateway that reads the endpoint list decided alone whether the list had an outage. The others kept removed endpoints for as long as it said, even if they had read the list themselves meanwhile. A reader that alone was cut off from the store, or that measures wrongly, thus extends the use of a removed endpoint at gateways that are in touch.

Change: each gateway notes from heartbeats how long nobody in its domain has read the list (decisions/list_outage.rs). It keeps removed endpoints for another one's sake only if that was 700 ms or more, and for no longer than 1.5 s after it ended. A reader in whose place another one reads by the time that its late reply comes reports no outage.

--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -21,6 +21,7 @@
 use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
 use crate::decisions::cold::{FleetEstimate, FleetView};
 use crate::decisions::endpoint_limits::{LimitReport, RequestRate};
+use crate::decisions::list_outage::ListOutage;
 use crate::decisions::peers::{PeerTracker, encode_failures};
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
@@ -64,7 +65,8 @@
 /// A fetch of state from another instance has finished.
 struct FetchFinished {
     source: SocketAddr,
-    is_success: bool,
+    /// The state, or `None` if the fetch has failed.
+    state: Option<Box<SharedState>>,
 }
 
 /// Source of the state that this instance shares with others.
@@ -93,6 +95,7 @@
     tracker: PeerTracker,
     lag: LagMonitor,
     election: ReaderElection,
+    outage: ListOutage,
     fleet: FleetEstimate,
     sequence: u64,
     /// When the peer table was last published.
@@ -126,6 +129,7 @@
             tracker,
             lag: LagMonitor::default(),
             election: ReaderElection::default(),
+            outage: ListOutage::default(),
             fleet,
             sequence: 0,
             published_at: Timestamp::default(),
@@ -208,6 +212,7 @@
             is_healthy: self.state.is_healthy_reader(),
         };
         let is_reader = self.election.update(&candidate, &table, now);
+        self.outage.update(candidate.domain_has_reader(is_reader, &table, now), now);
         let is_changed = self
             .state
             .is_reader
@@ -259,42 +264,43 @@
             return;
         };
         self.is_fetching = true;
-        let (state, routes, endpoints) =
-            (Arc::clone(&self.state), self.routes.clone(), self.endpoints.clone());
         tokio::spawn(async move {
             let source = fetch.source;
-            let fetch_result = gossip::fetch(&fetch).await;
-            let is_success = fetch_result.is_ok();
-            match fetch_result {
-                Ok(shared) => apply_shared_state(&actor, &routes, &endpoints, shared).await,
-                Err(error) => log::warn!("state fetch failed from={source} reason=\"{error}\""),
-            }
-            let result = if is_success { "ok" } else { "failed" };
-            state.metrics.state_fetches.with_label_values(&[result]).inc();
-            let _ = actor.tell(FetchFinished { source, is_success }).await;
+            let state = match gossip::fetch(&fetch).await {
+                Ok(state) => Some(Box::new(state)),
+                Err(error) => {
+                    log::warn!("state fetch failed from={source} reason=\"{error}\"");
+                    None
+                }
+            };
+            let _ = actor.tell(FetchFinished { source, state }).await;
         });
     }
-}
 
-/// Passes fetched state to the controllers.
-async fn apply_shared_state(
-    peers: &ActorRef<PeersController>,
-    routes: &ActorRef<RoutesController>,
-    endpoints: &ActorRef<EndpointListController>,
-    shared: SharedState,
-) {
-    // The controllers live as long as the process, so no send fails.
-    // Before the routes, so that an instance that starts does not serve without it.
-    if let Some(state) = shared.evacuations {
-        let _ = routes.tell(UpdateEvacuations::State { state, source: PEER_SOURCE }).await;
-    }
-    if let Some(raw) = shared.routes {
-        let _ = routes.tell(UpdateRoutes { raw, source: PEER_SOURCE }).await;
+    /// Passes fetched state to the controllers.
+    fn apply_shared_state(&mut self, shared: SharedState, now: Timestamp) {
+        // The mailboxes are unbounded, and the controllers live as long as the process, so no send fails.
+        // Before the routes, so that an instance that starts does not serve without it.
+        if let Some(state) = shared.evacuations {
+            let update = UpdateEvacuations::State { state, source: PEER_SOURCE };
+            let _ = self.routes.tell(update).try_send();
+        }
+        if let Some(raw) = shared.routes {
+            let _ = self.routes.tell(UpdateRoutes { raw, source: PEER_SOURCE }).try_send();
+        }
+        if let Some(mut list) = shared.endpoints {
+            list.lapse_left_ms = list.lapse_left_ms.min(self.outage.grace_left_ms(now));
+            let _ = self.endpoints.tell(EndpointListUpdate::Shared(list)).try_send();
+        }
+        self.add_peers(shared.peers, now);
     }
-    if let Some(list) = shared.endpoints {
-        let _ = endpoints.tell(EndpointListUpdate::Shared(list)).await;
+
+    fn add_peers(&mut self, addresses: Vec<SocketAddr>, now: Timestamp) {
+        let own_address = self.state.settings.peer_address;
+        for address in addresses.into_iter().filter(|address| *address != own_address) {
+            self.tracker.add_address(address, now);
+        }
     }
-    let _ = peers.tell(AddPeers { addresses: shared.peers }).await;
 }
 
 impl Message<HeartbeatReceived> for PeersController {
@@ -365,11 +371,7 @@
     type Reply = ();
 
     async fn handle(&mut self, AddPeers { addresses }: AddPeers, _: &mut Context<Self, ()>) {
-        let now = self.state.clock.now();
-        let own_address = self.state.settings.peer_address;
-        for address in addresses.into_iter().filter(|address| *address != own_address) {
-            self.tracker.add_address(address, now);
-        }
+        self.add_peers(addresses, self.state.clock.now());
     }
 }
 
@@ -377,8 +379,14 @@
     type Reply = ();
 
     async fn handle(&mut self, finished: FetchFinished, _: &mut Context<Self, ()>) {
+        let FetchFinished { source, state } = finished;
         self.is_fetching = false;
-        self.lag.on_fetch_result(finished.source, finished.is_success);
+        self.lag.on_fetch_result(source, state.is_some());
+        let result = if state.is_some() { "ok" } else { "failed" };
+        self.state.metrics.state_fetches.with_label_values(&[result]).inc();
+        if let Some(state) = state {
+            self.apply_shared_state(*state, self.state.clock.now());
+        }
     }
 }
 
--- a/crates/lycheewood/src/decisions.rs
+++ b/crates/lycheewood/src/decisions.rs
@@ -24,6 +24,7 @@
 pub(crate) mod groups;
 pub(crate) mod leases;
 pub(crate) mod limits;
+pub(crate) mod list_outage;
 pub(crate) mod log_lease;
 pub(crate) mod map_change;
 pub(crate) mod membership;
--- a/crates/lycheewood/src/decisions/endpoint_list.rs
+++ b/crates/lycheewood/src/decisions/endpoint_list.rs
@@ -188,7 +188,7 @@
 /// Time for which endpoints whose entries expired during an outage of the list remain usable after the list
 /// has recovered, in milliseconds. Live endpoints register again within 2,000 ms. The period is shorter than
 /// the shortest drain time, which is 2,000 ms.
-const EXPIRY_GRACE_MS: u64 = 1_500;
+pub(crate) const EXPIRY_GRACE_MS: u64 = 1_500;
 
 /// Intervals of its renewals without one after which an entry is removed from the list.
 const EXPIRY_RENEWALS: u64 = 3;
--- a/crates/lycheewood/src/decisions/readers.rs
+++ b/crates/lycheewood/src/decisions/readers.rs
@@ -5,6 +5,7 @@
 //! fetch it. An instance that receives no heartbeat from a reader in its domain starts to read itself.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::clock::Timestamp;
 use crate::decisions::peers::{PEER_TIMEOUT_MS, Peer, PeerTable};
@@ -42,16 +43,31 @@
     no_reader_since: Option<Timestamp>,
 }
 
+impl ReaderCandidate<'_> {
+    /// Whether an instance of the failure domain, this one or another, reads the platform's topics.
+    #[must_use]
+    pub fn domain_has_reader(&self, is_reader: bool, peers: &PeerTable, now: Timestamp) -> bool {
+        is_reader && self.is_healthy || self.live_peers(peers, now).any(|peer| peer.heartbeat.reads)
+    }
+
+    /// The other instances of the failure domain that were heard lately.
+    fn live_peers<'p>(
+        &self,
+        peers: &'p PeerTable,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &'p Peer> {
+        let live = peers.peers.values().map(Arc::as_ref);
+        live.filter(move |peer| now.ms_since(peer.received) < READER_TIMEOUT_MS)
+            .filter(|peer| peer.about.failure_domain == *self.failure_domain)
+    }
+}
+
 impl ReaderElection {
     /// Updates the election from the last heartbeats of the peers and returns whether this instance should
     /// read. Of two healthy readers the first by name continues. A reader whose calls fail keeps trying until
     /// another one succeeds.
     pub fn update(&mut self, own: &ReaderCandidate<'_>, peers: &PeerTable, now: Timestamp) -> bool {
-        let in_domain = || {
-            let live =
-                peers.peers.values().filter(|peer| now.ms_since(peer.received) < READER_TIMEOUT_MS);
-            live.filter(|peer| peer.about.failure_domain == *own.failure_domain)
-        };
+        let in_domain = || own.live_peers(peers, now);
         let readers = in_domain().filter(|peer| peer.heartbeat.reads);
         let mut names = readers.map(|peer| &peer.about.instance);
         let has_other_reader = if self.is_reader && own.is_healthy {
--- a/crates/lycheewood/src/lib.rs
+++ b/crates/lycheewood/src/lib.rs
@@ -110,6 +110,7 @@
     RecordError, ReleaseRecord, decode_record, encode_record,
 };
 pub use decisions::limits::{RateGrant, RateLimit, TokenBucket, entry_rate};
+pub use decisions::list_outage::ListOutage;
 pub use decisions::log_lease::{
     GroupLeaseRecord, HolderFailureDetector, LeaseCandidate, LeaseState, holding_rank,
     term_map_version,
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -157,8 +157,12 @@
         self.state.running_ms()
     }
 
-    /// Reports that the endpoint list has recovered from an outage.
+    /// Reports that the endpoint list has recovered from an outage. Has no effect if another instance reads the list, which
+    /// knows whether there was one.
     pub fn on_endpoint_list_recovered(&self) {
+        if !self.is_reader() {
+            return;
+        }
         let _ = self.endpoints.tell(EndpointListUpdate::ListRecovered).try_send();
     }
 
--- a/crates/lycheewood/tests/gateway/main.rs
+++ b/crates/lycheewood/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod harness;
 mod leaving;
 mod limits;
+mod list_outage;
 mod lost_answers;
 mod messages;
 mod overload;
