Let a crash test cut the attempt instead of waiting for its idle timeout

Cause: with a backend_idle_ms of 400 the daemon also gives the engine 400 ms for the head of its answer. On a machine that takes longer the attempt never runs, the request ends at its deadline of 4 s, and the test waits for ever for an attempt that runs.

Change: the request has a deadline of 120 s and the idle timeout of the other tests. The test waits until load reports have shown the crash, and then cuts the connection of the attempt.

With the fault that the test guards against brought back (no report while the engine counts as down) it fails: "the crash was not reported".

--- a/crates/lycheewood/tests/crashing_requests.rs
+++ b/crates/lycheewood/tests/crashing_requests.rs
@@ -276,10 +276,10 @@
 /// attempt on it fails.
 #[test]
 fn a_crash_that_the_load_report_shows_first_is_reported() {
-    // The attempt on the silent engine fails after the next load report.
-    let timing = TIMING.replace("backend_idle_ms: 20000", "backend_idle_ms: 400");
-    let mut deployment = Deployment::platform(&timing);
-    deployment.publish(&document(600_000), None);
+    let mut deployment = Deployment::platform(TIMING);
+    // The request must not end before its attempt is cut.
+    let document = document(600_000).replace("default_ms: 4000", "default_ms: 120000");
+    deployment.publish(&document, None);
     let engine = deployment.engine(EngineFaults { restart_after_ms: 0, ..crash_faults() });
     engine.set_faults(|faults| faults.stall_after_tokens = Some(2));
     let forwarder = deployment.forwarder(engine.address());
@@ -291,9 +291,13 @@
         let ask = request(entry, "/v1/completions", None, &completion("stalled", 4));
         let answer = tokio::spawn(send(ask));
         engine.wait_for_load(|load| load.running == 1).await;
-        // The response stream does not end at the crash; the next load report shows it first.
+        // The response stream does not end at the crash.
         forwarder.silence();
         engine.crash().await;
+        // Each load report opens a connection, so the one before the last has shown the crash.
+        let opened = forwarder.opened();
+        forwarder.wait_for_opened_above(opened + 2).await;
+        forwarder.cut();
         let (status, body) = answer.await.expect("the caller");
         assert_eq!(status, 504, "{body}");
         let reported = deployment.log.wait_for_records("quarantine", 1);
