Let a reader that was overtaken report an outage that it has noticed

Cause: after an outage for all, the gateway that gets the first reply may be another one than the reader. The reader's own late call then brings the removals of expired entries when it no longer reads, its report of the outage is ignored, and it alone loses these endpoints until they have written again, 2 s at most.

The order of events has no test of its own.

--- a/crates/lycheewood/src/controllers/endpoint_list.rs
+++ b/crates/lycheewood/src/controllers/endpoint_list.rs
@@ -115,9 +115,7 @@
         );
         is_applied
     }
-}
 
-impl EndpointListController {
     /// Logs that removed endpoints are kept for some time after an outage of the list.
     fn log_grace(&self, source: &str, now: Timestamp) {
         let grace_ms = self.list.grace_left_ms(now);
--- a/crates/lycheewood/src/controllers/peers.rs
+++ b/crates/lycheewood/src/controllers/peers.rs
@@ -21,7 +21,6 @@
 use crate::controllers::routes::{PEER_SOURCE, RoutesController, UpdateEvacuations, UpdateRoutes};
 use crate::decisions::cold::{FleetEstimate, FleetView};
 use crate::decisions::endpoint_limits::{LimitReport, RequestRate};
-use crate::decisions::list_outage::ListOutage;
 use crate::decisions::peers::{PeerTracker, encode_failures};
 use crate::decisions::readers::{LagMonitor, LocalState, ReaderCandidate, ReaderElection};
 use crate::gateway::GatewayState;
@@ -95,7 +94,6 @@
     tracker: PeerTracker,
     lag: LagMonitor,
     election: ReaderElection,
-    outage: ListOutage,
     fleet: FleetEstimate,
     sequence: u64,
     /// When the peer table was last published.
@@ -129,7 +127,6 @@
             tracker,
             lag: LagMonitor::default(),
             election: ReaderElection::default(),
-            outage: ListOutage::default(),
             fleet,
             sequence: 0,
             published_at: Timestamp::default(),
@@ -212,7 +209,7 @@
             is_healthy: self.state.is_healthy_reader(),
         };
         let is_reader = self.election.update(&candidate, &table, now);
-        self.outage.update(candidate.domain_has_reader(is_reader, &table, now), now);
+        self.state.record_list_read(candidate.domain_has_reader(is_reader, &table, now), now);
         let is_changed = self
             .state
             .is_reader
@@ -289,7 +286,7 @@
             let _ = self.routes.tell(UpdateRoutes { raw, source: PEER_SOURCE }).try_send();
         }
         if let Some(mut list) = shared.endpoints {
-            list.lapse_left_ms = list.lapse_left_ms.min(self.outage.grace_left_ms(now));
+            list.lapse_left_ms = list.lapse_left_ms.min(self.state.list_grace_left_ms());
             let _ = self.endpoints.tell(EndpointListUpdate::Shared(list)).try_send();
         }
         self.add_peers(shared.peers, now);
--- a/crates/lycheewood/src/decisions/list_outage.rs
+++ b/crates/lycheewood/src/decisions/list_outage.rs
@@ -1,7 +1,7 @@
-//! Outages of the endpoint list, as an instance sees them that does not read it.
+//! Outages of the endpoint list that an instance notices without reading it.
 //!
 //! The instance that reads the list reports an outage in which entries may have expired. It alone may have been cut off or
-//! paused, so the others believe the report only if nobody in their failure domain has read the list for some time.
+//! paused, so the others believe the report only if no instance of their failure domain has read the list for some time.
 
 use crate::clock::Timestamp;
 use crate::decisions::endpoint_list::EXPIRY_GRACE_MS;
--- a/crates/lycheewood/src/gateway.rs
+++ b/crates/lycheewood/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::decisions::endpoint_limits::RequestRate;
 use crate::decisions::endpoint_list::{EndpointEntry, EndpointIndex};
 use crate::decisions::evacuation::EvacuationTable;
+use crate::decisions::list_outage::ListOutage;
 use crate::decisions::peers::PeerTable;
 use crate::decisions::quarantine::QuarantineTable;
 use crate::decisions::quarantine::completions::CompletionTable;
@@ -104,6 +105,7 @@
     permits: OnceLock<ActorRef<PermitsController>>,
     topic_health: TopicHealth,
     running_time: Mutex<RunningTime>,
+    list_outage: Mutex<ListOutage>,
     /// Published in heartbeats while this instance holds the lease on the expert groups.
     leading: Mutex<Option<Leading>>,
     phase: watch::Sender<Phase>,
@@ -183,6 +185,7 @@
             permits: OnceLock::new(),
             topic_health: TopicHealth::default(),
             running_time: Mutex::new(running_time),
+            list_outage: Mutex::default(),
             leading: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             stops_at: OnceLock::new(),
@@ -227,6 +230,18 @@
         self.running_time.lock().unwrap_or_else(PoisonError::into_inner).running_ms(now)
     }
 
+    /// Records whether an instance of the failure domain reads the endpoint list at present.
+    pub(crate) fn record_list_read(&self, is_read: bool, now: Timestamp) {
+        self.list_outage.lock().unwrap_or_else(PoisonError::into_inner).update(is_read, now);
+    }
+
+    /// How long entries may be kept that expired in an outage of the endpoint list which this instance has noticed, in
+    /// milliseconds.
+    pub(crate) fn list_grace_left_ms(&self) -> u64 {
+        let now = self.clock.now();
+        self.list_outage.lock().unwrap_or_else(PoisonError::into_inner).grace_left_ms(now)
+    }
+
     /// Records whether the last read of a platform topic succeeded.
     pub(crate) fn record_topic_reply(&self, topic: PlatformTopic, is_answered: bool) {
         let was_answered = self.topic_health.flag(topic).swap(is_answered, Ordering::Relaxed);
--- a/crates/lycheewood/src/roles/gateway.rs
+++ b/crates/lycheewood/src/roles/gateway.rs
@@ -157,10 +157,10 @@
         self.state.running_ms()
     }
 
-    /// Reports that the endpoint list has recovered from an outage. Has no effect if another instance reads the list, which
-    /// knows whether there was one.
+    /// Reports that the endpoint list has recovered from an outage. Has no effect if another instance has read the list
+    /// meanwhile.
     pub fn on_endpoint_list_recovered(&self) {
-        if !self.is_reader() {
+        if !self.is_reader() && self.state.list_grace_left_ms() == 0 {
             return;
         }
         let _ = self.endpoints.tell(EndpointListUpdate::ListRecovered).try_send();
