Keep what became of an attempt elsewhere when the first one ends

An attempt elsewhere that may have run and failed, after which the unreachable endpoint came back and proved that it had not run the request, was forgotten: the caller could be told that the request has not run.

Change: the result of the attempt elsewhere is recorded in either order.

Measured: the tests of silence and crashing_requests pass. The order of events has no test of its own.

--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -99,7 +99,7 @@
             }
             Progress::Source(SourceEvent::NotRun(not_run)) => {
                 count_attempt(state, "refused");
-                if let Some(answer) = elsewhere.finish().await {
+                if let Some(answer) = elsewhere.finish(&mut source).await {
                     return Ok(HeadOutcome::Answer(answer));
                 }
                 free_key(state, &source.admitted, request, attempt);
@@ -112,7 +112,7 @@
                 source.record_failure(FAILURE_PENALTY_MS);
                 let repeatable = !source.admitted.spec.non_idempotent;
                 if repeatable && code != UnknownCode::DeadlinePassed {
-                    return match elsewhere.finish().await {
+                    return match elsewhere.finish(&mut source).await {
                         Some(answer) => Ok(HeadOutcome::Answer(answer)),
                         None => retry_with(source.abandon(Some(code))),
                     };
@@ -245,7 +245,7 @@
     /// Resumes a model's answer from the next token on another endpoint with the same version. After an
     /// attempt that yielded no chunk, this counts against the retry budget like any other retry.
     async fn resume(&mut self) -> bool {
-        if let Some(answer) = self.elsewhere.finish().await {
+        if let Some(answer) = self.elsewhere.finish(&mut self.source).await {
             self.take_over(*answer);
             return true;
         }
--- a/crates/lycheewood/src/filters/relay/elsewhere.rs
+++ b/crates/lycheewood/src/filters/relay/elsewhere.rs
@@ -48,9 +48,11 @@
         end
     }
 
-    /// Waits for the end of the attempt. `None` if it has failed or there is none.
-    pub(super) async fn finish(&mut self) -> Option<Box<Answer>> {
-        if self.0.is_some() { self.end().await.ok() } else { None }
+    /// Waits for the end of the attempt, since `source` has ended. `None` if it has failed or there is none.
+    pub(super) async fn finish(&mut self, source: &mut Source) -> Option<Box<Answer>> {
+        self.0.as_ref()?;
+        let end = self.end().await;
+        end.inspect_err(|error| source.on_failed_elsewhere(error)).ok()
     }
 }
 
