Do not continue the answer of a service at another endpoint

Callers saw nothing yet: found by reading again. A service call whose head the caller already had, and whose endpoint could then not be reached, was run at another endpoint and got that one's body under the first one's head. Before the answer ended.

Change: only the answer of a model, which goes on at the next token, is asked for elsewhere after its head, by the condition that `resume` always had (`can_resume`). The entry waits for the endpoint of a service call.

Measured: the tests of silence, crashing_requests and documents pass. The order of events has no test of its own.

--- a/crates/lycheewood/src/filters/relay.rs
+++ b/crates/lycheewood/src/filters/relay.rs
@@ -202,7 +202,9 @@
                     }
                 }
                 Progress::Source(SourceEvent::Unreachable) => {
-                    self.elsewhere.start(&self.state, &self.request, &self.source);
+                    if self.can_resume() {
+                        self.elsewhere.start(&self.state, &self.request, &self.source);
+                    }
                 }
                 Progress::Elsewhere(Ok(answer)) => {
                     count_attempt(&self.state, "failed");
@@ -242,6 +244,13 @@
         AnswerEvent::Aborted(unknown_error(&mut self.source, &self.request, code))
     }
 
+    /// Whether another endpoint can continue the answer. The answer of a service may differ from one run to the next, and the
+    /// caller has its head.
+    fn can_resume(&self) -> bool {
+        let admitted = &self.source.admitted;
+        !admitted.spec.non_idempotent && admitted.version.is_some()
+    }
+
     /// Resumes a model's answer from the next token on another endpoint with the same version. After an
     /// attempt that yielded no chunk, this counts against the retry budget like any other retry.
     async fn resume(&mut self) -> bool {
@@ -249,11 +258,10 @@
             self.take_over(*answer);
             return true;
         }
-        let admitted = &self.source.admitted;
-        if admitted.spec.non_idempotent || admitted.version.is_none() {
+        if !self.can_resume() {
             return false;
         }
-        let mut admitted = admitted.clone();
+        let mut admitted = self.source.admitted.clone();
         admitted.unknown_outcome = Some(UnknownCode::EndpointLost);
         admitted.tried_endpoints.push(self.source.link.instance.clone());
         if !self.source.has_received_chunk {
